--- /dev/null
+++ b/toucandoor/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager: the processes between callers and backend servers."""
--- /dev/null
+++ b/toucandoor/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, files, timers, metrics and logs around the core."""
--- /dev/null
+++ b/toucandoor/clock.py
@@ -0,0 +1,57 @@
+"""Clock interface passed to everything that needs the time."""
+
+from __future__ import annotations
+
+import time
+from abc import ABC, abstractmethod
+from datetime import UTC, datetime, timedelta
+
+
+class Clock(ABC):
+    """Source of wall-clock and monotonic time."""
+
+    @abstractmethod
+    def now(self) -> datetime:
+        """Return the wall-clock time, aware, in UTC."""
+
+    @abstractmethod
+    def monotonic_s(self) -> float:
+        """Return seconds that never go back; only differences mean something."""
+
+
+class SystemClock(Clock):
+    """Clock of the operating system."""
+
+    def now(self) -> datetime:
+        """Return the wall-clock time, aware, in UTC."""
+        return datetime.now(UTC)
+
+    def monotonic_s(self) -> float:
+        """Return the operating system's monotonic time in seconds."""
+        return time.monotonic()
+
+
+class ManualClock(Clock):
+    """Clock that moves only when told to, for sessions that must replay the same."""
+
+    def __init__(self, start: datetime = datetime(2026, 1, 5, 18, 0, tzinfo=UTC)) -> None:
+        self._start = start
+        self._elapsed_s = 0.0
+
+    def now(self) -> datetime:
+        """Return the start time plus what has been advanced."""
+        return self._start + timedelta(seconds=self._elapsed_s)
+
+    def monotonic_s(self) -> float:
+        """Return the seconds advanced so far."""
+        return self._elapsed_s
+
+    def advance(self, seconds: float) -> None:
+        """Move forward by a duration in seconds."""
+        if seconds < 0:
+            raise ValueError("a clock cannot go back")
+        self._elapsed_s += seconds
+
+    def advance_to(self, monotonic_s: float) -> None:
+        """Move forward to a monotonic time in seconds; an earlier time changes nothing."""
+        self._elapsed_s = max(self._elapsed_s, monotonic_s)
--- /dev/null
+++ b/toucandoor/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which request starts next: bounded queues, classes, deadlines, shares."""
--- /dev/null
+++ b/toucandoor/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration: its schema, merging and versions."""
--- /dev/null
+++ b/toucandoor/core/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases that say how long an entry may serve keyed work."""
--- /dev/null
+++ b/toucandoor/core/maintenance/__init__.py
@@ -0,0 +1,1 @@
+"""Waves of planned stops over racks and data centres."""
--- /dev/null
+++ b/toucandoor/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend server takes an attempt, and which are out of use."""
--- /dev/null
+++ b/toucandoor/core/routing/policy.py
@@ -0,0 +1,74 @@
+"""Routing policies: which backend server takes the next attempt."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections import Counter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from toucandoor.core.requests.models import AttemptEnded, BackendServer
+    from toucandoor.ids import AttemptId, PoolId, VmId
+
+
+class RoutingPolicy(ABC):
+    """Knows an entry's backend servers and what it has running on them."""
+
+    @abstractmethod
+    def update_servers(self, servers: Iterable[BackendServer], now_s: float) -> None:
+        """Replace the list of backend servers."""
+
+    @abstractmethod
+    def pick(
+        self, pool: PoolId, now_s: float, *, urgent: bool, exclude: Collection[VmId] = ()
+    ) -> BackendServer | None:
+        """Return the backend server for the next attempt, or None when none has room."""
+
+    @abstractmethod
+    def started(self, attempt_id: AttemptId, vm: VmId, now_s: float) -> None:
+        """Note that an attempt is being sent to a backend server."""
+
+    @abstractmethod
+    def ended(self, event: AttemptEnded, now_s: float) -> None:
+        """Note how an attempt ended; its place is free again."""
+
+
+class LeastConnections(RoutingPolicy):
+    """Baseline policy: the server with the fewest attempts of this entry, failures ignored."""
+
+    def __init__(self) -> None:
+        self._servers: dict[VmId, BackendServer] = {}
+        self._running: Counter[VmId] = Counter()
+        self._vm_of: dict[AttemptId, VmId] = {}
+
+    def update_servers(self, servers: Iterable[BackendServer], now_s: float) -> None:
+        """Replace the list of backend servers."""
+        self._servers = {server.vm: server for server in servers}
+
+    def pick(
+        self, pool: PoolId, now_s: float, *, urgent: bool, exclude: Collection[VmId] = ()
+    ) -> BackendServer | None:
+        """Return the least loaded server of the pool that has a free slot."""
+        candidates = [
+            server
+            for server in self._servers.values()
+            if server.pool == pool
+            and not server.leaving
+            and not server.cordoned
+            and server.vm not in exclude
+            and self._running[server.vm] < server.slots
+        ]
+        return min(candidates, key=lambda server: self._running[server.vm], default=None)
+
+    def started(self, attempt_id: AttemptId, vm: VmId, now_s: float) -> None:
+        """Count an attempt on its server."""
+        self._vm_of[attempt_id] = vm
+        self._running[vm] += 1
+
+    def ended(self, event: AttemptEnded, now_s: float) -> None:
+        """Free the attempt's place."""
+        vm = self._vm_of.pop(event.attempt_id, None)
+        if vm is not None:
+            self._running[vm] -= 1
--- /dev/null
+++ b/toucandoor/core/shares/__init__.py
@@ -0,0 +1,1 @@
+"""How near each team comes to its share when the fleet is full."""
--- /dev/null
+++ b/toucandoor/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the backend servers."""
