Hold ceilings as permits in escrow

Cause: the static split lets one entry use only its fixed part of a ceiling, and nothing moved or recovered permits. Excluded: a counter in the store for each request (write rate), a central limiter (a cut data centre could start nothing), permits of data centres guarded by a coordinator's lease alone (a paused coordinator would make permits; terms in the ledger refuse its writes instead).

--- /dev/null
+++ b/tests/core/ceilings/test_fleet.py
@@ -0,0 +1,126 @@
+"""Whole fleet of permit holders under any mixture of faults."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from toucandoor.ids import DataCentreId, TeamId
+from toucandoor.measures._ceilings import CUT_OFF_GRACE_S, Chaos, FakeEntry, PermitWorld
+
+NORTH, SOUTH, WEST = DataCentreId("north"), DataCentreId("south"), DataCentreId("west")
+TEAMS = (TeamId("red"), TeamId("blue"))
+ENTRIES = st.integers(0, 5)
+DATA_CENTRES = st.sampled_from([NORTH, SOUTH, WEST])
+RATIOS = st.sampled_from([0.0, 0.1, 0.5])
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Faults in any order; after each step nothing runs above its ceiling."""
+
+    @initialize(seed=st.integers(0, 1000))
+    def start(self, seed: int) -> None:
+        ceilings = {TEAMS[0]: 40, TEAMS[1]: 3}
+        self.world = PermitWorld({NORTH: 2, SOUTH: 2, WEST: 2}, ceilings, seed, step_s=0.25)
+        self.world.run_s = lambda: self.world.random.choice([0.3, 2.0, 200.0])
+        self.world.run(2)
+
+    def entry(self, index: int) -> FakeEntry:
+        return self.world.entries[index]
+
+    @rule(seconds=st.sampled_from([0.25, 1, 5, 20, 60]))
+    def advance(self, seconds: float) -> None:
+        self.world.run(seconds)
+
+    @rule(index=ENTRIES, team=st.sampled_from(TEAMS), waiting=st.sampled_from([0, 2, 60]))
+    def demand(self, index: int, team: TeamId, waiting: int) -> None:
+        self.world.waiting[self.entry(index).entry][team] = waiting
+        self.world.run(0.5)
+
+    @rule(index=ENTRIES)
+    def pause_or_resume(self, index: int) -> None:
+        self.entry(index).paused = not self.entry(index).paused
+
+    @rule(index=ENTRIES)
+    def pause_longer_than_the_leases(self, index: int) -> None:
+        self.entry(index).paused = True
+        self.world.run(45)
+        self.world.entries[index].paused = False
+        self.world.run(1)
+
+    @rule(index=ENTRIES)
+    def kill(self, index: int) -> None:
+        self.world.restart_entry(self.entry(index))
+
+    @rule(index=ENTRIES)
+    def cut_entry(self, index: int) -> None:
+        self.entry(index).cut_off = not self.entry(index).cut_off
+
+    @rule(data_centre=DATA_CENTRES, kill=st.booleans())
+    def coordinator_fails(self, data_centre: DataCentreId, kill: bool) -> None:
+        if kill:
+            self.world.new_coordinator(data_centre)
+            return
+        self.world.paused_coordinators ^= {data_centre}
+
+    @rule(data_centre=DATA_CENTRES)
+    def cut_or_heal_data_centre(self, data_centre: DataCentreId) -> None:
+        self.world.cut_or_heal(data_centre)
+
+    @precondition(lambda self: self.world.cut_off)
+    @rule()
+    def outlast_the_grace_time(self) -> None:
+        self.world.run(CUT_OFF_GRACE_S + 45)
+
+    @rule()
+    def store_outage(self) -> None:
+        self.world.store.up = not self.world.store.up
+
+    @rule(lost=RATIOS, doubled=RATIOS, late=RATIOS, answers=RATIOS, writes=RATIOS)
+    def disturb(
+        self, lost: float, doubled: float, late: float, answers: float, writes: float
+    ) -> None:
+        self.world.chaos = Chaos(lost, doubled, late, 3.0, answers, writes)
+
+    @rule(red=st.sampled_from([0, 5, 40, 80]), blue=st.sampled_from([1, 3]))
+    def change_ceilings(self, red: int, blue: int) -> None:
+        self.world.set_ceilings({TEAMS[0]: red, TEAMS[1]: blue})
+
+    def teardown(self) -> None:
+        if not hasattr(self, "world"):
+            return
+        assert self.world.overruns == 0
+        assert self.world.conservation_breaches == 0
+        self.check_recovery()
+
+    def check_recovery(self) -> None:
+        """Once all faults are over, one entry can use the whole ceiling again."""
+        world = self.world
+        world.heal_all()
+        for waiting in world.waiting.values():
+            waiting.subtract(waiting.copy())
+        world.set_ceilings({TEAMS[0]: 40, TEAMS[1]: 3})
+        world.run(250)
+        world.run_s = lambda: 500.0
+        world.waiting[world.entries[0].entry].update({TEAMS[0]: 100, TEAMS[1]: 100})
+        world.run(20)
+        assert world.overruns == 0
+        assert world.running(TEAMS[0]) == 40, world.running(TEAMS[0])
+        assert world.running(TEAMS[1]) == 3, world.running(TEAMS[1])
+
+
+FleetMachine.TestCase.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=12,
+    phases=[Phase.explicit, Phase.generate],
+    stateful_step_count=15,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class FleetTest(FleetMachine.TestCase, unittest.TestCase):
+    pass
--- /dev/null
+++ b/toucandoor/measures/_ceilings.py
@@ -0,0 +1,394 @@
+"""Small fakes around the ceilings in virtual time: store, links, leases and running tasks."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING
+
+from toucandoor.core.ceilings.const import COORDINATOR_ID
+from toucandoor.core.ceilings.coordinator import Office, PermitCoordinator
+from toucandoor.core.ceilings.entry import EntryPermits
+from toucandoor.core.ceilings.ledger import ceiling_in_force, decode_ledger, encode_ledger, total
+from toucandoor.core.ceilings.models import (
+    CeilingMessage,
+    DataCentreGone,
+    EntryGone,
+    Envelope,
+    Ledger,
+    Member,
+    WriteLedger,
+)
+from toucandoor.core.leases.serving import FixedLease
+from toucandoor.ids import (
+    AttemptId,
+    ConfigVersion,
+    DataCentreId,
+    EntryId,
+    IncarnationId,
+    TeamId,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from toucandoor.core.ceilings.policy import PermitPolicy
+
+ENTRY_LEASE_S = 6.0
+TASK_LEASE_S = 30.0
+CUT_OFF_GRACE_S = 120.0
+
+
+@dataclass(slots=True)
+class Task:
+    """A task on a backend server; it ends by itself or with its lease."""
+
+    team: TeamId
+    end_s: float
+    lease_end_s: float
+
+
+@dataclass(slots=True)
+class FakeEntry:
+    """An entry's process."""
+
+    entry: EntryId
+    data_centre: DataCentreId
+    incarnation: IncarnationId
+    lease: FixedLease
+    permits: PermitPolicy
+    tasks: dict[AttemptId, Task] = field(default_factory=dict)
+    alive: bool = True
+    paused: bool = False
+    cut_off: bool = False
+    granted_until_s: float = 0.0
+
+    @property
+    def runs(self) -> bool:
+        """Whether the process does anything now."""
+        return self.alive and not self.paused
+
+
+class FakeStore:
+    """The ledger's key in the store, with outages and answers lost after the write."""
+
+    def __init__(self) -> None:
+        self.value = encode_ledger(Ledger())
+        self.ledger = Ledger()
+        self.revision = 0
+        self.up = True
+        self.writes = 0
+        self.calls = 0
+        self.bytes_max = 0
+
+    def swap(self, write: WriteLedger) -> bool:
+        """Write if the revision is the expected one; return whether it was."""
+        self.calls += 1
+        if write.base_revision != self.revision:
+            return False
+        self.writes += 1
+        self.revision += 1
+        self.value = encode_ledger(write.ledger)
+        self.ledger = decode_ledger(self.value)
+        self.bytes_max = max(self.bytes_max, len(self.value))
+        return True
+
+
+@dataclass(slots=True)
+class Chaos:
+    """What may happen to messages and answers.
+
+    Attributes:
+        lost_ratio: Part of the messages that never arrive.
+        doubled_ratio: Part of the messages that arrive twice.
+        late_ratio: Part of the messages that arrive up to `late_s` later, out of order.
+        answer_lost_ratio: Part of the writes that take effect without an answer.
+        write_late_ratio: Part of the writes that reach the store late or never.
+    """
+
+    lost_ratio: float = 0.0
+    doubled_ratio: float = 0.0
+    late_ratio: float = 0.0
+    late_s: float = 3.0
+    answer_lost_ratio: float = 0.0
+    write_late_ratio: float = 0.0
+
+
+class PermitWorld:
+    """Entries with permits, one coordinator in each data centre, and the fakes around them."""
+
+    def __init__(
+        self,
+        data_centres: Mapping[DataCentreId, int],
+        ceilings: Mapping[TeamId, int],
+        seed: int,
+        step_s: float = 0.05,
+    ) -> None:
+        self.now_s = 0.0
+        self.step_s = step_s
+        self.random = Random(seed)
+        self.store = FakeStore()
+        self.chaos = Chaos()
+        self.entries: list[FakeEntry] = []
+        self.former: list[FakeEntry] = []
+        self.coordinators: dict[DataCentreId, PermitCoordinator] = {}
+        self.paused_coordinators: set[DataCentreId] = set()
+        self.cut_off: dict[DataCentreId, float] = {}
+        self.data_centres = list(data_centres)
+        self.version = 0
+        self.ceilings = dict(ceilings)
+        self.waiting: defaultdict[EntryId, Counter[TeamId]] = defaultdict(Counter)
+        self.run_s: Callable[[], float] = lambda: self.random.uniform(0.2, 2.0)
+        self.started = 0
+        self.overruns = 0
+        self.conservation_breaches = 0
+        self.messages = 0
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._attempts = itertools.count()
+        self._starts = itertools.count()
+        self.set_ceilings(self.ceilings)
+        for data_centre, count in data_centres.items():
+            self.new_coordinator(data_centre)
+            for index in range(count):
+                self.start_entry(EntryId(f"{data_centre}-{index}"), data_centre, 1)
+
+    # Faults and changes
+
+    def set_ceilings(self, ceilings: Mapping[TeamId, int]) -> None:
+        """Put a configuration with other ceilings in force."""
+        self.version += 1
+        self.ceilings = dict(ceilings)
+
+    def new_coordinator(self, data_centre: DataCentreId) -> None:
+        """Start a coordinator; an earlier one of the data centre is dead."""
+        start_id = f"{data_centre}.{next(self._starts)}"
+        self.coordinators[data_centre] = PermitCoordinator(data_centre, start_id)
+
+    def start_entry(self, entry: EntryId, data_centre: DataCentreId, incarnation: int) -> None:
+        """Start an entry's process."""
+        lease = FixedLease(self.now_s + ENTRY_LEASE_S)
+        member = Member(entry, IncarnationId(incarnation))
+        permits = EntryPermits(member, lease)
+        fake = FakeEntry(entry, data_centre, IncarnationId(incarnation), lease, permits)
+        fake.granted_until_s = lease.until_s
+        self.entries.append(fake)
+
+    def restart_entry(self, fake: FakeEntry) -> None:
+        """Kill an entry's process and start the next incarnation; its tasks run on."""
+        fake.alive = False
+        self.entries.remove(fake)
+        self.former.append(fake)
+        self.start_entry(fake.entry, fake.data_centre, fake.incarnation + 1)
+
+    def cut_or_heal(self, data_centre: DataCentreId) -> None:
+        """Cut a data centre off from the platform and the others, or connect it again."""
+        if data_centre not in self.cut_off:
+            self.cut_off[data_centre] = self.now_s
+            return
+        del self.cut_off[data_centre]
+        for coordinator in self.coordinators.values():
+            coordinator.on_data_centre_back(data_centre)
+
+    def heal_all(self) -> None:
+        """End all faults."""
+        self.store.up = True
+        self.chaos = Chaos()
+        self.paused_coordinators.clear()
+        for data_centre in list(self.cut_off):
+            self.cut_or_heal(data_centre)
+        for fake in self.entries:
+            fake.paused = fake.cut_off = False
+
+    # Time
+
+    def run(self, duration_s: float) -> None:
+        """Let virtual time pass."""
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s - 1e-9:
+            self.step()
+
+    def step(self) -> None:
+        """Let one step pass: leases, messages, tasks, starts, then the checks."""
+        self.now_s += self.step_s
+        self._renew_leases()
+        self._report_gone()
+        self._deliver_due()
+        self._end_tasks()
+        for fake in self.entries:
+            if fake.runs:
+                self._run_entry(fake)
+        for data_centre, coordinator in self.coordinators.items():
+            if data_centre not in self.paused_coordinators:
+                self._run_coordinator(data_centre, coordinator)
+        self.check()
+
+    def running(self, team: TeamId) -> int:
+        """Return how many tasks of the team really run."""
+        tasks = (t for f in [*self.entries, *self.former] for t in f.tasks.values())
+        return sum(1 for task in tasks if task.team == team and self._is_running(task))
+
+    def usable(self, team: TeamId) -> int:
+        """Return the team's permits that an entry or a pool holds and may use."""
+        pools = sum(c.pool(team) for c in self.coordinators.values())
+        return pools + sum(f.permits.held(team) for f in self._holders())
+
+    def check(self) -> None:
+        """Count a team that runs more than its ceiling, and permits that were made."""
+        running = self.running_by_team()
+        held: Counter[TeamId] = Counter()
+        for fake in self._holders():
+            held.update(+fake.permits._exchange.holding.held)  # noqa: SLF001
+        ledger = self.store.ledger
+        for team in set(running) | set(held):
+            self.overruns += max(0, running[team] - ceiling_in_force(ledger, team))
+            self.conservation_breaches += max(0, held[team] - total(ledger, team))
+
+    def running_by_team(self) -> Counter[TeamId]:
+        """Return how many tasks of each team really run."""
+        counts: Counter[TeamId] = Counter()
+        for fake in [*self.entries, *self.former]:
+            counts.update(t.team for t in fake.tasks.values() if self._is_running(t))
+        return counts
+
+    def _holders(self) -> list[FakeEntry]:
+        return [f for f in self.entries if f.alive and not self._is_gone(f)]
+
+    def _is_running(self, task: Task) -> bool:
+        return self.now_s < min(task.end_s, task.lease_end_s)
+
+    def _is_gone(self, fake: FakeEntry) -> bool:
+        return self.now_s >= fake.granted_until_s + TASK_LEASE_S
+
+    def _renew_leases(self) -> None:
+        for fake in self.entries:
+            since_s = self.cut_off.get(fake.data_centre)
+            past_grace = since_s is not None and self.now_s - since_s > CUT_OFF_GRACE_S
+            if fake.runs and not fake.cut_off and not past_grace:
+                fake.lease.until_s = self.now_s + ENTRY_LEASE_S
+                fake.granted_until_s = fake.lease.until_s
+
+    def _report_gone(self) -> None:
+        for fake in [*self.former, *self.entries]:
+            if not self._is_gone(fake):
+                continue
+            event = EntryGone(fake.entry, fake.incarnation, fake.granted_until_s + TASK_LEASE_S)
+            self.coordinators[fake.data_centre].on_entry_gone(event)
+        for data_centre, since_s in self.cut_off.items():
+            end_s = since_s + CUT_OFF_GRACE_S + ENTRY_LEASE_S + TASK_LEASE_S + 1.0
+            for coordinator in self.coordinators.values():
+                coordinator.on_data_centre_gone(DataCentreGone(data_centre, end_s))
+
+    def _end_tasks(self) -> None:
+        for fake in [*self.entries, *self.former]:
+            for attempt_id, task in list(fake.tasks.items()):
+                if fake.runs and fake.lease.holds(self.now_s) and self._is_running(task):
+                    task.lease_end_s = self.now_s + TASK_LEASE_S
+                if not self._is_running(task) and (fake.runs or not fake.alive):
+                    del fake.tasks[attempt_id]
+                    if fake.runs:
+                        fake.permits.give_back(attempt_id, self.now_s)
+
+    def _run_entry(self, fake: FakeEntry) -> None:
+        for team in list(self.waiting[fake.entry]):
+            self._start_tasks(fake, team)
+            fake.permits.want(team, self.waiting[fake.entry][team], self.now_s)
+        if isinstance(fake.permits, EntryPermits):
+            self._send(fake.data_centre, fake.permits.me, fake.permits.tick(self.now_s))
+
+    def _start_tasks(self, fake: FakeEntry, team: TeamId) -> None:
+        waiting = self.waiting[fake.entry]
+        while waiting[team] > 0:
+            attempt_id = AttemptId(f"a{next(self._attempts)}")
+            if not fake.permits.take(team, attempt_id, self.now_s):
+                return
+            waiting[team] -= 1
+            self.started += 1
+            end_s = self.now_s + self.run_s()
+            fake.tasks[attempt_id] = Task(team, end_s, self.now_s + TASK_LEASE_S)
+
+    # Coordinators and the store
+
+    def _sees_store(self, data_centre: DataCentreId) -> bool:
+        return self.store.up and data_centre not in self.cut_off
+
+    def _run_coordinator(self, data_centre: DataCentreId, coordinator: PermitCoordinator) -> None:
+        if coordinator.office is Office.DEPOSED:
+            self.new_coordinator(data_centre)
+            return
+        if self._sees_store(data_centre):
+            coordinator.set_ceilings(ConfigVersion(self.version), self.ceilings)
+            coordinator.on_ledger(self.store.ledger, self.store.revision)
+        output = coordinator.tick(self.now_s)
+        me = Member(COORDINATOR_ID, IncarnationId(coordinator.epoch.term))
+        self._send(data_centre, me, output.envelopes)
+        if output.write is not None and self._sees_store(data_centre):
+            self._write(coordinator, output.write)
+
+    def _write(self, coordinator: PermitCoordinator, write: WriteLedger) -> None:
+        if self.random.random() < self.chaos.write_late_ratio:
+            self._later(self.random.uniform(0, 5), lambda: self._swap_if_up(write))
+            return
+        applied = self.store.swap(write)
+        if applied and self.random.random() >= self.chaos.answer_lost_ratio:
+            coordinator.on_ledger(self.store.ledger, self.store.revision)
+
+    def _swap_if_up(self, write: WriteLedger) -> None:
+        if self.store.up:
+            self.store.swap(write)
+
+    # Messages
+
+    def _later(self, delay_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (self.now_s + delay_s, next(self._order), action))
+
+    def _deliver_due(self) -> None:
+        while self._queue and self._queue[0][0] <= self.now_s:
+            heapq.heappop(self._queue)[2]()
+
+    def _send(self, data_centre: DataCentreId, sender: Member, envelopes: list[Envelope]) -> None:
+        for envelope in envelopes:
+            self.messages += 1
+            if self.random.random() < self.chaos.lost_ratio:
+                continue
+            copies = 2 if self.random.random() < self.chaos.doubled_ratio else 1
+            for _ in range(copies):
+                late = self.random.random() < self.chaos.late_ratio
+                delay_s = self.random.uniform(0, self.chaos.late_s) if late else 0.002
+                self._later(delay_s, self._delivery(data_centre, sender, envelope))
+
+    def _delivery(
+        self, data_centre: DataCentreId, sender: Member, envelope: Envelope
+    ) -> Callable[[], None]:
+        return lambda: self._deliver(data_centre, sender, envelope)
+
+    def _deliver(self, data_centre: DataCentreId, sender: Member, envelope: Envelope) -> None:
+        if self._is_cut(sender.entry) or self._is_cut(envelope.to.entry):
+            return
+        if envelope.to.entry == COORDINATOR_ID:
+            if data_centre in self.paused_coordinators:
+                self._later(1.0, self._delivery(data_centre, sender, envelope))
+                return
+            answers = self.coordinators[data_centre].on_message(envelope.message, self.now_s)
+            me = Member(COORDINATOR_ID, IncarnationId(self.coordinators[data_centre].epoch.term))
+            self._send(data_centre, me, answers)
+            return
+        for fake in self.entries:
+            if fake.entry == envelope.to.entry:
+                self._deliver_to_entry(fake, sender, envelope.message)
+
+    def _deliver_to_entry(self, fake: FakeEntry, sender: Member, message: CeilingMessage) -> None:
+        if not isinstance(fake.permits, EntryPermits):
+            return
+        if fake.paused:
+            again = Envelope(fake.permits.me, message)
+            self._later(1.0, self._delivery(fake.data_centre, sender, again))
+            return
+        answers = fake.permits.on_message(message, self.now_s)
+        self._send(fake.data_centre, fake.permits.me, answers)
+
+    def _is_cut(self, entry: EntryId) -> bool:
+        return any(fake.entry == entry and fake.cut_off for fake in self.entries)
