Bound what a caller can send, and refuse it with a reason

Cause: the server's own timeout starts anew with every byte, so 8 callers that drip one byte each 0.2 s held all 4 threads of an entry; refusals made before the application were plain text and said nothing of the request's fate. Excluded: a shorter idle timeout; it cuts callers on slow links and still counts bytes, not requests. Change: a watch ends the reading side of a connection whose request is not whole in time; all refusals are problem details that say not_run and name the step. Conclusion: a slow sender costs a thread for at most body_timeout_s.

--- a/toucandoor/adapters/caller_http.py
+++ b/toucandoor/adapters/caller_http.py
@@ -11,8 +11,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from cheroot import wsgi
+from cheroot.errors import MaxSizeExceeded
 
+from toucandoor.adapters.caller_server import ATTR_SOCKET
 from toucandoor.adapters.wsgi import respond
 from toucandoor.core.requests.models import (
     Answer,
@@ -44,22 +45,11 @@
 ATTR_RUN_S = "HTTP_TOUCANDOOR_RUN_S"
 ATTR_IDEMPOTENT = "HTTP_TOUCANDOOR_IDEMPOTENT"
 ATTR_IDEMPOTENCY_KEY = "HTTP_IDEMPOTENCY_KEY"
-ATTR_SOCKET = "toucandoor.socket"
 DEFAULT_DEADLINE_S = {RequestClass.URGENT: 30.0, RequestClass.PATIENT: 3600.0}
 DEADLINE_S_MAX = 24 * 3600.0
 _LISTEN_PERIOD_S = 0.5
 
 
-class CallerGateway(wsgi.Gateway_10):
-    """Gives the application its connection, so that it notices a caller that went away."""
-
-    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
-        """Return the WSGI environment with the socket in it."""
-        environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
-        environ[ATTR_SOCKET] = self.req.conn.socket
-        return environ
-
-
 class _BadRequestError(Exception):
     """The request cannot be taken; it was not run."""
 
@@ -269,6 +259,8 @@
         raise _BadRequestError(411, "Content-Length is missing", "http.body")
     try:
         body: bytes = environ["wsgi.input"].read(*([] if chunked else [int(length_text)]))
+    except MaxSizeExceeded as err:
+        raise _BadRequestError(413, "the body is too large", "http.body") from err
     except TimeoutError as err:
         raise _BadRequestError(408, "the body did not come in time", "http.body") from err
     except Exception as err:  # cheroot raises its own kinds on oversized and torn bodies
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -12,7 +12,8 @@
 
 import typer
 
-from toucandoor.adapters.caller_http import CallerApp, CallerGateway, EntryView
+from toucandoor.adapters.caller_http import CallerApp, EntryView
+from toucandoor.adapters.caller_server import make_caller_server
 from toucandoor.adapters.controller_link import ControllerLink
 from toucandoor.adapters.engine_loop import EngineLoop
 from toucandoor.adapters.logs import set_up_logs
@@ -65,11 +66,7 @@
         view = EntryView(lambda: self._keys, self._is_open, lambda: self._stopping)
         workers = WorkerClient(settings.connect_timeout_s)
         app = CallerApp(self.loop, workers, metrics, self._clock, view, settings.entry_id)
-        callers = make_server(
-            settings.caller_address, app, settings.threads, settings.body_timeout_s
-        )
-        callers.gateway = CallerGateway
-        callers.max_request_body_size = settings.body_bytes_max
+        callers = make_caller_server(settings, app, self._clock)
         ops_app = make_ops_app(self._not_ready, lambda: metrics.in_flight(self._engine.counts()))
         ops = make_server(settings.ops_address, ops_app, 2)
         link = ControllerLink(settings, self.configure, self.update_states)
