Hold one whole session of separate processes against a golden file

Excluded: recording raw answers; ids, addresses and times differ each run, so only stable fields are noted. Conclusion: every later change of what callers and operators see shows in this file.

--- /dev/null
+++ b/tests/programs/test_session.py
@@ -0,0 +1,80 @@
+"""One whole session as separate processes, held against a golden file."""
+
+from __future__ import annotations
+
+import json
+import re
+import time
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from tests.common import verify_session
+from tests.programs.test_path import FOLDER
+from toucandoor.measures._deployment import LocalDeployment
+
+_PROBLEM_FIELDS = ("title", "status", "fate", "step")
+
+
+class SessionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        scratch = TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        folder = Path(scratch.name)
+        (folder / "10-all.toml").write_text(FOLDER.replace("127.43.1.", "127.43.3."))
+        self.path = self.enterContext(LocalDeployment(folder, ["dc-1", "dc-1"]))
+        self.lines: list[dict[str, Any]] = []
+
+    def _operate(self, *arguments: str) -> dict[str, Any]:
+        done = self.path.operate(*arguments, "--json")
+        shown = json.loads(done.stdout or "{}")
+        noted = {k: v for k, v in shown.items() if k != "secret"}
+        command = " ".join(a for a in arguments if "/" not in a)
+        self.lines.append({"operator": command, "exit": done.returncode, "body": noted})
+        return shown
+
+    def _request(self, queue: str, key: str | None, body: bytes = b"{}", entry: int = 0) -> None:
+        answer = self.path.request(queue, body, key=key, entry=entry)
+        if answer.headers["Content-Type"] == "application/problem+json":
+            problem = json.loads(answer.data)
+            shown: Any = {name: problem[name] for name in _PROBLEM_FIELDS}
+        else:
+            shown = answer.data.decode()
+        self.lines.append({"request": queue, "entry": entry, "answer": shown})
+
+    def test_session(self) -> None:
+        self._operate("apply", str(self.path.folder))
+        self.path.wait_ready()
+        self._request("q", "secret-of-a", b'{"run_s": 0.01, "result": "first"}')
+        self._request("open", None)
+        self._request("q", "wrong")
+        self._request("nowhere", "secret-of-a")
+        self._request("q", "secret-of-none")
+        secret = self._operate("key", "grant", "a", "a-2")["secret"]
+        for entry in (0, 1):
+            self._request("q", secret, entry=entry)
+        self._operate("key", "withdraw", "a-2")
+        for entry in (0, 1):
+            self._request("q", secret, entry=entry)
+        self._operate("apply", str(self.path.folder), "--base-version", "1")
+        self._leave("w-1")
+        for number in range(3):
+            self._request("q", "secret-of-a", json.dumps({"result": number}).encode())
+        self.lines.append({"ran_on_w_1_after_leaving": self._runs("127.43.3.1:8181") - self.before})
+        for name in ("entry-1.entry", "entry-1.controller"):
+            self.lines.append({"stop": name, "exit": self.path.processes[name].end()})
+        self._request("q", "secret-of-a", entry=1)
+        logs = "".join(self.path.log(name) for name in self.path.processes)
+        self.lines.append({"secrets_logged": bool(re.search(f"secret-of-a|{secret}", logs))})
+        verify_session(self.lines)
+
+    def _leave(self, vm: str) -> None:
+        self.path.set_vm_list([{"id": vm, "state": "leaving"}, {"id": "w-2", "state": "live"}])
+        time.sleep(2.5)
+        self.before = self._runs("127.43.3.1:8181")
+
+    def _runs(self, address: str) -> int:
+        from toucandoor.measures._deployment import HTTP
+
+        return sum(json.loads(HTTP.request("GET", f"http://{address}/control/runs").data).values())
