Explain what became of a request

Excluded: keeping it in the store (a write a request; its rates do not allow it) and an answer on the ops port (open to whoever reaches it). Before: no such command. Conclusion: 5,000 requests are kept; older ones and those before a restart are said to be unknown.

--- a/tests/programs/test_path.py
+++ b/tests/programs/test_path.py
@@ -96,6 +96,16 @@
         again = self.path.operate("key", "grant", "a", "a-2")
         self.assertEqual(again.returncode, 4)
 
+    def test_a_request_is_explained_by_its_own_entry(self) -> None:
+        answer = self.path.request("q", b"{}", key="secret-of-a", entry=1)
+        request_id = answer.headers["Toucandoor-Request-Id"]
+        told = self.path.operate("explain", "request", request_id, entry=1)
+        self.assertRegex(told.stdout, r"(?s)patient request of a for q.*sent to w-\d.*answered")
+        elsewhere = self.path.operate("explain", "request", request_id, entry=0)
+        self.assertEqual((elsewhere.returncode, "entry-2" in elsewhere.stderr), (1, True))
+        unknown = self.path.operate("explain", "request", "entry-2-0", entry=1)
+        self.assertIn("not_found", unknown.stderr)
+
     def test_racing_operators_get_a_conflict(self) -> None:
         folder = str(self.path.folder)
         stale = self.path.operate("apply", folder, "--base-version", "99")
--- a/toucandoor/adapters/controller_link.py
+++ b/toucandoor/adapters/controller_link.py
@@ -17,6 +17,8 @@
     PROTOCOL_VERSION,
     ConfigurationAck,
     ConfigurationPush,
+    ExplainAnswer,
+    ExplainQuery,
     Hello,
     Message,
     VmStatesPush,
@@ -26,6 +28,7 @@
     from collections.abc import Callable
 
     from toucandoor.adapters.settings import EntrySettings
+    from toucandoor.ids import RequestId
     from toucandoor.messages import VmState
 
 _LOGGER = logging.getLogger(__name__)
@@ -44,10 +47,12 @@
         settings: EntrySettings,
         configure: Callable[[int, Configuration], None],
         update_states: Callable[[list[VmState]], None],
+        explain: Callable[[RequestId], list[str]],
     ) -> None:
         self._settings = settings
         self._configure = configure
         self._update_states = update_states
+        self._explain = explain
         self._version = 0
         self._incarnation = IncarnationId(time.time_ns())
 
@@ -77,6 +82,8 @@
                 await link.async_send(ConfigurationAck(self._version))
             case VmStatesPush(states):
                 self._update_states(states)
+            case ExplainQuery(query_id, request_id):
+                await link.async_send(ExplainAnswer(query_id, self._explain(request_id)))
 
     def _take_configuration(self, push: ConfigurationPush) -> None:
         if push.version <= self._version:
--- a/toucandoor/adapters/engine_loop.py
+++ b/toucandoor/adapters/engine_loop.py
@@ -7,6 +7,7 @@
 import queue
 from typing import TYPE_CHECKING
 
+from toucandoor.core.requests.journal import RequestJournal
 from toucandoor.core.requests.models import Decision, Event, Submitted, Tick
 
 if TYPE_CHECKING:
@@ -24,13 +25,18 @@
 
 
 class EngineLoop:
-    """Feeds events to the engine one at a time and hands each decision to its caller's thread."""
+    """Feeds events to the engine one at a time and hands each decision to its caller's thread.
+
+    Attributes:
+        journal: What became of recent requests.
+    """
 
     def __init__(self, engine: RequestEngine, clock: Clock) -> None:
         self._engine = engine
         self._clock = clock
         self._loop = asyncio.get_running_loop()
         self._inbox: asyncio.Queue[Event | Callable[[], None]] = asyncio.Queue()
+        self.journal = RequestJournal()
         self._mailboxes: dict[RequestId, Mailbox] = {}
 
     def post(self, event: Event) -> None:
@@ -68,11 +74,13 @@
                 self._deliver(event)
 
     def _deliver(self, event: Event) -> None:
+        now_s = self._clock.monotonic_s()
         try:
-            decisions = self._engine.handle(event, self._clock.monotonic_s())
+            decisions = self._engine.handle(event, now_s)
         except Exception:
             _LOGGER.exception("%s an event failed", _PREFIX)
             return
+        self.journal.note(event, decisions, now_s)
         for decision in decisions:
             mailbox = self._mailboxes.get(decision.request_id)
             if mailbox is not None:
--- a/toucandoor/core/requests/const.py
+++ b/toucandoor/core/requests/const.py
@@ -7,3 +7,5 @@
 ATTEMPTS_MAX: Final = 5
 START_WITHIN_S: Final = 1.0
 """Time a dispatching thread has to send the first byte."""
+JOURNAL_REQUESTS_MAX: Final = 5000
+JOURNAL_LINES_MAX: Final = 40
--- a/toucandoor/messages.py
+++ b/toucandoor/messages.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from toucandoor.exceptions import MessageError
-from toucandoor.ids import DataCentreId, PoolId, VmId
+from toucandoor.ids import DataCentreId, PoolId, RequestId, VmId
 
 PROTOCOL_VERSION: Final = 1
 MESSAGE_BYTES_MAX: Final = 4 * 1024 * 1024
@@ -68,6 +68,20 @@
     states: list[VmState]
 
 
+class ExplainQuery(Message, frozen=True, tag="explain_query"):
+    """Asks an entry what became of a request."""
+
+    query_id: int
+    request_id: RequestId
+
+
+class ExplainAnswer(Message, frozen=True, tag="explain_answer"):
+    """What an entry knows of a request, a line each; empty when it knows nothing."""
+
+    query_id: int
+    lines: list[str]
+
+
 class OperatorRequest(Message, frozen=True, tag="operator_request"):
     """One operator's command.
 
--- a/toucandoor/programs/cli.py
+++ b/toucandoor/programs/cli.py
@@ -28,6 +28,8 @@
 )
 key_app = typer.Typer(help="Grant and withdraw teams' keys.", no_args_is_help=True)
 app.add_typer(key_app, name="key")
+explain_app = typer.Typer(help="Say why something happened.", no_args_is_help=True)
+app.add_typer(explain_app, name="explain")
 
 FolderArgument = Annotated[Path, typer.Argument(help="Folder of TOML files.")]
 JsonOption = Annotated[bool, typer.Option("--json", help="Print one JSON object.")]
@@ -136,6 +138,20 @@
     _finish_change(_ask(settings, "key_withdraw", {"key": key}, as_json), as_json)
 
 
+@explain_app.command("request")
+def explain_request(
+    request: str, as_json: JsonOption = False, settings: SettingsOption = None
+) -> None:
+    """Say what became of a request and why it waited or was refused.
+
+    The id is in the header Toucandoor-Request-Id of every answer.
+
+    Example: toucandoor explain request entry-1-5f0c
+    """
+    body = _ask(settings, "explain_request", {"request": request}, as_json)
+    _show(body, "\n".join(body["lines"]), as_json)
+
+
 def _finish_change(body: dict[str, Any], as_json: bool) -> None:
     pending = body.get("pending", [])
     text = f"version {body['version']} " + ("is pending" if pending else "accepted")
--- a/toucandoor/programs/controller.py
+++ b/toucandoor/programs/controller.py
@@ -13,6 +13,7 @@
 from websockets.asyncio.server import ServerConnection, serve
 
 from toucandoor.adapters.configuration_task import ConfigurationTask, Head
+from toucandoor.adapters.explain_task import ExplainTask
 from toucandoor.adapters.link import Link, authenticate
 from toucandoor.adapters.logs import set_up_logs
 from toucandoor.adapters.metrics import make_ops_app
@@ -29,6 +30,7 @@
     PROTOCOL_VERSION,
     ConfigurationAck,
     ConfigurationPush,
+    ExplainAnswer,
     Hello,
     Message,
     OperatorRequest,
@@ -58,6 +60,8 @@
         )
         self._operators = OperatorApi(self._configuration, self._status)
         self._entries: dict[Link, int] = {}
+        self._explain = ExplainTask(settings.entry_id, lambda: self._entries)
+        self._operators.register("explain_request", self._explain.async_explain_request)
         self._states: list[VmState] = []
 
     async def async_run(self) -> None:
@@ -126,6 +130,8 @@
         match message:
             case ConfigurationAck(version):
                 self._entries[link] = version
+            case ExplainAnswer():
+                self._explain.take(message)
 
     async def _async_operator(self, link: Link) -> None:
         async for message in link.async_messages():
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -69,7 +69,9 @@
         callers = make_caller_server(settings, app, self._clock)
         ops_app = make_ops_app(self._not_ready, lambda: metrics.in_flight(self._engine.counts()))
         ops = make_server(settings.ops_address, ops_app, 2)
-        link = ControllerLink(settings, self.configure, self.update_states)
+        link = ControllerLink(
+            settings, self.configure, self.update_states, self.loop.journal.explain
+        )
         tasks = [asyncio.create_task(self.loop.async_run())]
         tasks.append(asyncio.create_task(link.async_run()))
         for server in (callers, ops):
