--- a/toucandoor/core/ceilings/entry.py
+++ b/toucandoor/core/ceilings/entry.py
@@ -7,7 +7,11 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from toucandoor.core.ceilings.const import COORDINATOR_ID, DEFAULT_RESEND_S
+from toucandoor.core.ceilings.const import (
+    COORDINATOR_ID,
+    DEFAULT_RESEND_S,
+    DEFAULT_STATUS_REFRESH_S,
+)
 from toucandoor.core.ceilings.exchange import Exchange
 from toucandoor.core.ceilings.models import (
     CeilingMessage,
@@ -89,6 +93,10 @@
         """Return the team's permits here, spent ones included."""
         return self._exchange.holding.held[team]
 
+    def holdings(self) -> dict[TeamId, int]:
+        """Return the permits of every team held here, spent ones included."""
+        return dict(+self._exchange.holding.held)
+
     def spent(self, team: TeamId) -> int:
         """Return how many of the team's permits are spent on attempts."""
         return self._spent[team]
@@ -180,9 +188,14 @@
         self._asked_s = None
 
     def _ask(self, now_s: float) -> list[Envelope]:
-        if self._standing is Standing.COUNTED or not self._lease.holds(now_s):
+        if not self._lease.holds(now_s):
             return []
-        if self._asked_s is not None and now_s - self._asked_s < DEFAULT_RESEND_S:
+        interval_s = DEFAULT_RESEND_S
+        if self._standing is Standing.COUNTED:
+            if self._exchange.hears_coordinator(now_s):
+                return []
+            interval_s = DEFAULT_STATUS_REFRESH_S
+        if self._asked_s is not None and now_s - self._asked_s < interval_s:
             return []
         self._asked_s = now_s
         return [Envelope(self._coordinator(), JoinRequest(self.me, self._question, self.epoch))]
--- a/toucandoor/core/ceilings/exchange.py
+++ b/toucandoor/core/ceilings/exchange.py
@@ -126,6 +126,11 @@
         heard = sorted(self._heard_s)
         return next((m for m in heard if m.entry == COORDINATOR_ID), next(iter(heard), None))
 
+    def hears_coordinator(self, now_s: float) -> bool:
+        """Return whether the coordinator of this epoch showed its status lately."""
+        heard = [at_s for m, at_s in self._heard_s.items() if m.entry == COORDINATOR_ID]
+        return bool(heard) and now_s - max(heard) <= 2 * DEFAULT_STATUS_REFRESH_S
+
     def teams_known(self) -> set[TeamId]:
         """Return the teams that any member holds or wants permits of."""
         teams: set[TeamId] = set(self.holding.held)
