Void a late judgement that a data centre is gone

Excluded: telling every coordinator that a data centre is back; a paused one does not hear it. Change: a judgement names the time of the word it rests on and is void once a newer term was seen; a coordinator whose lease ran out raises its term before it acts again. Entries whose lease is refused take a new incarnation, so a judgement on an incarnation is final; the fakes do the same, and run a second coordinator beside an unaware first one. Plans and statuses are worked out only when something changed. Conclusion: contract for the leases: no lease for an incarnation that was judged gone.

--- a/tests/core/ceilings/test_fleet.py
+++ b/tests/core/ceilings/test_fleet.py
@@ -66,6 +66,10 @@
             return
         self.world.paused_coordinators ^= {data_centre}
 
+    @rule(data_centre=DATA_CENTRES)
+    def second_coordinator(self, data_centre: DataCentreId) -> None:
+        self.world.new_coordinator(data_centre, keep_former=True)
+
     @rule(data_centre=DATA_CENTRES)
     def cut_or_heal_data_centre(self, data_centre: DataCentreId) -> None:
         self.world.cut_or_heal(data_centre)
--- a/toucandoor/core/ceilings/coordinator.py
+++ b/toucandoor/core/ceilings/coordinator.py
@@ -2,7 +2,8 @@
 
 Nothing depends on there being only one coordinator. Each raises the data centre's term in the
 ledger before it acts; writes of an earlier term fail their compare-and-swap, and members refuse
-transfers of an earlier term.
+transfers of an earlier term. A coordinator whose lease ran out, if only for a moment, raises the
+term again, so that a late judgement that its data centre is gone finds another term and is void.
 """
 
 from __future__ import annotations
@@ -53,6 +54,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from toucandoor.core.leases.serving import ServingLease
     from toucandoor.ids import DataCentreId, TeamId
 
 _LOGGER = logging.getLogger(__name__)
@@ -103,9 +105,13 @@
 
     Args:
         start_id: Unique to this start of the coordinator; prefix of its operation ids.
+        lease: Lease of the coordinator's own VM.
     """
 
-    def __init__(self, data_centre: DataCentreId, start_id: str) -> None:
+    def __init__(self, data_centre: DataCentreId, start_id: str, lease: ServingLease) -> None:
+        self._lease = lease
+        self._lease_seen_until_s = lease.keyed_until_s()
+        self._term_seen_s: dict[DataCentreId, tuple[int, float]] = {}
         self._data_centre = data_centre
         self._start_id = start_id
         self._operations = 0
@@ -123,11 +129,14 @@
         self._gone: set[Member] = set()
         self._gone_later: dict[tuple[EntryId, IncarnationId], float] = {}
         self._lives_gone: dict[tuple[EntryId, IncarnationId], int] = {}
-        self._data_centres_gone: dict[DataCentreId, float] = {}
+        self._data_centres_gone: dict[DataCentreId, DataCentreGone] = {}
         self._count: EpochCount | None = None
         self._announced_s: float | None = None
         self._outbox: list[Envelope] = []
         self._rewrite = False
+        self._plan_due = True
+        self._turn = 0
+        self._wanted: dict[TeamId, int] = {}
 
     @property
     def office(self) -> Office:
@@ -154,6 +163,7 @@
             return
         self._version = version
         self._ceilings = dict(ceilings)
+        self._plan_due = True
 
     def on_entry_gone(self, event: EntryGone) -> None:
         """Note that an incarnation's permits are free from a time on."""
@@ -162,13 +172,14 @@
     def on_data_centre_gone(self, event: DataCentreGone) -> None:
         """Note that another data centre's permits are free from a time on."""
         if event.data_centre != self._data_centre:
-            self._data_centres_gone[event.data_centre] = event.last_task_end_s
+            self._data_centres_gone[event.data_centre] = event
+            self._plan_due = True
 
     def on_data_centre_back(self, data_centre: DataCentreId) -> None:
         """Forget that a data centre was gone."""
         self._data_centres_gone.pop(data_centre, None)
 
-    def on_ledger(self, ledger: Ledger, revision: int) -> None:
+    def on_ledger(self, ledger: Ledger, revision: int, now_s: float) -> None:
         """Take in the ledger as the store holds it: from a watch, a read, or an own write.
 
         After each write, whatever its outcome, the adapter reads until it can call this.
@@ -176,11 +187,15 @@
         Args:
             ledger: Value of the ledger's key; an empty one when the key does not exist.
             revision: Revision of the ledger's key; 0 when the key does not exist.
+            now_s: Monotonic time.
         """
+        self._observe_lease(now_s)
         if self._office is Office.DEPOSED or revision < self._revision:
             return
+        self._plan_due = self._plan_due or revision != self._revision
         self._ledger = ledger
         self._revision = revision
+        self._note_terms(ledger, now_s)
         if self._pending is not None and not self._settle(ledger, revision):
             return
         if self._office is Office.HOLDER:
@@ -188,8 +203,10 @@
 
     def on_message(self, message: CeilingMessage, now_s: float) -> list[Envelope]:
         """Handle a member's message; return the answers."""
+        self._observe_lease(now_s)
         if self._office is not Office.HOLDER:
             return []
+        self._plan_due = True
         if isinstance(message, PermitTransfer):
             return self._exchange.on_transfer(message)
         if isinstance(message, JoinRequest):
@@ -206,24 +223,60 @@
 
     def tick(self, now_s: float) -> CoordinatorOutput:
         """Return what is due; call it often and after messages."""
+        self._observe_lease(now_s)
+        self._expire_gone(now_s)
         if self._office is Office.DEPOSED or self._ledger is None:
             return CoordinatorOutput()
         if self._office is Office.CANDIDATE:
             return CoordinatorOutput(write=self._write_office(now_s))
-        self._expire_gone(now_s)
         self._drop_gone()
         self._close_count()
         self._exchange.drop_silent(now_s)
-        view = self._view(now_s)
-        wanted = self._wanted(view)
+        write = self._plan(now_s) if self._is_plan_due(now_s) else self._again()
         envelopes = self._announce(now_s)
         envelopes += self._exchange.resend(now_s)
-        envelopes += self._give(wanted, now_s)
-        envelopes += self._exchange.show(wanted, now_s)
-        return CoordinatorOutput(envelopes, self._write(view, now_s))
+        envelopes += self._give(self._wanted, now_s)
+        envelopes += self._exchange.show(lambda team: self._wanted.get(team, 0), now_s)
+        return CoordinatorOutput(envelopes, write)
+
+    def _is_plan_due(self, now_s: float) -> bool:
+        return self._plan_due or int(now_s / DEFAULT_TURN_S) != self._turn
+
+    def _plan(self, now_s: float) -> WriteLedger | None:
+        """Work out what other data centres should get, and the write that is due."""
+        self._plan_due = False
+        self._turn = int(now_s / DEFAULT_TURN_S)
+        view = self._view(now_s)
+        wanted = self._wanted_elsewhere(view)
+        for team in set(wanted) | set(self._wanted):
+            if wanted.get(team, 0) != self._wanted.get(team, 0):
+                self._exchange.touch(team)
+        self._wanted = wanted
+        return self._write(view, now_s)
 
     # Office and ledger
 
+    def _observe_lease(self, now_s: float) -> None:
+        lapsed = now_s >= self._lease_seen_until_s
+        self._lease_seen_until_s = self._lease.keyed_until_s()
+        if not lapsed or self._office is not Office.HOLDER:
+            return
+        _LOGGER.warning("%s lease ran out, term %s is over", _PREFIX, self.epoch.term)
+        self._office = Office.CANDIDATE
+        self._pending = None
+        self._withdrawn.clear()
+        self._count = None
+        self._exchange.restart(self._exchange.me)
+
+    def _note_terms(self, ledger: Ledger, now_s: float) -> None:
+        for data_centre, line in ledger.data_centres.items():
+            if self._term_seen_s.get(data_centre, (-1, 0.0))[0] != line.term:
+                self._term_seen_s[data_centre] = (line.term, now_s)
+
+    def _is_reclaimable(self, event: DataCentreGone, now_s: float) -> bool:
+        seen_s = self._term_seen_s.get(event.data_centre, (0, now_s))[1]
+        return now_s >= event.last_task_end_s and event.judged_s > seen_s
+
     def _line(self) -> DataCentrePart:
         if self._ledger is None:
             return DataCentrePart()
@@ -299,10 +352,14 @@
 
     def _write(self, view: LocalView, now_s: float) -> WriteLedger | None:
         if self._pending is not None or self._ledger is None:
+            self._plan_due = True
             return self._again()
         operation = OperationId(f"{self._start_id}.{self._operations + 1}")
         change = plan_change(self._ledger, self._data_centre, view, operation)
-        if change is None or not self._budget.take(now_s):
+        if change is None:
+            return None
+        if not self._budget.take(now_s):
+            self._plan_due = True
             return None
         self._operations += 1
         return self._send_change(change, operation)
@@ -314,7 +371,8 @@
         return self._pending
 
     def _view(self, now_s: float) -> LocalView:
-        gone = {dc for dc, end_s in self._data_centres_gone.items() if now_s >= end_s}
+        events = self._data_centres_gone.values()
+        gone = {e.data_centre for e in events if self._is_reclaimable(e, now_s)}
         line = self._line()
         left = self._gone if self._count is None else set()
         return LocalView(
@@ -338,7 +396,7 @@
             demand[team] = max(floor, self._exchange.demand_of_peers(team))
         return demand
 
-    def _wanted(self, view: LocalView) -> dict[TeamId, int]:
+    def _wanted_elsewhere(self, view: LocalView) -> dict[TeamId, int]:
         """Return the permits that the coordinator needs to retire or give away."""
         if self._ledger is None:
             return {}
@@ -386,6 +444,7 @@
         new = {m for m in listed if self._is_marked_gone(m)} - self._gone
         if not new:
             return
+        self._plan_due = True
         self._gone |= new
         if self._count is not None:
             for member in new:
@@ -423,6 +482,7 @@
             return
         lost = self._count.lost()
         self._count = None
+        self._plan_due = True
         self._exchange.holding.held.update(lost)
         for team in lost:
             self._exchange.touch(team)
--- a/toucandoor/core/ceilings/entry.py
+++ b/toucandoor/core/ceilings/entry.py
@@ -138,8 +138,15 @@
     def start_leaving(self) -> None:
         """Spend nothing more, and hand permits to the others as tasks end."""
         self._leaving = True
-        for team in self._exchange.teams_known():
-            self._exchange.touch(team)
+        self._touch_all()
+
+    def restart(self, incarnation: IncarnationId) -> None:
+        """Hold nothing, under a new incarnation: the last one's lease will not be renewed.
+
+        The permits of running attempts stay with the last incarnation until their tasks' leases
+        have run out, so giving them back here changes nothing.
+        """
+        self._restart(Member(self.me.entry, incarnation))
 
     def on_message(self, message: CeilingMessage, now_s: float) -> list[Envelope]:
         """Handle a message from another member; return the answers."""
@@ -167,8 +174,7 @@
         self._exchange.drop_silent(now_s)
         envelopes += self._exchange.resend(now_s)
         envelopes += self._give(now_s)
-        teams = self._exchange.teams_known() | set(self._waiting)
-        envelopes += self._exchange.show({team: self._demand(team) for team in teams}, now_s)
+        envelopes += self._exchange.show(self._demand, now_s)
         if self._leaving and not +self._spent and self._exchange.holding.is_settled():
             self._standing = Standing.LEFT
         return envelopes
@@ -186,6 +192,7 @@
         self._standing = Standing.DOUBTFUL
         self._question += 1
         self._asked_s = None
+        self._touch_all()
 
     def _ask(self, now_s: float) -> list[Envelope]:
         if not self._lease.holds(now_s):
@@ -218,12 +225,14 @@
         answered = start.answer_to == self._question and self._lease.holds(now_s)
         if self._standing is Standing.OUTSIDE or answered:
             self._standing = Standing.COUNTED
+            self._touch_all()
             self._lease_seen_until_s = self._lease.keyed_until_s()
         self._exchange.peers = [*start.members, start.coordinator]
         return [] if self._report is None else [Envelope(start.coordinator, self._report)]
 
     def _enter(self, epoch: Epoch) -> None:
         self._exchange.enter(epoch)
+        self._touch_all()
         self._held_back.clear()
         self._report = EpochReport(self.me, epoch, dict(+self._exchange.holding.held))
 
@@ -232,14 +241,22 @@
             return
         _LOGGER.warning("%s permits were reclaimed, joining again", _PREFIX)
         me = self.me
-        self._exchange.restart(Member(me.entry, me.incarnation, me.life + 1))
+        self._restart(Member(me.entry, me.incarnation, me.life + 1))
+
+    def _restart(self, me: Member) -> None:
+        self._exchange.restart(me)
         self._standing = Standing.OUTSIDE
         self._question += 1
+        self._asked_s = None
         self._spent.clear()
         self._team_of.clear()
         self._held_back.clear()
         self._report = None
 
+    def _touch_all(self) -> None:
+        for team in self._exchange.teams_known() | set(self._waiting):
+            self._exchange.touch(team)
+
     def _demand(self, team: TeamId) -> int:
         if self._leaving or self._standing is not Standing.COUNTED:
             return self._spent[team]
--- a/toucandoor/core/ceilings/exchange.py
+++ b/toucandoor/core/ceilings/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from toucandoor.core.ceilings.const import (
@@ -57,6 +57,7 @@
         self._shown_s = 0.0
         self._refreshed_s: float | None = None
         self._changed: set[TeamId] = set()
+        self._to_show: set[TeamId] = set()
 
     @property
     def me(self) -> Member:
@@ -87,6 +88,7 @@
     def touch(self, team: TeamId) -> None:
         """Note that the team's holding or demand here may have changed."""
         self._changed.add(team)
+        self._to_show.add(team)
 
     def on_status(self, status: PermitStatus, now_s: float) -> None:
         """Note what a peer holds and wants."""
@@ -105,7 +107,8 @@
         ack = self.holding.take_in(transfer)
         if ack is None:
             return []
-        self._changed.update(transfer.permits)
+        for team in transfer.permits:
+            self.touch(team)
         return [Envelope(transfer.giver, ack)]
 
     def on_ack(self, ack: PermitTransferAck) -> None:
@@ -133,7 +136,7 @@
 
     def teams_known(self) -> set[TeamId]:
         """Return the teams that any member holds or wants permits of."""
-        teams: set[TeamId] = set(self.holding.held)
+        teams = set(self.holding.held) | self._to_show | set(self._shown)
         return teams.union(*self._statuses.values())
 
     def take_changed(self) -> set[TeamId]:
@@ -175,7 +178,7 @@
         for team, count in permits.items():
             old = known.get(team, _NOTHING)
             known[team] = TeamStatus(old.held + count, old.demand)
-            self._changed.add(team)
+            self.touch(team)
 
     def resend(self, now_s: float) -> list[Envelope]:
         """Return the transfers whose acknowledgement is overdue."""
@@ -188,28 +191,30 @@
             self._changed.update(self._statuses.pop(peer, {}))
             del self._heard_s[peer]
 
-    def show(self, demands: Mapping[TeamId, int], now_s: float) -> list[Envelope]:
+    def show(self, demand_of: Callable[[TeamId], int], now_s: float) -> list[Envelope]:
         """Return the status messages that are due.
 
         Args:
-            demands: Demand of every team that this member holds or wants permits of.
+            demand_of: Returns how many of a team's permits this member could use.
             now_s: Monotonic time.
         """
         due_s = self._refreshed_s
-        whole = due_s is None or now_s - due_s >= DEFAULT_STATUS_REFRESH_S
-        if not whole and now_s - self._shown_s < DEFAULT_STATUS_INTERVAL_S:
+        if due_s is None or now_s - due_s >= DEFAULT_STATUS_REFRESH_S:
+            teams = {team: self._status(team, demand_of) for team in self.teams_known()}
+            return self._send_status(teams, whole=True, now_s=now_s)
+        if not self._to_show or now_s - self._shown_s < DEFAULT_STATUS_INTERVAL_S:
             return []
-        held = self.holding.held
-        current = {team: TeamStatus(held[team], demands[team]) for team in demands}
-        if not whole:
-            current = {
-                team: status
-                for team, status in current.items()
-                if is_significant(self._shown.get(team, _NOTHING), status)
-            }
-            if not current:
-                return []
-        return self._send_status(current, whole=whole, now_s=now_s)
+        teams = {team: self._status(team, demand_of) for team in self._to_show}
+        self._to_show = set()
+        changed = {
+            team: status
+            for team, status in sorted(teams.items())
+            if is_significant(self._shown.get(team, _NOTHING), status)
+        }
+        return self._send_status(changed, whole=False, now_s=now_s) if changed else []
+
+    def _status(self, team: TeamId, demand_of: Callable[[TeamId], int]) -> TeamStatus:
+        return TeamStatus(self.holding.held[team], demand_of(team))
 
     def _send_status(
         self, teams: dict[TeamId, TeamStatus], *, whole: bool, now_s: float
@@ -217,6 +222,7 @@
         if whole:
             self._refreshed_s = now_s
             self._shown = {}
+            self._to_show = set()
             teams = {team: status for team, status in teams.items() if status != _NOTHING}
         self._shown_s = now_s
         self._shown.update(teams)
--- a/toucandoor/core/ceilings/models.py
+++ b/toucandoor/core/ceilings/models.py
@@ -178,7 +178,9 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryGone:
-    """An incarnation can never start work again.
+    """An incarnation can never start work again: no lease is ever granted to it any more.
+
+    An entry that finds itself refused takes a new incarnation; see `EntryPermits.restart`.
 
     Attributes:
         last_task_end_s: Monotonic time by which its last task's lease has run out.
@@ -194,8 +196,10 @@
     """A data centre's lease has run out, so that nothing keyed starts there.
 
     Attributes:
+        judged_s: Monotonic time of the newest word on the lease that the judgement rests on.
         last_task_end_s: Monotonic time by which its last task's lease has run out.
     """
 
     data_centre: DataCentreId
+    judged_s: float
     last_task_end_s: float
--- a/toucandoor/measures/_ceilings.py
+++ b/toucandoor/measures/_ceilings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import heapq
 import itertools
 from collections import Counter, defaultdict
@@ -40,6 +41,8 @@
 ENTRY_LEASE_S = 6.0
 TASK_LEASE_S = 30.0
 CUT_OFF_GRACE_S = 120.0
+JUDGE_MARGIN_S = 1.0
+"""Time after a lease's end from which the holder is judged gone for good."""
 
 
 @dataclass(slots=True)
@@ -135,6 +138,8 @@
         self.entries: list[FakeEntry] = []
         self.former: list[FakeEntry] = []
         self.coordinators: dict[DataCentreId, PermitCoordinator] = {}
+        self.coordinator_leases: dict[DataCentreId, FixedLease] = {}
+        self.former_coordinators: list[tuple[DataCentreId, PermitCoordinator]] = []
         self.paused_coordinators: set[DataCentreId] = set()
         self.cut_off: dict[DataCentreId, float] = {}
         self.data_centres = list(data_centres)
@@ -163,10 +168,16 @@
         self.version += 1
         self.ceilings = dict(ceilings)
 
-    def new_coordinator(self, data_centre: DataCentreId) -> None:
-        """Start a coordinator; an earlier one of the data centre is dead."""
+    def new_coordinator(self, data_centre: DataCentreId, *, keep_former: bool = False) -> None:
+        """Start a coordinator; the earlier one of the data centre is dead or goes on unaware."""
+        former = self.coordinators.get(data_centre)
+        if keep_former and former is not None:
+            self.coordinator_leases[data_centre].until_s = float("inf")
+            self.former_coordinators.append((data_centre, former))
         start_id = f"{data_centre}.{next(self._starts)}"
-        self.coordinators[data_centre] = PermitCoordinator(data_centre, start_id)
+        lease = FixedLease(self.now_s + ENTRY_LEASE_S)
+        self.coordinator_leases[data_centre] = lease
+        self.coordinators[data_centre] = PermitCoordinator(data_centre, start_id, lease)
 
     def start_entry(self, entry: EntryId, data_centre: DataCentreId, incarnation: int) -> None:
         """Start an entry's process."""
@@ -190,14 +201,16 @@
             self.cut_off[data_centre] = self.now_s
             return
         del self.cut_off[data_centre]
-        for coordinator in self.coordinators.values():
-            coordinator.on_data_centre_back(data_centre)
+        for other, coordinator in self.coordinators.items():
+            if other not in self.paused_coordinators:
+                coordinator.on_data_centre_back(data_centre)
 
     def heal_all(self) -> None:
         """End all faults."""
         self.store.up = True
         self.chaos = Chaos()
         self.paused_coordinators.clear()
+        self.former_coordinators.clear()
         for data_centre in list(self.cut_off):
             self.cut_or_heal(data_centre)
         for fake in self.entries:
@@ -224,6 +237,7 @@
         for data_centre, coordinator in self.coordinators.items():
             if data_centre not in self.paused_coordinators:
                 self._run_coordinator(data_centre, coordinator)
+        self._run_former_coordinators()
         self.check()
 
     def running(self, team: TeamId) -> int:
@@ -270,23 +284,48 @@
         return self.now_s >= fake.granted_until_s + TASK_LEASE_S
 
     def _renew_leases(self) -> None:
-        for fake in self.entries:
-            since_s = self.cut_off.get(fake.data_centre)
-            past_grace = since_s is not None and self.now_s - since_s > CUT_OFF_GRACE_S
-            if fake.runs and not fake.cut_off and not past_grace:
+        for data_centre, lease in self.coordinator_leases.items():
+            paused = data_centre in self.paused_coordinators
+            if not paused and not self._is_past_grace(data_centre):
+                lease.until_s = self.now_s + ENTRY_LEASE_S
+        for fake in list(self.entries):
+            if fake.runs and not fake.cut_off and not self._is_past_grace(fake.data_centre):
+                if self._is_judged(fake):
+                    self._take_new_incarnation(fake)
                 fake.lease.until_s = self.now_s + ENTRY_LEASE_S
                 fake.granted_until_s = fake.lease.until_s
 
+    def _is_judged(self, fake: FakeEntry) -> bool:
+        return self.now_s >= fake.granted_until_s + JUDGE_MARGIN_S
+
+    def _take_new_incarnation(self, fake: FakeEntry) -> None:
+        """Let a process go on whose lease is refused; its tasks belong to the last incarnation."""
+        self.former.append(dataclasses.replace(fake, alive=False))
+        fake.tasks = {}
+        fake.incarnation = IncarnationId(fake.incarnation + 1)
+        if isinstance(fake.permits, EntryPermits):
+            fake.permits.restart(fake.incarnation)
+
+    def _is_past_grace(self, data_centre: DataCentreId) -> bool:
+        since_s = self.cut_off.get(data_centre)
+        return since_s is not None and self.now_s - since_s > CUT_OFF_GRACE_S
+
     def _report_gone(self) -> None:
         for fake in [*self.former, *self.entries]:
-            if not self._is_gone(fake):
+            if not self._is_judged(fake):
                 continue
             event = EntryGone(fake.entry, fake.incarnation, fake.granted_until_s + TASK_LEASE_S)
-            self.coordinators[fake.data_centre].on_entry_gone(event)
+            for coordinator in self._all_coordinators(fake.data_centre):
+                coordinator.on_entry_gone(event)
         for data_centre, since_s in self.cut_off.items():
-            end_s = since_s + CUT_OFF_GRACE_S + ENTRY_LEASE_S + TASK_LEASE_S + 1.0
-            for coordinator in self.coordinators.values():
-                coordinator.on_data_centre_gone(DataCentreGone(data_centre, end_s))
+            lease_end_s = since_s + CUT_OFF_GRACE_S + ENTRY_LEASE_S
+            if self.now_s < lease_end_s:
+                continue
+            end_s = lease_end_s + TASK_LEASE_S + 1.0
+            for other, coordinator in self.coordinators.items():
+                if other not in self.paused_coordinators:
+                    gone = DataCentreGone(data_centre, self.now_s, end_s)
+                    coordinator.on_data_centre_gone(gone)
 
     def _end_tasks(self) -> None:
         for fake in [*self.entries, *self.former]:
@@ -327,7 +366,7 @@
             return
         if self._sees_store(data_centre):
             coordinator.set_ceilings(ConfigVersion(self.version), self.ceilings)
-            coordinator.on_ledger(self.store.ledger, self.store.revision)
+            coordinator.on_ledger(self.store.ledger, self.store.revision, self.now_s)
         output = coordinator.tick(self.now_s)
         me = Member(COORDINATOR_ID, IncarnationId(coordinator.epoch.term))
         self._send(data_centre, me, output.envelopes)
@@ -340,12 +379,22 @@
             return
         applied = self.store.swap(write)
         if applied and self.random.random() >= self.chaos.answer_lost_ratio:
-            coordinator.on_ledger(self.store.ledger, self.store.revision)
+            coordinator.on_ledger(self.store.ledger, self.store.revision, self.now_s)
 
     def _swap_if_up(self, write: WriteLedger) -> None:
         if self.store.up:
             self.store.swap(write)
 
+    def _all_coordinators(self, data_centre: DataCentreId) -> list[PermitCoordinator]:
+        former = [c for dc, c in self.former_coordinators if dc == data_centre]
+        return [self.coordinators[data_centre], *former]
+
+    def _run_former_coordinators(self) -> None:
+        """Let former coordinators go on that are cut off from the store but not from members."""
+        for data_centre, coordinator in self.former_coordinators:
+            me = Member(COORDINATOR_ID, IncarnationId(coordinator.epoch.term))
+            self._send(data_centre, me, coordinator.tick(self.now_s).envelopes)
+
     # Messages
 
     def _later(self, delay_s: float, action: Callable[[], None]) -> None:
@@ -378,9 +427,10 @@
             if data_centre in self.paused_coordinators:
                 self._later(1.0, self._delivery(data_centre, sender, envelope))
                 return
-            answers = self.coordinators[data_centre].on_message(envelope.message, self.now_s)
-            me = Member(COORDINATOR_ID, IncarnationId(self.coordinators[data_centre].epoch.term))
-            self._send(data_centre, me, answers)
+            for coordinator in self._all_coordinators(data_centre):
+                answers = coordinator.on_message(envelope.message, self.now_s)
+                me = Member(COORDINATOR_ID, IncarnationId(coordinator.epoch.term))
+                self._send(data_centre, me, answers)
             return
         for fake in self.entries:
             if fake.entry == envelope.to.entry:
