Measure overruns, stranded permits and demand that moves

Cause: the promise and its price were not measured. Excluded: finding members through peers only; both ways are cheap and either message may be lost.

--- a/toucandoor/core/ceilings/coordinator.py
+++ b/toucandoor/core/ceilings/coordinator.py
@@ -469,7 +469,8 @@
         added = self._joining & set(line.members)
         self._joining -= added
         start = self._epoch_start()
-        envelopes = [Envelope(member, start) for member in sorted(added)]
+        told = self._exchange.peers if added else []
+        envelopes = [Envelope(member, start) for member in told]
         if self._count is None:
             return envelopes
         if self._announced_s is not None and now_s - self._announced_s < DEFAULT_RESEND_S:
--- a/toucandoor/core/ceilings/exchange.py
+++ b/toucandoor/core/ceilings/exchange.py
@@ -94,6 +94,9 @@
         """Note what a peer holds and wants."""
         if status.epoch != self.epoch:
             return
+        if status.sender not in self.peers:
+            self.peers.append(status.sender)
+            self._refreshed_s = None
         known = self._statuses.setdefault(status.sender, {})
         if status.whole:
             self._changed.update(known)
--- a/toucandoor/measures/_ceilings.py
+++ b/toucandoor/measures/_ceilings.py
@@ -151,6 +151,9 @@
         self.overruns = 0
         self.conservation_breaches = 0
         self.messages = 0
+        self.stranded_permit_s = 0.0
+        self.in_force: dict[TeamId, int] = {}
+        self.entries_total = sum(data_centres.values())
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._attempts = itertools.count()
@@ -183,11 +186,15 @@
         """Start an entry's process."""
         lease = FixedLease(self.now_s + ENTRY_LEASE_S)
         member = Member(entry, IncarnationId(incarnation))
-        permits = EntryPermits(member, lease)
+        permits = self.make_permits(member, lease)
         fake = FakeEntry(entry, data_centre, IncarnationId(incarnation), lease, permits)
         fake.granted_until_s = lease.until_s
         self.entries.append(fake)
 
+    def make_permits(self, member: Member, lease: FixedLease) -> PermitPolicy:
+        """Return the permits of a starting entry."""
+        return EntryPermits(member, lease)
+
     def restart_entry(self, fake: FakeEntry) -> None:
         """Kill an entry's process and start the next incarnation; its tasks run on."""
         fake.alive = False
@@ -228,7 +235,7 @@
         """Let one step pass: leases, messages, tasks, starts, then the checks."""
         self.now_s += self.step_s
         self._renew_leases()
-        self._report_gone()
+        self.report_gone()
         self._deliver_due()
         self._end_tasks()
         for fake in self.entries:
@@ -245,10 +252,27 @@
         tasks = (t for f in [*self.entries, *self.former] for t in f.tasks.values())
         return sum(1 for task in tasks if task.team == team and self._is_running(task))
 
-    def usable(self, team: TeamId) -> int:
-        """Return the team's permits that an entry or a pool holds and may use."""
-        pools = sum(c.pool(team) for c in self.coordinators.values())
-        return pools + self.held_by_team()[team]
+    def stranded(self) -> int:
+        """Return how many permits nobody can use now, of all teams together."""
+        usable = sum(ceiling_in_force(self.store.ledger, team) for team in self.ceilings)
+        usable -= sum(max(0, self._unclaimed(team)) for team in self.ceilings)
+        for data_centre, coordinator in self.coordinators.items():
+            if data_centre not in self.paused_coordinators and coordinator.office is Office.HOLDER:
+                usable -= sum(coordinator.pool(team) for team in self.ceilings)
+        for fake in self.entries:
+            permits = fake.permits
+            if isinstance(permits, EntryPermits) and self._may_spend(fake, permits):
+                usable -= sum(permits.holdings().values())
+        return usable
+
+    def _unclaimed(self, team: TeamId) -> int:
+        if not any(self._sees_store(data_centre) for data_centre in self.data_centres):
+            return 0
+        return self.ceilings[team] - total(self.store.ledger, team)
+
+    def _may_spend(self, fake: FakeEntry, permits: EntryPermits) -> bool:
+        in_force = permits.standing is Standing.COUNTED and fake.lease.holds(self.now_s)
+        return fake.runs and in_force
 
     def held_by_team(self) -> Counter[TeamId]:
         """Return the permits of entries that are not gone and may spend them."""
@@ -310,7 +334,8 @@
         since_s = self.cut_off.get(data_centre)
         return since_s is not None and self.now_s - since_s > CUT_OFF_GRACE_S
 
-    def _report_gone(self) -> None:
+    def report_gone(self) -> None:
+        """Tell coordinators which incarnations and data centres are gone."""
         for fake in [*self.former, *self.entries]:
             if not self._is_judged(fake):
                 continue
