Withdraw a key's secret, not only its id

Cause: withdrawn keys were kept by id alone. A folder could bring a withdrawn secret back under another id, and withdrawing an id that two teams used withdrew both (tests.core.configuration test_a_key_id_belongs_to_one_team failed first). Excluded: digests alone; operators name keys by id and must not reuse one. Change: withdrawn keys keep id and digest, both are refused; an id belongs to one team. Conclusion: 'withdrawn' holds against every later folder.

--- a/toucandoor/adapters/operator_api.py
+++ b/toucandoor/adapters/operator_api.py
@@ -109,7 +109,8 @@
         if head is None or team_id not in head.configuration.teams:
             raise OperatorError("not_found", f"no such team: {team_id}")
         team = head.configuration.teams[team_id]
-        if key_id in team.keys or key_id in head.configuration.withdrawn_keys:
+        taken = key_id in head.configuration.withdrawn_keys or _owner(head.configuration, key_id)
+        if taken:
             raise OperatorError("conflict", f"key {key_id} exists or was withdrawn")
         secret = secrets.token_urlsafe(32)
         key = KeyConfig(sha256=hashlib.sha256(secret.encode()).hexdigest())
@@ -121,12 +122,11 @@
     async def _async_key_withdraw(self, arguments: dict[str, Any]) -> OperatorReply:
         key_id = KeyId(arguments["key"])
         head = self._configuration.head
-        known = head is not None and any(
-            key_id in team.keys for team in head.configuration.teams.values()
-        )
-        if head is None or not known:
+        owner = _owner(head.configuration, key_id) if head else None
+        if head is None or owner is None:
             raise OperatorError("not_found", f"no such key: {key_id}")
-        withdrawn = head.configuration.withdrawn_keys | {key_id}
+        key = head.configuration.teams[owner].keys[key_id]
+        withdrawn = head.configuration.withdrawn_keys | {key_id: key}
         configuration = head.configuration.model_copy(update={"withdrawn_keys": withdrawn})
         written = await self._configuration.async_propose(head.version, configuration)
         return OperatorReply(True, body={"version": written.version})
@@ -140,6 +140,12 @@
     return configuration.model_copy(update={"teams": configuration.teams | {team_id: team}})
 
 
+def _owner(configuration: Configuration, key_id: KeyId) -> TeamId | None:
+    """Return the team that has a key of this id."""
+    teams = configuration.teams.items()
+    return next((team_id for team_id, team in teams if key_id in team.keys), None)
+
+
 def _keep_key_changes(present: Configuration, asked: Configuration) -> Configuration:
     """Return the asked configuration with keys that commands granted or withdrew kept.
 
@@ -150,5 +156,5 @@
         if team_id in teams:
             keys = team.keys | teams[team_id].keys
             teams[team_id] = teams[team_id].model_copy(update={"keys": keys})
-    withdrawn = present.withdrawn_keys | asked.withdrawn_keys
+    withdrawn = asked.withdrawn_keys | present.withdrawn_keys
     return asked.model_copy(update={"teams": teams, "withdrawn_keys": withdrawn})
--- a/toucandoor/core/configuration/merge.py
+++ b/toucandoor/core/configuration/merge.py
@@ -140,8 +140,13 @@
 def _key_faults(merged: _Merged, configuration: Configuration) -> list[Fault]:
     faults = []
     owner: dict[str, str] = {}
+    team_of: dict[str, str] = {}
     for team_id, team in configuration.teams.items():
         for key_id, key in team.keys.items():
+            if team_of.setdefault(key_id, team_id) != team_id:
+                path = ("teams", team_id, "keys", key_id)
+                reason = f"team {team_of[key_id]} has a key of this id"
+                faults.append(merged.fault(path, reason, shown=False))
             other = owner.setdefault(key.sha256, f"{team_id}.{key_id}")
             if other != f"{team_id}.{key_id}":
                 path = ("teams", team_id, "keys", key_id)
--- a/toucandoor/core/configuration/models.py
+++ b/toucandoor/core/configuration/models.py
@@ -127,7 +127,8 @@
     """Everything operators decide, merged from their folder.
 
     Attributes:
-        withdrawn_keys: Keys that were withdrawn; they never work again, whatever a folder says.
+        withdrawn_keys: Keys that were withdrawn; neither their ids nor their secrets ever work
+            again, whatever a folder says.
     """
 
     data_centres: dict[DataCentreId, DataCentreConfig] = {}
@@ -136,4 +137,4 @@
     queues: dict[QueueId, QueueConfig] = {}
     vms: dict[VmId, VmConfig] = {}
     policy: PolicyConfig = PolicyConfig()
-    withdrawn_keys: frozenset[KeyId] = frozenset()
+    withdrawn_keys: dict[KeyId, KeyConfig] = {}
--- a/toucandoor/core/keys.py
+++ b/toucandoor/core/keys.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from toucandoor.core.configuration.models import Configuration
-    from toucandoor.ids import KeyId, TeamId
+    from toucandoor.ids import TeamId
 
 
 def secret_digest(secret: str) -> str:
@@ -20,15 +20,13 @@
 
     def __init__(self, configuration: Configuration) -> None:
         self._team_of: dict[str, TeamId] = {}
+        withdrawn = configuration.withdrawn_keys
+        withdrawn_digests = {key.sha256 for key in withdrawn.values()}
         for team_id, team in configuration.teams.items():
             for key_id, key in team.keys.items():
-                if not _is_withdrawn(key_id, configuration):
+                if key_id not in withdrawn and key.sha256 not in withdrawn_digests:
                     self._team_of[key.sha256] = team_id
 
     def team_of(self, secret: str) -> TeamId | None:
         """Return the team a secret works for, None for an unknown or withdrawn one."""
         return self._team_of.get(secret_digest(secret))
-
-
-def _is_withdrawn(key_id: KeyId, configuration: Configuration) -> bool:
-    return key_id in configuration.withdrawn_keys
