Decide "accepted" from leases, on a core without I/O

Excluded: the data centre lease renewed by every other data centre (two cuts stop everybody during a platform outage); per-VM leases in the store (writes that grow with the fleet). Change: an entry lease of seconds granted by a majority of the data centre or of the fleet, a freshness lease of minutes from a read of the store or of a majority of the fleet, passed on with its age; an acceptance that needs a majority which has the version at one moment and then, for each entry, its acknowledgement, the end of every grant below the version, or the end of the grace.

--- /dev/null
+++ b/toucandoor/core/configuration/acceptance.py
@@ -0,0 +1,147 @@
+"""Decides when a version is in force everywhere, so that "accepted" can be answered.
+
+A version is accepted when a majority of the fleet has it at one and the same moment and, as seen
+after that moment, each entry either has it in force or can no longer hold a lease for a lower one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from toucandoor.core.leases.models import LeaseTimes, PollAnswer, Slot, majority
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from toucandoor.ids import ConfigVersion, DataCentreId, EntryId, IncarnationId
+
+
+class PendingReason(Enum):
+    """Why an entry is still awaited."""
+
+    NO_ANSWER = "no answer since the version was written"
+    LOWER_VERSION = "answers, but has a lower version in force"
+    NO_MAJORITY = "a majority of the fleet does not have the version yet"
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """An entry whose acknowledgement is awaited.
+
+    Attributes:
+        at_most_s: Time until its lease has run out in any case, None while that is not known.
+    """
+
+    entry: EntryId
+    data_centre: DataCentreId
+    reason: PendingReason
+    at_most_s: float | None
+
+
+class Acceptance:
+    """Follows one version from its write until it is in force everywhere.
+
+    Args:
+        slots: Slots of every version that an entry may still obey.
+        times: The longest durations that such a version sets.
+    """
+
+    def __init__(self, version: ConfigVersion, slots: Iterable[Slot], times: LeaseTimes) -> None:
+        self.version = version
+        self._slots = {slot.entry: slot for slot in slots}
+        self._times = times
+        self._holders: dict[EntryId, IncarnationId] = {}
+        self._confirmed: set[EntryId] = set()
+        self._held_from_s: float | None = None
+        self._majority_s: float | None = None
+        self._acknowledged: set[EntryId] = set()
+        self._cleared: dict[EntryId, set[EntryId]] = {}
+        self._answered: set[EntryId] = set()
+
+    def on_answer(self, answer: PollAnswer, sent_s: float, now_s: float) -> None:
+        """Take an answer to a poll that named this version or a higher one as known."""
+        if answer.sender not in self._slots:
+            return
+        self._answered.add(answer.sender)
+        if self._majority_s is None:
+            self._count_holder(answer, sent_s, now_s)
+        if self._held_from_s is None or sent_s < self._held_from_s:
+            return
+        if answer.in_force >= self.version:
+            self._acknowledged.add(answer.sender)
+        if answer.caught_up and answer.settled and answer.known >= self.version:
+            lower = set(answer.lower_grants)
+            cleared = self._cleared.setdefault(answer.sender, set())
+            cleared.update(entry for entry in self._slots if entry not in lower)
+
+    def has_majority(self) -> bool:
+        """Return whether a majority of the fleet has had the version at one moment."""
+        return self._majority_s is not None
+
+    def accepted(self, now_s: float) -> bool:
+        """Return whether no entry can start keyed work under a lower version any more."""
+        if self._majority_s is None:
+            return False
+        if now_s >= self._majority_s + self._times.granter_grace_s():
+            return True
+        return all(self._done(entry) for entry in self._slots)
+
+    def pending(self, now_s: float) -> list[Pending]:
+        """Return the entries still awaited, each with the reason."""
+        if self.accepted(now_s):
+            return []
+        at_most_s = None
+        if self._majority_s is not None:
+            at_most_s = self._majority_s + self._times.granter_grace_s() - now_s
+        return [
+            Pending(slot.entry, slot.data_centre, self._reason(slot.entry), at_most_s)
+            for slot in self._slots.values()
+            if not self._done(slot.entry)
+        ]
+
+    def _count_holder(self, answer: PollAnswer, sent_s: float, now_s: float) -> None:
+        sender = answer.sender
+        if not answer.caught_up or answer.known < self.version:
+            return
+        if self._holders.get(sender, answer.incarnation) != answer.incarnation:
+            self._restart_count()
+        self._holders[sender] = answer.incarnation
+        needed = majority(len(self._slots))
+        if self._held_from_s is None:
+            if len(self._holders) >= needed:
+                self._held_from_s = now_s
+            return
+        if sent_s >= self._held_from_s:
+            self._confirmed.add(sender)
+        if len(self._confirmed) >= needed:
+            self._majority_s = now_s
+
+    def _restart_count(self) -> None:
+        self._holders.clear()
+        self._confirmed.clear()
+        self._acknowledged.clear()
+        self._cleared.clear()
+        self._held_from_s = None
+
+    def _done(self, entry: EntryId) -> bool:
+        return entry in self._acknowledged or self._cannot_renew(entry)
+
+    def _cannot_renew(self, entry: EntryId) -> bool:
+        cleared = {granter for granter, entries in self._cleared.items() if entry in entries}
+        cleared.discard(entry)
+        mine = self._slots[entry].data_centre
+        near = [slot.entry for slot in self._slots.values() if slot.data_centre == mine]
+        return self._blocks(cleared, near) and self._blocks(cleared, list(self._slots))
+
+    def _blocks(self, cleared: set[EntryId], group: list[EntryId]) -> bool:
+        left = sum(1 for entry in group if entry not in cleared)
+        return left < majority(len(group))
+
+    def _reason(self, entry: EntryId) -> PendingReason:
+        if self._majority_s is None and entry in self._holders:
+            return PendingReason.NO_MAJORITY
+        if entry not in self._answered:
+            return PendingReason.NO_ANSWER
+        return PendingReason.LOWER_VERSION
