--- /dev/null
+++ b/tests/core/configuration/test_acceptance.py
@@ -0,0 +1,83 @@
+"""When a version counts as in force everywhere."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucandoor.core.configuration.acceptance import Acceptance, PendingReason
+from toucandoor.core.leases.models import LeaseTimes, PollAnswer, Slot
+from toucandoor.ids import ConfigVersion, DataCentreId, EntryId, IncarnationId
+
+TIMES = LeaseTimes(entry_lease_s=6.0, grace_s=120.0)
+VERSION = ConfigVersion(5)
+
+
+def slots(names: str) -> list[Slot]:
+    return [Slot(EntryId(name), DataCentreId(name[0])) for name in names.split()]
+
+
+def answer(name: str, known: int = 5, in_force: int = 5, lower: str = "") -> PollAnswer:
+    return PollAnswer(
+        sender=EntryId(name),
+        incarnation=IncarnationId(1),
+        sequence=1,
+        known=ConfigVersion(known),
+        in_force=ConfigVersion(in_force),
+        caught_up=True,
+        settled=True,
+        fresh_age_s=0.0,
+        lower_grants=tuple(EntryId(each) for each in lower.split()),
+    )
+
+
+def ask(acceptance: Acceptance, names: str, start_s: float, lower: str = "") -> None:
+    for turn in range(2):
+        for name in names.split():
+            at_s = start_s + turn
+            acceptance.on_answer(answer(name, lower=lower), at_s, at_s + 0.1)
+
+
+class AcceptanceTest(unittest.TestCase):
+    def test_all_acknowledge(self) -> None:
+        acceptance = Acceptance(VERSION, slots("a1 a2 b1"), TIMES)
+        ask(acceptance, "a1 a2 b1", 0.0)
+        self.assertTrue(acceptance.accepted(1.2))
+        self.assertEqual(acceptance.pending(1.2), [])
+
+    def test_a_silent_data_centre_is_named_until_its_grace_ends(self) -> None:
+        acceptance = Acceptance(VERSION, slots("a1 a2 b1 b2 c1"), TIMES)
+        ask(acceptance, "a1 a2 c1", 0.0)
+        pending = acceptance.pending(2.0)
+        self.assertEqual(
+            [(p.entry, p.reason) for p in pending],
+            [("b1", PendingReason.NO_ANSWER), ("b2", PendingReason.NO_ANSWER)],
+        )
+        self.assertFalse(acceptance.accepted(122.0))
+        self.assertTrue(acceptance.accepted(122.4))
+
+    def test_one_that_lags_is_named(self) -> None:
+        acceptance = Acceptance(VERSION, slots("a1 a2 a3"), TIMES)
+        acceptance.on_answer(answer("a3", known=4, in_force=4), 0.0, 0.1)
+        ask(acceptance, "a1 a2", 0.0, lower="a3")
+        self.assertEqual(
+            [(p.entry, p.reason) for p in acceptance.pending(2.0)],
+            [("a3", PendingReason.LOWER_VERSION)],
+        )
+
+    def test_a_crashed_entry_is_done_when_no_granter_holds_it_up(self) -> None:
+        acceptance = Acceptance(VERSION, slots("a1 a2 a3"), TIMES)
+        ask(acceptance, "a1 a2", 0.0, lower="a3")
+        self.assertFalse(acceptance.accepted(2.0))
+        ask(acceptance, "a1 a2", 7.0)
+        self.assertTrue(acceptance.accepted(9.0))
+
+    def test_one_that_lags_may_reckon_by_the_slots_before(self) -> None:
+        now = Acceptance(VERSION, slots("a1 a2 a3 a4"), TIMES)
+        both = Acceptance(VERSION, slots("a1 a2 a3 a4"), TIMES, slots("a1 a2 a3"))
+        for acceptance in (now, both):
+            for turn in range(2):
+                acceptance.on_answer(answer("a4"), turn, turn + 0.1)
+                acceptance.on_answer(answer("a2"), turn, turn + 0.1)
+                acceptance.on_answer(answer("a3", lower="a1"), turn, turn + 0.1)
+        self.assertTrue(now.accepted(1.2))
+        self.assertFalse(both.accepted(1.2))
--- a/toucandoor/core/configuration/acceptance.py
+++ b/toucandoor/core/configuration/acceptance.py
@@ -13,7 +13,7 @@
 from toucandoor.core.leases.models import LeaseTimes, PollAnswer, Slot, majority
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Container, Iterable
 
     from toucandoor.ids import ConfigVersion, DataCentreId, EntryId, IncarnationId
 
@@ -44,13 +44,22 @@
     """Follows one version from its write until it is in force everywhere.
 
     Args:
-        slots: Slots of every version that an entry may still obey.
-        times: The longest durations that such a version sets.
+        slots: Slots of the version.
+        times: The longest durations that a version which an entry may still obey sets.
+        previous_slots: Slots by which an entry that lags may still reckon its majorities.
     """
 
-    def __init__(self, version: ConfigVersion, slots: Iterable[Slot], times: LeaseTimes) -> None:
+    def __init__(
+        self,
+        version: ConfigVersion,
+        slots: Iterable[Slot],
+        times: LeaseTimes,
+        previous_slots: Iterable[Slot] = (),
+    ) -> None:
         self.version = version
-        self._slots = {slot.entry: slot for slot in slots}
+        now, before = tuple(slots), tuple(previous_slots)
+        self._sets = [now, before] if before else [now]
+        self._slots = {slot.entry: slot for slot in (*before, *now)}
         self._times = times
         self._holders: dict[EntryId, IncarnationId] = {}
         self._confirmed: set[EntryId] = set()
@@ -108,16 +117,21 @@
         if self._holders.get(sender, answer.incarnation) != answer.incarnation:
             self._restart_count()
         self._holders[sender] = answer.incarnation
-        needed = majority(len(self._slots))
         if self._held_from_s is None:
-            if len(self._holders) >= needed:
+            if self._is_majority(self._holders):
                 self._held_from_s = now_s
             return
         if sent_s >= self._held_from_s:
             self._confirmed.add(sender)
-        if len(self._confirmed) >= needed:
+        if self._is_majority(self._confirmed):
             self._majority_s = now_s
 
+    def _is_majority(self, entries: Container[EntryId]) -> bool:
+        return all(
+            sum(slot.entry in entries for slot in slots) >= majority(len(slots))
+            for slots in self._sets
+        )
+
     def _restart_count(self) -> None:
         self._holders.clear()
         self._confirmed.clear()
@@ -131,9 +145,16 @@
     def _cannot_renew(self, entry: EntryId) -> bool:
         cleared = {granter for granter, entries in self._cleared.items() if entry in entries}
         cleared.discard(entry)
-        mine = self._slots[entry].data_centre
-        near = [slot.entry for slot in self._slots.values() if slot.data_centre == mine]
-        return self._blocks(cleared, near) and self._blocks(cleared, list(self._slots))
+        return all(self._cannot_renew_in(slots, entry, cleared) for slots in self._sets)
+
+    def _cannot_renew_in(
+        self, slots: tuple[Slot, ...], entry: EntryId, cleared: set[EntryId]
+    ) -> bool:
+        mine = next((slot for slot in slots if slot.entry == entry), None)
+        if mine is None:
+            return True
+        near = [slot.entry for slot in slots if slot.data_centre == mine.data_centre]
+        return self._blocks(cleared, near) and self._blocks(cleared, [slot.entry for slot in slots])
 
     def _blocks(self, cleared: set[EntryId], group: list[EntryId]) -> bool:
         left = sum(1 for entry in group if entry not in cleared)
--- a/toucandoor/core/configuration/const.py
+++ b/toucandoor/core/configuration/const.py
@@ -17,3 +17,6 @@
 ID_PATTERN: Final = r"^[a-z0-9][a-z0-9-]{0,62}$"
 ADDRESS_PATTERN: Final = r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$"
 SHA256_PATTERN: Final = r"^[0-9a-f]{64}$"
+
+RECENT_CHANGES_MAX: Final = 64
+"""Changes whose ids the head record keeps, for reading back lost answers."""
