Stop taking a long request for a slow sender

Cause: the body reader never told the watch that a request had come whole, so the reading side was ended body_timeout_s after the first byte and a waiting request was cancelled as if its caller had gone. Seen once as a failure of test_slow_senders (the queue waited because another run on this machine had bound the same backend server address); reproduced with the backend servers stopped. Excluded: stalls of the entry (12 stops of 1.4 s: no such cancellation); file descriptors reused. Change: the reader tells the watch, which answers in the same step whether it was late. Tests and measurements put their backend servers at free addresses. The head record's test uses the schema of withdrawn keys with digests. Left: an entry paused for longer than its idle timeout may close a connection on which a request has just been sent; the caller sees no answer.

--- a/tests/core/configuration/test_head.py
+++ b/tests/core/configuration/test_head.py
@@ -19,7 +19,7 @@
             "v": {"pool": "p", "data_centre": "a", "rack": "r", "address": "127.0.0.1:1"},
             "w": {"pool": "p", "data_centre": "b", "rack": "r", "address": "127.0.0.1:2"},
         },
-        "withdrawn_keys": ["k-2", "k-1"],
+        "withdrawn_keys": {"k-2": {"sha256": "2" * 64}, "k-1": {"sha256": "1" * 64}},
     }
 )
 
--- a/tests/programs/test_bad_input.py
+++ b/tests/programs/test_bad_input.py
@@ -11,9 +11,9 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from tests.programs.test_path import FOLDER
+from tests.programs.test_path import write_folder
 from toucandoor.adapters.settings import split_address
-from toucandoor.measures._deployment import LocalDeployment
+from toucandoor.measures._deployment import HTTP, LocalDeployment
 
 _REQUEST = b"POST /v1/queues/open/requests HTTP/1.1\r\nHost: x\r\n"
 
@@ -24,7 +24,7 @@
         scratch = TemporaryDirectory()
         cls.addClassCleanup(scratch.cleanup)
         folder = Path(scratch.name)
-        (folder / "10-all.toml").write_text(FOLDER.replace("127.43.1.", "127.43.2."))
+        cls.workers = write_folder(folder)
         settings = {"entry": {"body_timeout_s": "1", "body_bytes_max": "4096", "threads": "4"}}
         cls.path = cls.enterClassContext(LocalDeployment(folder, ["dc-1"], settings))
         assert cls.path.operate("apply", str(folder)).returncode == 0
@@ -90,6 +90,19 @@
             for sock in slow:
                 sock.close()
 
+    def test_a_long_request_is_not_taken_for_a_slow_sender(self) -> None:
+        body = b'{"run_s": 2.0, "result": "long"}'
+        self.assertEqual(self.path.request("open", body).data, b'{"result": "long"}')
+        for address in self.workers:
+            HTTP.request("POST", f"http://{address}/v1/drain")
+        try:
+            waited = self.path.request("open", b"{}", headers={"Toucandoor-Deadline-S": "2"})
+        finally:
+            for address in self.workers:
+                HTTP.request("POST", f"http://{address}/v1/undrain")
+        problem = json.loads(waited.data)
+        self.assertEqual((problem["status"], problem["step"]), (504, "admission.deadline"))
+
     def test_links_refuse_strangers_and_survive_bad_frames(self) -> None:
         from websockets.exceptions import InvalidStatus
         from websockets.sync.client import connect
--- a/tests/programs/test_path.py
+++ b/tests/programs/test_path.py
@@ -9,9 +9,9 @@
 from tempfile import TemporaryDirectory
 
 from toucandoor.core.keys import secret_digest
-from toucandoor.measures._deployment import LocalDeployment
+from toucandoor.measures._deployment import LocalDeployment, free_address
 
-FOLDER = f"""
+_FOLDER = f"""
 [data_centres.dc-1]
 region = "r-1"
 [pools.p]
@@ -33,22 +33,30 @@
 pool = "p"
 data_centre = "dc-1"
 rack = "r"
-address = "127.43.1.1:8181"
+address = "{{w_1}}"
 [vms.w-2]
 pool = "p"
 data_centre = "dc-1"
 rack = "r"
-address = "127.43.1.2:8181"
+address = "{{w_2}}"
 """
 
 
+def write_folder(folder: Path) -> list[str]:
+    """Write a small fleet of two backend servers at free addresses; return their addresses."""
+    addresses = [free_address(), free_address()]
+    text = _FOLDER.format(w_1=addresses[0], w_2=addresses[1])
+    (folder / "10-all.toml").write_text(text)
+    return addresses
+
+
 class PathTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls) -> None:
         scratch = TemporaryDirectory()
         cls.addClassCleanup(scratch.cleanup)
         folder = Path(scratch.name)
-        (folder / "10-all.toml").write_text(FOLDER)
+        write_folder(folder)
         cls.path = cls.enterClassContext(LocalDeployment(folder, ["dc-1", "dc-1"]))
         applied = cls.path.operate("apply", str(folder), "--json")
         assert applied.returncode == 0, applied.stderr
--- a/tests/programs/test_session.py
+++ b/tests/programs/test_session.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from tests.common import verify_session
-from tests.programs.test_path import FOLDER
+from tests.programs.test_path import write_folder
 from toucandoor.measures._deployment import LocalDeployment
 
 _PROBLEM_FIELDS = ("title", "status", "fate", "step")
@@ -22,7 +22,7 @@
         scratch = TemporaryDirectory()
         self.addCleanup(scratch.cleanup)
         folder = Path(scratch.name)
-        (folder / "10-all.toml").write_text(FOLDER.replace("127.43.1.", "127.43.3."))
+        self.workers = write_folder(folder)
         self.path = self.enterContext(LocalDeployment(folder, ["dc-1", "dc-1"]))
         self.lines: list[dict[str, Any]] = []
 
@@ -61,7 +61,7 @@
         self._leave("w-1")
         for number in range(3):
             self._request("q", "secret-of-a", json.dumps({"result": number}).encode())
-        self.lines.append({"ran_on_w_1_after_leaving": self._runs("127.43.3.1:8181") - self.before})
+        self.lines.append({"ran_on_w_1_after_leaving": self._runs(self.workers[0]) - self.before})
         for name in ("entry-1.entry", "entry-1.controller"):
             self.lines.append({"stop": name, "exit": self.path.processes[name].end()})
         self._request("q", "secret-of-a", entry=1)
@@ -72,7 +72,7 @@
     def _leave(self, vm: str) -> None:
         self.path.set_vm_list([{"id": vm, "state": "leaving"}, {"id": "w-2", "state": "live"}])
         time.sleep(2.5)
-        self.before = self._runs("127.43.3.1:8181")
+        self.before = self._runs(self.workers[0])
 
     def _runs(self, address: str) -> int:
         from toucandoor.measures._deployment import HTTP
--- a/toucandoor/adapters/caller_http.py
+++ b/toucandoor/adapters/caller_http.py
@@ -13,7 +13,7 @@
 
 from cheroot.errors import MaxSizeExceeded
 
-from toucandoor.adapters.caller_server import ATTR_SOCKET
+from toucandoor.adapters.caller_server import ATTR_SENDER, ATTR_SOCKET
 from toucandoor.adapters.wsgi import respond
 from toucandoor.core.requests.models import (
     Answer,
@@ -32,6 +32,7 @@
 
     from toucandoor.adapters.engine_loop import EngineLoop
     from toucandoor.adapters.metrics import EntryMetrics
+    from toucandoor.adapters.slow_senders import SenderWatch
     from toucandoor.adapters.worker_client import WorkerAnswer, WorkerClient
     from toucandoor.adapters.wsgi import Environ, StartResponse
     from toucandoor.clock import Clock
@@ -265,6 +266,9 @@
         raise _BadRequestError(408, "the body did not come in time", "http.body") from err
     except Exception as err:  # cheroot raises its own kinds on oversized and torn bodies
         raise _BadRequestError(400, f"the body cannot be read: {err}", "http.body") from err
+    senders: SenderWatch | None = environ.get(ATTR_SENDER)
+    if senders is not None and senders.whole(environ[ATTR_SOCKET]):
+        raise _BadRequestError(408, "the body did not come in time", "http.body")
     if not chunked and len(body) != int(length_text):
         reason = f"the body is torn: {len(body)} of {length_text} bytes"
         raise _BadRequestError(400, reason, "http.body")
--- a/toucandoor/adapters/caller_server.py
+++ b/toucandoor/adapters/caller_server.py
@@ -37,9 +37,11 @@
     def parse_request(self) -> None:
         watch: SenderWatch = self.server.sender_watch
         watch.began(self.conn.socket)
-        super().parse_request()
-        if not self.ready:
-            watch.whole(self.conn.socket)
+        try:
+            super().parse_request()
+        finally:
+            if not self.ready:
+                watch.whole(self.conn.socket)
 
     def respond(self) -> None:
         length = self.inheaders.get(b"Content-Length", b"0")
@@ -56,8 +58,7 @@
         """Refuse a request that cannot be read, and close its connection."""
         self.close_connection = True
         code = int(str(status)[:3])
-        late = self.server.sender_watch.was_late(self.conn.socket)
-        if late:
+        if self.server.sender_watch.whole(self.conn.socket):
             code, status, msg = 408, "408 Request Timeout", "the request did not come in time"
         body = json.dumps(
             {
--- a/toucandoor/adapters/slow_senders.py
+++ b/toucandoor/adapters/slow_senders.py
@@ -42,16 +42,17 @@
         with self._lock:
             self._until_s[sock] = self._clock.monotonic_s() + self._limit_s
 
-    def whole(self, sock: socket.socket) -> None:
-        """Note that a request has come whole, or that its connection is given up."""
+    def whole(self, sock: socket.socket) -> bool:
+        """Note that a request has come whole, or that its connection is given up.
+
+        Returns:
+            Whether it was late: its sending side was ended here.
+        """
         with self._lock:
             self._until_s.pop(sock, None)
+            late = sock in self._ended
             self._ended.discard(sock)
-
-    def was_late(self, sock: socket.socket) -> bool:
-        """Return whether a connection's sending side was ended here."""
-        with self._lock:
-            return sock in self._ended
+            return late
 
     def end_late(self) -> None:
         """End the sending side of all connections that are late."""
--- a/toucandoor/core/configuration/head.py
+++ b/toucandoor/core/configuration/head.py
@@ -147,7 +147,6 @@
 def split(configuration: Configuration) -> dict[str, str]:
     """Return a configuration's parts by name: one a team, one a data centre's VMs, the rest."""
     whole = configuration.model_dump(mode="json")
-    whole["withdrawn_keys"] = sorted(whole["withdrawn_keys"])
     parts: dict[str, Any] = {}
     for team, value in whole.pop("teams").items():
         parts[f"teams/{team}"] = value
--- a/toucandoor/measures/path.py
+++ b/toucandoor/measures/path.py
@@ -12,7 +12,7 @@
 import psutil
 
 from toucandoor.core.keys import secret_digest
-from toucandoor.measures._deployment import HTTP, LocalDeployment
+from toucandoor.measures._deployment import HTTP, LocalDeployment, free_address
 from toucandoor.measures.result import Figures, MeasureResult
 
 SECRET: Final = "secret-of-the-path-team"
@@ -28,15 +28,16 @@
     """Measure one entry in front of six backend servers; the seed changes nothing here."""
     with TemporaryDirectory() as scratch:
         folder = Path(scratch)
-        (folder / "10-all.toml").write_text(_folder_text())
+        workers = [free_address() for _ in range(WORKERS)]
+        (folder / "10-all.toml").write_text(_folder_text(workers))
         with LocalDeployment(folder, ["dc-1"]) as deployment:
             deployment.operate("apply", str(folder))
             deployment.wait_ready()
-            return _measure(deployment, seed)
+            return _measure(deployment, workers, seed)
 
 
-def _measure(deployment: LocalDeployment, seed: int) -> MeasureResult:
-    direct_s = [_timed_direct(n) for n in range(SEQUENTIAL_REQUESTS)]
+def _measure(deployment: LocalDeployment, workers: list[str], seed: int) -> MeasureResult:
+    direct_s = [_timed_direct(workers, n) for n in range(SEQUENTIAL_REQUESTS)]
     through_s = [_timed_through(deployment) for _ in range(SEQUENTIAL_REQUESTS)]
     entry = psutil.Process(deployment.processes["entry-1.entry"].process.pid)
     cpu_before_s = sum(entry.cpu_times()[:2])
@@ -76,10 +77,10 @@
     )
 
 
-def _timed_direct(number: int) -> float:
+def _timed_direct(workers: list[str], number: int) -> float:
     started_s = time.monotonic()
     headers = {"X-Task-Id": f"direct-{number}", "X-Class": "urgent"}
-    address = _worker_address(number % WORKERS)
+    address = workers[number % WORKERS]
     answer = HTTP.request("POST", f"http://{address}/v1/tasks", body=b"direct", headers=headers)
     if answer.status != 200:
         raise RuntimeError(f"backend server answered {answer.status}")
@@ -106,17 +107,13 @@
     }
 
 
-def _worker_address(number: int) -> str:
-    return f"127.44.1.{number + 1}:8282"
-
-
-def _folder_text() -> str:
+def _folder_text(workers: list[str]) -> str:
     lines = ['[data_centres.dc-1]\nregion = "r"', "[pools.p]\nunavailable_max = 1"]
     lines.append('[queues.q]\npool = "p"')
     lines.append(f'[teams.a]\nceiling_running = 64\nkeys.a-1.sha256 = "{secret_digest(SECRET)}"')
-    for number in range(WORKERS):
+    for number, address in enumerate(workers):
         lines.append(
             f'[vms.w-{number}]\npool = "p"\ndata_centre = "dc-1"\nrack = "r"\n'
-            f'address = "{_worker_address(number)}"'
+            f'address = "{address}"'
         )
     return "\n".join(lines) + "\n"
