Plan maintenance waves that hold every budget through faults

Cause: every VM is stopped for maintenance again and again while stores go away, answers get lost, planners are killed or frozen and VMs fail; no budget may break and no task be cut.

--- /dev/null
+++ b/toucandoor/core/maintenance/drain.py
@@ -0,0 +1,164 @@
+"""The steps of one VM's planned stop: cordon, drain, reboot, probe, uncordon."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from toucandoor.core.maintenance.models import CheckpointTask, DrainVm, RebootVm, UndrainVm
+from toucandoor.core.pools.models import VmStep
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from toucandoor.core.maintenance.models import MaintenanceSettings, VmAct, VmReport
+    from toucandoor.core.pools.models import AssignmentMap, VmAssignment
+    from toucandoor.ids import VmId
+
+
+@dataclass(frozen=True, slots=True)
+class StopView:
+    """What the planner knows of a VM in a planned stop.
+
+    Attributes:
+        elapsed_s: Time this controller has seen the VM in its step.
+        report: The VM's latest word that is fresh enough; None when it is silent.
+        good_probes: Good answers in a row within the step.
+        listed: Whether the platform lists the VM as live.
+        fence: Fencing number of the lease that this controller acts under.
+    """
+
+    elapsed_s: float
+    report: VmReport | None
+    good_probes: int
+    listed: bool
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class StepChange:
+    """The next step and why."""
+
+    step: VmStep
+    reason: str
+    completed: bool = False
+    failed: bool = False
+
+
+def next_step(vm: VmAssignment, view: StopView, settings: MaintenanceSettings) -> StepChange | None:
+    """Return the VM's next step, or None while it stays in its present one."""
+    match vm.step:
+        case VmStep.CORDONED:
+            return _after_cordon(vm, view, settings)
+        case VmStep.DRAINING:
+            return _after_drain(vm, view, settings)
+        case VmStep.REBOOTING:
+            return _after_reboot(vm, view, settings)
+        case VmStep.PROBING:
+            return _after_probe(vm, view, settings)
+        case VmStep.FAILED:
+            return _after_failure(view)
+    return None
+
+
+def acts(vm_id: VmId, vm: VmAssignment, view: StopView) -> list[VmAct]:
+    """Return what to tell the VM in its present step; all of it may safely be told again."""
+    report, fence = view.report, view.fence
+    if report is None:
+        return []
+    same_boot = report.boot == vm.boot
+    if vm.step is VmStep.DRAINING and same_boot:
+        told: list[VmAct] = [] if report.draining else [DrainVm(vm_id, vm.boot, fence)]
+        return told + [
+            CheckpointTask(vm_id, task.task_id, vm.boot, fence)
+            for task in report.running
+            if task.can_checkpoint and report.draining
+        ]
+    if vm.step is VmStep.REBOOTING and same_boot:
+        return [RebootVm(vm_id, vm.boot, fence)]
+    if vm.step is VmStep.PROBING and not _undrained(view):
+        return [UndrainVm(vm_id, report.boot, fence)]
+    return []
+
+
+def _undrained(view: StopView) -> bool:
+    # Once a VM has seen this fencing number, no act sent under an older lease can reach it.
+    report = view.report
+    return report is not None and not report.draining and report.fence >= view.fence
+
+
+def stray_drains(
+    record: AssignmentMap, reports: Mapping[VmId, VmReport], fence: int
+) -> list[VmAct]:
+    """Return the acts that undo drains of VMs which their record has in service.
+
+    Such a drain was sent by a controller that was frozen on the way and woke up too late.
+    """
+    return [
+        UndrainVm(vm_id, report.boot, fence)
+        for vm_id, report in sorted(reports.items())
+        if report.draining and vm_id in record.vms and not record.vms[vm_id].planned_out
+    ]
+
+
+def _rebooted_itself(vm: VmAssignment, view: StopView) -> StepChange | None:
+    if view.report is None or view.report.boot == vm.boot:
+        return None
+    return StepChange(VmStep.PROBING, "it has restarted")
+
+
+def _after_cordon(
+    vm: VmAssignment, view: StopView, settings: MaintenanceSettings
+) -> StepChange | None:
+    if view.elapsed_s < settings.cordon_settle_s:
+        return None
+    return _rebooted_itself(vm, view) or StepChange(VmStep.DRAINING, "entries have seen the cordon")
+
+
+def _after_drain(
+    vm: VmAssignment, view: StopView, settings: MaintenanceSettings
+) -> StepChange | None:
+    restarted = _rebooted_itself(vm, view)
+    if restarted is not None:
+        return restarted
+    report = view.report
+    if report is not None and report.draining and not report.running:
+        return StepChange(VmStep.REBOOTING, "no task is running")
+    if view.elapsed_s < settings.drain_timeout_s:
+        return None
+    if report is None:
+        return StepChange(VmStep.FAILED, "it fell silent while draining", failed=True)
+    return StepChange(
+        VmStep.PROBING, f"{len(report.running)} tasks would neither end nor checkpoint", failed=True
+    )
+
+
+def _after_reboot(
+    vm: VmAssignment, view: StopView, settings: MaintenanceSettings
+) -> StepChange | None:
+    if view.report is not None and view.report.boot != vm.boot:
+        return StepChange(VmStep.PROBING, "it has rebooted")
+    if view.elapsed_s < settings.reboot_timeout_s:
+        return None
+    return StepChange(VmStep.FAILED, "it has not come back from its reboot", failed=True)
+
+
+def _after_probe(
+    vm: VmAssignment, view: StopView, settings: MaintenanceSettings
+) -> StepChange | None:
+    report = view.report
+    good = report is not None and report.healthy and _undrained(view) and view.listed
+    if good and report is not None and view.good_probes >= settings.probes_needed:
+        rebooted = report.boot != vm.boot
+        reason = "its probes pass" if rebooted else "its probes pass, without a reboot"
+        return StepChange(VmStep.IN_SERVICE, reason, completed=rebooted)
+    if view.elapsed_s < settings.probe_timeout_s:
+        return None
+    return StepChange(VmStep.FAILED, "its probes fail", failed=True)
+
+
+def _after_failure(view: StopView) -> StepChange | None:
+    report = view.report
+    if report is None or not report.healthy or not view.listed:
+        return None
+    return StepChange(VmStep.PROBING, "it answers again")
--- a/toucandoor/core/pools/budget.py
+++ b/toucandoor/core/pools/budget.py
@@ -8,6 +8,7 @@
 from toucandoor.core.pools.models import PoolLimit
 
 if TYPE_CHECKING:
+    from collections import Counter
     from collections.abc import Iterable
 
     from toucandoor.core.pools.models import AssignmentMap, BudgetLedger, FleetRead
@@ -23,12 +24,14 @@
         planned: VMs in a planned stop.
         lent: VMs of the pool that serve another pool.
         unplanned: VMs out for another cause, or in a data centre that cannot be seen.
+        reserved: Places that other data centres hold and are not seen to use.
     """
 
     limit: int
     planned: frozenset[VmId]
     lent: frozenset[VmId]
     unplanned: frozenset[VmId]
+    reserved: int = 0
 
     @property
     def used(self) -> int:
@@ -37,12 +40,16 @@
 
     @property
     def room(self) -> int:
-        """Return how many more VMs may be taken out now."""
-        return self.limit - self.used
+        """Return how many more VMs may be taken out now.
 
+        An outage lowers what the places handed out may add up to, and two data centres that both
+        see one place too many must not both use theirs: the other's places count as used.
+        """
+        return self.limit - self.used - self.reserved
 
-def budget_uses(read: FleetRead) -> dict[PoolId, BudgetUse]:
-    """Return the use of every pool's budget, counting all data centres."""
+
+def budget_uses(read: FleetRead, here: DataCentreId) -> dict[PoolId, BudgetUse]:
+    """Return the use of every pool's budget in all data centres, as one of them sees it."""
     planned: dict[PoolId, set[VmId]] = {}
     lent: dict[PoolId, set[VmId]] = {}
     unplanned: dict[PoolId, set[VmId]] = {}
@@ -55,17 +62,36 @@
                 planned.setdefault(vm.pool, set()).add(vm_id)
             elif unseen or vm.out_since is not None or vm_id in read.unavailable:
                 unplanned.setdefault(vm.pool, set()).add(vm_id)
+    occupied = {
+        data_centre: record.occupied()
+        for data_centre, record in read.maps.items()
+        if data_centre != here
+    }
     return {
         pool: BudgetUse(
             limit.unavailable_max,
             frozenset(planned.get(pool, ())),
             frozenset(lent.get(pool, ())),
             frozenset(unplanned.get(pool, ())),
+            _reserved(read, pool, occupied),
         )
         for pool, limit in read.ledger.limits.items()
     }
 
 
+def _reserved(read: FleetRead, pool: PoolId, occupied: dict[DataCentreId, Counter[PoolId]]) -> int:
+    ledger = read.ledger
+    reserved = 0
+    for data_centre, taken in occupied.items():
+        record = read.maps[data_centre]
+        granted = granted_to(ledger, pool, data_centre)
+        granted = max(granted, record.granted_seen.get(pool, 0))
+        returned = ledger.returned.get(pool, {}).get(data_centre, 0)
+        returned = max(returned, record.returned.get(pool, 0))
+        reserved += max(0, granted - returned - taken[pool])
+    return reserved
+
+
 def with_limits(ledger: BudgetLedger, limits: dict[PoolId, int], version: int) -> BudgetLedger:
     """Return the ledger with the budgets of a configuration; an older one changes nothing."""
     changed = dict(ledger.limits)
--- a/toucandoor/core/pools/models.py
+++ b/toucandoor/core/pools/models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field, replace
 from datetime import datetime
 from enum import Enum
@@ -139,19 +140,15 @@
         """Return the places of a pool's budget that this data centre holds."""
         return self.granted_seen.get(pool, 0) - self.returned.get(pool, 0)
 
-    def occupied(self, pool: PoolId) -> int:
-        """Return the places taken here by planned stops and by VMs away from home."""
-        return sum(
-            (vm.pool == pool and vm.planned_out) + (vm.home == pool and vm.pool != pool)
-            for vm in self.vms.values()
-        )
-
-    def unplanned(self, pool: PoolId) -> int:
-        """Return the pool's VMs here that are out without a planned stop."""
-        return sum(
-            vm.pool == pool and vm.out_since is not None and not vm.planned_out
-            for vm in self.vms.values()
-        )
+    def occupied(self) -> Counter[PoolId]:
+        """Return the places taken here by planned stops and by VMs away from home, by pool."""
+        taken: Counter[PoolId] = Counter()
+        for vm in self.vms.values():
+            if vm.step is not VmStep.IN_SERVICE:
+                taken[vm.pool] += 1
+            if vm.home != vm.pool:
+                taken[vm.home] += 1
+        return taken
 
     def with_vm(self, vm_id: VmId, **changes: Any) -> AssignmentMap:
         """Return the map with fields of one VM's entry changed."""
--- a/toucandoor/core/pools/move.py
+++ b/toucandoor/core/pools/move.py
@@ -78,7 +78,7 @@
 def refusal(order: MoveOrder, read: FleetRead, record: AssignmentMap) -> str | None:
     """Return why a VM may not be moved now; None when it may."""
     vm = record.vms[order.vm]
-    uses = budget_uses(read)
+    uses = budget_uses(read, record.data_centre)
     if vm.pool != order.source:
         return f"it belongs to pool {vm.pool}, not {order.source}"
     if order.target not in uses:
@@ -161,15 +161,16 @@
         leaves_home = vm.home == vm.pool
         if leaves_home:
             record = with_received(record, read.ledger, vm.home)
-        if leaves_home and record.held(vm.home) <= record.occupied(vm.home):
+        if leaves_home and record.held(vm.home) <= record.occupied()[vm.home]:
             ledger = with_returns(read.ledger, read.maps.values())
-            if ledger.free(vm.home) < 1:
+            use = budget_uses(read, record.data_centre)[vm.home]
+            if ledger.free(vm.home) - len(use.unplanned) < 1:
                 return self._end(self._without_trace(MoveOutcome.REFUSED), _all_held(vm.home))
             ledger = with_grant(ledger, vm.home, record.data_centre)
             return Swap(KEY_LEDGER, read.revisions.get(KEY_LEDGER, 0), encode(ledger))
         record = record.with_vm(order.vm, pool=order.target, operation=order.operation)
         record = record.with_operation(order.operation)
-        if order.target == vm.home:
+        if order.target == vm.home and record.held(vm.home) > record.occupied()[vm.home]:
             record = with_returned(record, vm.home, 1)
         record = record.with_event(
             now,
--- a/toucandoor/fakes/fleets.py
+++ b/toucandoor/fakes/fleets.py
@@ -31,6 +31,7 @@
 WHISTLELINE = FleetSize("whistleline", 5, 30, 3, 4, 2)
 OBERLAND = FleetSize("oberland", 5, 40, 4, 4, 2)
 TARGET = FleetSize("target", 35, 2000, 6, 4, 3)
+SMALL = FleetSize("small", 2, 4, 2, 2, 1)
 SIZES = (WHISTLELINE, OBERLAND, TARGET)
 
 
--- /dev/null
+++ b/toucandoor/fakes/virtual_vm.py
@@ -0,0 +1,113 @@
+"""Stand-in for a backend server's VM in virtual time, for tests and measurements."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from toucandoor.core.maintenance.models import (
+    CheckpointTask,
+    DrainVm,
+    RebootVm,
+    RunningTask,
+    UndrainVm,
+    VmReport,
+)
+
+if TYPE_CHECKING:
+    from toucandoor.core.maintenance.models import VmAct
+    from toucandoor.ids import VmId
+
+
+class VmFault(Enum):
+    """What is wrong with a VM."""
+
+    NEVER_COMES_BACK = "never_comes_back"
+    FAILS_PROBES = "fails_probes"
+    KEEPS_TASKS = "keeps_tasks"
+
+
+@dataclass(slots=True)
+class VirtualVm:
+    """A VM with tasks that end at known times.
+
+    Attributes:
+        guarded: Whether acts for another boot or with an older fencing number are refused.
+        reboot_s: Time a reboot takes.
+        tasks: End of each running task and whether it can checkpoint.
+        tasks_cut: Tasks that were still running when the VM was rebooted on order.
+        refused: Acts refused for their boot or fence.
+    """
+
+    vm: VmId
+    reboot_s: float = 120.0
+    fault: VmFault | None = None
+    guarded: bool = True
+    boots: int = 1
+    fence: int = 0
+    draining: bool = False
+    down_until_s: float = float("-inf")
+    tasks: dict[str, tuple[float, bool]] = field(default_factory=dict)
+    tasks_cut: int = 0
+    refused: int = 0
+    reboots: int = 0
+
+    @property
+    def boot(self) -> str:
+        """Return the id of the present boot."""
+        return f"{self.vm}-boot{self.boots}"
+
+    def up(self, now_s: float) -> bool:
+        """Return whether the VM answers."""
+        return now_s >= self.down_until_s
+
+    def serving(self, now_s: float) -> bool:
+        """Return whether the VM takes tasks."""
+        return self.up(now_s) and not self.draining
+
+    def crash(self, now_s: float, down_s: float) -> None:
+        """Stop at once, for a cause of its own, and come back after a while."""
+        self.boots += 1
+        self.draining, self.fence = False, 0
+        self.tasks.clear()
+        self.down_until_s = max(self.down_until_s, now_s + down_s)
+
+    def report(self, now_s: float) -> VmReport | None:
+        """Return the VM's word; None while it is down."""
+        if not self.up(now_s):
+            return None
+        self.tasks = {name: task for name, task in self.tasks.items() if task[0] > now_s}
+        running = tuple(RunningTask(name, can) for name, (_, can) in sorted(self.tasks.items()))
+        healthy = not (self.fault is VmFault.FAILS_PROBES and self.boots > 1)
+        return VmReport(self.vm, self.boot, healthy, self.draining, running, self.fence)
+
+    def take(self, act: VmAct, now_s: float) -> bool:
+        """Carry an act out; False when the VM is down or refuses it."""
+        if not self.up(now_s):
+            return False
+        self.report(now_s)
+        match act:
+            case DrainVm() | CheckpointTask() | RebootVm() | UndrainVm():
+                stale = act.boot != self.boot or act.fence < self.fence
+                if stale and self.guarded:
+                    self.refused += 1
+                    return False
+                self.fence = max(act.fence, self.fence)
+        match act:
+            case DrainVm():
+                self.draining = True
+            case UndrainVm():
+                self.draining = False
+            case CheckpointTask(task_id=task_id):
+                if task_id in self.tasks and self.tasks[task_id][1]:
+                    del self.tasks[task_id]
+            case RebootVm():
+                self._reboot(now_s)
+        return True
+
+    def _reboot(self, now_s: float) -> None:
+        self.tasks_cut += len(self.tasks)
+        self.reboots += 1
+        never = self.fault is VmFault.NEVER_COMES_BACK
+        self.crash(now_s, float("inf") if never else self.reboot_s)
--- /dev/null
+++ b/toucandoor/measures/rollout_time.py
@@ -0,0 +1,57 @@
+"""Time to maintain every VM once, at both users' sizes and the target size."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from typing import TYPE_CHECKING
+
+from toucandoor.fakes.fleets import SIZES, TARGET
+from toucandoor.measures._fleet_run import FleetRun, RunSettings
+from toucandoor.measures.result import Figures, MeasureResult
+
+if TYPE_CHECKING:
+    from toucandoor.fakes.fleets import FleetSize
+
+_SIX_WEEKS_S = 6 * 7 * 86_400.0
+_CALM = RunSettings(end_s=24 * 3_600.0)
+_AT_TARGET = RunSettings(
+    tick_s=5.0, fails_a_day=18, restarts_a_day=280, bad_ratio=0.002, end_s=24 * 3_600.0
+)
+_SHOWN = ("rollout_s", "maintained", "budget_breaches", "over_held", "tasks_cut", "store_calls")
+
+
+def _figures(size: FleetSize, seed: int, *, serial: bool) -> Figures:
+    settings = _AT_TARGET if size is TARGET else _CALM
+    run = FleetRun(size, settings, f"{seed}/{size.name}", serial=serial).run()
+    figures = asdict(run)
+    return {f"{size.name}_{name}": figures[name] for name in _SHOWN}
+
+
+def run(seed: int) -> MeasureResult:
+    """Roll out once with whole budgets and once with one VM at a time for each pool."""
+    product: Figures = {}
+    baseline: Figures = {}
+    for size in SIZES:
+        product |= _figures(size, seed, serial=False)
+        baseline |= _figures(size, seed, serial=True)
+    kept = ("_budget_breaches", "_over_held", "_tasks_cut")
+    breaches = sum(int(v or 0) for name, v in product.items() if name.endswith(kept))
+    times = [v for name, v in product.items() if name.endswith("_rollout_s")]
+    done = all(v is not None and float(v) <= _SIX_WEEKS_S for v in times)
+    return MeasureResult(
+        measure="rollout_time",
+        seed=seed,
+        parameters={
+            **{f"{size.name}_unavailable_max": size.unavailable_max for size in SIZES},
+            "reboot_s": 120.0,
+            "task_s_max": _CALM.task_s,
+            "list_lag_s": _CALM.list_lag_s,
+            "target_fails_a_day": _AT_TARGET.fails_a_day,
+            "target_restarts_a_day": _AT_TARGET.restarts_a_day,
+            "target_bad_ratio": _AT_TARGET.bad_ratio,
+        },
+        product={"breaches": breaches, **product},
+        baseline=baseline,
+        bound={"breaches": 0, "rollout_s_max": _SIX_WEEKS_S},
+        holds=breaches == 0 and done,
+    )
