Queue by class and share, and lend an urgent reserve

Cause: first come, first served lets patient work hold every slot while a queue asks for five times its mean, so urgent requests wait; a team that asks most gets most; Retry-After was a guess of one second a request.

Change: FairQueue (weighted virtual time per team, urgent before patient within a credit, one start in four for aged patient work, O(1) cancellation, a heap for deadlines), ShareLedger (running time seen, corrected by usage reports and heartbeats), LentReserve (patient work that can be checkpointed or stopped borrows the reserve; Preempt takes it back), the spare pool lends to urgent requests. The engine asks a SlotAdmission where a request may start. One request without room no longer keeps those behind it from starting elsewhere.

Excluded: THROTTLE as a way to preempt. The worker protocol's throttle does not free the task's slot, and slots are what urgent requests lack. Found by the ageing session: a pick that was put back had used up the aged turn; put_back now restores it.

--- /dev/null
+++ b/tests/core/admission/session.py
@@ -0,0 +1,134 @@
+"""Whole sessions on the request engine with admission, as events and decisions."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import Any
+
+from toucandoor.clock import ManualClock
+from toucandoor.core.admission.coordinator import AdmissionCoordinator
+from toucandoor.core.admission.lending import LendToUrgent
+from toucandoor.core.admission.policy import FirstComeFirstServed
+from toucandoor.core.ceilings.policy import StaticPermits
+from toucandoor.core.configuration.models import Configuration
+from toucandoor.core.leases.serving import FixedLease
+from toucandoor.core.requests.engine import RequestEngine
+from toucandoor.core.requests.models import (
+    AttemptEnded,
+    AttemptOutcome,
+    BackendServer,
+    Cancelled,
+    Decision,
+    Dispatch,
+    Event,
+    PreemptHow,
+    Request,
+    RequestClass,
+    Submitted,
+    Tick,
+)
+from toucandoor.core.routing.policy import LeastConnections
+from toucandoor.ids import AttemptId, PoolId, QueueId, RequestId, TeamId, VmId
+
+TEAMS = ("a", "b")
+
+
+class Session:
+    """Drives one engine on a manual clock and keeps each event and decision as a line.
+
+    Args:
+        baseline: Whether to run first come, first served and without a reserve.
+    """
+
+    def __init__(
+        self, *, slots: int = 4, spare_slots: int = 0, waiting_max: int = 8, baseline: bool = False
+    ) -> None:
+        self.clock = ManualClock()
+        self.lines: list[Any] = []
+        self.running: dict[RequestId, Dispatch] = {}
+        numbers = count(1)
+        admission = AdmissionCoordinator(LendToUrgent())
+        self.engine = RequestEngine(
+            make_queue=(
+                (lambda queue: FirstComeFirstServed(queue.waiting_max))
+                if baseline
+                else admission.make_queue
+            ),
+            routing=LeastConnections(),
+            permits=StaticPermits({TeamId(team): 1000 for team in TEAMS}),
+            lease=FixedLease(float("inf")),
+            new_attempt_id=lambda: AttemptId(f"attempt-{next(numbers)}"),
+            admission=None if baseline else admission,
+        )
+        self.engine.configure(_configuration(waiting_max))
+        servers = [_server("p", slots), *([_server("s", spare_slots)] if spare_slots else [])]
+        self.engine.update_servers(servers, 0.0)
+
+    def submit(
+        self,
+        name: str,
+        *,
+        urgent: bool = False,
+        team: str = "a",
+        how: PreemptHow | None = None,
+        deadline_s: float = 60.0,
+        queue: str = "p",
+    ) -> list[Decision]:
+        """Submit a request that arrives now."""
+        now_s = self.clock.monotonic_s()
+        request = Request(
+            RequestId(name),
+            QueueId(queue),
+            TeamId(team),
+            RequestClass.URGENT if urgent else RequestClass.PATIENT,
+            idempotent=True,
+            arrived_s=now_s,
+            deadline_s=now_s + deadline_s,
+            preempt_how=how,
+        )
+        return self.handle(Submitted(request))
+
+    def end(
+        self, name: str, outcome: AttemptOutcome = AttemptOutcome.ANSWERED, token: str | None = None
+    ) -> list[Decision]:
+        """End the request's attempt."""
+        attempt = self.running.pop(RequestId(name))
+        return self.handle(AttemptEnded(attempt.attempt_id, outcome, resume_token=token))
+
+    def cancel(self, name: str) -> list[Decision]:
+        """Cancel a request."""
+        return self.handle(Cancelled(RequestId(name)))
+
+    def after(self, seconds: float) -> list[Decision]:
+        """Let time pass, then tick."""
+        self.clock.advance(seconds)
+        return self.handle(Tick())
+
+    def handle(self, event: Event) -> list[Decision]:
+        """Feed one event and note what follows."""
+        now_s = self.clock.monotonic_s()
+        decisions = self.engine.handle(event, now_s)
+        self.lines.append({"at_s": now_s, "event": event, "decisions": decisions})
+        for decision in decisions:
+            if isinstance(decision, Dispatch):
+                self.running[decision.request_id] = decision
+        return decisions
+
+
+def _configuration(waiting_max: int) -> Configuration:
+    return Configuration.model_validate(
+        {
+            "pools": {"p": {"unavailable_max": 1}, "s": {"unavailable_max": 1, "spare": True}},
+            "queues": {
+                "p": {"pool": "p", "waiting_max": waiting_max},
+                "s": {"pool": "s", "waiting_max": waiting_max},
+            },
+            "teams": {team: {"ceiling_running": 1000} for team in TEAMS},
+        }
+    )
+
+
+def _server(pool: str, slots: int) -> BackendServer:
+    return BackendServer(
+        VmId(f"vm-{pool}"), PoolId(pool), f"10.0.0.{ord(pool)}:8181", slots, 64, "dc-1", "r-1"
+    )
--- a/toucandoor/adapters/caller_http.py
+++ b/toucandoor/adapters/caller_http.py
@@ -20,6 +20,7 @@
     Cancelled,
     Dispatch,
     Fate,
+    PreemptHow,
     Refuse,
     Request,
     RequestClass,
@@ -44,6 +45,7 @@
 ATTR_DEADLINE_S = "HTTP_TOUCANDOOR_DEADLINE_S"
 ATTR_RUN_S = "HTTP_TOUCANDOOR_RUN_S"
 ATTR_IDEMPOTENT = "HTTP_TOUCANDOOR_IDEMPOTENT"
+ATTR_PREEMPT = "HTTP_TOUCANDOOR_PREEMPT"
 ATTR_IDEMPOTENCY_KEY = "HTTP_IDEMPOTENCY_KEY"
 DEFAULT_DEADLINE_S = {RequestClass.URGENT: 30.0, RequestClass.PATIENT: 3600.0}
 DEADLINE_S_MAX = 24 * 3600.0
@@ -126,6 +128,7 @@
             deadline_s=now_s + min(deadline_s or 0.0, DEADLINE_S_MAX),
             idempotency_key=environ.get(ATTR_IDEMPOTENCY_KEY),
             declared_run_s=_seconds(environ, ATTR_RUN_S, None),
+            preempt_how=_preempt_how(environ),
         )
 
     def _team(self, environ: Environ, queue_id: QueueId) -> TeamId | None:
@@ -229,6 +232,17 @@
         raise _BadRequestError(400, reason, "http.headers") from None
 
 
+def _preempt_how(environ: Environ) -> PreemptHow | None:
+    text = environ.get(ATTR_PREEMPT)
+    if text is None:
+        return None
+    try:
+        return PreemptHow(text)
+    except ValueError:
+        reason = f"Toucandoor-Preempt must be checkpoint or stop, not {text[:40]!r}"
+        raise _BadRequestError(400, reason, "http.headers") from None
+
+
 def _flag(environ: Environ, name: str) -> bool:
     text = environ.get(name, "false")
     if text not in ("true", "false"):
--- a/toucandoor/adapters/engine_loop.py
+++ b/toucandoor/adapters/engine_loop.py
@@ -5,10 +5,11 @@
 import asyncio
 import logging
 import queue
+from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
 from toucandoor.core.requests.journal import RequestJournal
-from toucandoor.core.requests.models import Decision, Event, Submitted, Tick
+from toucandoor.core.requests.models import Decision, Event, Preempt, Submitted, Tick
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,6 +21,7 @@
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "engine:"
 _TICK_PERIOD_S = 0.05
+_INTERRUPTERS_MAX = 4
 
 Mailbox = queue.SimpleQueue[Decision]
 
@@ -27,17 +29,24 @@
 class EngineLoop:
     """Feeds events to the engine one at a time and hands each decision to its caller's thread.
 
+    Args:
+        interrupt: Asks a backend server to interrupt a task; called from a thread.
+
     Attributes:
         journal: What became of recent requests.
     """
 
-    def __init__(self, engine: RequestEngine, clock: Clock) -> None:
+    def __init__(
+        self, engine: RequestEngine, clock: Clock, interrupt: Callable[[Preempt], None]
+    ) -> None:
         self._engine = engine
         self._clock = clock
         self._loop = asyncio.get_running_loop()
         self._inbox: asyncio.Queue[Event | Callable[[], None]] = asyncio.Queue()
         self.journal = RequestJournal()
         self._mailboxes: dict[RequestId, Mailbox] = {}
+        self._interrupt = interrupt
+        self._interrupters = ThreadPoolExecutor(_INTERRUPTERS_MAX, "interrupt")
 
     def post(self, event: Event) -> None:
         """Pass an event on from any thread."""
@@ -82,6 +91,10 @@
             return
         self.journal.note(event, decisions, now_s)
         for decision in decisions:
+            if isinstance(decision, Preempt):
+                # Its caller's thread waits for the attempt, so another thread must ask.
+                self._interrupters.submit(self._interrupt, decision)
+                continue
             mailbox = self._mailboxes.get(decision.request_id)
             if mailbox is not None:
                 mailbox.put(decision)
--- a/toucandoor/adapters/worker_client.py
+++ b/toucandoor/adapters/worker_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from dataclasses import dataclass
 
@@ -11,9 +12,13 @@
     AttemptEnded,
     AttemptOutcome,
     Dispatch,
+    Preempt,
     Request,
 )
 
+_LOGGER = logging.getLogger(__name__)
+_PREFIX = "worker:"
+INTERRUPT_READ_S = 2.0
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
 
 
@@ -75,6 +80,23 @@
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return ended, WorkerAnswer(content_type, response.data)
 
+    def interrupt(self, preempt: Preempt) -> None:
+        """Ask for a task's checkpoint or stop; its attempt's own answer says how it ended."""
+        try:
+            self._pool.request(
+                "POST",
+                f"http://{preempt.address}/v1/tasks/{preempt.attempt_id}/{preempt.how.value}",
+                timeout=urllib3.Timeout(connect=self._connect_timeout_s, read=INTERRUPT_READ_S),
+            )
+        except urllib3.exceptions.HTTPError as err:
+            _LOGGER.warning(
+                "%s task %s at %s was not interrupted: %s",
+                _PREFIX,
+                preempt.attempt_id,
+                preempt.address,
+                err,
+            )
+
 
 def _headers(dispatch: Dispatch, request: Request, trace: str) -> dict[str, str]:
     headers = {
--- /dev/null
+++ b/toucandoor/core/admission/fair.py
@@ -0,0 +1,160 @@
+"""Queue policy with classes, ageing and weighted fair queueing over teams."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from toucandoor.core.admission.const import (
+    DEFAULT_AGED_EVERY,
+    DEFAULT_AGEING_S,
+    DEFAULT_LANE_PROBES,
+    DEFAULT_URGENT_CREDIT_S,
+)
+from toucandoor.core.admission.drain import DrainRate
+from toucandoor.core.admission.lanes import LaneKey, Lanes, lane_key
+from toucandoor.core.admission.policy import QueuePolicy
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from toucandoor.core.requests.models import Request
+    from toucandoor.core.shares.ledger import ShareLedger
+    from toucandoor.ids import RequestId
+
+
+@dataclass(frozen=True, slots=True)
+class FairSettings:
+    """How classes and ages weigh against shares.
+
+    Attributes:
+        urgent_credit: Virtual time by which urgent requests go before patient ones. A team
+            further ahead of its share than that has its urgent requests wait for the others'
+            patient ones.
+        ageing_s: Waiting time after which a patient request takes part in the aged turns.
+        aged_every: One start in so many goes to an aged patient request, when one waits.
+    """
+
+    urgent_credit: float = DEFAULT_URGENT_CREDIT_S
+    ageing_s: float = DEFAULT_AGEING_S
+    aged_every: int = DEFAULT_AGED_EVERY
+
+
+class FairQueue(QueuePolicy):
+    """Starts the team with the least weighted service first, urgent before patient.
+
+    Args:
+        waiting_max: Most requests that may wait.
+        shares: Service of the teams in the queue's pool; queues of one pool share it.
+        settings: How classes and ages weigh against shares.
+    """
+
+    def __init__(
+        self, waiting_max: int, shares: ShareLedger, settings: FairSettings | None = None
+    ) -> None:
+        self._waiting_max = waiting_max
+        self._shares = shares
+        self._settings = settings or FairSettings()
+        self._lanes = Lanes()
+        self._drain = DrainRate()
+        self._starts_since_aged = 0
+
+    def offer(self, request: Request, now_s: float) -> bool:
+        """Take a request in; False when the queue is full or holds it already."""
+        if len(self._lanes) >= self._waiting_max or request.request_id in self._lanes:
+            return False
+        self._add(request, now_s, front=False)
+        return True
+
+    def put_back(self, request: Request, now_s: float) -> None:
+        """Return a request to the front of its lane, also when the queue is full."""
+        if request.request_id in self._lanes:
+            return
+        self._add(request, now_s, front=True)
+        self._drain.undone()
+        if self._is_aged(request, now_s):
+            self._starts_since_aged = self._settings.aged_every
+        else:
+            self._starts_since_aged = max(0, self._starts_since_aged - 1)
+
+    def next(self, now_s: float, may_start: Callable[[Request], bool]) -> Request | None:
+        """Remove and return the next request that may start, or None."""
+        request = self._aged(now_s, may_start) or self._first(
+            self._by_share(now_s), now_s, may_start
+        )
+        if request is None:
+            return None
+        self._remove(request.request_id)
+        self._drain.started(now_s)
+        self._count_turn(request, now_s)
+        return request
+
+    def cancel(self, request_id: RequestId) -> Request | None:
+        """Remove a waiting request; None when it is not here."""
+        return self._remove(request_id)
+
+    def expired(self, now_s: float) -> list[Request]:
+        """Remove and return the requests whose deadline has passed, earliest first."""
+        late = self._lanes.expired(now_s)
+        for request in late:
+            self._shares.dequeued(lane_key(request).team)
+        return late
+
+    def retry_after_s(self, now_s: float) -> float:
+        """Return when all that waits now will have started, at the rate seen."""
+        return self._drain.time_to_drain_s(len(self._lanes), now_s)
+
+    def urgent_waiting(self, may_run: Callable[[Request], bool]) -> int:
+        """Count urgent requests of the lanes whose oldest request may run."""
+        return self._lanes.count(lambda key: key.urgent and may_run(self._lanes.oldest(key)))
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+        return len(self._lanes)
+
+    def _add(self, request: Request, now_s: float, *, front: bool) -> None:
+        self._shares.enqueued(lane_key(request).team, now_s)
+        self._lanes.add(request, front=front)
+
+    def _remove(self, request_id: RequestId) -> Request | None:
+        request = self._lanes.remove(request_id)
+        if request is not None:
+            self._shares.dequeued(lane_key(request).team)
+        return request
+
+    def _by_share(self, now_s: float) -> list[LaneKey]:
+        """Return the lanes, the one to serve first in front."""
+
+        def rank(key: LaneKey) -> tuple[float, bool, float]:
+            credit = self._settings.urgent_credit if key.urgent else 0.0
+            virtual = self._shares.virtual(key.team, now_s)
+            return (virtual - credit, not key.urgent, self._lanes.oldest(key).arrived_s)
+
+        return sorted(self._lanes.occupied(), key=rank)
+
+    def _aged(self, now_s: float, may_start: Callable[[Request], bool]) -> Request | None:
+        """Return the oldest aged patient request that may start when its turn has come."""
+        if self._starts_since_aged + 1 < self._settings.aged_every:
+            return None
+        aged = [
+            key for key in self._lanes.occupied() if self._is_aged(self._lanes.oldest(key), now_s)
+        ]
+        aged.sort(key=lambda key: self._lanes.oldest(key).arrived_s)
+        return self._first(aged, now_s, may_start)
+
+    def _first(
+        self, keys: Iterable[LaneKey], now_s: float, may_start: Callable[[Request], bool]
+    ) -> Request | None:
+        for key in keys:
+            for request in self._lanes.front(key, DEFAULT_LANE_PROBES):
+                if request.deadline_s > now_s and may_start(request):
+                    return request
+        return None
+
+    def _is_aged(self, request: Request, now_s: float) -> bool:
+        waited_s = now_s - request.arrived_s
+        return not lane_key(request).urgent and waited_s >= self._settings.ageing_s
+
+    def _count_turn(self, request: Request, now_s: float) -> None:
+        aged = self._is_aged(request, now_s)
+        self._starts_since_aged = 0 if aged else self._starts_since_aged + 1
--- a/toucandoor/core/admission/policy.py
+++ b/toucandoor/core/admission/policy.py
@@ -40,6 +40,10 @@
     def retry_after_s(self, now_s: float) -> float:
         """Estimate from the drain rate seen when a new request would find room."""
 
+    @abstractmethod
+    def urgent_waiting(self, may_run: Callable[[Request], bool]) -> int:
+        """Count the waiting urgent requests that would start if there were a slot."""
+
     @abstractmethod
     def __len__(self) -> int:
         """Return how many requests wait."""
@@ -90,6 +94,10 @@
         """Return one second for each request waiting, for want of a measured rate."""
         return max(1.0, float(len(self._waiting)))
 
+    def urgent_waiting(self, may_run: Callable[[Request], bool]) -> int:
+        """Return 0: classes are ignored."""
+        return 0
+
     def __len__(self) -> int:
         """Return how many requests wait."""
         return len(self._waiting)
--- a/toucandoor/core/requests/journal.py
+++ b/toucandoor/core/requests/journal.py
@@ -14,6 +14,7 @@
     Decision,
     Dispatch,
     Event,
+    Preempt,
     Refuse,
     Request,
     Submitted,
@@ -65,6 +66,8 @@
             case Dispatch(request_id, attempt_id, vm):
                 self._request_of[attempt_id] = request_id
                 self._add(request_id, now_s, f"sent to {vm}")
+            case Preempt(request_id, _, vm, _, how):
+                self._add(request_id, now_s, f"asked {vm} to {how.value} it for urgent work")
             case Answer(request_id):
                 self._add(request_id, now_s, "answered")
             case Refuse(request_id, status, reason, fate, step):
--- a/toucandoor/core/requests/models.py
+++ b/toucandoor/core/requests/models.py
@@ -32,6 +32,16 @@
     """It ran and the backend server reported that it failed."""
 
 
+class PreemptHow(Enum):
+    """How a running task can be made to give back its slot; the task route of the same name."""
+
+    CHECKPOINT = "checkpoint"
+    """The task stops and can be resumed from a token; no work is lost."""
+
+    STOP = "stop"
+    """The task stops and starts anew later; its work is lost."""
+
+
 class AttemptOutcome(Enum):
     """How one attempt on one backend server ended, as the dispatching thread saw it."""
 
@@ -71,6 +81,7 @@
         deadline_s: Monotonic time after which the caller no longer wants it to start or run.
         idempotency_key: The caller's own id of this submission, the same when it repeats it.
         declared_run_s: Run time the caller declared; may be far off.
+        preempt_how: How it may be interrupted for urgent work; None when it may not.
     """
 
     request_id: RequestId
@@ -82,6 +93,7 @@
     deadline_s: float
     idempotency_key: str | None = None
     declared_run_s: float | None = None
+    preempt_how: PreemptHow | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,7 +180,18 @@
     retry_after_s: float | None = None
 
 
-Decision = Dispatch | Answer | Refuse
+@dataclass(frozen=True, slots=True)
+class Preempt:
+    """Ask a backend server to interrupt a patient task, so that an urgent request gets its slot."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    vm: VmId
+    address: str
+    how: PreemptHow
+
+
+Decision = Dispatch | Answer | Refuse | Preempt
 
 
 @dataclass(frozen=True, slots=True)
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -23,9 +23,10 @@
 from toucandoor.adapters.worker_client import WorkerClient
 from toucandoor.adapters.wsgi import make_server
 from toucandoor.clock import SystemClock
-from toucandoor.core.admission.policy import FirstComeFirstServed
+from toucandoor.core.admission.coordinator import AdmissionCoordinator
+from toucandoor.core.admission.lending import LendToUrgent
 from toucandoor.core.ceilings.policy import StaticPermits
-from toucandoor.core.configuration.models import Configuration, QueueConfig
+from toucandoor.core.configuration.models import Configuration
 from toucandoor.core.keys import KeyRing
 from toucandoor.core.leases.serving import FixedLease
 from toucandoor.core.requests.engine import RequestEngine
@@ -47,14 +48,17 @@
         self._clock = SystemClock()
         self._permits = StaticPermits({})
         self._lease = FixedLease(float("inf"))
+        self._workers = WorkerClient(settings.connect_timeout_s)
+        admission = AdmissionCoordinator(LendToUrgent(), settings.entries_total)
         self._engine = RequestEngine(
-            make_queue=_make_queue,
+            make_queue=admission.make_queue,
+            admission=admission,
             routing=LeastConnections(),
             permits=self._permits,
             lease=self._lease,
             new_attempt_id=lambda: AttemptId(uuid.uuid4().hex),
         )
-        self.loop = EngineLoop(self._engine, self._clock)
+        self.loop = EngineLoop(self._engine, self._clock, self._workers.interrupt)
         self._configuration: Configuration | None = None
         self._keys: KeyRing | None = None
         self._states: dict[VmId, VmState] = {}
@@ -64,8 +68,7 @@
         """Serve until asked to stop."""
         settings, stop, metrics = self._settings, StopSignal(), EntryMetrics()
         view = EntryView(lambda: self._keys, self._is_open, lambda: self._stopping)
-        workers = WorkerClient(settings.connect_timeout_s)
-        app = CallerApp(self.loop, workers, metrics, self._clock, view, settings.entry_id)
+        app = CallerApp(self.loop, self._workers, metrics, self._clock, view, settings.entry_id)
         callers = make_caller_server(settings, app, self._clock)
         ops_app = make_ops_app(self._not_ready, lambda: metrics.in_flight(self._engine.counts()))
         ops = make_server(settings.ops_address, ops_app, 2)
@@ -104,7 +107,7 @@
                 for team_id, team in configuration.teams.items()
             }
         )
-        self._engine.configure(configuration)
+        self._engine.configure(configuration, self._clock.monotonic_s())
         self._update_servers()
         _LOGGER.info("%s configuration %s is in force", _PREFIX, version)
 
@@ -152,10 +155,6 @@
                 return
 
 
-def _make_queue(queue: QueueConfig) -> FirstComeFirstServed:
-    return FirstComeFirstServed(queue.waiting_max)
-
-
 def _command(
     settings_file: Annotated[Path | None, typer.Option("--settings", help="TOML file.")] = None,
     print_settings: Annotated[
