Decide what becomes of each attempt, and route by shared load

Cause: the thin engine gives a permit back by guess, sends again or gives up without asking, and least connections neither sees other entries' load nor ejects failing backend servers.

Found by the state machine: a backend server that restarted at the instant of the send said 'never seen' with an uptime equal to the attempt's age, and a non-idempotent request was sent twice.

--- /dev/null
+++ b/tests/core/attempts/test_machine.py
@@ -0,0 +1,269 @@
+"""State machine: whatever is lost, doubled or reordered, the promises of an attempt hold."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from tests.core.attempts.common import LEASE_S, Session, request
+from toucandoor.core.attempts.models import (
+    AnswerFetched,
+    AskTask,
+    FetchAnswer,
+    Requeue,
+    StopTask,
+    TaskEnded,
+    TaskState,
+    TaskWord,
+)
+from toucandoor.core.requests.models import (
+    Answer,
+    AttemptEnded,
+    AttemptOutcome,
+    Fate,
+    Refuse,
+    Request,
+)
+from toucandoor.ids import AttemptId, RequestId
+
+_START_WITHIN_S = 1.0
+_VMS = strategies.sampled_from(["vm-1", "vm-2"])
+
+
+@dataclass
+class _Task:
+    """What truly happens to an attempt, which the tracker can't see."""
+
+    of: Request
+    vm: str
+    start_by_s: float
+    state: str = "on its way"
+    lease_until_s: float = 0.0
+
+
+class AttemptMachine(RuleBasedStateMachine):
+    """Callers, an entry's tracker and two backend servers with an unreliable network between."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.session = Session(retry_tokens=2.0)
+        self.tasks: dict[str, _Task] = {}
+        self.up_since_s = {"vm-1": -100.0, "vm-2": -100.0}
+        self.fenced: set[tuple[str, str]] = set()
+        self.runs: Counter[RequestId] = Counter()
+        self.waiting: list[Request] = []
+        self.finals: Counter[RequestId] = Counter()
+        self.asked: list[AskTask | StopTask] = []
+        self.fetching: list[FetchAnswer] = []
+        self.words: list[TaskWord] = []
+        self.not_run: set[RequestId] = set()
+        self.requests = 0
+
+    @property
+    def now_s(self) -> float:
+        return self.session.clock.monotonic_s()
+
+    def decide(self, decisions: list[Any]) -> None:
+        for decision in decisions:
+            match decision:
+                case Requeue():
+                    self.waiting.append(self.of(decision.request_id))
+                case AskTask() | StopTask():
+                    self.asked.append(decision)
+                case FetchAnswer():
+                    self.fetching.append(decision)
+                case Answer():
+                    assert self.tasks[decision.attempt_id].state == "finished"
+                    assert self.tasks[decision.attempt_id].of.request_id == decision.request_id
+                    self.finals[decision.request_id] += 1
+                case Refuse():
+                    self.finals[decision.request_id] += 1
+                    if decision.fate is Fate.NOT_RUN:
+                        self.not_run.add(decision.request_id)
+                case TaskEnded():
+                    task = self.tasks[decision.attempt_id]
+                    assert not self.may_run(decision.attempt_id, task), "permit back too early"
+
+    def may_run(self, attempt_id: str, task: _Task) -> bool:
+        if task.state == "on its way":
+            fenced = (task.vm, attempt_id) in self.fenced
+            return not fenced and self.now_s <= task.start_by_s
+        return task.state == "running" and self.now_s < task.lease_until_s
+
+    def of(self, request_id: RequestId) -> Request:
+        return next(t.of for t in self.tasks.values() if t.of.request_id == request_id)
+
+    def pick(self, number: int, *states: str) -> tuple[str, _Task] | None:
+        found = [(i, t) for i, t in self.tasks.items() if t.state in states]
+        return found[-1 - number % len(found)] if found else None
+
+    def end_leases(self) -> None:
+        for task in self.tasks.values():
+            if task.state == "running" and self.now_s >= task.lease_until_s:
+                task.state = "failed"
+
+    @precondition(lambda self: self.requests < 3)
+    @rule(idempotent=strategies.booleans(), vm=_VMS, arrives=strategies.booleans())
+    def submit(self, idempotent: bool, vm: str, arrives: bool) -> None:
+        self.requests += 1
+        self.send(request(f"r{self.requests}", idempotent=idempotent), vm, arrives)
+
+    @precondition(lambda self: self.waiting)
+    @rule(vm=_VMS, arrives=strategies.booleans())
+    def send_again(self, vm: str, arrives: bool) -> None:
+        self.send(self.waiting.pop(0), vm, arrives)
+
+    def send(self, of: Request, vm: str, arrives: bool) -> None:
+        attempt = f"a{len(self.tasks) + 1}"
+        self.tasks[attempt] = _Task(of, vm, self.now_s + _START_WITHIN_S)
+        self.session.start(of, attempt, vm)
+        if arrives:
+            self.arrive(0)
+
+    @precondition(lambda self: self.pick(0, "on its way"))
+    @rule(number=strategies.integers(0, 9))
+    def arrive(self, number: int) -> None:
+        found = self.pick(number, "on its way")
+        if found and self.may_run(*found):
+            self.runs[found[1].of.request_id] += 1
+            found[1].state, found[1].lease_until_s = "running", self.now_s + LEASE_S
+
+    @precondition(lambda self: self.pick(0, "running"))
+    @rule(number=strategies.integers(0, 9), state=strategies.sampled_from(["finished", "failed"]))
+    def end(self, number: int, state: str) -> None:
+        found = self.pick(number, "running")
+        if found:
+            found[1].state = state
+
+    @precondition(lambda self: self.tasks)
+    @rule(vm=_VMS)
+    def restart_server(self, vm: str) -> None:
+        self.up_since_s[vm] = self.now_s
+        self.fenced = {fence for fence in self.fenced if fence[0] != vm}
+        for task in self.tasks.values():
+            if task.vm == vm and task.state in ("running", "finished", "failed", "on its way"):
+                task.state = "lost"
+
+    @precondition(lambda self: self.pick(0, "finished", "failed", "refused"))
+    @rule(number=strategies.integers(0, 9))
+    def thread_sees_the_end(self, number: int) -> None:
+        found = self.pick(number, "finished", "failed", "refused")
+        if found:
+            outcome = {
+                "finished": AttemptOutcome.ANSWERED,
+                "failed": AttemptOutcome.FAILED,
+                "refused": AttemptOutcome.BUSY,
+            }[found[1].state]
+            self.decide(self.session.event(AttemptEnded(AttemptId(found[0]), outcome)))
+
+    @precondition(lambda self: self.pick(0, "on its way"))
+    @rule(number=strategies.integers(0, 9))
+    def refuse(self, number: int) -> None:
+        found = self.pick(number, "on its way")
+        if found:
+            found[1].state = "refused"
+
+    @precondition(lambda self: self.tasks)
+    @rule(number=strategies.integers(0, 9))
+    def thread_sees_nothing(self, number: int) -> None:
+        found = self.pick(number, "on its way", "running", "finished", "failed", "lost")
+        if found:
+            event = AttemptEnded(AttemptId(found[0]), AttemptOutcome.UNKNOWN)
+            self.decide(self.session.event(event))
+
+    @precondition(lambda self: self.asked)
+    @rule(number=strategies.integers(0, 9), lost=strategies.booleans(), late=strategies.booleans())
+    def ask(self, number: int, lost: bool, late: bool) -> None:
+        asked = self.asked.pop(number % len(self.asked))
+        word = self.word_of(asked)
+        word = TaskWord(asked.attempt_id, None) if lost else word
+        if late:
+            self.words.append(word)
+        else:
+            self.decide(self.session.event(word))
+
+    def word_of(self, asked: AskTask | StopTask) -> TaskWord:
+        task = self.tasks[asked.attempt_id]
+        up_s = self.now_s - self.up_since_s[task.vm]
+        if task.state in ("on its way", "lost", "refused"):
+            self.fenced.add((task.vm, asked.attempt_id))
+            return TaskWord(asked.attempt_id, TaskState.NEVER_SEEN, up_s)
+        renews = isinstance(asked, AskTask) and asked.renew and self.now_s <= asked.start_by_s
+        if task.state == "running" and renews:
+            task.lease_until_s = max(task.lease_until_s, self.now_s + LEASE_S)
+        return TaskWord(asked.attempt_id, TaskState(task.state), up_s)
+
+    @precondition(lambda self: self.words)
+    @rule(number=strategies.integers(0, 9), again=strategies.booleans())
+    def hear(self, number: int, again: bool) -> None:
+        index = number % len(self.words)
+        word = self.words[index] if again else self.words.pop(index)
+        self.decide(self.session.event(word))
+
+    @precondition(lambda self: self.fetching)
+    @rule(whole=strategies.booleans())
+    def fetch(self, whole: bool) -> None:
+        fetch = self.fetching.pop()
+        held = self.tasks[fetch.attempt_id].state == "finished"
+        self.decide(self.session.event(AnswerFetched(fetch.attempt_id, whole and held)))
+
+    @precondition(lambda self: self.requests > 2)
+    @rule(number=strategies.integers(1, 9))
+    def cancel(self, number: int) -> None:
+        request_id = RequestId(f"r{number % self.requests + 1}")
+        self.finals[request_id] += not self.finals[request_id]
+        self.waiting = [each for each in self.waiting if each.request_id != request_id]
+        self.decide(self.session.cancel(self.of(request_id)))
+
+    @precondition(lambda self: self.tasks)
+    @rule(after_s=strategies.sampled_from([0.1, 0.6, 1.1, 2.1, 5.0, 12.0]))
+    def pass_time(self, after_s: float) -> None:
+        self.session.clock.advance(after_s)
+        self.end_leases()
+        self.decide(self.session.tick(0.0))
+
+    @invariant()
+    def at_most_once(self) -> None:
+        for task in self.tasks.values():
+            if not task.of.idempotent:
+                assert self.runs[task.of.request_id] <= 1, "doubled"
+
+    @invariant()
+    def not_run_is_true(self) -> None:
+        for request_id in self.not_run:
+            assert self.runs[request_id] == 0, "said not run, but it ran"
+
+    @invariant()
+    def one_final_answer(self) -> None:
+        assert all(count <= 1 for count in self.finals.values()), "two final answers"
+
+    def teardown(self) -> None:
+        """Let everything end: no permit is kept for ever."""
+        for _ in range(4):
+            self.asked.clear()
+            self.session.clock.advance(60.0)
+            self.end_leases()
+            for attempt_id in list(self.tasks):
+                event = AttemptEnded(AttemptId(attempt_id), AttemptOutcome.UNKNOWN)
+                self.decide(self.session.event(event))
+                self.decide(self.session.event(TaskWord(AttemptId(attempt_id), None)))
+            for fetch in self.fetching:
+                self.decide(self.session.event(AnswerFetched(fetch.attempt_id, False)))
+            self.fetching.clear()
+        self.decide(self.session.tick(60.0))
+        assert not len(self.session.tracker), "a permit is kept for ever"
+
+
+AttemptMachineTest = AttemptMachine.TestCase
+AttemptMachineTest.settings = settings(
+    derandomize=True,
+    max_examples=200,
+    stateful_step_count=50,
+    deadline=None,
+    database=None,
+    report_multiple_bugs=False,
+)
--- a/toucandoor/core/routing/policy.py
+++ b/toucandoor/core/routing/policy.py
@@ -22,9 +22,23 @@
 
     @abstractmethod
     def pick(
-        self, pool: PoolId, now_s: float, *, urgent: bool, exclude: Collection[VmId] = ()
+        self,
+        pool: PoolId,
+        now_s: float,
+        *,
+        urgent: bool,
+        exclude: Collection[VmId] = (),
+        trial: bool = False,
     ) -> BackendServer | None:
-        """Return the backend server for the next attempt, or None when none has room."""
+        """Return the backend server for the next attempt, or None when none has room.
+
+        Args:
+            pool: Pool that serves the request.
+            now_s: Monotonic time.
+            urgent: Whether the request is urgent.
+            exclude: Servers to avoid while another has room.
+            trial: Whether the request may show if an ejected server works again.
+        """
 
     @abstractmethod
     def started(self, attempt_id: AttemptId, vm: VmId, now_s: float) -> None:
@@ -34,6 +48,10 @@
     def ended(self, event: AttemptEnded, now_s: float) -> None:
         """Note how an attempt ended; its place is free again."""
 
+    def is_healthy(self, vm: VmId, now_s: float) -> bool:
+        """Return whether the server's failures may be blamed on the jobs."""
+        return True
+
 
 class LeastConnections(RoutingPolicy):
     """Baseline policy: the server with the fewest attempts of this entry, failures ignored."""
@@ -48,7 +66,13 @@
         self._servers = {server.vm: server for server in servers}
 
     def pick(
-        self, pool: PoolId, now_s: float, *, urgent: bool, exclude: Collection[VmId] = ()
+        self,
+        pool: PoolId,
+        now_s: float,
+        *,
+        urgent: bool,
+        exclude: Collection[VmId] = (),
+        trial: bool = False,
     ) -> BackendServer | None:
         """Return the least loaded server of the pool that has a free slot."""
         candidates = [
--- /dev/null
+++ b/toucandoor/core/routing/shared_load.py
@@ -0,0 +1,179 @@
+"""Routing policy for backend servers whose slots are shared with other entries."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from toucandoor.core.requests.models import AttemptOutcome
+from toucandoor.core.routing.const import (
+    DEFAULT_BUSY_HOLD_MAX_S,
+    DEFAULT_BUSY_HOLD_MIN_S,
+    DEFAULT_REPORT_FADE_S,
+)
+from toucandoor.core.routing.health import HealthState, HealthTable
+from toucandoor.core.routing.leaving import LeavingSource, LeavingWords
+from toucandoor.core.routing.policy import RoutingPolicy
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+    from random import Random
+
+    from toucandoor.core.requests.models import AttemptEnded, BackendServer
+    from toucandoor.ids import AttemptId, PoolId, VmId
+
+
+@dataclass(slots=True)
+class _Load:
+    """What this entry knows of one server's load.
+
+    Attributes:
+        others: Slots that other entries used when the server last reported.
+        busy_until_s: Time until which a server that said it was busy is left alone.
+    """
+
+    own: int = 0
+    others: int = 0
+    reported_s: float = -math.inf
+    busy_until_s: float = -math.inf
+    busy_in_a_row: int = 0
+
+
+class SharedLoadRouting(RoutingPolicy):
+    """Picks the server with most free slots by its own count and what servers report.
+
+    Args:
+        random: Breaks ties, so that entries with the same view don't pick the same server.
+        data_centre: The entry's own data centre; its servers win ties.
+        entries: Entries that share each server's connections.
+    """
+
+    def __init__(self, random: Random, data_centre: str, entries: int = 1) -> None:
+        self._random = random
+        self._data_centre = data_centre
+        self._entries = entries
+        self._servers: dict[VmId, BackendServer] = {}
+        self._pools: dict[PoolId, list[VmId]] = {}
+        self._loads: dict[VmId, _Load] = {}
+        self._vm_of: dict[AttemptId, VmId] = {}
+        self.health = HealthTable()
+        self.leaving = LeavingWords()
+
+    def set_entries(self, entries: int) -> None:
+        """Change the number of entries that share each server's connections."""
+        self._entries = max(1, entries)
+
+    def update_servers(self, servers: Iterable[BackendServer], now_s: float) -> None:
+        """Replace the list of backend servers; what is known of their load stays."""
+        self._servers = {server.vm: server for server in servers}
+        vms = set(self._servers)
+        self.health.forget_all_but(vms)
+        self.leaving.forget_all_but(vms)
+        self._loads = {vm: load for vm, load in self._loads.items() if vm in vms or load.own}
+        self._pools = {}
+        for server in self._servers.values():
+            self._pools.setdefault(server.pool, []).append(server.vm)
+            if server.leaving:
+                self.leaving.say(server.vm, LeavingSource.PLATFORM, now_s)
+            else:
+                self.leaving.withdraw(server.vm, LeavingSource.PLATFORM)
+
+    def pick(
+        self,
+        pool: PoolId,
+        now_s: float,
+        *,
+        urgent: bool,
+        exclude: Collection[VmId] = (),
+        trial: bool = False,
+    ) -> BackendServer | None:
+        """Return the backend server for the next attempt, or None when none has room."""
+        free = [
+            server for server in self._of_pool(pool) if self._may_take(server, now_s, trial=trial)
+        ]
+        candidates = [server for server in free if server.vm not in exclude] or free
+        if not candidates:
+            return None
+        on_trial = [s for s in candidates if self.health.state(s.vm, now_s) is HealthState.TRIAL]
+        if on_trial:
+            return on_trial[0]
+        return min(candidates, key=lambda server: self._rank(server, now_s))
+
+    def started(self, attempt_id: AttemptId, vm: VmId, now_s: float) -> None:
+        """Count an attempt on its server."""
+        self._vm_of[attempt_id] = vm
+        self._load(vm).own += 1
+        self.health.started(vm, attempt_id)
+
+    def ended(self, event: AttemptEnded, now_s: float) -> None:
+        """Free the attempt's place and learn from how it ended."""
+        vm = self._vm_of.pop(event.attempt_id, None)
+        if vm is None:
+            return
+        load = self._load(vm)
+        load.own -= 1
+        self._learn_load(vm, load, event, now_s)
+        if event.outcome is AttemptOutcome.DRAINING:
+            self.leaving.say(vm, LeavingSource.SERVER, now_s)
+        server = self._servers.get(vm)
+        if server is not None:
+            pool = self._pools[server.pool]
+            self.health.ended(vm, event.attempt_id, event.outcome, pool, now_s)
+
+    def probed(self, vm: VmId, *, draining: bool, now_s: float) -> None:
+        """Take the server's own status: it can be reached, and it leaves or stays."""
+        self.health.reached(vm)
+        if draining:
+            self.leaving.say(vm, LeavingSource.SERVER, now_s)
+        else:
+            self.leaving.withdraw(vm, LeavingSource.SERVER)
+
+    def due_for_probe(self, now_s: float) -> list[BackendServer]:
+        """Return the servers whose status is to be asked for now."""
+        return [self._servers[vm] for vm in self.health.due_for_probe(now_s)]
+
+    def is_healthy(self, vm: VmId, now_s: float) -> bool:
+        """Return whether the server's failures may be blamed on the jobs."""
+        return self.health.is_healthy(vm, now_s)
+
+    def _of_pool(self, pool: PoolId) -> list[BackendServer]:
+        return [self._servers[vm] for vm in self._pools.get(pool, ())]
+
+    def _may_take(self, server: BackendServer, now_s: float, *, trial: bool) -> bool:
+        if server.cordoned or self.leaving.is_leaving(server.vm, now_s):
+            return False
+        health = self.health.state(server.vm, now_s)
+        if health is HealthState.EJECTED or (health is HealthState.TRIAL and not trial):
+            return False
+        load = self._load(server.vm)
+        if now_s < load.busy_until_s:
+            return False
+        # One connection of the share is kept for questions about tasks.
+        connections = max(1, server.connections // self._entries - 1)
+        return load.own < min(server.slots, connections)
+
+    def _rank(self, server: BackendServer, now_s: float) -> tuple[float, bool, float]:
+        load = self._load(server.vm)
+        used_ratio = (load.own + self._others(load, now_s)) / server.slots
+        return (used_ratio, server.data_centre != self._data_centre, self._random.random())
+
+    def _others(self, load: _Load, now_s: float) -> float:
+        """Return the slots other entries are thought to use; a report fades with its age."""
+        return load.others * math.exp(-(now_s - load.reported_s) / DEFAULT_REPORT_FADE_S)
+
+    def _learn_load(self, vm: VmId, load: _Load, event: AttemptEnded, now_s: float) -> None:
+        server = self._servers.get(vm)
+        if event.outcome is AttemptOutcome.BUSY:
+            load.busy_in_a_row += 1
+            hold_s = min(DEFAULT_BUSY_HOLD_MAX_S, DEFAULT_BUSY_HOLD_MIN_S * 2.0**load.busy_in_a_row)
+            load.busy_until_s = now_s + hold_s * self._random.uniform(0.5, 1.0)
+        elif event.outcome is AttemptOutcome.ANSWERED:
+            load.busy_in_a_row = 0
+            load.busy_until_s = -math.inf
+        if server is not None and event.slots_free is not None:
+            load.others = max(0, server.slots - event.slots_free - load.own)
+            load.reported_s = now_s
+
+    def _load(self, vm: VmId) -> _Load:
+        return self._loads.setdefault(vm, _Load())
