Connect the attempt tracker and shared-load routing to the entry

Cause: the thin engine answered 'not run' or sent again by guess after a lost connection, freed permits on a timer and kept connections that had gone silent.

Change: the engine follows the tracker; the client keeps one connection an attempt, closes any with an unread answer, asks, stops, fetches and probes on new connections; tasks and renewals carry a start-by time. The fake backend server keeps task leases, tells its uptime, never runs a repeated id twice and no longer says 'not run' of a repeated id that runs.

--- a/toucandoor/adapters/caller_http.py
+++ b/toucandoor/adapters/caller_http.py
@@ -15,6 +15,7 @@
 
 from toucandoor.adapters.caller_server import ATTR_SOCKET
 from toucandoor.adapters.wsgi import respond
+from toucandoor.core.attempts.models import FetchAnswer
 from toucandoor.core.requests.models import (
     Answer,
     Cancelled,
@@ -25,7 +26,7 @@
     RequestClass,
     Submitted,
 )
-from toucandoor.ids import QueueId, RequestId, TeamId
+from toucandoor.ids import AttemptId, QueueId, RequestId, TeamId
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -36,6 +37,7 @@
     from toucandoor.adapters.wsgi import Environ, StartResponse
     from toucandoor.clock import Clock
     from toucandoor.core.keys import KeyRing
+    from toucandoor.core.requests.commands import CallerDecision
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "caller:"
@@ -151,7 +153,7 @@
         self, request: Request, body: bytes, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         mailbox = self._loop.submit(Submitted(request))
-        answer: WorkerAnswer | None = None
+        answers: dict[AttemptId, WorkerAnswer | None] = {}
         started = False
         try:
             while True:
@@ -163,8 +165,13 @@
                             started = True
                         trace = environ.get("HTTP_TRACEPARENT", "")
                         ended, answer = self._workers.send(decision, request, body, trace)
+                        answers = {decision.attempt_id: answer}
                         self._loop.post(ended)
-                    case Answer() if answer is not None:
+                    case FetchAnswer():
+                        fetched, answer = self._workers.fetch(decision)
+                        answers = {decision.attempt_id: answer}
+                        self._loop.post(fetched)
+                    case Answer(_, attempt_id) if (answer := answers.get(attempt_id)) is not None:
                         self._note_end(request, 200, "answered")
                         headers = [("Toucandoor-Request-Id", request.request_id)]
                         return respond(
@@ -178,11 +185,11 @@
 
     def _wait(
         self, mailbox: queue.SimpleQueue[Any], request: Request, environ: Environ
-    ) -> Dispatch | Answer | Refuse:
+    ) -> CallerDecision:
         cancelled = False
         while True:
             try:
-                decision: Dispatch | Answer | Refuse = mailbox.get(timeout=_LISTEN_PERIOD_S)
+                decision: CallerDecision = mailbox.get(timeout=_LISTEN_PERIOD_S)
                 return decision
             except queue.Empty:
                 if not cancelled and _is_gone(environ.get(ATTR_SOCKET)):
--- a/toucandoor/adapters/engine_loop.py
+++ b/toucandoor/adapters/engine_loop.py
@@ -7,8 +7,10 @@
 import queue
 from typing import TYPE_CHECKING
 
+from toucandoor.core.attempts.models import FetchAnswer
+from toucandoor.core.requests.commands import CallerDecision, EngineEvent, ServerDecision
 from toucandoor.core.requests.journal import RequestJournal
-from toucandoor.core.requests.models import Decision, Event, Submitted, Tick
+from toucandoor.core.requests.models import Answer, Dispatch, Refuse, Submitted, Tick
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,25 +23,35 @@
 _PREFIX = "engine:"
 _TICK_PERIOD_S = 0.05
 
-Mailbox = queue.SimpleQueue[Decision]
+Mailbox = queue.SimpleQueue[CallerDecision]
+_TO_CALLER = (Dispatch, Answer, Refuse, FetchAnswer)
 
 
 class EngineLoop:
     """Feeds events to the engine one at a time and hands each decision to its caller's thread.
 
+    Args:
+        perform: Carries out, without blocking, a decision that no caller's thread waits for.
+
     Attributes:
         journal: What became of recent requests.
     """
 
-    def __init__(self, engine: RequestEngine, clock: Clock) -> None:
+    def __init__(
+        self,
+        engine: RequestEngine,
+        clock: Clock,
+        perform: Callable[[ServerDecision], None] = lambda _decision: None,
+    ) -> None:
+        self._perform = perform
         self._engine = engine
         self._clock = clock
         self._loop = asyncio.get_running_loop()
-        self._inbox: asyncio.Queue[Event | Callable[[], None]] = asyncio.Queue()
+        self._inbox: asyncio.Queue[EngineEvent | Callable[[], None]] = asyncio.Queue()
         self.journal = RequestJournal()
         self._mailboxes: dict[RequestId, Mailbox] = {}
 
-    def post(self, event: Event) -> None:
+    def post(self, event: EngineEvent) -> None:
         """Pass an event on from any thread."""
         self._loop.call_soon_threadsafe(self._inbox.put_nowait, event)
 
@@ -73,7 +85,7 @@
             else:
                 self._deliver(event)
 
-    def _deliver(self, event: Event) -> None:
+    def _deliver(self, event: EngineEvent) -> None:
         now_s = self._clock.monotonic_s()
         try:
             decisions = self._engine.handle(event, now_s)
@@ -82,6 +94,9 @@
             return
         self.journal.note(event, decisions, now_s)
         for decision in decisions:
+            if not isinstance(decision, _TO_CALLER):
+                self._perform(decision)
+                continue
             mailbox = self._mailboxes.get(decision.request_id)
             if mailbox is not None:
                 mailbox.put(decision)
--- a/toucandoor/adapters/worker_client.py
+++ b/toucandoor/adapters/worker_client.py
@@ -2,19 +2,44 @@
 
 from __future__ import annotations
 
+import json
+import logging
 import time
 from dataclasses import dataclass
-
-import urllib3
-
-from toucandoor.core.requests.models import (
-    AttemptEnded,
-    AttemptOutcome,
-    Dispatch,
-    Request,
+from typing import Any
+
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.response import BaseHTTPResponse
+
+from toucandoor.adapters.settings import split_address
+from toucandoor.adapters.worker_connections import WorkerConnections
+from toucandoor.core.attempts.const import DEFAULT_ASK_TIMEOUT_S
+from toucandoor.core.attempts.models import (
+    AnswerFetched,
+    AskTask,
+    CloseAttempt,
+    CloseConnections,
+    FetchAnswer,
+    StopTask,
+    TaskState,
+    TaskWord,
 )
+from toucandoor.core.requests.commands import ProbeServer, ServerDecision, ServerProbed
+from toucandoor.core.requests.models import AttemptEnded, AttemptOutcome, Dispatch, Request
+
+_LOGGER = logging.getLogger(__name__)
+_PREFIX = "worker:"
 
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
+_FETCH_TIMEOUT_S = 5.0
+_WAIT_PAST_DEADLINE_S = 5.0
+
+_OUTCOMES = {
+    (500, "failed"): AttemptOutcome.FAILED,
+    (409, "checkpointed"): AttemptOutcome.CHECKPOINTED,
+    (409, "stopped"): AttemptOutcome.STOPPED,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,11 +51,15 @@
 
 
 class WorkerClient:
-    """Sends attempts to backend servers; safe to use from many threads."""
+    """Sends attempts to backend servers; safe to use from many threads.
+
+    Args:
+        task_lease_s: Lease asked for when a task's lease is renewed.
+    """
 
-    def __init__(self, connect_timeout_s: float) -> None:
-        self._connect_timeout_s = connect_timeout_s
-        self._pool = urllib3.PoolManager(num_pools=4096, maxsize=64, retries=False)
+    def __init__(self, connect_timeout_s: float, task_lease_s: float = 30.0) -> None:
+        self._connections = WorkerConnections(connect_timeout_s)
+        self.task_lease_s = task_lease_s
 
     def send(
         self, dispatch: Dispatch, request: Request, body: bytes, trace: str
@@ -41,39 +70,130 @@
             How it ended, and the whole answer where there is one.
         """
         started_s = time.monotonic()
-        if started_s > dispatch.start_by_s:
-            return _ended(dispatch, AttemptOutcome.UNREACHABLE, started_s, "paused too long"), None
         try:
-            response = self._pool.request(
-                "POST",
-                f"http://{dispatch.address}/v1/tasks",
-                body=body,
-                headers=_headers(dispatch, request, trace),
-                timeout=urllib3.Timeout(
-                    connect=self._connect_timeout_s,
-                    read=max(0.1, request.deadline_s - started_s),
-                ),
-            )
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as err:
+            lease = self._connections.open(dispatch.address, dispatch.attempt_id)
+        except (OSError, HTTPError) as err:
             return _ended(dispatch, AttemptOutcome.UNREACHABLE, started_s, str(err)), None
-        except urllib3.exceptions.HTTPError as err:
+        reusable = False
+        try:
+            # Connecting may have taken long, or the process may have been paused.
+            if time.monotonic() > dispatch.start_by_s:
+                reusable = True
+                return _ended(dispatch, AttemptOutcome.NOT_SENT, started_s, "too late"), None
+            wait_s = max(0.1, request.deadline_s - time.monotonic()) + _WAIT_PAST_DEADLINE_S
+            headers = _headers(dispatch, request, trace)
+            response = _call(lease.connection, "POST", "/v1/tasks", body, headers, wait_s)
+            answer = _whole(response)
+            ended = _read_end(response, dispatch, started_s)
+            reusable = ended.outcome is not AttemptOutcome.UNKNOWN
+            return ended, answer if ended.outcome is AttemptOutcome.ANSWERED else None
+        except (OSError, HTTPError, ValueError) as err:
             return _ended(dispatch, AttemptOutcome.UNKNOWN, started_s, str(err)), None
-        outcome = _outcome(response, dispatch)
-        slots_free = response.headers.get("X-Slots-Free")
-        ended = AttemptEnded(
-            attempt_id=dispatch.attempt_id,
-            outcome=outcome,
-            slots_free=int(slots_free) if slots_free and slots_free.isdigit() else None,
-            resume_token=response.headers.get("X-Resume-Token"),
-            run_s=time.monotonic() - started_s,
+        finally:
+            self._connections.give_back(lease, dispatch.attempt_id, reusable=reusable)
+
+    def fetch(self, decision: FetchAnswer) -> tuple[AnswerFetched, WorkerAnswer | None]:
+        """Fetch a finished task's answer on a new connection."""
+        path = f"/v1/tasks/{decision.attempt_id}/answer"
+        try:
+            response = _on_new_connection(decision.address, "GET", path, {}, _FETCH_TIMEOUT_S)
+        except (OSError, HTTPError, ValueError) as err:
+            _LOGGER.warning("%s no answer of %s from %s: %s", _PREFIX, path, decision.address, err)
+            return AnswerFetched(decision.attempt_id, whole=False), None
+        own = response.headers.get("X-Task-Id") == decision.attempt_id
+        if response.status != 200 or not own or "Content-Length" not in response.headers:
+            return AnswerFetched(decision.attempt_id, whole=False), None
+        return AnswerFetched(decision.attempt_id, whole=True), _whole(response)
+
+    def perform(self, decision: ServerDecision) -> TaskWord | ServerProbed | None:
+        """Carry out a decision that no caller's thread waits for; return what came of it."""
+        match decision:
+            case AskTask() | StopTask():
+                return self._ask(decision)
+            case CloseAttempt(attempt_id):
+                self._connections.close_attempt(attempt_id)
+            case CloseConnections(vm, address):
+                _LOGGER.warning("%s connections to %s went silent, closing them", _PREFIX, vm)
+                self._connections.close_server(address)
+            case ProbeServer():
+                return _probe(decision)
+        return None
+
+    def _ask(self, decision: AskTask | StopTask) -> TaskWord:
+        path, method = f"/v1/tasks/{decision.attempt_id}", "GET"
+        headers: dict[str, str] = {}
+        if isinstance(decision, StopTask):
+            path, method = f"{path}/stop", "POST"
+        elif decision.renew:
+            path, method = f"{path}/renew", "POST"
+            headers = _lease_headers(self.task_lease_s, decision.start_by_s)
+        try:
+            response = _on_new_connection(
+                decision.address, method, path, headers, DEFAULT_ASK_TIMEOUT_S
+            )
+            return _read_word(decision, response)
+        except (OSError, HTTPError, ValueError, KeyError) as err:
+            _LOGGER.info("%s no word from %s: %s", _PREFIX, decision.address, err)
+            return TaskWord(decision.attempt_id, None)
+
+
+def _call(
+    connection: HTTPConnection,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: dict[str, str],
+    wait_s: float,
+) -> BaseHTTPResponse:
+    connection.timeout = wait_s
+    if connection.sock is not None:
+        connection.sock.settimeout(wait_s)
+    connection.request(method, path, body=body, headers=headers, preload_content=False)
+    return connection.getresponse()
+
+
+def _whole(response: BaseHTTPResponse) -> WorkerAnswer:
+    """Read the whole body; a torn one raises ``IncompleteRead``."""
+    if int(response.headers.get("Content-Length", "0")) > ANSWER_BYTES_MAX:
+        raise ValueError("the answer is too large")
+    content_type = response.headers.get("Content-Type", "application/octet-stream")
+    return WorkerAnswer(content_type, response.read())
+
+
+def _on_new_connection(
+    address: str, method: str, path: str, headers: dict[str, str], timeout_s: float
+) -> BaseHTTPResponse:
+    """Make one call on a connection of its own and read its whole answer."""
+    host, port = split_address(address)
+    connection = HTTPConnection(host, port, timeout=timeout_s)
+    try:
+        closing = {**headers, "Connection": "close"}
+        connection.request(method, path, body=b"", headers=closing, preload_content=True)
+        return connection.getresponse()
+    finally:
+        connection.close()
+
+
+def _probe(decision: ProbeServer) -> ServerProbed:
+    try:
+        response = _on_new_connection(
+            decision.address, "GET", "/v1/status", {}, DEFAULT_ASK_TIMEOUT_S
         )
-        if outcome is not AttemptOutcome.ANSWERED:
-            return ended, None
-        content_type = response.headers.get("Content-Type", "application/octet-stream")
-        return ended, WorkerAnswer(content_type, response.data)
+        status: dict[str, Any] = json.loads(response.data)
+        return ServerProbed(decision.vm, response.status == 200, bool(status["draining"]))
+    except (OSError, HTTPError, ValueError, KeyError):
+        return ServerProbed(decision.vm, reached=False)
+
+
+def _read_word(decision: AskTask | StopTask, response: BaseHTTPResponse) -> TaskWord:
+    told: dict[str, Any] = json.loads(response.data)
+    up_s = told.get("up_s")
+    return TaskWord(
+        attempt_id=decision.attempt_id,
+        state=TaskState(told["state"]),
+        up_s=None if up_s is None else float(up_s),
+        resume_token=told.get("resume_token") or None,
+    )
 
 
 def _headers(dispatch: Dispatch, request: Request, trace: str) -> dict[str, str]:
@@ -83,7 +203,7 @@
         "X-Request-Id": request.request_id,
         "X-Team": request.team or "",
         "X-Class": request.request_class.value,
-        "X-Task-Lease-S": f"{dispatch.lease_s:.3f}",
+        **_lease_headers(dispatch.lease_s, dispatch.start_by_s),
     }
     if dispatch.resume_token:
         headers["X-Resume-Token"] = dispatch.resume_token
@@ -92,21 +212,33 @@
     return headers
 
 
-def _outcome(response: urllib3.BaseHTTPResponse, dispatch: Dispatch) -> AttemptOutcome:
+def _lease_headers(lease_s: float, start_by_s: float) -> dict[str, str]:
+    """Return the lease asked for and, in Unix seconds, until when the call may be taken in."""
+    start_by_unix_s = time.time() + start_by_s - time.monotonic()
+    return {"X-Task-Lease-S": f"{lease_s:.3f}", "X-Start-By": f"{start_by_unix_s:.3f}"}
+
+
+def _read_end(response: BaseHTTPResponse, dispatch: Dispatch, started_s: float) -> AttemptEnded:
+    slots_free = response.headers.get("X-Slots-Free")
+    return AttemptEnded(
+        attempt_id=dispatch.attempt_id,
+        outcome=_outcome(response, dispatch),
+        slots_free=int(slots_free) if slots_free and slots_free.isdigit() else None,
+        resume_token=response.headers.get("X-Resume-Token"),
+        run_s=time.monotonic() - started_s,
+    )
+
+
+def _outcome(response: BaseHTTPResponse, dispatch: Dispatch) -> AttemptOutcome:
     if response.headers.get("X-Task-Id") != dispatch.attempt_id:
         return AttemptOutcome.UNKNOWN
     state = response.headers.get("X-Task-State", "")
-    if response.status == 200 and response.headers.get("Content-Length"):
+    if response.status == 200 and "Content-Length" in response.headers:
         return AttemptOutcome.ANSWERED
     if response.status == 503 and state == "not_run":
         draining = response.headers.get("X-Reason") == "draining"
         return AttemptOutcome.DRAINING if draining else AttemptOutcome.BUSY
-    by_state = {
-        "failed": AttemptOutcome.FAILED,
-        "checkpointed": AttemptOutcome.CHECKPOINTED,
-        "stopped": AttemptOutcome.STOPPED,
-    }
-    return by_state.get(state, AttemptOutcome.UNKNOWN)
+    return _OUTCOMES.get((response.status, state), AttemptOutcome.UNKNOWN)
 
 
 def _ended(
--- a/toucandoor/core/attempts/tracker.py
+++ b/toucandoor/core/attempts/tracker.py
@@ -66,6 +66,10 @@
         """Return how many attempts have a task that may still run."""
         return len(self._attempts)
 
+    def under_way(self) -> int:
+        """Return how many attempts a caller still waits for."""
+        return sum(attempt.phase is not Phase.LEFT for attempt in self._attempts.values())
+
     def started(self, request: Request, dispatch: Dispatch, now_s: float) -> None:
         """Note that an attempt is about to be sent."""
         state = self._requests.setdefault(request.request_id, RequestState(request))
--- /dev/null
+++ b/toucandoor/core/requests/commands.py
@@ -0,0 +1,49 @@
+"""All events the request engine takes and all decisions it returns."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from toucandoor.core.attempts.models import (
+    AnswerFetched,
+    AskTask,
+    CloseAttempt,
+    CloseConnections,
+    FetchAnswer,
+    StopTask,
+    TaskWord,
+)
+from toucandoor.core.requests.models import Decision, Event
+from toucandoor.ids import VmId
+
+
+@dataclass(frozen=True, slots=True)
+class ServerProbed:
+    """A backend server was asked for its status on a new connection.
+
+    Attributes:
+        reached: Whether it answered.
+        draining: Whether it says that it leaves.
+    """
+
+    vm: VmId
+    reached: bool
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeServer:
+    """Ask a backend server for its status on a new connection."""
+
+    vm: VmId
+    address: str
+
+
+CallerDecision = Decision | FetchAnswer
+"""Decisions carried out by the thread of the request's caller."""
+
+ServerDecision = AskTask | StopTask | CloseAttempt | CloseConnections | ProbeServer
+"""Decisions carried out beside the callers' threads."""
+
+EngineEvent = Event | TaskWord | AnswerFetched | ServerProbed
+EngineDecision = CallerDecision | ServerDecision
--- a/toucandoor/core/requests/const.py
+++ b/toucandoor/core/requests/const.py
@@ -4,7 +4,6 @@
 
 from typing import Final
 
-ATTEMPTS_MAX: Final = 5
 START_WITHIN_S: Final = 1.0
 """Time a dispatching thread has to send the first byte."""
 JOURNAL_REQUESTS_MAX: Final = 5000
--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -6,19 +6,25 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from toucandoor.core.requests.const import ATTEMPTS_MAX, START_WITHIN_S
+from toucandoor.core.attempts.models import (
+    AnswerFetched,
+    AttemptDecision,
+    Judged,
+    Requeue,
+    TaskEnded,
+    TaskWord,
+)
+from toucandoor.core.requests.commands import ProbeServer, ServerProbed
+from toucandoor.core.requests.const import START_WITHIN_S
 from toucandoor.core.requests.models import (
     Answer,
     AttemptEnded,
     AttemptOutcome,
     Cancelled,
-    Decision,
     Dispatch,
-    Event,
     Fate,
     Refuse,
     Request,
@@ -30,28 +36,22 @@
     from collections.abc import Callable, Iterable
 
     from toucandoor.core.admission.policy import QueuePolicy
+    from toucandoor.core.attempts.tracker import AttemptTracker
     from toucandoor.core.ceilings.policy import PermitPolicy
     from toucandoor.core.configuration.models import Configuration, QueueConfig
     from toucandoor.core.leases.serving import ServingLease
+    from toucandoor.core.requests.commands import EngineDecision, EngineEvent
     from toucandoor.core.requests.models import BackendServer
     from toucandoor.core.routing.policy import RoutingPolicy
-    from toucandoor.ids import AttemptId, QueueId, RequestId, VmId
-
-_NOT_RUN_OUTCOMES = (AttemptOutcome.BUSY, AttemptOutcome.DRAINING, AttemptOutcome.UNREACHABLE)
+    from toucandoor.ids import AttemptId, QueueId, RequestId
 
 
 @dataclass(slots=True)
-class _Running:
-    request: Request
-    vm: VmId
-    address: str
-
+class _Waiting:
+    """A request without a final answer, and what its attempts so far ask for."""
 
-@dataclass(slots=True)
-class _History:
-    attempts: int = 0
-    avoid: set[VmId] = field(default_factory=set)
-    last_detail: str = ""
+    request: Request
+    again: Requeue | None = None
 
 
 class RequestEngine:
@@ -69,6 +69,7 @@
         routing: RoutingPolicy,
         permits: PermitPolicy,
         lease: ServingLease,
+        tracker: AttemptTracker,
         new_attempt_id: Callable[[], AttemptId],
     ) -> None:
         self._make_queue = make_queue
@@ -76,11 +77,10 @@
         self._permits = permits
         self._lease = lease
         self._new_attempt_id = new_attempt_id
+        self._tracker = tracker
         self._configuration: Configuration | None = None
         self._queues: dict[QueueId, QueuePolicy] = {}
-        self._running: dict[AttemptId, _Running] = {}
-        self._history: defaultdict[RequestId, _History] = defaultdict(_History)
-        self._held: dict[AttemptId, float] = {}
+        self._requests: dict[RequestId, _Waiting] = {}
 
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration in force; waiting requests stay."""
@@ -96,9 +96,9 @@
     def counts(self) -> dict[str, int]:
         """Return how many requests wait and how many attempts run."""
         waiting = sum(len(queue) for queue in self._queues.values())
-        return {"waiting": waiting, "running": len(self._running)}
+        return {"waiting": waiting, "running": self._tracker.under_way()}
 
-    def handle(self, event: Event, now_s: float) -> list[Decision]:
+    def handle(self, event: EngineEvent, now_s: float) -> list[EngineDecision]:
         """Take one event in and return the decisions that follow, in order."""
         match event:
             case Submitted(request):
@@ -107,16 +107,23 @@
                 return self._cancelled(request_id, now_s)
             case AttemptEnded():
                 return self._attempt_ended(event, now_s)
+            case TaskWord():
+                return self._follow(self._tracker.word(event, now_s), now_s)
+            case AnswerFetched():
+                return self._follow(self._tracker.fetched(event, now_s), now_s)
+            case ServerProbed():
+                return self._probed(event, now_s)
             case Tick():
                 return self._tick(now_s)
 
-    def _submitted(self, request: Request, now_s: float) -> list[Decision]:
+    def _submitted(self, request: Request, now_s: float) -> list[EngineDecision]:
         queue = self._queues.get(request.queue)
         if queue is None or self._configuration is None:
             return [self._refuse(request, 404, "no such queue", "admission.queue")]
         refusal = self._check_team(request, now_s)
         if refusal is not None:
             return [refusal]
+        self._requests[request.request_id] = _Waiting(request)
         if not queue.offer(request, now_s):
             return [
                 self._refuse(
@@ -138,8 +145,8 @@
             return self._refuse(request, 429, "the team's ceiling is 0", "admission.ceiling")
         return None
 
-    def _start_waiting(self, queue_id: QueueId, now_s: float) -> list[Decision]:
-        decisions: list[Decision] = []
+    def _start_waiting(self, queue_id: QueueId, now_s: float) -> list[EngineDecision]:
+        decisions: list[EngineDecision] = []
         queue = self._queues[queue_id]
         while True:
             request = queue.next(now_s, lambda each: self._may_start(each, now_s))
@@ -152,6 +159,9 @@
             decisions.append(decision)
 
     def _may_start(self, request: Request, now_s: float) -> bool:
+        again = self._requests[request.request_id].again
+        if again is not None and now_s < again.not_before_s:
+            return False
         if request.team is None:
             return True
         return self._lease.holds(now_s) and self._permits.may_take(request.team, now_s)
@@ -160,86 +170,98 @@
         assert self._configuration is not None
         pool = self._configuration.queues[request.queue].pool
         urgent = request.request_class.value == "urgent"
-        history = self._history[request.request_id]
-        server = self._routing.pick(pool, now_s, urgent=urgent, exclude=history.avoid)
+        again = self._requests[request.request_id].again
+        server = self._routing.pick(
+            pool,
+            now_s,
+            urgent=urgent,
+            exclude=again.exclude if again else (),
+            trial=request.idempotent,
+        )
         if server is None:
             return None
         attempt_id = self._new_attempt_id()
         if request.team is not None and not self._permits.take(request.team, attempt_id, now_s):
             return None
-        history.attempts += 1
-        self._running[attempt_id] = _Running(request, server.vm, server.address)
-        self._routing.started(attempt_id, server.vm, now_s)
-        return Dispatch(
+        dispatch = Dispatch(
             request_id=request.request_id,
             attempt_id=attempt_id,
             vm=server.vm,
             address=server.address,
             start_by_s=min(now_s + START_WITHIN_S, request.deadline_s),
             lease_s=self._configuration.policy.task_lease_s,
+            resume_token=again.resume_token if again else None,
         )
+        self._routing.started(attempt_id, server.vm, now_s)
+        self._tracker.started(request, dispatch, now_s)
+        return dispatch
 
-    def _attempt_ended(self, event: AttemptEnded, now_s: float) -> list[Decision]:
-        running = self._running.pop(event.attempt_id, None)
-        if running is None:
-            return []
-        self._routing.ended(event, now_s)
-        if event.outcome is AttemptOutcome.UNKNOWN:
-            # The task may still run: its permit is free only when its lease has run out.
-            assert self._configuration is not None
-            self._held[event.attempt_id] = now_s + self._configuration.policy.task_lease_s
-        else:
-            self._permits.give_back(event.attempt_id, now_s)
-        decisions = self._after_attempt(running, event, now_s)
-        return decisions + self._start_all_waiting(now_s)
+    def _attempt_ended(self, event: AttemptEnded, now_s: float) -> list[EngineDecision]:
+        # What a lost connection says of its server is known once the server was asked.
+        if event.outcome is not AttemptOutcome.UNKNOWN:
+            self._routing.ended(event, now_s)
+        return self._follow(self._tracker.ended(event, now_s), now_s)
+
+    def _follow(self, decisions: Iterable[AttemptDecision], now_s: float) -> list[EngineDecision]:
+        """Carry out what concerns the policies, pass on the rest, and start what now may."""
+        passed_on: list[EngineDecision] = []
+        for decision in decisions:
+            match decision:
+                case TaskEnded(attempt_id):
+                    ended = AttemptEnded(attempt_id, AttemptOutcome.STOPPED)
+                    self._routing.ended(ended, now_s)
+                    self._permits.give_back(attempt_id, now_s)
+                case Judged(attempt_id, outcome):
+                    self._routing.ended(AttemptEnded(attempt_id, outcome), now_s)
+                case Requeue():
+                    self._put_back(decision, now_s)
+                case _:
+                    passed_on.append(decision)
+        self._forget_answered(passed_on)
+        return passed_on + self._start_all_waiting(now_s)
+
+    def _put_back(self, decision: Requeue, now_s: float) -> None:
+        waiting = self._requests.get(decision.request_id)
+        if waiting is not None:
+            waiting.again = decision
+            self._queues[waiting.request.queue].put_back(waiting.request, now_s)
 
-    def _after_attempt(
-        self, running: _Running, event: AttemptEnded, now_s: float
-    ) -> list[Decision]:
-        request = running.request
-        if event.outcome is AttemptOutcome.ANSWERED:
-            self._history.pop(request.request_id, None)
-            return [Answer(request.request_id, event.attempt_id)]
-        if event.outcome is AttemptOutcome.FAILED:
-            reason = event.detail or "the task failed"
-            return [self._give_up(running, 502, reason, Fate.FAILED)]
-        not_run = event.outcome in _NOT_RUN_OUTCOMES
-        if not not_run and not request.idempotent:
-            return [self._give_up(running, 502, "no whole answer came", Fate.UNKNOWN)]
-        history = self._history[request.request_id]
-        if event.outcome is not AttemptOutcome.BUSY:
-            history.avoid.add(running.vm)
-        if history.attempts >= ATTEMPTS_MAX or now_s >= request.deadline_s:
-            fate = Fate.NOT_RUN if not_run else Fate.UNKNOWN
-            return [self._give_up(running, 503, f"last attempt: {event.outcome.value}", fate)]
-        self._queues[request.queue].put_back(request, now_s)
-        return []
+    def _forget_answered(self, decisions: Iterable[EngineDecision]) -> None:
+        for decision in decisions:
+            if isinstance(decision, (Answer, Refuse)):
+                self._requests.pop(decision.request_id, None)
 
-    def _start_all_waiting(self, now_s: float) -> list[Decision]:
-        decisions: list[Decision] = []
+    def _probed(self, event: ServerProbed, now_s: float) -> list[EngineDecision]:
+        if not event.reached:
+            return []
+        self._routing.probed(event.vm, draining=event.draining, now_s=now_s)
+        return self._start_all_waiting(now_s)
+
+    def _start_all_waiting(self, now_s: float) -> list[EngineDecision]:
+        decisions: list[EngineDecision] = []
         for queue_id, queue in self._queues.items():
             if len(queue):
                 decisions.extend(self._start_waiting(queue_id, now_s))
         return decisions
 
-    def _cancelled(self, request_id: RequestId, now_s: float) -> list[Decision]:
+    def _cancelled(self, request_id: RequestId, now_s: float) -> list[EngineDecision]:
         for queue in self._queues.values():
             request = queue.cancel(request_id)
             if request is not None:
                 return [self._refuse(request, 503, "cancelled by the caller", "admission.cancel")]
-        return []
+        self._requests.pop(request_id, None)
+        return self._follow(self._tracker.cancelled(request_id, now_s), now_s)
 
-    def _tick(self, now_s: float) -> list[Decision]:
-        decisions: list[Decision] = []
-        for attempt_id in [a for a, until_s in self._held.items() if until_s <= now_s]:
-            del self._held[attempt_id]
-            self._permits.give_back(attempt_id, now_s)
+    def _tick(self, now_s: float) -> list[EngineDecision]:
+        decisions: list[EngineDecision] = []
+        for server in self._routing.due_for_probe(now_s):
+            decisions.append(ProbeServer(server.vm, server.address))
         for queue in self._queues.values():
             for request in queue.expired(now_s):
                 reason = "the deadline passed before it could start"
                 retry_s = queue.retry_after_s(now_s)
                 decisions.append(self._refuse(request, 504, reason, "admission.deadline", retry_s))
-        return decisions + self._start_all_waiting(now_s)
+        return decisions + self._follow(self._tracker.tick(now_s), now_s)
 
     def _refuse(
         self,
@@ -249,17 +271,14 @@
         step: str,
         retry_after_s: float | None = None,
     ) -> Refuse:
-        self._history.pop(request.request_id, None)
+        fate = self._tracker.fate_of(request.request_id)
+        self._tracker.forget_request(request.request_id)
+        self._requests.pop(request.request_id, None)
         return Refuse(
             request.request_id,
             status,
             reason,
-            Fate.NOT_RUN,
+            fate,
             step,
-            retry_after_s=retry_after_s,
+            retry_after_s=retry_after_s if fate is Fate.NOT_RUN else None,
         )
-
-    def _give_up(self, running: _Running, status: int, reason: str, fate: Fate) -> Refuse:
-        request_id = running.request.request_id
-        self._history.pop(request_id, None)
-        return Refuse(request_id, status, reason, fate, "attempt", running.address, None)
--- a/toucandoor/core/requests/journal.py
+++ b/toucandoor/core/requests/journal.py
@@ -6,20 +6,20 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from toucandoor.core.attempts.models import FetchAnswer
 from toucandoor.core.requests.const import JOURNAL_LINES_MAX, JOURNAL_REQUESTS_MAX
 from toucandoor.core.requests.models import (
     Answer,
     AttemptEnded,
     Cancelled,
-    Decision,
     Dispatch,
-    Event,
     Refuse,
     Request,
     Submitted,
 )
 
 if TYPE_CHECKING:
+    from toucandoor.core.requests.commands import EngineDecision, EngineEvent
     from toucandoor.ids import AttemptId, RequestId
 
 
@@ -41,7 +41,7 @@
         self._records: OrderedDict[RequestId, _Record] = OrderedDict()
         self._request_of: dict[AttemptId, RequestId] = {}
 
-    def note(self, event: Event, decisions: list[Decision], now_s: float) -> None:
+    def note(self, event: EngineEvent, decisions: list[EngineDecision], now_s: float) -> None:
         """Note an event and what was decided upon it."""
         match event:
             case Submitted(request):
@@ -60,11 +60,13 @@
         record = self._records.get(request_id)
         return list(record.lines) if record else []
 
-    def _note_decision(self, decision: Decision, now_s: float) -> None:
+    def _note_decision(self, decision: EngineDecision, now_s: float) -> None:
         match decision:
             case Dispatch(request_id, attempt_id, vm):
                 self._request_of[attempt_id] = request_id
                 self._add(request_id, now_s, f"sent to {vm}")
+            case FetchAnswer(request_id, _attempt_id, vm):
+                self._add(request_id, now_s, f"fetching the finished answer from {vm}")
             case Answer(request_id):
                 self._add(request_id, now_s, "answered")
             case Refuse(request_id, status, reason, fate, step):
--- a/toucandoor/core/requests/models.py
+++ b/toucandoor/core/requests/models.py
@@ -47,6 +47,9 @@
     DRAINING = "draining"
     """The backend server said it did not run the task: it is leaving."""
 
+    NOT_SENT = "not_sent"
+    """The entry let its time to send pass, because it was paused; no byte was sent."""
+
     UNREACHABLE = "unreachable"
     """No connection could be made; no byte of the request was sent."""
 
--- a/toucandoor/core/routing/policy.py
+++ b/toucandoor/core/routing/policy.py
@@ -48,6 +48,13 @@
     def ended(self, event: AttemptEnded, now_s: float) -> None:
         """Note how an attempt ended; its place is free again."""
 
+    def probed(self, vm: VmId, *, draining: bool, now_s: float) -> None:  # noqa: B027
+        """Take a server's own status: it can be reached, and it leaves or stays."""
+
+    def due_for_probe(self, now_s: float) -> list[BackendServer]:
+        """Return the servers whose status is to be asked for now."""
+        return []
+
     def is_healthy(self, vm: VmId, now_s: float) -> bool:
         """Return whether the server's failures may be blamed on the jobs."""
         return True
--- a/toucandoor/fakes/worker.py
+++ b/toucandoor/fakes/worker.py
@@ -16,6 +16,8 @@
 
 from toucandoor.adapters.wsgi import Environ, StartResponse, read_json, respond, respond_json
 
+_REPEATED = "repeated"
+
 
 class TaskState(Enum):
     """State of a task as the backend server tells it."""
@@ -38,6 +40,7 @@
     state: TaskState = TaskState.RUNNING
     answer: bytes = b""
     done_s: float = 0.0
+    lease_until_s: float = 0.0
     resume_token: str = ""
     wake: threading.Event = field(default_factory=threading.Event)
 
@@ -48,6 +51,7 @@
     Attributes:
         runs: How often each request id was run, for tests that count doubled requests.
         fail_all: Whether every task fails.
+        cross_answers: Whether each answer carries the id and body of another task.
     """
 
     def __init__(self, vm: str, slots: int) -> None:
@@ -55,6 +59,9 @@
         self.slots = slots
         self.draining = False
         self.fail_all = False
+        self.cross_answers = False
+        self._up_since_s = time.monotonic()
+        self._last_finished: Task | None = None
         self.runs: dict[str, int] = {}
         self._lock = threading.Lock()
         self._tasks: dict[str, Task] = {}
@@ -71,7 +78,10 @@
                 return self._answer(task_id, start_response)
             case ("POST", ["v1", "tasks", task_id, ("checkpoint" | "stop") as how]):
                 return respond_json(start_response, 200, self._interrupt(task_id, how))
-            case ("POST", ["v1", "tasks", task_id, ("throttle" | "renew")]):
+            case ("POST", ["v1", "tasks", task_id, "throttle"]):
+                return respond_json(start_response, 200, self._ask(task_id))
+            case ("POST", ["v1", "tasks", task_id, "renew"]):
+                self._renew(task_id, environ)
                 return respond_json(start_response, 200, self._ask(task_id))
             case ("GET", ["v1", "status"]):
                 return respond_json(start_response, 200, self._status())
@@ -80,9 +90,8 @@
             case ("POST", ["v1", ("drain" | "undrain" | "reboot") as what]):
                 self._set_draining(what)
                 return respond_json(start_response, 200, self._status())
-            case ("POST", ["control", "fail_all"]):
-                self.fail_all = bool(read_json(environ).get("on", True))
-                return respond_json(start_response, 200, {})
+            case ("POST", ["control", "faults"]):
+                return self._set_faults(read_json(environ), start_response)
             case ("GET", ["control", "runs"]):
                 return respond_json(start_response, 200, self.runs)
         return respond_json(start_response, 404, {"reason": "no such call"})
@@ -91,21 +100,57 @@
         body = environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
         task_id = environ.get("HTTP_X_TASK_ID", "")
         task = Task(task_id, environ.get("HTTP_X_TEAM", ""), environ.get("HTTP_X_CLASS", "patient"))
+        if _is_late(environ):
+            return self._not_run(start_response, task_id, "late")
+        task.lease_until_s = time.monotonic() + _lease_s(environ)
         refusal = self._take(task, str(environ.get("HTTP_X_REQUEST_ID", task_id)))
+        if refusal == _REPEATED:
+            return self._repeat(self._tasks[task_id], start_response)
         if refusal:
             return self._not_run(start_response, task_id, refusal)
         run_s, answer = _work(body, environ.get("HTTP_X_RESUME_TOKEN", ""))
         started_s = time.monotonic()
-        task.wake.wait(run_s)
-        self._finish(task, answer, run_s - (time.monotonic() - started_s))
+        lapsed = self._wait(task, started_s + run_s)
+        self._finish(task, answer, run_s - (time.monotonic() - started_s), lapsed=lapsed)
         return self._tell(task, start_response)
 
+    def _repeat(self, earlier: Task, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer a repeated task id without running it again."""
+        if earlier.state is not TaskState.RUNNING:
+            return self._tell(earlier, start_response)
+        headers = [("X-Task-Id", earlier.task_id), ("X-Task-State", "running")]
+        return respond_json(start_response, 409, {"reason": "running"}, headers)
+
+    def _wait(self, task: Task, until_s: float) -> bool:
+        """Run until the work is done or the task is interrupted; True when its lease ran out."""
+        while not task.wake.is_set():
+            now_s = time.monotonic()
+            if now_s >= until_s:
+                return False
+            if now_s >= task.lease_until_s:
+                return True
+            task.wake.wait(min(until_s, task.lease_until_s) - now_s)
+        return False
+
+    def _renew(self, task_id: str, environ: Environ) -> None:
+        with self._lock:
+            task = self._tasks.get(task_id)
+            if task is None or _is_late(environ) or time.monotonic() >= task.lease_until_s:
+                return
+            task.lease_until_s = max(task.lease_until_s, time.monotonic() + _lease_s(environ))
+
+    def _set_faults(self, faults: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        self.fail_all = bool(faults.get("fail_all", self.fail_all))
+        self.cross_answers = bool(faults.get("cross_answers", self.cross_answers))
+        return list(respond_json(start_response, 200, {}))
+
     def _take(self, task: Task, request_id: str) -> str:
         with self._lock:
             if not task.task_id:
                 return "no task id"
-            if task.task_id in self._tasks:
-                return "duplicate"
+            earlier = self._tasks.get(task.task_id)
+            if earlier is not None:
+                return "refused" if earlier.state is TaskState.NEVER_SEEN else _REPEATED
             if self.draining:
                 return "draining"
             if self._running() >= self.slots:
@@ -115,16 +160,19 @@
             self._forget_old()
             return ""
 
-    def _finish(self, task: Task, answer: bytes, left_s: float) -> None:
+    def _finish(self, task: Task, answer: bytes, left_s: float, *, lapsed: bool) -> None:
         with self._lock:
             task.done_s = time.monotonic()
             task.answer = answer
             if task.state is TaskState.CHECKPOINTED:
                 task.resume_token = f"{max(0.0, left_s):.3f}"
             elif task.state is TaskState.RUNNING:
-                task.state = TaskState.FAILED if self.fail_all else TaskState.FINISHED
+                failed = lapsed or self.fail_all
+                task.state = TaskState.FAILED if failed else TaskState.FINISHED
 
     def _tell(self, task: Task, start_response: StartResponse) -> Iterable[bytes]:
+        if self.cross_answers and task.state is TaskState.FINISHED:
+            self._last_finished, task = task, self._last_finished or task
         headers = [("X-Task-Id", task.task_id), ("X-Task-State", task.state.value)]
         headers.append(("X-Slots-Free", str(self._free())))
         if task.state is TaskState.FINISHED:
@@ -153,7 +201,11 @@
                 # Kept, so that the same id that comes late is refused: "never seen" stays true.
                 task = Task(task_id, "", "", TaskState.NEVER_SEEN, done_s=time.monotonic())
                 self._tasks[task_id] = task
-            return {"state": task.state.value, "resume_token": task.resume_token}
+            return {
+                "state": task.state.value,
+                "resume_token": task.resume_token,
+                "up_s": time.monotonic() - self._up_since_s,
+            }
 
     def _answer(self, task_id: str, start_response: StartResponse) -> Iterable[bytes]:
         task = self._tasks.get(task_id)
@@ -175,6 +227,7 @@
             self.draining = what == "drain"
             if what == "reboot":
                 self._tasks.clear()
+                self._up_since_s = time.monotonic()
 
     def _status(self) -> dict[str, Any]:
         with self._lock:
@@ -202,6 +255,16 @@
             del self._tasks[task_id]
 
 
+def _is_late(environ: Environ) -> bool:
+    """Return whether the time by which the call had to be taken in has passed."""
+    start_by_s = environ.get("HTTP_X_START_BY")
+    return start_by_s is not None and time.time() > float(start_by_s)
+
+
+def _lease_s(environ: Environ) -> float:
+    return float(environ.get("HTTP_X_TASK_LEASE_S", "3600"))
+
+
 def _work(body: bytes, resume_token: str) -> tuple[float, bytes]:
     try:
         asked = json.loads(body)
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -8,6 +8,7 @@
 import time
 import uuid
 from pathlib import Path
+from random import Random
 from typing import Annotated
 
 import typer
@@ -16,6 +17,7 @@
 from toucandoor.adapters.caller_server import make_caller_server
 from toucandoor.adapters.controller_link import ControllerLink
 from toucandoor.adapters.engine_loop import EngineLoop
+from toucandoor.adapters.errands import Errands
 from toucandoor.adapters.logs import set_up_logs
 from toucandoor.adapters.metrics import EntryMetrics, make_ops_app
 from toucandoor.adapters.settings import EntrySettings
@@ -24,13 +26,15 @@
 from toucandoor.adapters.wsgi import make_server
 from toucandoor.clock import SystemClock
 from toucandoor.core.admission.policy import FirstComeFirstServed
+from toucandoor.core.attempts.budget import RetryBudget
+from toucandoor.core.attempts.tracker import AttemptTracker
 from toucandoor.core.ceilings.policy import StaticPermits
 from toucandoor.core.configuration.models import Configuration, QueueConfig
 from toucandoor.core.keys import KeyRing
 from toucandoor.core.leases.serving import FixedLease
 from toucandoor.core.requests.engine import RequestEngine
 from toucandoor.core.requests.models import BackendServer
-from toucandoor.core.routing.policy import LeastConnections
+from toucandoor.core.routing.shared_load import SharedLoadRouting
 from toucandoor.exceptions import SettingsError
 from toucandoor.ids import AttemptId, QueueId, VmId
 from toucandoor.messages import VmState
@@ -47,14 +51,19 @@
         self._clock = SystemClock()
         self._permits = StaticPermits({})
         self._lease = FixedLease(float("inf"))
+        self._workers = WorkerClient(settings.connect_timeout_s)
+        self._routing = SharedLoadRouting(Random(), settings.data_centre, settings.entries_total)
         self._engine = RequestEngine(
             make_queue=_make_queue,
-            routing=LeastConnections(),
+            routing=self._routing,
+            tracker=AttemptTracker(RetryBudget(Random()), self._routing.is_healthy),
             permits=self._permits,
             lease=self._lease,
             new_attempt_id=lambda: AttemptId(uuid.uuid4().hex),
         )
-        self.loop = EngineLoop(self._engine, self._clock)
+        self._errands = Errands(self._workers)
+        self.loop = EngineLoop(self._engine, self._clock, self._errands.perform)
+        self._errands.post = self.loop.post
         self._configuration: Configuration | None = None
         self._keys: KeyRing | None = None
         self._states: dict[VmId, VmState] = {}
@@ -64,8 +73,7 @@
         """Serve until asked to stop."""
         settings, stop, metrics = self._settings, StopSignal(), EntryMetrics()
         view = EntryView(lambda: self._keys, self._is_open, lambda: self._stopping)
-        workers = WorkerClient(settings.connect_timeout_s)
-        app = CallerApp(self.loop, workers, metrics, self._clock, view, settings.entry_id)
+        app = CallerApp(self.loop, self._workers, metrics, self._clock, view, settings.entry_id)
         callers = make_caller_server(settings, app, self._clock)
         ops_app = make_ops_app(self._not_ready, lambda: metrics.in_flight(self._engine.counts()))
         ops = make_server(settings.ops_address, ops_app, 2)
@@ -105,6 +113,7 @@
             }
         )
         self._engine.configure(configuration)
+        self._workers.task_lease_s = configuration.policy.task_lease_s
         self._update_servers()
         _LOGGER.info("%s configuration %s is in force", _PREFIX, version)
 
