--- a/tests/core/admission/test_sessions.py
+++ b/tests/core/admission/test_sessions.py
@@ -10,6 +10,7 @@
     AttemptOutcome,
     Decision,
     Dispatch,
+    Fate,
     Preempt,
     PreemptHow,
     Refuse,
@@ -70,8 +71,13 @@
         (full,) = session.submit("one-too-many", urgent=True)
         assert isinstance(full, Refuse)
         self.assertAlmostEqual(full.retry_after_s or 0, 8 / 2, places=1)
-        (late,) = session.after(8.5)
+        late, *overrun = session.after(8.5)
         self.assertEqual((late.request_id, late.status), ("second-4", 504))
+        # Those that run past their deadline are given up on too, but may have run.
+        self.assertEqual(
+            [(each.request_id, each.fate) for each in overrun if isinstance(each, Refuse)],
+            [(f"second-{number}", Fate.UNKNOWN) for number in range(4)],
+        )
         for number in range(5, 8):
             self.assertEqual(session.cancel(f"second-{number}")[0].status, 503)
         verify_session(session.lines)
