Measure requests lost and doubled under faults of backend servers

Cause: nothing showed whether the tracker keeps its promises with real processes and sockets.

The first run found that a fetched answer was given to its caller empty (the body had been read already); mended.

--- a/toucandoor/adapters/worker_client.py
+++ b/toucandoor/adapters/worker_client.py
@@ -157,7 +157,7 @@
     if int(response.headers.get("Content-Length", "0")) > ANSWER_BYTES_MAX:
         raise ValueError("the answer is too large")
     content_type = response.headers.get("Content-Type", "application/octet-stream")
-    return WorkerAnswer(content_type, response.read())
+    return WorkerAnswer(content_type, response.data)
 
 
 def _on_new_connection(
--- a/toucandoor/fakes/worker.py
+++ b/toucandoor/fakes/worker.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
+from pathlib import Path
 from typing import Any
 
 from toucandoor.adapters.wsgi import Environ, StartResponse, read_json, respond, respond_json
@@ -48,13 +49,18 @@
 class FakeWorker:
     """WSGI application of one backend server.
 
+    Args:
+        runs_log: File to which each run adds the ``result`` of its body as a line; it outlives
+            a killed process.
+
     Attributes:
         runs: How often each request id was run, for tests that count doubled requests.
         fail_all: Whether every task fails.
         cross_answers: Whether each answer carries the id and body of another task.
     """
 
-    def __init__(self, vm: str, slots: int) -> None:
+    def __init__(self, vm: str, slots: int, runs_log: Path | None = None) -> None:
+        self._runs_log = runs_log
         self.vm = vm
         self.slots = slots
         self.draining = False
@@ -109,11 +115,17 @@
         if refusal:
             return self._not_run(start_response, task_id, refusal)
         run_s, answer = _work(body, environ.get("HTTP_X_RESUME_TOKEN", ""))
+        self._log_run(answer)
         started_s = time.monotonic()
         lapsed = self._wait(task, started_s + run_s)
         self._finish(task, answer, run_s - (time.monotonic() - started_s), lapsed=lapsed)
         return self._tell(task, start_response)
 
+    def _log_run(self, answer: bytes) -> None:
+        if self._runs_log is not None:
+            with self._runs_log.open("ab", buffering=0) as log:
+                log.write(answer + b"\n")
+
     def _repeat(self, earlier: Task, start_response: StartResponse) -> Iterable[bytes]:
         """Answer a repeated task id without running it again."""
         if earlier.state is not TaskState.RUNNING:
--- /dev/null
+++ b/toucandoor/measures/_faulty_pool.py
@@ -0,0 +1,133 @@
+"""A pool of backend servers in processes of their own, each behind a middlebox, and its faults."""
+
+from __future__ import annotations
+
+import json
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from contextlib import suppress
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+import urllib3
+
+from toucandoor.core.keys import secret_digest
+from toucandoor.fakes.middlebox import Middlebox
+from toucandoor.measures._deployment import HTTP, LocalDeployment, LocalProcess
+
+SECRET = "secret-of-the-pool-team"
+SLOTS = 8
+
+
+class FaultyPool:
+    """Starts backend servers and provokes faults on them.
+
+    Args:
+        subnet: Third byte of the loopback addresses; each measurement has its own.
+    """
+
+    def __init__(self, servers: int, subnet: int) -> None:
+        self._scratch = tempfile.TemporaryDirectory(prefix="toucandoor-pool-")
+        self.folder = Path(self._scratch.name) / "operators"
+        self.folder.mkdir()
+        self.addresses = [f"127.46.{subnet}.{n + 1}:8383" for n in range(servers)]
+        self._direct = [f"127.47.{subnet}.{n + 1}:8383" for n in range(servers)]
+        self._runs_log = Path(self._scratch.name) / "runs.log"
+        self.processes = [self._process(number) for number in range(servers)]
+        self.middleboxes: list[Middlebox] = []
+        (self.folder / "10-all.toml").write_text(self._folder_text())
+
+    def __enter__(self) -> Self:
+        for process in self.processes:
+            process.start()
+        for address in self._direct:
+            self._wait_up(address)
+        pairs = zip(self.addresses, self._direct, strict=True)
+        self.middleboxes = [Middlebox(listen, server) for listen, server in pairs]
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for process in self.processes:
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGTERM)
+        for process in self.processes:
+            process.end()
+        for middlebox in self.middleboxes:
+            middlebox.close()
+        self._scratch.cleanup()
+
+    def deploy(self, entries: int = 1) -> LocalDeployment:
+        """Return a deployment that uses this pool in place of its own backend servers."""
+        deployment = LocalDeployment(self.folder, ["dc-1"] * entries)
+        del deployment.processes["workers"]
+        return deployment
+
+    def kill(self, number: int) -> None:
+        """Kill a backend server and start a new process in its place after half a second."""
+        self.processes[number].send(signal.SIGKILL)
+        self.processes[number].process.wait()
+        time.sleep(0.5)
+        self.processes[number].start()
+        self._wait_up(self._direct[number])
+
+    def freeze(self, number: int, for_s: float) -> None:
+        """Stop a backend server's process for a time."""
+        self.processes[number].send(signal.SIGSTOP)
+        time.sleep(for_s)
+        self.processes[number].send(signal.SIGCONT)
+
+    def set_faults(self, number: int, **faults: Any) -> None:
+        """Set a backend server's own faults."""
+        self._post(number, "/control/faults", faults)
+
+    def drain(self, number: int, *, on: bool = True) -> None:
+        """Tell a backend server that it is leaving, or that it stays."""
+        self._post(number, "/v1/drain" if on else "/v1/undrain", {})
+
+    def runs(self) -> Counter[str]:
+        """Return how often each result was worked out, over all processes."""
+        if not self._runs_log.exists():
+            return Counter()
+        lines = self._runs_log.read_text().splitlines()
+        return Counter(str(json.loads(line)["result"]) for line in lines)
+
+    def _post(self, number: int, path: str, body: dict[str, Any]) -> None:
+        with suppress(urllib3.exceptions.HTTPError):
+            HTTP.request("POST", f"http://{self._direct[number]}{path}", json=body, timeout=2.0)
+
+    def _process(self, number: int) -> LocalProcess:
+        command = [sys.executable, "-m", "toucandoor.programs.fakes", "worker"]
+        command += ["--address", self._direct[number], "--vm", f"w-{number}"]
+        command += ["--slots", str(SLOTS), "--runs-log", str(self._runs_log)]
+        log = Path(self._scratch.name) / f"w-{number}.log"
+        return LocalProcess(f"w-{number}", command, {}, log)
+
+    def _wait_up(self, address: str, within_s: float = 20.0) -> None:
+        until_s = time.monotonic() + within_s
+        while time.monotonic() < until_s:
+            with suppress(urllib3.exceptions.HTTPError):
+                if HTTP.request("GET", f"http://{address}/v1/health", timeout=1.0).status == 200:
+                    return
+            time.sleep(0.05)
+        raise TimeoutError(f"{address} not up within {within_s} s")
+
+    def _folder_text(self) -> str:
+        lines = ['[data_centres.dc-1]\nregion = "r"', "[pools.p]\nunavailable_max = 1"]
+        lines.append('[queues.q]\npool = "p"')
+        digest = secret_digest(SECRET)
+        lines.append(f'[teams.a]\nceiling_running = 256\nkeys.a-1.sha256 = "{digest}"')
+        for number, address in enumerate(self.addresses):
+            lines.append(
+                f'[vms.w-{number}]\npool = "p"\ndata_centre = "dc-1"\nrack = "r-{number // 4}"\n'
+                f'address = "{address}"\nslots = {SLOTS}'
+            )
+        return "\n".join(lines) + "\n"
--- a/toucandoor/programs/fakes.py
+++ b/toucandoor/programs/fakes.py
@@ -32,9 +32,11 @@
     address: Annotated[str, typer.Option(help="IP:port to listen on.")],
     vm: Annotated[str, typer.Option(help="Id of the VM.")],
     slots: Annotated[int, typer.Option(help="Tasks it runs at once.")] = 8,
+    connections: Annotated[int, typer.Option(help="Connections it serves at once.")] = 64,
+    runs_log: Annotated[Path | None, typer.Option(help="File that records each run.")] = None,
 ) -> None:
     """Serve one backend server."""
-    server = make_server(address, FakeWorker(vm, slots), slots + 8)
+    server = make_server(address, FakeWorker(vm, slots, runs_log), connections)
     server.prepare()
     threading.Thread(target=server.serve, daemon=True).start()
     _wait_for_stop()
