--- /dev/null
+++ b/tests/core/attempts/test_ownership.py
@@ -0,0 +1,120 @@
+"""Tests of idempotency owners."""
+
+from __future__ import annotations
+
+import unittest
+import uuid
+from collections import Counter
+
+from toucandoor.core.attempts.ownership import (
+    Announced,
+    ClaimRefusal,
+    Earlier,
+    Granted,
+    IdempotencyOwner,
+    SubmissionKey,
+    key_created_s,
+    ranked,
+)
+from toucandoor.ids import AttemptId, EntryId, QueueId, TeamId, VmId
+
+ENTRIES = [EntryId(f"entry-{n}") for n in range(8)]
+ATTEMPT = Announced(AttemptId("a1"), VmId("vm-1"), "vm-1:80")
+
+
+def uuid7(at_s: float, tail: int = 1) -> str:
+    value = (int(at_s * 1000) << 80) | (7 << 76) | (2 << 62) | tail
+    return str(uuid.UUID(int=value))
+
+
+def key(text: str) -> SubmissionKey:
+    return SubmissionKey(QueueId("q"), TeamId("a"), text)
+
+
+def owned_by(entry: EntryId, at_s: float, above: EntryId | None = None) -> SubmissionKey:
+    """Return a key owned by the entry, once the entry above it has gone where one is named."""
+    for tail in range(10_000):
+        made = key(uuid7(at_s, tail))
+        order = ranked(made, ENTRIES)
+        if (order[0] == entry and above is None) or order[:2] == [above, entry]:
+            return made
+    raise AssertionError("no such key")
+
+
+class OwnershipTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.owner = IdempotencyOwner(ENTRIES[0], since_s=100.0)
+        self.owner.update_entries(ENTRIES, 100.0)
+
+    def test_all_entries_agree_and_keys_spread(self) -> None:
+        owners = Counter(ranked(key(str(n)), ENTRIES)[0] for n in range(4000))
+        self.assertEqual(ranked(key("x"), ENTRIES), ranked(key("x"), reversed(ENTRIES)))
+        self.assertTrue(all(350 < owners[entry] < 650 for entry in ENTRIES), owners)
+
+    def test_a_leaving_entry_moves_only_its_own_keys(self) -> None:
+        for number in range(500):
+            before = ranked(key(str(number)), ENTRIES)[0]
+            after = ranked(key(str(number)), ENTRIES[1:])[0]
+            if before != ENTRIES[0]:
+                self.assertEqual(before, after)
+
+    def test_a_repeat_gets_the_earlier_attempt(self) -> None:
+        made = owned_by(ENTRIES[0], 200.0)
+        granted = self.owner.claim(made, ENTRIES[1], 200.0)
+        self.assertEqual(granted, Granted(1))
+        self.assertEqual(self.owner.claim(made, ENTRIES[2], 200.1), Earlier(ENTRIES[1], None, 1))
+        self.assertTrue(self.owner.announce(made, 1, ATTEMPT))
+        self.assertEqual(self.owner.claim(made, ENTRIES[2], 200.2), Earlier(ENTRIES[1], ATTEMPT, 1))
+
+    def test_the_earlier_claimant_can_send_nothing_after_a_take_over(self) -> None:
+        made = owned_by(ENTRIES[0], 200.0)
+        self.owner.claim(made, ENTRIES[1], 200.0)
+        self.assertEqual(self.owner.take_over(made, 1, ENTRIES[2], 201.0), Granted(2))
+        self.assertFalse(self.owner.announce(made, 1, ATTEMPT))
+        self.assertTrue(self.owner.announce(made, 2, ATTEMPT))
+
+    def test_two_racing_take_overs_grant_once(self) -> None:
+        made = owned_by(ENTRIES[0], 200.0)
+        self.owner.claim(made, ENTRIES[1], 200.0)
+        self.owner.take_over(made, 1, ENTRIES[2], 201.0)
+        self.assertEqual(
+            self.owner.take_over(made, 1, ENTRIES[3], 201.0), Earlier(ENTRIES[2], None, 2)
+        )
+
+    def test_a_claim_that_was_not_run_may_be_made_again(self) -> None:
+        made = owned_by(ENTRIES[0], 200.0)
+        self.owner.claim(made, ENTRIES[1], 200.0)
+        self.owner.not_run(made, 1)
+        self.assertEqual(self.owner.claim(made, ENTRIES[2], 201.0), Granted(2))
+
+    def test_an_owner_younger_than_the_key_does_not_guess(self) -> None:
+        made = owned_by(ENTRIES[0], 99.0)
+        self.assertEqual(self.owner.claim(made, ENTRIES[1], 101.0), ClaimRefusal.OWNER_YOUNGER)
+
+    def test_a_key_without_time_waits_until_the_owner_is_old_enough(self) -> None:
+        texts = (f"order-{n}" for n in range(999))
+        made = next(key(t) for t in texts if ranked(key(t), ENTRIES)[0] == ENTRIES[0])
+        self.assertEqual(self.owner.claim(made, ENTRIES[1], 200.0), ClaimRefusal.OWNER_YOUNGER)
+        self.assertEqual(self.owner.claim(made, ENTRIES[1], 702.0), Granted(1))
+
+    def test_keys_of_an_entry_that_has_gone_are_younger_than_its_end(self) -> None:
+        before = owned_by(ENTRIES[0], 250.0, above=ENTRIES[5])
+        after = owned_by(ENTRIES[0], 305.0, above=ENTRIES[5])
+        self.assertEqual(self.owner.claim(before, ENTRIES[1], 260.0), ClaimRefusal.NOT_OWNER)
+        self.owner.update_entries([e for e in ENTRIES if e != ENTRIES[5]], 300.0)
+        self.assertEqual(self.owner.claim(before, ENTRIES[1], 306.0), ClaimRefusal.OWNER_YOUNGER)
+        self.assertEqual(self.owner.claim(after, ENTRIES[1], 306.0), Granted(1))
+
+    def test_a_forgotten_key_is_too_old_to_be_run_again(self) -> None:
+        made = owned_by(ENTRIES[0], 200.0)
+        self.owner.claim(made, ENTRIES[1], 200.0)
+        self.assertEqual(self.owner.claim(made, ENTRIES[1], 900.0), ClaimRefusal.TOO_OLD)
+
+    def test_a_key_from_the_future_has_no_time(self) -> None:
+        made = owned_by(ENTRIES[0], 5000.0)
+        self.assertEqual(self.owner.claim(made, ENTRIES[1], 200.0), ClaimRefusal.OWNER_YOUNGER)
+
+    def test_only_version_7_carries_a_time(self) -> None:
+        self.assertEqual(key_created_s(uuid7(1234.5)), 1234.5)
+        self.assertIsNone(key_created_s(str(uuid.UUID(int=5, version=4))))
+        self.assertIsNone(key_created_s("order-7"))
--- a/toucandoor/core/attempts/models.py
+++ b/toucandoor/core/attempts/models.py
@@ -123,6 +123,13 @@
     outcome: AttemptOutcome
 
 
+@dataclass(frozen=True, slots=True)
+class OutOfReach:
+    """A backend server left a question on a new connection unanswered."""
+
+    vm: VmId
+
+
 @dataclass(frozen=True, slots=True)
 class TaskEnded:
     """The attempt's task has certainly ended: its permit may be given back."""
@@ -140,5 +147,6 @@
     | CloseConnections
     | Requeue
     | Judged
+    | OutOfReach
     | TaskEnded
 )
--- a/toucandoor/core/attempts/tracker.py
+++ b/toucandoor/core/attempts/tracker.py
@@ -22,6 +22,7 @@
     CloseConnections,
     FetchAnswer,
     Judged,
+    OutOfReach,
     Requeue,
     TaskEnded,
     TaskState,
@@ -209,12 +210,13 @@
 
     def _no_word(self, attempt: Attempt, now_s: float) -> list[AttemptDecision]:
         attempt.unanswered_asks += 1
+        decisions: list[AttemptDecision] = [OutOfReach(attempt.dispatch.vm)]
         if attempt.phase is Phase.LEFT:
-            return []
+            return decisions
         if attempt.phase is Phase.SENT and attempt.unanswered_asks < DEFAULT_UNANSWERED_ASKS_MAX:
             attempt.ask_at_s = now_s
-            return []
-        return self._unknown(attempt, now_s)
+            return decisions
+        return decisions + self._unknown(attempt, now_s)
 
     def _ended_by_word(
         self, attempt: Attempt, event: TaskWord, now_s: float
--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -13,6 +13,7 @@
     AnswerFetched,
     AttemptDecision,
     Judged,
+    OutOfReach,
     Requeue,
     TaskEnded,
     TaskWord,
@@ -213,6 +214,8 @@
                     self._permits.give_back(attempt_id, now_s)
                 case Judged(attempt_id, outcome):
                     self._routing.ended(AttemptEnded(attempt_id, outcome), now_s)
+                case OutOfReach(vm):
+                    self._routing.out_of_reach(vm, now_s)
                 case Requeue():
                     self._put_back(decision, now_s)
                 case _:
--- a/toucandoor/core/routing/health.py
+++ b/toucandoor/core/routing/health.py
@@ -120,6 +120,12 @@
             self._health[vm].probe_at_s = now_s + DEFAULT_PROBE_INTERVAL_S
         return due
 
+    def out_of_reach(self, vm: VmId, now_s: float) -> None:
+        """Eject a server at once until a probe reaches it."""
+        health = self._of(vm)
+        if not health.out_of_reach:
+            self._eject(health, True, now_s)
+
     def reached(self, vm: VmId) -> None:
         """Take a server back in that could not be reached and now answers.
 
--- a/toucandoor/core/routing/policy.py
+++ b/toucandoor/core/routing/policy.py
@@ -51,6 +51,9 @@
     def probed(self, vm: VmId, *, draining: bool, now_s: float) -> None:  # noqa: B027
         """Take a server's own status: it can be reached, and it leaves or stays."""
 
+    def out_of_reach(self, vm: VmId, now_s: float) -> None:  # noqa: B027
+        """Note that a server left a question on a new connection unanswered."""
+
     def due_for_probe(self, now_s: float) -> list[BackendServer]:
         """Return the servers whose status is to be asked for now."""
         return []
--- a/toucandoor/core/routing/shared_load.py
+++ b/toucandoor/core/routing/shared_load.py
@@ -10,6 +10,7 @@
 from toucandoor.core.routing.const import (
     DEFAULT_BUSY_HOLD_MAX_S,
     DEFAULT_BUSY_HOLD_MIN_S,
+    DEFAULT_PROBE_INTERVAL_S,
     DEFAULT_REPORT_FADE_S,
 )
 from toucandoor.core.routing.health import HealthState, HealthTable
@@ -57,6 +58,7 @@
         self._pools: dict[PoolId, list[VmId]] = {}
         self._loads: dict[VmId, _Load] = {}
         self._vm_of: dict[AttemptId, VmId] = {}
+        self._leaving_probe_at_s = 0.0
         self.health = HealthTable()
         self.leaving = LeavingWords()
 
@@ -129,9 +131,18 @@
         else:
             self.leaving.withdraw(vm, LeavingSource.SERVER)
 
+    def out_of_reach(self, vm: VmId, now_s: float) -> None:
+        """Eject a server that left a question on a new connection unanswered."""
+        if vm in self._servers:
+            self.health.out_of_reach(vm, now_s)
+
     def due_for_probe(self, now_s: float) -> list[BackendServer]:
         """Return the servers whose status is to be asked for now."""
-        return [self._servers[vm] for vm in self.health.due_for_probe(now_s)]
+        due = self.health.due_for_probe(now_s)
+        if now_s >= self._leaving_probe_at_s:
+            self._leaving_probe_at_s = now_s + DEFAULT_PROBE_INTERVAL_S
+            due += [vm for vm in self.leaving.own_words() if vm not in due]
+        return [self._servers[vm] for vm in due]
 
     def is_healthy(self, vm: VmId, now_s: float) -> bool:
         """Return whether the server's failures may be blamed on the jobs."""
@@ -155,7 +166,8 @@
 
     def _rank(self, server: BackendServer, now_s: float) -> tuple[float, bool, float]:
         load = self._load(server.vm)
-        used_ratio = (load.own + self._others(load, now_s)) / server.slots
+        # Whole slots: what is left of a faded report must not decide between idle servers.
+        used_ratio = round(load.own + self._others(load, now_s)) / server.slots
         return (used_ratio, server.data_centre != self._data_centre, self._random.random())
 
     def _others(self, load: _Load, now_s: float) -> float:
--- a/toucandoor/fakes/worker.py
+++ b/toucandoor/fakes/worker.py
@@ -50,8 +50,8 @@
     """WSGI application of one backend server.
 
     Args:
-        runs_log: File to which each run adds the ``result`` of its body as a line; it outlives
-            a killed process.
+        runs_log: File to which each run, and each refusal while draining, adds a line of JSON;
+            it outlives a killed process.
 
     Attributes:
         runs: How often each request id was run, for tests that count doubled requests.
@@ -113,6 +113,7 @@
         if refusal == _REPEATED:
             return self._repeat(self._tasks[task_id], start_response)
         if refusal:
+            self._log_run(b"", ran=False)
             return self._not_run(start_response, task_id, refusal)
         run_s, answer = _work(body, environ.get("HTTP_X_RESUME_TOKEN", ""))
         self._log_run(answer)
@@ -121,10 +122,11 @@
         self._finish(task, answer, run_s - (time.monotonic() - started_s), lapsed=lapsed)
         return self._tell(task, start_response)
 
-    def _log_run(self, answer: bytes) -> None:
+    def _log_run(self, answer: bytes, *, ran: bool = True) -> None:
         if self._runs_log is not None:
+            line = {"vm": self.vm, "at_s": time.time(), "ran": ran, "answer": answer.decode()}
             with self._runs_log.open("ab", buffering=0) as log:
-                log.write(answer + b"\n")
+                log.write(json.dumps(line).encode() + b"\n")
 
     def _repeat(self, earlier: Task, start_response: StartResponse) -> Iterable[bytes]:
         """Answer a repeated task id without running it again."""
--- a/toucandoor/measures/_faulty_pool.py
+++ b/toucandoor/measures/_faulty_pool.py
@@ -72,17 +72,21 @@
         return deployment
 
     def kill(self, number: int) -> None:
-        """Kill a backend server and start a new process in its place after half a second."""
+        """Kill a backend server."""
         self.processes[number].send(signal.SIGKILL)
         self.processes[number].process.wait()
-        time.sleep(0.5)
+
+    def start(self, number: int) -> None:
+        """Start a new process in place of a killed backend server."""
         self.processes[number].start()
         self._wait_up(self._direct[number])
 
-    def freeze(self, number: int, for_s: float) -> None:
-        """Stop a backend server's process for a time."""
+    def freeze(self, number: int) -> None:
+        """Stop a backend server's process."""
         self.processes[number].send(signal.SIGSTOP)
-        time.sleep(for_s)
+
+    def thaw(self, number: int) -> None:
+        """Let a frozen backend server go on."""
         self.processes[number].send(signal.SIGCONT)
 
     def set_faults(self, number: int, **faults: Any) -> None:
@@ -95,10 +99,19 @@
 
     def runs(self) -> Counter[str]:
         """Return how often each result was worked out, over all processes."""
+        return Counter(
+            str(json.loads(line["answer"])["result"]) for line in self._log() if line["ran"]
+        )
+
+    def last_sent_s(self, number: int) -> float:
+        """Return the Unix time at which work was last sent to a backend server, run or not."""
+        vm = f"w-{number}"
+        return max((line["at_s"] for line in self._log() if line["vm"] == vm), default=0.0)
+
+    def _log(self) -> list[dict[str, Any]]:
         if not self._runs_log.exists():
-            return Counter()
-        lines = self._runs_log.read_text().splitlines()
-        return Counter(str(json.loads(line)["result"]) for line in lines)
+            return []
+        return [json.loads(line) for line in self._runs_log.read_text().splitlines()]
 
     def _post(self, number: int, path: str, body: dict[str, Any]) -> None:
         with suppress(urllib3.exceptions.HTTPError):
--- a/toucandoor/measures/lost_or_doubled.py
+++ b/toucandoor/measures/lost_or_doubled.py
@@ -20,11 +20,11 @@
 
 SERVERS: Final = 6
 CALLERS: Final = 24
-LENGTH_S: Final = 20.0
+LENGTH_S: Final = 25.0
 REQUESTS_MAX: Final = 4000
 RUN_MIN_S: Final = 0.02
 RUN_MAX_S: Final = 0.3
-FAULT_PERIOD_S: Final = 1.0
+FAULT_PERIOD_S: Final = 0.5
 DEADLINE_S: Final = 15.0
 FAULTS: Final = ("kill", "freeze", "silent", "torn", "crossed", "failing")
 
@@ -118,14 +118,20 @@
 
 def _provoke(pool: FaultyPool, seed: int, until_s: float, counts: Counter[str]) -> None:
     random = Random(seed)
+    kinds: list[str] = []
     while time.monotonic() < until_s - FAULT_PERIOD_S:
-        kind, number = random.choice(FAULTS), random.randrange(SERVERS)
+        kinds = kinds or random.sample(FAULTS, len(FAULTS))
+        kind, number = kinds.pop(), random.randrange(SERVERS)
         counts[kind] += 1
         match kind:
             case "kill":
                 pool.kill(number)
+                time.sleep(0.5)
+                pool.start(number)
             case "freeze":
-                pool.freeze(number, 3.0)
+                pool.freeze(number)
+                time.sleep(3.0)
+                pool.thaw(number)
             case "silent":
                 pool.middleboxes[number].go_silent()
             case "torn":
