--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -15,6 +15,7 @@
     AnswerFetched,
     AttemptDecision,
     Judged,
+    OutOfReach,
     Requeue,
     TaskEnded,
     TaskWord,
@@ -280,6 +281,8 @@
                     ended = AttemptEnded(attempt_id, outcome)
                     self._routing.ended(ended, now_s)
                     self._admission.ended(ended, now_s)
+                case OutOfReach(vm):
+                    self._routing.out_of_reach(vm, now_s)
                 case Requeue():
                     self._put_back(decision, now_s)
                 case _:
