--- a/tests/core/admission/test_sessions.py
+++ b/tests/core/admission/test_sessions.py
@@ -43,6 +43,20 @@
         self.assertIsInstance(session.submit("urgent", urgent=True)[0], Dispatch)
         verify_session(session.lines)
 
+    def test_a_request_is_preempted_three_times_at_most(self) -> None:
+        session = Session(slots=2)
+        for name in ("first", "second"):
+            session.submit(name, how=PreemptHow.STOP)
+        asked: list[str] = []
+        for number in range(8):
+            for decision in session.submit(f"u-{number}", urgent=True):
+                if isinstance(decision, Preempt):
+                    asked.append(decision.request_id)
+                    session.end(decision.request_id, AttemptOutcome.STOPPED)
+            session.end(f"u-{number}")
+        self.assertEqual(sorted(asked), ["first"] * 3 + ["second"] * 3)
+        verify_session(session.lines)
+
     def test_the_spare_pool_lends_to_urgent_work(self) -> None:
         session = Session(slots=4, spare_slots=3)
         for number in range(3):
@@ -54,6 +68,15 @@
         self.assertEqual(session.submit("own", urgent=True, queue="s")[0].vm, "vm-s")
         verify_session(session.lines)
 
+    def test_aged_patient_work_without_room_does_not_keep_urgent_work_from_the_spare(self) -> None:
+        session = Session(slots=2, spare_slots=3)
+        for number in range(2):
+            session.submit(f"long-{number}", urgent=True, deadline_s=300.0)
+        session.submit("patient")
+        session.after(31.0)
+        for number in range(2):
+            self.assertEqual(session.submit(f"urgent-{number}", urgent=True)[0].vm, "vm-s")
+
 
 class GivenUpTest(unittest.TestCase):
     def test_each_refusal_comes_at_once_with_the_drain_rate(self) -> None:
--- a/toucandoor/core/admission/fair.py
+++ b/toucandoor/core/admission/fair.py
@@ -133,13 +133,11 @@
         return sorted(self._lanes.occupied(), key=rank)
 
     def _aged(self, now_s: float, may_start: Callable[[Request], bool]) -> Request | None:
-        """Return the oldest aged patient request that may start when its turn has come."""
+        """Return an aged patient request that may start, by share, when its turn has come."""
         if self._starts_since_aged + 1 < self._settings.aged_every:
             return None
-        aged = [
-            key for key in self._lanes.occupied() if self._is_aged(self._lanes.oldest(key), now_s)
-        ]
-        aged.sort(key=lambda key: self._lanes.oldest(key).arrived_s)
+        lanes = self._by_share(now_s)
+        aged = [key for key in lanes if self._is_aged(self._lanes.oldest(key), now_s)]
         return self._first(aged, now_s, may_start)
 
     def _first(
--- a/toucandoor/measures/share_error.py
+++ b/toucandoor/measures/share_error.py
@@ -73,10 +73,12 @@
 
 
 def _demand(outcome: Outcome, meter: ServiceMeter) -> dict[TeamId, float]:
-    """Return what each team asked for, in the meter's unit, over the whole run."""
-    demand: dict[TeamId, float] = {}
+    """Return what each team asked for while it was counted, in the meter's unit."""
+    demand: dict[TeamId, float] = dict.fromkeys(WEIGHTS, 0.0)
     for job in outcome.jobs:
-        patience_s = job.request.deadline_s - job.request.arrived_s
-        amount = min(job.run_s, patience_s) if meter is ServiceMeter.RUN_TIME else 1.0
-        demand[job.team] = demand.get(job.team, 0.0) + amount
+        arrived_s = job.request.arrived_s
+        if arrived_s < FILLING_S:
+            continue
+        run_s = min(job.run_s, DURATION_S - arrived_s)
+        demand[job.team] += run_s if meter is ServiceMeter.RUN_TIME else 1.0
     return demand
