--- a/toucandoor/measures/_ceilings.py
+++ b/toucandoor/measures/_ceilings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import heapq
 import itertools
 from collections import Counter, defaultdict
@@ -40,6 +41,8 @@
 ENTRY_LEASE_S = 6.0
 TASK_LEASE_S = 30.0
 CUT_OFF_GRACE_S = 120.0
+JUDGE_MARGIN_S = 1.0
+"""Time after a lease's end from which the holder is judged gone for good."""
 
 
 @dataclass(slots=True)
@@ -135,6 +138,8 @@
         self.entries: list[FakeEntry] = []
         self.former: list[FakeEntry] = []
         self.coordinators: dict[DataCentreId, PermitCoordinator] = {}
+        self.coordinator_leases: dict[DataCentreId, FixedLease] = {}
+        self.former_coordinators: list[tuple[DataCentreId, PermitCoordinator]] = []
         self.paused_coordinators: set[DataCentreId] = set()
         self.cut_off: dict[DataCentreId, float] = {}
         self.data_centres = list(data_centres)
@@ -146,6 +151,9 @@
         self.overruns = 0
         self.conservation_breaches = 0
         self.messages = 0
+        self.stranded_permit_s = 0.0
+        self.in_force: dict[TeamId, int] = {}
+        self.entries_total = sum(data_centres.values())
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._attempts = itertools.count()
@@ -163,20 +171,30 @@
         self.version += 1
         self.ceilings = dict(ceilings)
 
-    def new_coordinator(self, data_centre: DataCentreId) -> None:
-        """Start a coordinator; an earlier one of the data centre is dead."""
+    def new_coordinator(self, data_centre: DataCentreId, *, keep_former: bool = False) -> None:
+        """Start a coordinator; the earlier one of the data centre is dead or goes on unaware."""
+        former = self.coordinators.get(data_centre)
+        if keep_former and former is not None:
+            self.coordinator_leases[data_centre].until_s = float("inf")
+            self.former_coordinators.append((data_centre, former))
         start_id = f"{data_centre}.{next(self._starts)}"
-        self.coordinators[data_centre] = PermitCoordinator(data_centre, start_id)
+        lease = FixedLease(self.now_s + ENTRY_LEASE_S)
+        self.coordinator_leases[data_centre] = lease
+        self.coordinators[data_centre] = PermitCoordinator(data_centre, start_id, lease)
 
     def start_entry(self, entry: EntryId, data_centre: DataCentreId, incarnation: int) -> None:
         """Start an entry's process."""
         lease = FixedLease(self.now_s + ENTRY_LEASE_S)
         member = Member(entry, IncarnationId(incarnation))
-        permits = EntryPermits(member, lease)
+        permits = self.make_permits(member, lease)
         fake = FakeEntry(entry, data_centre, IncarnationId(incarnation), lease, permits)
         fake.granted_until_s = lease.until_s
         self.entries.append(fake)
 
+    def make_permits(self, member: Member, lease: FixedLease) -> PermitPolicy:
+        """Return the permits of a starting entry."""
+        return EntryPermits(member, lease)
+
     def restart_entry(self, fake: FakeEntry) -> None:
         """Kill an entry's process and start the next incarnation; its tasks run on."""
         fake.alive = False
@@ -190,14 +208,16 @@
             self.cut_off[data_centre] = self.now_s
             return
         del self.cut_off[data_centre]
-        for coordinator in self.coordinators.values():
-            coordinator.on_data_centre_back(data_centre)
+        for other, coordinator in self.coordinators.items():
+            if other not in self.paused_coordinators:
+                coordinator.on_data_centre_back(data_centre)
 
     def heal_all(self) -> None:
         """End all faults."""
         self.store.up = True
         self.chaos = Chaos()
         self.paused_coordinators.clear()
+        self.former_coordinators.clear()
         for data_centre in list(self.cut_off):
             self.cut_or_heal(data_centre)
         for fake in self.entries:
@@ -215,7 +235,7 @@
         """Let one step pass: leases, messages, tasks, starts, then the checks."""
         self.now_s += self.step_s
         self._renew_leases()
-        self._report_gone()
+        self.report_gone()
         self._deliver_due()
         self._end_tasks()
         for fake in self.entries:
@@ -224,6 +244,7 @@
         for data_centre, coordinator in self.coordinators.items():
             if data_centre not in self.paused_coordinators:
                 self._run_coordinator(data_centre, coordinator)
+        self._run_former_coordinators()
         self.check()
 
     def running(self, team: TeamId) -> int:
@@ -231,10 +252,27 @@
         tasks = (t for f in [*self.entries, *self.former] for t in f.tasks.values())
         return sum(1 for task in tasks if task.team == team and self._is_running(task))
 
-    def usable(self, team: TeamId) -> int:
-        """Return the team's permits that an entry or a pool holds and may use."""
-        pools = sum(c.pool(team) for c in self.coordinators.values())
-        return pools + self.held_by_team()[team]
+    def stranded(self) -> int:
+        """Return how many permits nobody can use now, of all teams together."""
+        usable = sum(ceiling_in_force(self.store.ledger, team) for team in self.ceilings)
+        usable -= sum(max(0, self._unclaimed(team)) for team in self.ceilings)
+        for data_centre, coordinator in self.coordinators.items():
+            if data_centre not in self.paused_coordinators and coordinator.office is Office.HOLDER:
+                usable -= sum(coordinator.pool(team) for team in self.ceilings)
+        for fake in self.entries:
+            permits = fake.permits
+            if isinstance(permits, EntryPermits) and self._may_spend(fake, permits):
+                usable -= sum(permits.holdings().values())
+        return usable
+
+    def _unclaimed(self, team: TeamId) -> int:
+        if not any(self._sees_store(data_centre) for data_centre in self.data_centres):
+            return 0
+        return self.ceilings[team] - total(self.store.ledger, team)
+
+    def _may_spend(self, fake: FakeEntry, permits: EntryPermits) -> bool:
+        in_force = permits.standing is Standing.COUNTED and fake.lease.holds(self.now_s)
+        return fake.runs and in_force
 
     def held_by_team(self) -> Counter[TeamId]:
         """Return the permits of entries that are not gone and may spend them."""
@@ -270,23 +308,49 @@
         return self.now_s >= fake.granted_until_s + TASK_LEASE_S
 
     def _renew_leases(self) -> None:
-        for fake in self.entries:
-            since_s = self.cut_off.get(fake.data_centre)
-            past_grace = since_s is not None and self.now_s - since_s > CUT_OFF_GRACE_S
-            if fake.runs and not fake.cut_off and not past_grace:
+        for data_centre, lease in self.coordinator_leases.items():
+            paused = data_centre in self.paused_coordinators
+            if not paused and not self._is_past_grace(data_centre):
+                lease.until_s = self.now_s + ENTRY_LEASE_S
+        for fake in list(self.entries):
+            if fake.runs and not fake.cut_off and not self._is_past_grace(fake.data_centre):
+                if self._is_judged(fake):
+                    self._take_new_incarnation(fake)
                 fake.lease.until_s = self.now_s + ENTRY_LEASE_S
                 fake.granted_until_s = fake.lease.until_s
 
-    def _report_gone(self) -> None:
+    def _is_judged(self, fake: FakeEntry) -> bool:
+        return self.now_s >= fake.granted_until_s + JUDGE_MARGIN_S
+
+    def _take_new_incarnation(self, fake: FakeEntry) -> None:
+        """Let a process go on whose lease is refused; its tasks belong to the last incarnation."""
+        self.former.append(dataclasses.replace(fake, alive=False))
+        fake.tasks = {}
+        fake.incarnation = IncarnationId(fake.incarnation + 1)
+        if isinstance(fake.permits, EntryPermits):
+            fake.permits.restart(fake.incarnation)
+
+    def _is_past_grace(self, data_centre: DataCentreId) -> bool:
+        since_s = self.cut_off.get(data_centre)
+        return since_s is not None and self.now_s - since_s > CUT_OFF_GRACE_S
+
+    def report_gone(self) -> None:
+        """Tell coordinators which incarnations and data centres are gone."""
         for fake in [*self.former, *self.entries]:
-            if not self._is_gone(fake):
+            if not self._is_judged(fake):
                 continue
             event = EntryGone(fake.entry, fake.incarnation, fake.granted_until_s + TASK_LEASE_S)
-            self.coordinators[fake.data_centre].on_entry_gone(event)
+            for coordinator in self._all_coordinators(fake.data_centre):
+                coordinator.on_entry_gone(event)
         for data_centre, since_s in self.cut_off.items():
-            end_s = since_s + CUT_OFF_GRACE_S + ENTRY_LEASE_S + TASK_LEASE_S + 1.0
-            for coordinator in self.coordinators.values():
-                coordinator.on_data_centre_gone(DataCentreGone(data_centre, end_s))
+            lease_end_s = since_s + CUT_OFF_GRACE_S + ENTRY_LEASE_S
+            if self.now_s < lease_end_s:
+                continue
+            end_s = lease_end_s + TASK_LEASE_S + 1.0
+            for other, coordinator in self.coordinators.items():
+                if other not in self.paused_coordinators:
+                    gone = DataCentreGone(data_centre, self.now_s, end_s)
+                    coordinator.on_data_centre_gone(gone)
 
     def _end_tasks(self) -> None:
         for fake in [*self.entries, *self.former]:
@@ -327,7 +391,7 @@
             return
         if self._sees_store(data_centre):
             coordinator.set_ceilings(ConfigVersion(self.version), self.ceilings)
-            coordinator.on_ledger(self.store.ledger, self.store.revision)
+            coordinator.on_ledger(self.store.ledger, self.store.revision, self.now_s)
         output = coordinator.tick(self.now_s)
         me = Member(COORDINATOR_ID, IncarnationId(coordinator.epoch.term))
         self._send(data_centre, me, output.envelopes)
@@ -340,12 +404,22 @@
             return
         applied = self.store.swap(write)
         if applied and self.random.random() >= self.chaos.answer_lost_ratio:
-            coordinator.on_ledger(self.store.ledger, self.store.revision)
+            coordinator.on_ledger(self.store.ledger, self.store.revision, self.now_s)
 
     def _swap_if_up(self, write: WriteLedger) -> None:
         if self.store.up:
             self.store.swap(write)
 
+    def _all_coordinators(self, data_centre: DataCentreId) -> list[PermitCoordinator]:
+        former = [c for dc, c in self.former_coordinators if dc == data_centre]
+        return [self.coordinators[data_centre], *former]
+
+    def _run_former_coordinators(self) -> None:
+        """Let former coordinators go on that are cut off from the store but not from members."""
+        for data_centre, coordinator in self.former_coordinators:
+            me = Member(COORDINATOR_ID, IncarnationId(coordinator.epoch.term))
+            self._send(data_centre, me, coordinator.tick(self.now_s).envelopes)
+
     # Messages
 
     def _later(self, delay_s: float, action: Callable[[], None]) -> None:
@@ -378,9 +452,10 @@
             if data_centre in self.paused_coordinators:
                 self._later(1.0, self._delivery(data_centre, sender, envelope))
                 return
-            answers = self.coordinators[data_centre].on_message(envelope.message, self.now_s)
-            me = Member(COORDINATOR_ID, IncarnationId(self.coordinators[data_centre].epoch.term))
-            self._send(data_centre, me, answers)
+            for coordinator in self._all_coordinators(data_centre):
+                answers = coordinator.on_message(envelope.message, self.now_s)
+                me = Member(COORDINATOR_ID, IncarnationId(coordinator.epoch.term))
+                self._send(data_centre, me, answers)
             return
         for fake in self.entries:
             if fake.entry == envelope.to.entry:
