Answer a cancelled request's thread even while its attempt runs

Cause: a cancellation that met a running attempt left no final decision; the caller's thread, once its attempt ended, waited for ever (found by the admission state machine after the merge: a request was neither waiting, running nor answered). Excluded: the tracker; it rightly leaves the attempt and stops the task. Change: the engine gives the final answer, fate unknown. The machine stops the tasks of requests that were given up on, as a backend server does, and lets a request that failed on the only server wait for its deadline.

--- a/tests/core/admission/test_machine.py
+++ b/tests/core/admission/test_machine.py
@@ -36,6 +36,7 @@
         self.finals: Counter[str] = Counter()
         self.asked: dict[str, PreemptHow] = {}
         self.preempted: Counter[str] = Counter()
+        self.failed: set[str] = set()
 
     def _take(self, decisions: list[Decision]) -> None:
         now_s = self.session.clock.monotonic_s()
@@ -52,6 +53,10 @@
                 case Answer() | Refuse():
                     self.finals[name] += 1
                     assert self.finals[name] == 1, "answered twice"
+        # A task whose request was given up on is stopped by its backend server.
+        for name in [name for name in self.session.running if self.finals[name]]:
+            self.asked.pop(name, None)
+            self._take(self.session.end(name, AttemptOutcome.STOPPED))
 
     @rule(
         urgent=st.booleans(),
@@ -72,6 +77,8 @@
     def end(self, data: st.DataObject, outcome: str) -> None:
         name = data.draw(st.sampled_from(sorted(self.session.running)))
         self.asked.pop(name, None)
+        if outcome == "failed":
+            self.failed.add(name)
         self._take(self.session.end(name, AttemptOutcome(outcome)))
 
     @precondition(lambda self: self.asked)
@@ -125,6 +132,9 @@
             self.asked.pop(name, None)
             self._take(self.session.end(name))
         self._take(self.session.after(0.0))
+        # A request that failed on the only server may wait for another one, until its deadline.
+        assert set(self.requests) - set(self.finals) <= self.failed
+        self._take(self.session.after(201.0))
         assert self.session.engine.counts() == {"waiting": 0, "running": 0}
         assert set(self.finals) == set(self.requests)
 
--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -319,8 +319,13 @@
             request = queue.cancel(request_id)
             if request is not None:
                 return [self._refuse(request, 503, "cancelled by the caller", "admission.cancel")]
-        self._requests.pop(request_id, None)
-        return self._follow(self._tracker.cancelled(request_id, now_s), now_s)
+        known = self._requests.pop(request_id, None) is not None
+        decisions = self._follow(self._tracker.cancelled(request_id, now_s), now_s)
+        if not known:
+            return decisions
+        # Its caller's thread may still be about to send the attempt, and waits for an answer then.
+        reason = "cancelled by the caller"
+        return [Refuse(request_id, 503, reason, Fate.UNKNOWN, "admission.cancel"), *decisions]
 
     def _tick(self, now_s: float) -> list[EngineDecision]:
         decisions: list[EngineDecision] = []
