--- a/toucandoor/adapters/caller_http.py
+++ b/toucandoor/adapters/caller_http.py
@@ -13,7 +13,7 @@
 
 from cheroot.errors import MaxSizeExceeded
 
-from toucandoor.adapters.caller_server import ATTR_SOCKET
+from toucandoor.adapters.caller_server import ATTR_SENDER, ATTR_SOCKET
 from toucandoor.adapters.wsgi import respond
 from toucandoor.core.attempts.models import FetchAnswer
 from toucandoor.core.requests.models import (
@@ -21,6 +21,7 @@
     Cancelled,
     Dispatch,
     Fate,
+    PreemptHow,
     Refuse,
     Request,
     RequestClass,
@@ -33,6 +34,7 @@
 
     from toucandoor.adapters.engine_loop import EngineLoop
     from toucandoor.adapters.metrics import EntryMetrics
+    from toucandoor.adapters.slow_senders import SenderWatch
     from toucandoor.adapters.worker_client import WorkerAnswer, WorkerClient
     from toucandoor.adapters.wsgi import Environ, StartResponse
     from toucandoor.clock import Clock
@@ -46,6 +48,7 @@
 ATTR_DEADLINE_S = "HTTP_TOUCANDOOR_DEADLINE_S"
 ATTR_RUN_S = "HTTP_TOUCANDOOR_RUN_S"
 ATTR_IDEMPOTENT = "HTTP_TOUCANDOOR_IDEMPOTENT"
+ATTR_PREEMPT = "HTTP_TOUCANDOOR_PREEMPT"
 ATTR_IDEMPOTENCY_KEY = "HTTP_IDEMPOTENCY_KEY"
 DEFAULT_DEADLINE_S = {RequestClass.URGENT: 30.0, RequestClass.PATIENT: 3600.0}
 DEADLINE_S_MAX = 24 * 3600.0
@@ -128,6 +131,7 @@
             deadline_s=now_s + min(deadline_s or 0.0, DEADLINE_S_MAX),
             idempotency_key=environ.get(ATTR_IDEMPOTENCY_KEY),
             declared_run_s=_seconds(environ, ATTR_RUN_S, None),
+            preempt_how=_preempt_how(environ),
         )
 
     def _team(self, environ: Environ, queue_id: QueueId) -> TeamId | None:
@@ -236,6 +240,17 @@
         raise _BadRequestError(400, reason, "http.headers") from None
 
 
+def _preempt_how(environ: Environ) -> PreemptHow | None:
+    text = environ.get(ATTR_PREEMPT)
+    if text is None:
+        return None
+    try:
+        return PreemptHow(text)
+    except ValueError:
+        reason = f"Toucandoor-Preempt must be checkpoint or stop, not {text[:40]!r}"
+        raise _BadRequestError(400, reason, "http.headers") from None
+
+
 def _flag(environ: Environ, name: str) -> bool:
     text = environ.get(name, "false")
     if text not in ("true", "false"):
@@ -272,6 +287,9 @@
         raise _BadRequestError(408, "the body did not come in time", "http.body") from err
     except Exception as err:  # cheroot raises its own kinds on oversized and torn bodies
         raise _BadRequestError(400, f"the body cannot be read: {err}", "http.body") from err
+    senders: SenderWatch | None = environ.get(ATTR_SENDER)
+    if senders is not None and senders.whole(environ[ATTR_SOCKET]):
+        raise _BadRequestError(408, "the body did not come in time", "http.body")
     if not chunked and len(body) != int(length_text):
         reason = f"the body is torn: {len(body)} of {length_text} bytes"
         raise _BadRequestError(400, reason, "http.body")
--- a/toucandoor/adapters/worker_client.py
+++ b/toucandoor/adapters/worker_client.py
@@ -26,12 +26,13 @@
     TaskWord,
 )
 from toucandoor.core.requests.commands import ProbeServer, ServerDecision, ServerProbed
-from toucandoor.core.requests.models import AttemptEnded, AttemptOutcome, Dispatch, Request
+from toucandoor.core.requests.models import AttemptEnded, AttemptOutcome, Dispatch, Preempt, Request
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "worker:"
 
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
+INTERRUPT_TIMEOUT_S = 2.0
 _FETCH_TIMEOUT_S = 5.0
 _WAIT_PAST_DEADLINE_S = 5.0
 
@@ -117,6 +118,8 @@
                 self._connections.close_server(address)
             case ProbeServer():
                 return _probe(decision)
+            case Preempt():
+                _interrupt(decision)
         return None
 
     def _ask(self, decision: AskTask | StopTask) -> TaskWord:
@@ -174,6 +177,21 @@
         connection.close()
 
 
+def _interrupt(preempt: Preempt) -> None:
+    """Ask for a task's checkpoint or stop; its attempt's own answer says how it ended."""
+    path = f"/v1/tasks/{preempt.attempt_id}/{preempt.how.value}"
+    try:
+        _on_new_connection(preempt.address, "POST", path, {}, INTERRUPT_TIMEOUT_S)
+    except (OSError, HTTPError) as err:
+        _LOGGER.warning(
+            "%s task %s at %s was not interrupted: %s",
+            _PREFIX,
+            preempt.attempt_id,
+            preempt.address,
+            err,
+        )
+
+
 def _probe(decision: ProbeServer) -> ServerProbed:
     try:
         response = _on_new_connection(
--- a/toucandoor/core/requests/commands.py
+++ b/toucandoor/core/requests/commands.py
@@ -13,7 +13,7 @@
     StopTask,
     TaskWord,
 )
-from toucandoor.core.requests.models import Decision, Event
+from toucandoor.core.requests.models import Answer, Dispatch, Event, Preempt, Refuse
 from toucandoor.ids import VmId
 
 
@@ -39,10 +39,10 @@
     address: str
 
 
-CallerDecision = Decision | FetchAnswer
+CallerDecision = Dispatch | Answer | Refuse | FetchAnswer
 """Decisions carried out by the thread of the request's caller."""
 
-ServerDecision = AskTask | StopTask | CloseAttempt | CloseConnections | ProbeServer
+ServerDecision = AskTask | StopTask | CloseAttempt | CloseConnections | ProbeServer | Preempt
 """Decisions carried out beside the callers' threads."""
 
 EngineEvent = Event | TaskWord | AnswerFetched | ServerProbed
--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -6,9 +6,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
+from random import Random
 from typing import TYPE_CHECKING
 
+from toucandoor.core.admission.slots import OpenAdmission, SlotAdmission
+from toucandoor.core.attempts.budget import RetryBudget
 from toucandoor.core.attempts.models import (
     AnswerFetched,
     AttemptDecision,
@@ -18,6 +22,7 @@
     TaskEnded,
     TaskWord,
 )
+from toucandoor.core.attempts.tracker import AttemptTracker
 from toucandoor.core.requests.commands import ProbeServer, ServerProbed
 from toucandoor.core.requests.const import START_WITHIN_S
 from toucandoor.core.requests.models import (
@@ -34,17 +39,16 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Iterator
 
     from toucandoor.core.admission.policy import QueuePolicy
-    from toucandoor.core.attempts.tracker import AttemptTracker
     from toucandoor.core.ceilings.policy import PermitPolicy
     from toucandoor.core.configuration.models import Configuration, QueueConfig
     from toucandoor.core.leases.serving import ServingLease
     from toucandoor.core.requests.commands import EngineDecision, EngineEvent
-    from toucandoor.core.requests.models import BackendServer
+    from toucandoor.core.requests.models import BackendServer, RequestClass
     from toucandoor.core.routing.policy import RoutingPolicy
-    from toucandoor.ids import AttemptId, QueueId, RequestId
+    from toucandoor.ids import AttemptId, PoolId, QueueId, RequestId
 
 
 @dataclass(slots=True)
@@ -55,12 +59,27 @@
     again: Requeue | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Place:
+    """Where a request may start; equal for requests that find room in the same places.
+
+    Attributes:
+        only: The request, when it avoids servers it has failed on.
+    """
+
+    only: RequestId | None
+    request_class: RequestClass
+    pools: tuple[PoolId, ...]
+
+
 class RequestEngine:
     """Decides over all requests of one entry.
 
     Args:
         make_queue: Makes the queue policy of a queue.
         new_attempt_id: Returns an id no other attempt ever has.
+        admission: Policy of the pools' slots.
+        tracker: Decides what becomes of each attempt.
     """
 
     def __init__(
@@ -70,29 +89,34 @@
         routing: RoutingPolicy,
         permits: PermitPolicy,
         lease: ServingLease,
-        tracker: AttemptTracker,
         new_attempt_id: Callable[[], AttemptId],
+        admission: SlotAdmission | None = None,
+        tracker: AttemptTracker | None = None,
     ) -> None:
         self._make_queue = make_queue
         self._routing = routing
         self._permits = permits
         self._lease = lease
         self._new_attempt_id = new_attempt_id
-        self._tracker = tracker
+        self._admission = admission or OpenAdmission()
         self._configuration: Configuration | None = None
         self._queues: dict[QueueId, QueuePolicy] = {}
         self._requests: dict[RequestId, _Waiting] = {}
+        self._tracker = tracker or AttemptTracker(RetryBudget(Random(0)), routing.is_healthy)
 
-    def configure(self, configuration: Configuration) -> None:
+    def configure(self, configuration: Configuration, now_s: float = 0.0) -> None:
         """Put a configuration in force; waiting requests stay."""
         self._configuration = configuration
+        self._admission.configure(configuration, now_s)
         for queue_id, queue in configuration.queues.items():
             if queue_id not in self._queues:
                 self._queues[queue_id] = self._make_queue(queue)
 
     def update_servers(self, servers: Iterable[BackendServer], now_s: float) -> None:
         """Replace the list of backend servers."""
+        servers = tuple(servers)
         self._routing.update_servers(servers, now_s)
+        self._admission.update_servers(servers)
 
     def counts(self) -> dict[str, int]:
         """Return how many requests wait and how many attempts run."""
@@ -131,7 +155,7 @@
                     request, 503, "the queue is full", "admission.queue", queue.retry_after_s(now_s)
                 )
             ]
-        return self._start_waiting(request.queue, now_s)
+        return self._start_waiting(request.queue, now_s) + self._reclaim(now_s)
 
     def _check_team(self, request: Request, now_s: float) -> Refuse | None:
         if request.team is None:
@@ -149,20 +173,57 @@
     def _start_waiting(self, queue_id: QueueId, now_s: float) -> list[EngineDecision]:
         decisions: list[EngineDecision] = []
         queue = self._queues[queue_id]
+        set_aside: list[Request] = []
+        no_room: set[_Place] = set()
         while True:
-            request = queue.next(now_s, lambda each: self._may_start(each, now_s))
+            request = queue.next(now_s, lambda each: self._may_start(each, now_s, no_room))
             if request is None:
-                return decisions
+                break
             decision = self._dispatch(request, now_s)
             if decision is None:
-                queue.put_back(request, now_s)
-                return decisions
+                # Others may still find room elsewhere: an urgent one in the spare pool.
+                no_room.add(self._place(request, now_s))
+                set_aside.append(request)
+                continue
             decisions.append(decision)
+        for request in reversed(set_aside):
+            queue.put_back(request, now_s)
+        return decisions
 
-    def _may_start(self, request: Request, now_s: float) -> bool:
+    def _reclaim(self, now_s: float) -> list[EngineDecision]:
+        """Ask patient tasks to make room for urgent requests that wait for nothing else."""
+        assert self._configuration is not None
+        urgent: Counter[PoolId] = Counter()
+        for queue_id, queue in self._queues.items():
+            waiting = queue.urgent_waiting(lambda each: self._may_run(each, now_s))
+            urgent[self._configuration.queues[queue_id].pool] += waiting
+        return [
+            decision
+            for pool, waiting in urgent.items()
+            if waiting
+            for decision in self._admission.reclaim(pool, waiting, now_s)
+        ]
+
+    def _may_start(self, request: Request, now_s: float, no_room: set[_Place]) -> bool:
         again = self._requests[request.request_id].again
         if again is not None and now_s < again.not_before_s:
             return False
+        if not self._may_run(request, now_s):
+            return False
+        place = self._place(request, now_s)
+        return bool(place.pools) and place not in no_room
+
+    def _place(self, request: Request, now_s: float) -> _Place:
+        again = self._requests[request.request_id].again
+        only = request.request_id if again and again.exclude else None
+        return _Place(only, request.request_class, tuple(self._pools_for(request, now_s)))
+
+    def _pools_for(self, request: Request, now_s: float) -> Iterator[PoolId]:
+        assert self._configuration is not None
+        home = self._configuration.queues[request.queue].pool
+        return self._admission.pools_for(request, home, now_s)
+
+    def _may_run(self, request: Request, now_s: float) -> bool:
         if request.team is None:
             return True
         return self._lease.holds(now_s) and self._permits.may_take(request.team, now_s)
@@ -172,13 +233,14 @@
         pool = self._configuration.queues[request.queue].pool
         urgent = request.request_class.value == "urgent"
         again = self._requests[request.request_id].again
-        server = self._routing.pick(
-            pool,
-            now_s,
-            urgent=urgent,
-            exclude=again.exclude if again else (),
-            trial=request.idempotent,
-        )
+        exclude = again.exclude if again else frozenset()
+        server = None
+        for candidate in self._pools_for(request, now_s):
+            server = self._routing.pick(
+                candidate, now_s, urgent=urgent, exclude=exclude, trial=request.idempotent
+            )
+            if server is not None:
+                break
         if server is None:
             return None
         attempt_id = self._new_attempt_id()
@@ -194,33 +256,40 @@
             resume_token=again.resume_token if again else None,
         )
         self._routing.started(attempt_id, server.vm, now_s)
+        self._admission.started(request, pool, attempt_id, server, now_s)
         self._tracker.started(request, dispatch, now_s)
         return dispatch
 
     def _attempt_ended(self, event: AttemptEnded, now_s: float) -> list[EngineDecision]:
         # What a lost connection says of its server is known once the server was asked.
         if event.outcome is not AttemptOutcome.UNKNOWN:
-            self._routing.ended(event, now_s)
+            self._free_place(event, now_s)
         return self._follow(self._tracker.ended(event, now_s), now_s)
 
+    def _free_place(self, event: AttemptEnded, now_s: float) -> None:
+        """Tell the policies how an attempt ended; a second call changes nothing."""
+        self._routing.ended(event, now_s)
+        self._admission.ended(event, now_s)
+
     def _follow(self, decisions: Iterable[AttemptDecision], now_s: float) -> list[EngineDecision]:
         """Carry out what concerns the policies, pass on the rest, and start what now may."""
         passed_on: list[EngineDecision] = []
         for decision in decisions:
             match decision:
                 case TaskEnded(attempt_id):
-                    ended = AttemptEnded(attempt_id, AttemptOutcome.STOPPED)
-                    self._routing.ended(ended, now_s)
+                    self._free_place(AttemptEnded(attempt_id, AttemptOutcome.STOPPED), now_s)
                     self._permits.give_back(attempt_id, now_s)
                 case Judged(attempt_id, outcome):
-                    self._routing.ended(AttemptEnded(attempt_id, outcome), now_s)
+                    self._free_place(AttemptEnded(attempt_id, outcome), now_s)
                 case OutOfReach(vm):
                     self._routing.out_of_reach(vm, now_s)
                 case Requeue():
                     self._put_back(decision, now_s)
+                case Answer() | Refuse():
+                    self._requests.pop(decision.request_id, None)
+                    passed_on.append(decision)
                 case _:
                     passed_on.append(decision)
-        self._forget_answered(passed_on)
         return passed_on + self._start_all_waiting(now_s)
 
     def _put_back(self, decision: Requeue, now_s: float) -> None:
@@ -229,11 +298,6 @@
             waiting.again = decision
             self._queues[waiting.request.queue].put_back(waiting.request, now_s)
 
-    def _forget_answered(self, decisions: Iterable[EngineDecision]) -> None:
-        for decision in decisions:
-            if isinstance(decision, (Answer, Refuse)):
-                self._requests.pop(decision.request_id, None)
-
     def _probed(self, event: ServerProbed, now_s: float) -> list[EngineDecision]:
         if not event.reached:
             return []
@@ -245,7 +309,7 @@
         for queue_id, queue in self._queues.items():
             if len(queue):
                 decisions.extend(self._start_waiting(queue_id, now_s))
-        return decisions
+        return decisions + self._reclaim(now_s) if self._configuration else decisions
 
     def _cancelled(self, request_id: RequestId, now_s: float) -> list[EngineDecision]:
         for queue in self._queues.values():
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -25,11 +25,12 @@
 from toucandoor.adapters.worker_client import WorkerClient
 from toucandoor.adapters.wsgi import make_server
 from toucandoor.clock import SystemClock
-from toucandoor.core.admission.policy import FirstComeFirstServed
+from toucandoor.core.admission.coordinator import AdmissionCoordinator
+from toucandoor.core.admission.lending import LendToUrgent
 from toucandoor.core.attempts.budget import RetryBudget
 from toucandoor.core.attempts.tracker import AttemptTracker
 from toucandoor.core.ceilings.policy import StaticPermits
-from toucandoor.core.configuration.models import Configuration, QueueConfig
+from toucandoor.core.configuration.models import Configuration
 from toucandoor.core.keys import KeyRing
 from toucandoor.core.leases.serving import FixedLease
 from toucandoor.core.requests.engine import RequestEngine
@@ -53,17 +54,19 @@
         self._lease = FixedLease(float("inf"))
         self._workers = WorkerClient(settings.connect_timeout_s)
         self._routing = SharedLoadRouting(Random(), settings.data_centre, settings.entries_total)
+        admission = AdmissionCoordinator(LendToUrgent(), settings.entries_total)
         self._engine = RequestEngine(
-            make_queue=_make_queue,
+            make_queue=admission.make_queue,
+            admission=admission,
             routing=self._routing,
             tracker=AttemptTracker(RetryBudget(Random()), self._routing.is_healthy),
             permits=self._permits,
             lease=self._lease,
             new_attempt_id=lambda: AttemptId(uuid.uuid4().hex),
         )
-        self._errands = Errands(self._workers)
-        self.loop = EngineLoop(self._engine, self._clock, self._errands.perform)
-        self._errands.post = self.loop.post
+        errands = Errands(self._workers)
+        self.loop = EngineLoop(self._engine, self._clock, errands.perform)
+        errands.post = self.loop.post
         self._configuration: Configuration | None = None
         self._keys: KeyRing | None = None
         self._states: dict[VmId, VmState] = {}
@@ -112,7 +115,7 @@
                 for team_id, team in configuration.teams.items()
             }
         )
-        self._engine.configure(configuration)
+        self._engine.configure(configuration, self._clock.monotonic_s())
         self._workers.task_lease_s = configuration.policy.task_lease_s
         self._update_servers()
         _LOGGER.info("%s configuration %s is in force", _PREFIX, version)
@@ -161,10 +164,6 @@
                 return
 
 
-def _make_queue(queue: QueueConfig) -> FirstComeFirstServed:
-    return FirstComeFirstServed(queue.waiting_max)
-
-
 def _command(
     settings_file: Annotated[Path | None, typer.Option("--settings", help="TOML file.")] = None,
     print_settings: Annotated[
