Run a request with an idempotency key at most once over all entries

Cause: a caller that repeated a non-idempotent request through another entry had it run again.

Change: the key's one owner (rendezvous hash over the entries) grants a claim; each attempt is announced to it before its first byte; a repeat asks the backend server about the announced attempt on a new connection and gets its answer, or runs afresh once that attempt is refused for ever. An owner younger than the key, or out of reach, does not guess. Excluded: keeping answers at the owner (memory), keys in the store (writes).

Found while reading: a take-over that named only the claim could pass over an attempt announced after the question; it names the attempt it saw now, with a test.

Checked: tests.programs.test_backend_faults 9 passed (real processes and sockets: silent, torn, frozen, failing, repeats through another entry, a killed entry).

--- a/tests/core/attempts/test_ownership.py
+++ b/tests/core/attempts/test_ownership.py
@@ -5,6 +5,7 @@
 import unittest
 import uuid
 from collections import Counter
+from dataclasses import replace
 
 from toucandoor.core.attempts.ownership import (
     Announced,
@@ -19,7 +20,7 @@
 from toucandoor.ids import AttemptId, EntryId, QueueId, TeamId, VmId
 
 ENTRIES = [EntryId(f"entry-{n}") for n in range(8)]
-ATTEMPT = Announced(AttemptId("a1"), VmId("vm-1"), "vm-1:80")
+ATTEMPT = Announced(AttemptId("a1"), VmId("vm-1"), "vm-1:80", 200.0)
 
 
 def uuid7(at_s: float, tail: int = 1) -> str:
@@ -45,6 +46,18 @@
     def setUp(self) -> None:
         self.owner = IdempotencyOwner(ENTRIES[0], since_s=100.0)
         self.owner.update_entries(ENTRIES, 100.0)
+        self.first, self.second = Granted(100_000), Granted(100_001)
+
+    def seen(self, attempt: Announced | None = None) -> Earlier:
+        return Earlier(ENTRIES[1], attempt, self.first.number)
+
+    def test_an_attempt_announced_before_a_take_over_is_not_passed_over(self) -> None:
+        made = owned_by(ENTRIES[0], 200.0)
+        self.owner.claim(made, ENTRIES[1], 200.0)
+        self.owner.announce(made, self.first.number, ATTEMPT)
+        for late in (None, replace(ATTEMPT, attempt_id=AttemptId("a0"))):
+            answer = self.owner.take_over(made, self.seen(late), ENTRIES[2], 201.0)
+            self.assertEqual(answer, self.seen(ATTEMPT))
 
     def test_all_entries_agree_and_keys_spread(self) -> None:
         owners = Counter(ranked(key(str(n)), ENTRIES)[0] for n in range(4000))
@@ -61,31 +74,35 @@
     def test_a_repeat_gets_the_earlier_attempt(self) -> None:
         made = owned_by(ENTRIES[0], 200.0)
         granted = self.owner.claim(made, ENTRIES[1], 200.0)
-        self.assertEqual(granted, Granted(1))
-        self.assertEqual(self.owner.claim(made, ENTRIES[2], 200.1), Earlier(ENTRIES[1], None, 1))
-        self.assertTrue(self.owner.announce(made, 1, ATTEMPT))
-        self.assertEqual(self.owner.claim(made, ENTRIES[2], 200.2), Earlier(ENTRIES[1], ATTEMPT, 1))
+        self.assertEqual(granted, self.first)
+        self.assertEqual(self.owner.claim(made, ENTRIES[2], 200.1), self.seen())
+        self.assertTrue(self.owner.announce(made, self.first.number, ATTEMPT))
+        self.assertEqual(
+            self.owner.claim(made, ENTRIES[2], 200.2),
+            self.seen(ATTEMPT),
+        )
 
     def test_the_earlier_claimant_can_send_nothing_after_a_take_over(self) -> None:
         made = owned_by(ENTRIES[0], 200.0)
         self.owner.claim(made, ENTRIES[1], 200.0)
-        self.assertEqual(self.owner.take_over(made, 1, ENTRIES[2], 201.0), Granted(2))
-        self.assertFalse(self.owner.announce(made, 1, ATTEMPT))
-        self.assertTrue(self.owner.announce(made, 2, ATTEMPT))
+        self.assertEqual(self.owner.take_over(made, self.seen(), ENTRIES[2], 201.0), self.second)
+        self.assertFalse(self.owner.announce(made, self.first.number, ATTEMPT))
+        self.assertTrue(self.owner.announce(made, self.second.number, ATTEMPT))
 
     def test_two_racing_take_overs_grant_once(self) -> None:
         made = owned_by(ENTRIES[0], 200.0)
         self.owner.claim(made, ENTRIES[1], 200.0)
-        self.owner.take_over(made, 1, ENTRIES[2], 201.0)
+        self.owner.take_over(made, self.seen(), ENTRIES[2], 201.0)
         self.assertEqual(
-            self.owner.take_over(made, 1, ENTRIES[3], 201.0), Earlier(ENTRIES[2], None, 2)
+            self.owner.take_over(made, self.seen(), ENTRIES[3], 201.0),
+            Earlier(ENTRIES[2], None, self.second.number),
         )
 
     def test_a_claim_that_was_not_run_may_be_made_again(self) -> None:
         made = owned_by(ENTRIES[0], 200.0)
         self.owner.claim(made, ENTRIES[1], 200.0)
-        self.owner.not_run(made, 1)
-        self.assertEqual(self.owner.claim(made, ENTRIES[2], 201.0), Granted(2))
+        self.owner.not_run(made, self.first.number)
+        self.assertEqual(self.owner.claim(made, ENTRIES[2], 201.0), self.second)
 
     def test_an_owner_younger_than_the_key_does_not_guess(self) -> None:
         made = owned_by(ENTRIES[0], 99.0)
@@ -95,7 +112,7 @@
         texts = (f"order-{n}" for n in range(999))
         made = next(key(t) for t in texts if ranked(key(t), ENTRIES)[0] == ENTRIES[0])
         self.assertEqual(self.owner.claim(made, ENTRIES[1], 200.0), ClaimRefusal.OWNER_YOUNGER)
-        self.assertEqual(self.owner.claim(made, ENTRIES[1], 702.0), Granted(1))
+        self.assertEqual(self.owner.claim(made, ENTRIES[1], 702.0), self.first)
 
     def test_keys_of_an_entry_that_has_gone_are_younger_than_its_end(self) -> None:
         before = owned_by(ENTRIES[0], 250.0, above=ENTRIES[5])
@@ -103,7 +120,7 @@
         self.assertEqual(self.owner.claim(before, ENTRIES[1], 260.0), ClaimRefusal.NOT_OWNER)
         self.owner.update_entries([e for e in ENTRIES if e != ENTRIES[5]], 300.0)
         self.assertEqual(self.owner.claim(before, ENTRIES[1], 306.0), ClaimRefusal.OWNER_YOUNGER)
-        self.assertEqual(self.owner.claim(after, ENTRIES[1], 306.0), Granted(1))
+        self.assertEqual(self.owner.claim(after, ENTRIES[1], 306.0), self.first)
 
     def test_a_forgotten_key_is_too_old_to_be_run_again(self) -> None:
         made = owned_by(ENTRIES[0], 200.0)
@@ -114,6 +131,14 @@
         made = owned_by(ENTRIES[0], 5000.0)
         self.assertEqual(self.owner.claim(made, ENTRIES[1], 200.0), ClaimRefusal.OWNER_YOUNGER)
 
+    def test_a_restarted_owner_knows_no_earlier_number(self) -> None:
+        made = owned_by(ENTRIES[0], 200.0)
+        self.owner.claim(made, ENTRIES[1], 200.0)
+        restarted = IdempotencyOwner(ENTRIES[0], since_s=201.0)
+        restarted.update_entries(ENTRIES, 201.0)
+        self.assertFalse(restarted.announce(made, self.first.number, ATTEMPT))
+        self.assertEqual(restarted.claim(made, ENTRIES[1], 201.5), ClaimRefusal.OWNER_YOUNGER)
+
     def test_only_version_7_carries_a_time(self) -> None:
         self.assertEqual(key_created_s(uuid7(1234.5)), 1234.5)
         self.assertIsNone(key_created_s(str(uuid.UUID(int=5, version=4))))
--- /dev/null
+++ b/tests/programs/test_backend_faults.py
@@ -0,0 +1,151 @@
+"""Promises of the request path with real processes and sockets, while backend servers fail."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+import unittest
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from toucandoor.measures._faulty_pool import SECRET, FaultyPool
+
+
+def new_key() -> str:
+    """Return a version 7 UUID, whose time lies after the entries' start."""
+    random = uuid.uuid4().int & ((1 << 62) - 1)
+    value = (int(time.time() * 1000) << 80) | (7 << 76) | (2 << 62) | random
+    return str(uuid.UUID(int=value))
+
+
+class BackendFaultsTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.pool = cls.enterClassContext(FaultyPool(2, subnet=9))
+        cls.system = cls.enterClassContext(cls.pool.deploy(entries=2))
+        applied = cls.system.operate("apply", str(cls.pool.folder))
+        assert applied.returncode == 0, applied.stderr
+        cls.system.wait_ready()
+        time.sleep(1.2)  # keys made from here on are surely younger than the entries
+
+    def setUp(self) -> None:
+        self.name = f"{self.id().rpartition('.')[2]}-{time.monotonic_ns()}"
+
+    def send(
+        self, *, run_s: float = 0.0, entry: int = 0, deadline_s: float = 20.0, **headers: str
+    ) -> tuple[int, dict[str, Any]]:
+        body = json.dumps({"run_s": run_s, "result": self.name}).encode()
+        sent = {"Toucandoor-Deadline-S": str(deadline_s)}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        answer = self.system.request("q", body, key=SECRET, headers=sent, entry=entry)
+        return answer.status, json.loads(answer.data)
+
+    def both_silent(self) -> None:
+        for middlebox in self.pool.middleboxes:
+            middlebox.go_silent()
+
+    def test_silent_connections_are_replaced_and_their_tasks_asked_about(self) -> None:
+        self.send()
+        timer = threading.Timer(0.3, self.both_silent)
+        timer.start()
+        started_s = time.monotonic()
+        self.assertEqual(self.send(run_s=1.0), (200, {"result": self.name}))
+        self.assertLess(time.monotonic() - started_s, 5.0)
+        self.assertEqual(self.pool.runs()[self.name], 2)
+        timer.join()
+
+    def test_a_request_sent_over_a_silent_connection_runs_once(self) -> None:
+        with ThreadPoolExecutor(8) as threads:
+            list(threads.map(lambda _: self.send(run_s=0.1), range(8)))
+        self.name += "-after"
+        self.both_silent()
+        self.assertEqual(self.send(), (200, {"result": self.name}))
+        self.assertEqual(self.pool.runs()[self.name], 1)
+
+    def test_a_torn_answer_is_fetched_whole(self) -> None:
+        for middlebox in self.pool.middleboxes:
+            middlebox.tear(1)
+        self.assertEqual(self.send(), (200, {"result": self.name}))
+        self.assertEqual(self.pool.runs()[self.name], 1)
+
+    def test_a_frozen_server_leaves_the_outcome_unknown_and_runs_nothing_late(self) -> None:
+        for number in range(2):
+            self.pool.freeze(number)
+        self.addCleanup(self.thaw)
+        started_s = time.monotonic()
+        status, problem = self.send()
+        self.assertEqual((status, problem["fate"]), (504, "unknown"))
+        self.assertLess(time.monotonic() - started_s, 6.0)
+        self.thaw()
+        time.sleep(1.0)
+        self.assertEqual(self.pool.runs()[self.name], 0)
+
+    def thaw(self) -> None:
+        for number in range(2):
+            self.pool.thaw(number)
+        time.sleep(1.5)
+
+    def test_a_job_that_always_fails_is_answered(self) -> None:
+        for number in range(2):
+            self.pool.set_faults(number, fail_all=True)
+        try:
+            status, problem = self.send(Toucandoor_Idempotent="true")
+            self.assertEqual((status, problem["fate"]), (502, "failed"))
+        finally:
+            for number in range(2):
+                self.pool.set_faults(number, fail_all=False)
+
+    def test_a_repeat_through_another_entry_gets_the_first_answer(self) -> None:
+        key = new_key()
+        for entry in (0, 1, 0):
+            answer = self.send(entry=entry, Idempotency_Key=key)
+            self.assertEqual(answer, (200, {"result": self.name}))
+        self.assertEqual(self.pool.runs()[self.name], 1)
+
+    def test_a_repeat_while_the_first_runs_waits_for_its_answer(self) -> None:
+        key = new_key()
+        with ThreadPoolExecutor(2) as threads:
+            first = threads.submit(self.send, run_s=1.0, Idempotency_Key=key)
+            time.sleep(0.3)
+            repeat = threads.submit(self.send, run_s=1.0, entry=1, Idempotency_Key=key)
+            self.assertEqual(first.result(), (200, {"result": self.name}))
+            self.assertEqual(repeat.result(), (200, {"result": self.name}))
+        self.assertEqual(self.pool.runs()[self.name], 1)
+
+    def test_a_key_older_than_its_owner_is_not_run(self) -> None:
+        old = str(uuid.UUID(int=(int((time.time() - 300) * 1000) << 80) | (7 << 76) | (2 << 62)))
+        status, problem = self.send(Idempotency_Key=old)
+        self.assertEqual((status, problem["fate"]), (503, "not_run"))
+        self.assertEqual(problem["step"], "idempotency.claim")
+        self.assertEqual(self.pool.runs()[self.name], 0)
+
+
+class DeadEntryTest(unittest.TestCase):
+    def test_a_repeat_after_its_entry_was_killed_runs_nothing_twice(self) -> None:
+        """Keys owned by the dead entry are refused; those of the living one find the answer."""
+        with FaultyPool(2, subnet=10) as pool, pool.deploy(entries=2) as system:
+            self.assertEqual(system.operate("apply", str(pool.folder)).returncode, 0)
+            system.wait_ready()
+            time.sleep(1.2)
+            keys = {f"job-{number}": new_key() for number in range(6)}
+
+            def send(name: str, entry: int) -> int:
+                body = json.dumps({"run_s": 1.5, "result": name}).encode()
+                headers = {"Idempotency-Key": keys[name]}
+                try:
+                    answer = system.request("q", body, key=SECRET, headers=headers, entry=entry)
+                except Exception:
+                    return 0
+                return answer.status
+
+            with ThreadPoolExecutor(6) as threads:
+                first = [threads.submit(send, name, 0) for name in keys]
+                time.sleep(0.8)
+                system.processes["entry-1.entry"].process.kill()
+                self.assertEqual({each.result() for each in first}, {0})
+                statuses = list(threads.map(lambda name: send(name, 1), keys))
+            self.assertLessEqual(set(statuses), {200, 503})
+            self.assertIn(200, statuses)
+            self.assertEqual(max(pool.runs().values()), 1)
--- a/toucandoor/adapters/caller_http.py
+++ b/toucandoor/adapters/caller_http.py
@@ -14,10 +14,13 @@
 from cheroot.errors import MaxSizeExceeded
 
 from toucandoor.adapters.caller_server import ATTR_SENDER, ATTR_SOCKET
+from toucandoor.adapters.idempotency import Claim
 from toucandoor.adapters.wsgi import respond
 from toucandoor.core.attempts.models import FetchAnswer
 from toucandoor.core.requests.models import (
     Answer,
+    AttemptEnded,
+    AttemptOutcome,
     Cancelled,
     Dispatch,
     Fate,
@@ -33,6 +36,7 @@
     from collections.abc import Callable, Iterable
 
     from toucandoor.adapters.engine_loop import EngineLoop
+    from toucandoor.adapters.idempotency import IdempotencyGuard
     from toucandoor.adapters.metrics import EntryMetrics
     from toucandoor.adapters.slow_senders import SenderWatch
     from toucandoor.adapters.worker_client import WorkerAnswer, WorkerClient
@@ -91,7 +95,9 @@
         clock: Clock,
         view: EntryView,
         entry_id: str,
+        guard: IdempotencyGuard | None = None,
     ) -> None:
+        self._guard = guard
         self._loop = loop
         self._workers = workers
         self._metrics = metrics
@@ -156,36 +162,72 @@
     def _serve(
         self, request: Request, body: bytes, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
+        claim: Claim | None = None
+        if self._guard is not None and self._guard.concerns(request):
+            begun = self._guard.begin(request)
+            if not isinstance(begun, Claim):
+                return self._finish(request, begun, start_response)
+            claim = begun
         mailbox = self._loop.submit(Submitted(request))
-        answers: dict[AttemptId, WorkerAnswer | None] = {}
-        started = False
         try:
-            while True:
-                decision = self._wait(mailbox, request, environ)
-                match decision:
-                    case Dispatch():
-                        if not started:
-                            self._note_start(request)
-                            started = True
-                        trace = environ.get("HTTP_TRACEPARENT", "")
-                        ended, answer = self._workers.send(decision, request, body, trace)
-                        answers = {decision.attempt_id: answer}
-                        self._loop.post(ended)
-                    case FetchAnswer():
-                        fetched, answer = self._workers.fetch(decision)
-                        answers = {decision.attempt_id: answer}
-                        self._loop.post(fetched)
-                    case Answer(_, attempt_id) if (answer := answers.get(attempt_id)) is not None:
-                        self._note_end(request, 200, "answered")
-                        headers = [("Toucandoor-Request-Id", request.request_id)]
-                        return respond(
-                            start_response, 200, answer.body, answer.content_type, headers
-                        )
-                    case Refuse():
-                        self._note_end(request, decision.status, decision.fate.value)
-                        return _problem(start_response, decision, decision.retry_after_s)
+            end = self._carry_out(request, body, environ, mailbox, claim)
         finally:
             self._loop.forget(request.request_id)
+        if claim is not None and isinstance(end, Refuse) and end.fate is Fate.NOT_RUN:
+            claim.not_run()
+        return self._finish(request, end, start_response)
+
+    def _carry_out(
+        self,
+        request: Request,
+        body: bytes,
+        environ: Environ,
+        mailbox: queue.SimpleQueue[CallerDecision],
+        claim: Claim | None,
+    ) -> WorkerAnswer | Refuse:
+        """Do what the engine decides for the request until its final answer is known."""
+        trace = environ.get("HTTP_TRACEPARENT", "")
+        answers: dict[AttemptId, WorkerAnswer | None] = {}
+        started = False
+        while True:
+            decision = self._wait(mailbox, request, environ)
+            match decision:
+                case Dispatch():
+                    if not started:
+                        self._note_start(request)
+                        started = True
+                    if claim is not None and not claim.announce(decision):
+                        return self._give_up_claim(decision)
+                    ended, answer = self._workers.send(decision, request, body, trace)
+                    answers = {decision.attempt_id: answer}
+                    self._loop.post(ended)
+                case FetchAnswer():
+                    fetched, answer = self._workers.fetch(decision)
+                    answers = {decision.attempt_id: answer}
+                    self._loop.post(fetched)
+                case Answer(_, attempt_id) if (answer := answers.get(attempt_id)) is not None:
+                    return answer
+                case Refuse():
+                    return decision
+
+    def _give_up_claim(self, dispatch: Dispatch) -> Refuse:
+        """End a request whose idempotency key another submission has taken over."""
+        self._loop.post(AttemptEnded(dispatch.attempt_id, AttemptOutcome.NOT_SENT))
+        self._loop.post(Cancelled(dispatch.request_id))
+        # Work before a checkpoint has run.
+        fate = Fate.UNKNOWN if dispatch.resume_token else Fate.NOT_RUN
+        reason = "the key's owner is out of reach or gave the key to a later submission"
+        return Refuse(dispatch.request_id, 503, reason, fate, "idempotency.announce")
+
+    def _finish(
+        self, request: Request, end: WorkerAnswer | Refuse, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        if isinstance(end, Refuse):
+            self._note_end(request, end.status, end.fate.value)
+            return _problem(start_response, end, end.retry_after_s)
+        self._note_end(request, 200, "answered")
+        headers = [("Toucandoor-Request-Id", request.request_id)]
+        return respond(start_response, 200, end.body, end.content_type, headers)
 
     def _wait(
         self, mailbox: queue.SimpleQueue[Any], request: Request, environ: Environ
--- /dev/null
+++ b/toucandoor/adapters/idempotency.py
@@ -0,0 +1,160 @@
+"""Runs a request with an Idempotency-Key at most once, whichever entry its caller repeats it at."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from toucandoor.core.attempts.const import (
+    DEFAULT_ASK_INTERVAL_S,
+    DEFAULT_ASK_TIMEOUT_S,
+    DEFAULT_KEY_SKEW_S,
+)
+from toucandoor.core.attempts.models import AskTask, FetchAnswer, TaskState, TaskWord
+from toucandoor.core.attempts.ownership import (
+    Announced,
+    ClaimAction,
+    ClaimCall,
+    ClaimRefusal,
+    ClaimReply,
+    Earlier,
+    SubmissionKey,
+)
+from toucandoor.core.requests.models import Dispatch, Fate, Refuse, Request
+
+if TYPE_CHECKING:
+    from toucandoor.adapters.claims import ClaimClient
+    from toucandoor.adapters.worker_client import WorkerAnswer, WorkerClient
+    from toucandoor.clock import Clock
+
+STEP = "idempotency.claim"
+OUT_OF_REACH_RETRY_S = 5.0
+POLL_INTERVAL_S = min(0.25, DEFAULT_ASK_INTERVAL_S)
+TAKE_OVERS_MAX = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """This entry's right to run a request under its key."""
+
+    client: ClaimClient
+    clock: Clock
+    key: SubmissionKey
+    number: int
+
+    def announce(self, dispatch: Dispatch) -> bool:
+        """Tell the owner of an attempt before its first byte; False when it must not be sent."""
+        sent_s = self.clock.now().timestamp()
+        attempt = Announced(dispatch.attempt_id, dispatch.vm, dispatch.address, sent_s)
+        reply = self._call(ClaimAction.ANNOUNCE, attempt)
+        return reply is not None and reply.done
+
+    def not_run(self) -> None:
+        """Tell the owner that the request did not run, so that it may be submitted again."""
+        self._call(ClaimAction.NOT_RUN, None)
+
+    def _call(self, action: ClaimAction, attempt: Announced | None) -> ClaimReply | None:
+        entry = self.client.entry_id
+        return self.client.call(ClaimCall(action, self.key, entry, self.number, attempt))
+
+
+class IdempotencyGuard:
+    """Claims keys, and finds the answer of an earlier submission of the same key."""
+
+    def __init__(self, client: ClaimClient, workers: WorkerClient, clock: Clock) -> None:
+        self._client = client
+        self._workers = workers
+        self._clock = clock
+
+    def concerns(self, request: Request) -> bool:
+        """Return whether the request must run at most once over all its submissions."""
+        return request.idempotency_key is not None and not request.idempotent
+
+    def begin(self, request: Request) -> Claim | WorkerAnswer | Refuse:
+        """Return the right to run the request, or what its caller is answered instead."""
+        key = SubmissionKey(request.queue, request.team, request.idempotency_key or "")
+        reply = self._client.call(ClaimCall(ClaimAction.CLAIM, key, self._client.entry_id))
+        for _ in range(TAKE_OVERS_MAX):
+            if reply is None:
+                return self._out_of_reach(request, key)
+            if reply.granted is not None:
+                return Claim(self._client, self._clock, key, reply.granted.number)
+            if reply.earlier is None:
+                return _refused(request, reply.refusal or ClaimRefusal.NOT_OWNER)
+            end = self._follow(request, reply.earlier)
+            if end is not None:
+                return end
+            reply = self._take_over(key, reply.earlier)
+        return _unresolved(request, "other submissions of the key came in between")
+
+    def _take_over(self, key: SubmissionKey, earlier: Earlier) -> ClaimReply | None:
+        entry = self._client.entry_id
+        call = ClaimCall(ClaimAction.TAKE_OVER, key, entry, earlier.number, earlier.attempt)
+        return self._client.call(call)
+
+    def _follow(self, request: Request, earlier: Earlier) -> WorkerAnswer | Refuse | None:
+        """Return how the earlier submission ended; None when it did not run and never will.
+
+        An earlier submission without an announced attempt can send nothing once it is taken over.
+        """
+        if earlier.attempt is None:
+            return None
+        while True:
+            word = self._ask(earlier.attempt)
+            if word.state is not TaskState.RUNNING:
+                return self._end_of(request, earlier.attempt, word)
+            if self._clock.monotonic_s() + POLL_INTERVAL_S >= request.deadline_s:
+                return _unresolved(request, "the earlier submission is still running")
+            time.sleep(POLL_INTERVAL_S)
+
+    def _ask(self, attempt: Announced) -> TaskWord:
+        start_by_s = self._clock.monotonic_s() + DEFAULT_ASK_TIMEOUT_S
+        ask = AskTask(attempt.attempt_id, attempt.vm, attempt.address, False, start_by_s)
+        return self._workers.ask(ask)
+
+    def _end_of(
+        self, request: Request, attempt: Announced, word: TaskWord
+    ) -> WorkerAnswer | Refuse | None:
+        if word.state is TaskState.FINISHED:
+            fetch = FetchAnswer(request.request_id, attempt.attempt_id, attempt.vm, attempt.address)
+            _, answer = self._workers.fetch(fetch)
+            return answer or _unresolved(request, "the earlier submission's answer did not come")
+        if word.state is TaskState.FAILED:
+            reason = "the earlier submission of the key failed"
+            return Refuse(request.request_id, 502, reason, Fate.FAILED, STEP, attempt.vm)
+        if word.state is TaskState.STOPPED:
+            return None
+        if word.state is TaskState.NEVER_SEEN and self._was_up(attempt, word):
+            return None
+        return _unresolved(request, "the outcome of the earlier submission is unknown")
+
+    def _was_up(self, attempt: Announced, word: TaskWord) -> bool:
+        """Return whether the backend server's process is surely older than the attempt."""
+        age_s = self._clock.now().timestamp() - attempt.sent_s
+        return word.up_s is not None and word.up_s > age_s + DEFAULT_KEY_SKEW_S
+
+    def _out_of_reach(self, request: Request, key: SubmissionKey) -> Refuse:
+        reason = "the key's owner is out of reach; this submission was not run"
+        peer = self._client.owner_of(key)
+        return Refuse(
+            request.request_id, 503, reason, Fate.NOT_RUN, STEP, peer, OUT_OF_REACH_RETRY_S
+        )
+
+
+def _refused(request: Request, refusal: ClaimRefusal) -> Refuse:
+    reason = f"{refusal.value.replace('_', ' ')}; this submission was not run"
+    final = refusal is ClaimRefusal.TOO_OLD
+    return Refuse(
+        request.request_id,
+        409 if final else 503,
+        reason,
+        Fate.NOT_RUN,
+        STEP,
+        retry_after_s=None if final else OUT_OF_REACH_RETRY_S,
+    )
+
+
+def _unresolved(request: Request, reason: str) -> Refuse:
+    text = f"{reason}; this submission was not run"
+    return Refuse(request.request_id, 409, text, Fate.UNKNOWN, STEP)
--- a/toucandoor/adapters/settings.py
+++ b/toucandoor/adapters/settings.py
@@ -14,8 +14,10 @@
 from toucandoor.ids import DataCentreId, EntryId
 
 ENV_PREFIX = "TOUCANDOOR_"
+CLAIMS_PEER_PATTERN = f"{ID_PATTERN.removesuffix('$')}={ADDRESS_PATTERN.removeprefix('^')}"
 
 Address = Annotated[str, StringConstraints(pattern=ADDRESS_PATTERN)]
+ClaimsPeer = Annotated[str, StringConstraints(pattern=CLAIMS_PEER_PATTERN)]
 _Id = Annotated[str, StringConstraints(pattern=ID_PATTERN)]
 Secret = Annotated[SecretStr, Field(min_length=16)]
 
@@ -88,6 +90,8 @@
         threads: Callers served at once, waiting ones included.
         body_bytes_max: Largest request body taken.
         body_timeout_s: Time within which a caller must have sent its whole request.
+        claims_address: Where other entries claim idempotency keys; None for a single entry.
+        claims_peers: The other entries' claims addresses, each as ``ENTRY=IP:port``.
         stop_grace_s: Time that requests under way get to finish after SIGTERM.
     """
 
@@ -99,6 +103,8 @@
     controller_address: Address
     peer_secret: Secret
     entries_total: Annotated[int, Field(ge=1)] = 1
+    claims_address: Address | None = None
+    claims_peers: list[ClaimsPeer] = []
     threads: Annotated[int, Field(ge=2, le=2000)] = 128
     body_bytes_max: Annotated[int, Field(ge=1)] = 8 * 1024 * 1024
     body_timeout_s: Annotated[int, Field(gt=0)] = 10
--- a/toucandoor/adapters/worker_client.py
+++ b/toucandoor/adapters/worker_client.py
@@ -106,6 +106,10 @@
             return AnswerFetched(decision.attempt_id, whole=False), None
         return AnswerFetched(decision.attempt_id, whole=True), _whole(response)
 
+    def ask(self, decision: AskTask) -> TaskWord:
+        """Ask about a task on a new connection."""
+        return self._ask(decision)
+
     def perform(self, decision: ServerDecision) -> TaskWord | ServerProbed | None:
         """Carry out a decision that no caller's thread waits for; return what came of it."""
         match decision:
--- a/toucandoor/core/attempts/ownership.py
+++ b/toucandoor/core/attempts/ownership.py
@@ -20,11 +20,12 @@
     DEFAULT_KEYS_MAX,
 )
 
+# Decoders of these messages look the ids up when the program runs.
+from toucandoor.ids import AttemptId, EntryId, QueueId, TeamId, VmId  # noqa: TC001
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from toucandoor.ids import AttemptId, EntryId, QueueId, TeamId, VmId
-
 
 @dataclass(frozen=True, slots=True)
 class SubmissionKey:
@@ -51,11 +52,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Announced:
-    """An attempt that was announced to the owner before its first byte was sent."""
+    """An attempt that was announced to the owner before its first byte was sent.
+
+    Attributes:
+        sent_s: Unix time of the announcement.
+    """
 
     attempt_id: AttemptId
     vm: VmId
     address: str
+    sent_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +88,45 @@
 ClaimAnswer = Granted | Earlier | ClaimRefusal
 
 
+class ClaimAction(Enum):
+    """What a claimant asks of an owner."""
+
+    CLAIM = "claim"
+    ANNOUNCE = "announce"
+    NOT_RUN = "not_run"
+    TAKE_OVER = "take_over"
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimCall:
+    """A claimant's message to an owner.
+
+    Attributes:
+        number: Number of the claim it is about; 0 for a first claim.
+        attempt: The attempt announced, or the one seen before a take-over.
+    """
+
+    action: ClaimAction
+    key: SubmissionKey
+    entry: EntryId
+    number: int = 0
+    attempt: Announced | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimReply:
+    """An owner's answer.
+
+    Attributes:
+        done: Whether an announcement counts, so that the attempt may be sent.
+    """
+
+    granted: Granted | None = None
+    earlier: Earlier | None = None
+    refusal: ClaimRefusal | None = None
+    done: bool = False
+
+
 def key_created_s(key: str) -> float | None:
     """Return the Unix time that a version 7 UUID carries; None for any other key."""
     try:
@@ -137,7 +182,8 @@
         self._entries: frozenset[EntryId] = frozenset({entry})
         self._gone_s: dict[EntryId, float] = {}
         self._claims: OrderedDict[SubmissionKey, _Claim] = OrderedDict()
-        self._next_number = 1
+        # Numbers of an earlier process at the same entry are never given out again.
+        self._next_number = int(since_s * 1000)
 
     def update_entries(self, entries: Iterable[EntryId], now_s: float) -> None:
         """Replace the entries that may own keys: all that are not known to have ended."""
@@ -167,6 +213,23 @@
             return ClaimRefusal.FULL
         return self._grant(key, entry, now_s)
 
+    def handle(self, call: ClaimCall, now_s: float) -> ClaimReply:
+        """Carry out a claimant's message."""
+        match call.action:
+            case ClaimAction.CLAIM:
+                return _reply(self.claim(call.key, call.entry, now_s))
+            case ClaimAction.TAKE_OVER:
+                seen = Earlier(call.entry, call.attempt, call.number)
+                return _reply(self.take_over(call.key, seen, call.entry, now_s))
+            case ClaimAction.ANNOUNCE:
+                attempt = call.attempt
+                return ClaimReply(
+                    done=attempt is not None and self.announce(call.key, call.number, attempt)
+                )
+            case ClaimAction.NOT_RUN:
+                self.not_run(call.key, call.number)
+                return ClaimReply(done=True)
+
     def announce(self, key: SubmissionKey, number: int, attempt: Announced) -> bool:
         """Note an attempt before its first byte; False when it must not be sent."""
         held = self._claims.get(key)
@@ -182,14 +245,15 @@
             del self._claims[key]
 
     def take_over(
-        self, key: SubmissionKey, number: int, entry: EntryId, now_s: float
+        self, key: SubmissionKey, seen: Earlier, entry: EntryId, now_s: float
     ) -> ClaimAnswer:
-        """Pass a claim on after the claimant showed that its attempt never ran and never will.
+        """Pass a claim on after the claimant showed that what it saw never ran and never will.
 
-        The claim gets a new number, so that the earlier claimant can announce nothing more.
+        The claim gets a new number, so that the earlier claimant can announce nothing more. An
+        attempt announced in the meantime may run: then the claimant gets that one to ask about.
         """
         held = self._claims.get(key)
-        if held is None or held.number != number:
+        if held is None or held.number != seen.number or held.attempt != seen.attempt:
             return self.claim(key, entry, now_s)
         del self._claims[key]
         return self._grant(key, entry, now_s)
@@ -225,3 +289,13 @@
             if claim.claimed_s > oldest_s:
                 return
             del self._claims[key]
+
+
+def _reply(answer: ClaimAnswer) -> ClaimReply:
+    match answer:
+        case Granted():
+            return ClaimReply(granted=answer)
+        case Earlier():
+            return ClaimReply(earlier=answer)
+        case ClaimRefusal():
+            return ClaimReply(refusal=answer)
--- a/toucandoor/fakes/middlebox.py
+++ b/toucandoor/fakes/middlebox.py
@@ -73,7 +73,7 @@
         self._next += 1
         number = self._next
         self._open.add(number)
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError, asyncio.CancelledError):
             back_reader, back_writer = await asyncio.open_connection(*self._server)
             await asyncio.gather(
                 self._async_forward(number, reader, back_writer, answers=False),
--- a/toucandoor/measures/_deployment.py
+++ b/toucandoor/measures/_deployment.py
@@ -73,6 +73,7 @@
     entry_ops_address: str
     link_address: str
     controller_ops_address: str
+    claims_address: str
 
 
 class LocalDeployment:
@@ -95,7 +96,7 @@
         self._scratch = tempfile.TemporaryDirectory(prefix="toucandoor-")
         self.platform_address = free_address()
         self.entry_vms = [
-            EntryVm(f"entry-{n + 1}", dc, *(free_address() for _ in range(4)))
+            EntryVm(f"entry-{n + 1}", dc, *(free_address() for _ in range(5)))
             for n, dc in enumerate(data_centres)
         ]
         self.processes: dict[str, LocalProcess] = {}
@@ -221,8 +222,14 @@
             "controller_address": vm.link_address,
             "peer_secret": PEER_SECRET,
             "entries_total": str(len(self.entry_vms)),
+            "claims_address": vm.claims_address,
+            **self._claims_peers(vm),
         }
 
+    def _claims_peers(self, vm: EntryVm) -> dict[str, str]:
+        others = [f"{o.entry_id}={o.claims_address}" for o in self.entry_vms if o is not vm]
+        return {"claims_peers": ",".join(others)} if others else {}
+
     def _controller(self, vm: EntryVm) -> dict[str, str]:
         return {
             "entry_id": vm.entry_id,
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -15,9 +15,11 @@
 
 from toucandoor.adapters.caller_http import CallerApp, EntryView
 from toucandoor.adapters.caller_server import make_caller_server
+from toucandoor.adapters.claims import ClaimBoard, ClaimClient, make_claims_servers
 from toucandoor.adapters.controller_link import ControllerLink
 from toucandoor.adapters.engine_loop import EngineLoop
 from toucandoor.adapters.errands import Errands
+from toucandoor.adapters.idempotency import IdempotencyGuard
 from toucandoor.adapters.logs import set_up_logs
 from toucandoor.adapters.metrics import EntryMetrics, make_ops_app
 from toucandoor.adapters.settings import EntrySettings
@@ -76,7 +78,11 @@
         """Serve until asked to stop."""
         settings, stop, metrics = self._settings, StopSignal(), EntryMetrics()
         view = EntryView(lambda: self._keys, self._is_open, lambda: self._stopping)
-        app = CallerApp(self.loop, self._workers, metrics, self._clock, view, settings.entry_id)
+        board = ClaimBoard(settings, self._clock)
+        guard = IdempotencyGuard(ClaimClient(settings, board), self._workers, self._clock)
+        app = CallerApp(
+            self.loop, self._workers, metrics, self._clock, view, settings.entry_id, guard
+        )
         callers = make_caller_server(settings, app, self._clock)
         ops_app = make_ops_app(self._not_ready, lambda: metrics.in_flight(self._engine.counts()))
         ops = make_server(settings.ops_address, ops_app, 2)
@@ -85,7 +91,8 @@
         )
         tasks = [asyncio.create_task(self.loop.async_run())]
         tasks.append(asyncio.create_task(link.async_run()))
-        for server in (callers, ops):
+        servers = [callers, ops, *make_claims_servers(settings, board)]
+        for server in servers:
             server.prepare()
             threading.Thread(target=server.serve, daemon=True).start()
         _LOGGER.info("%s serving at %s", _PREFIX, settings.caller_address)
@@ -93,8 +100,8 @@
         await self._async_drain(stop)
         for task in tasks:
             task.cancel()
-        await asyncio.to_thread(callers.stop)
-        await asyncio.to_thread(ops.stop)
+        for server in servers:
+            await asyncio.to_thread(server.stop)
         _LOGGER.info("%s stopped", _PREFIX)
 
     def configure(self, version: int, configuration: Configuration) -> None:
