--- /dev/null
+++ b/tests/core/requests/test_engine.py
@@ -0,0 +1,147 @@
+"""Golden sessions of the request engine: routing, permits and attempts together."""
+
+from __future__ import annotations
+
+import unittest
+from itertools import count
+from random import Random
+from typing import Any
+
+from tests.common import verify_session
+from toucandoor.clock import ManualClock
+from toucandoor.core.admission.policy import FirstComeFirstServed
+from toucandoor.core.attempts.budget import RetryBudget
+from toucandoor.core.attempts.models import AnswerFetched, TaskState, TaskWord
+from toucandoor.core.attempts.tracker import AttemptTracker
+from toucandoor.core.ceilings.policy import StaticPermits
+from toucandoor.core.configuration.models import Configuration
+from toucandoor.core.leases.serving import FixedLease
+from toucandoor.core.requests.commands import EngineEvent, ServerProbed
+from toucandoor.core.requests.engine import RequestEngine
+from toucandoor.core.requests.models import (
+    AttemptEnded,
+    AttemptOutcome,
+    BackendServer,
+    Cancelled,
+    Dispatch,
+    Refuse,
+    Request,
+    RequestClass,
+    Submitted,
+    Tick,
+)
+from toucandoor.core.routing.shared_load import SharedLoadRouting
+from toucandoor.ids import AttemptId, PoolId, QueueId, RequestId, TeamId, VmId
+
+CONFIGURATION = Configuration.model_validate(
+    {
+        "pools": {"p": {"unavailable_max": 1}},
+        "queues": {"q": {"pool": "p"}},
+        "teams": {"a": {"ceiling_running": 2}},
+    }
+)
+
+
+class EngineTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.lines: list[Any] = []
+        self.permits = StaticPermits({TeamId("a"): 2})
+        routing = SharedLoadRouting(Random(1), "dc-1")
+        numbers = count(1)
+        self.engine = RequestEngine(
+            make_queue=lambda queue: FirstComeFirstServed(queue.waiting_max),
+            routing=routing,
+            permits=self.permits,
+            lease=FixedLease(float("inf")),
+            new_attempt_id=lambda: AttemptId(f"a{next(numbers)}"),
+            tracker=AttemptTracker(RetryBudget(Random(1)), routing.is_healthy),
+        )
+        self.engine.configure(CONFIGURATION)
+        servers = [
+            BackendServer(VmId(vm), PoolId("p"), f"{vm}:80", 8, 64, "dc-1", "r")
+            for vm in ("vm-1", "vm-2")
+        ]
+        self.engine.update_servers(servers, 0.0)
+
+    def handle(self, event: EngineEvent) -> list[Any]:
+        now_s = self.clock.monotonic_s()
+        decisions = self.engine.handle(event, now_s)
+        self.lines.append({"at_s": round(now_s, 3), "event": event, "decisions": decisions})
+        return decisions
+
+    def submit(self, name: str, *, idempotent: bool = False, deadline_s: float = 60.0) -> list[Any]:
+        now_s = self.clock.monotonic_s()
+        request = Request(
+            request_id=RequestId(name),
+            queue=QueueId("q"),
+            team=TeamId("a"),
+            request_class=RequestClass.URGENT,
+            idempotent=idempotent,
+            arrived_s=now_s,
+            deadline_s=now_s + deadline_s,
+        )
+        return self.handle(Submitted(request))
+
+    def end(self, attempt: str, outcome: AttemptOutcome) -> list[Any]:
+        return self.handle(AttemptEnded(AttemptId(attempt), outcome))
+
+    def word(self, attempt: str, state: TaskState | None) -> list[Any]:
+        return self.handle(TaskWord(AttemptId(attempt), state, up_s=900.0))
+
+    def tick(self, after_s: float) -> list[Any]:
+        self.clock.advance(after_s)
+        return self.handle(Tick())
+
+    def test_permits_come_back_only_when_tasks_have_ended(self) -> None:
+        """Two outcomes stay unknown: a third request waits until their task leases are over."""
+        self.submit("first")
+        self.submit("second")
+        self.submit("third", deadline_s=300.0)
+        for attempt in ("a1", "a2"):
+            self.end(attempt, AttemptOutcome.UNKNOWN)
+            self.word(attempt, None)
+        self.handle(ServerProbed(VmId("vm-1"), reached=True))
+        self.assertFalse(self.permits.may_take(TeamId("a"), 0.0))
+        self.assertFalse(any(isinstance(each, Dispatch) for each in self.tick(30.0)))
+        started = [each for each in self.tick(3.0) if isinstance(each, Dispatch)]
+        self.assertEqual([each.request_id for each in started], ["third"])
+        verify_session(self.lines)
+
+    def test_a_resumed_task_keeps_its_token_over_a_busy_server(self) -> None:
+        self.submit("job")
+        token = AttemptEnded(AttemptId("a1"), AttemptOutcome.CHECKPOINTED, resume_token="t-1")
+        (resumed,) = self.handle(token)
+        self.assertEqual(resumed.resume_token, "t-1")
+        (again,) = self.end("a2", AttemptOutcome.BUSY)
+        self.assertEqual(again.resume_token, "t-1")
+        verify_session(self.lines)
+
+    def test_a_request_that_may_have_run_is_never_called_not_run(self) -> None:
+        """Its first attempt ended unknown; then it waits until its deadline."""
+        self.submit("job", idempotent=True, deadline_s=4.0)
+        self.submit("other")
+        self.end("a1", AttemptOutcome.UNKNOWN)
+        self.word("a1", None)
+        (refused,) = [each for each in self.tick(4.5) if isinstance(each, Refuse)]
+        self.assertEqual(refused.fate.value, "unknown")
+        verify_session(self.lines)
+
+    def test_a_wave_of_cancellations_stops_tasks_and_frees_permits(self) -> None:
+        for name in ("first", "second", "third"):
+            self.submit(name)
+        self.handle(Cancelled(RequestId("third")))
+        self.handle(Cancelled(RequestId("first")))
+        self.assertFalse(self.permits.may_take(TeamId("a"), 0.0))
+        self.word("a1", TaskState.STOPPED)
+        self.assertTrue(self.permits.may_take(TeamId("a"), 0.0))
+        verify_session(self.lines)
+
+    def test_a_torn_answer_is_fetched_by_the_tasks_id(self) -> None:
+        self.submit("job")
+        self.end("a1", AttemptOutcome.UNKNOWN)
+        self.word("a1", TaskState.FINISHED)
+        self.handle(AnswerFetched(AttemptId("a1"), whole=False))
+        self.word("a1", TaskState.FINISHED)
+        self.handle(AnswerFetched(AttemptId("a1"), whole=True))
+        verify_session(self.lines)
--- a/toucandoor/adapters/errands.py
+++ b/toucandoor/adapters/errands.py
@@ -6,7 +6,13 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
-from toucandoor.core.attempts.models import CloseAttempt, CloseConnections
+from toucandoor.core.attempts.models import (
+    AskTask,
+    CloseAttempt,
+    CloseConnections,
+    StopTask,
+    TaskWord,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,6 +49,9 @@
             event = self._workers.perform(decision)
         except Exception:
             _LOGGER.exception("%s a decision was not carried out", _PREFIX)
-            return
+            if not isinstance(decision, (AskTask, StopTask)):
+                return
+            # The engine waits for a word on each question before it asks again.
+            event = TaskWord(decision.attempt_id, None)
         if event is not None:
             self.post(event)
--- a/toucandoor/adapters/worker_client.py
+++ b/toucandoor/adapters/worker_client.py
@@ -139,7 +139,7 @@
                 decision.address, method, path, headers, DEFAULT_ASK_TIMEOUT_S
             )
             return _read_word(decision, response)
-        except (OSError, HTTPError, ValueError, KeyError) as err:
+        except (OSError, HTTPError, ValueError, KeyError, TypeError) as err:
             _LOGGER.info("%s no word from %s: %s", _PREFIX, decision.address, err)
             return TaskWord(decision.attempt_id, None)
 
@@ -203,12 +203,14 @@
         )
         status: dict[str, Any] = json.loads(response.data)
         return ServerProbed(decision.vm, response.status == 200, bool(status["draining"]))
-    except (OSError, HTTPError, ValueError, KeyError):
+    except (OSError, HTTPError, ValueError, KeyError, TypeError):
         return ServerProbed(decision.vm, reached=False)
 
 
 def _read_word(decision: AskTask | StopTask, response: BaseHTTPResponse) -> TaskWord:
-    told: dict[str, Any] = json.loads(response.data)
+    told = json.loads(response.data)
+    if response.status != 200 or not isinstance(told, dict):
+        raise ValueError(f"status {response.status} without a word")
     up_s = told.get("up_s")
     return TaskWord(
         attempt_id=decision.attempt_id,
