--- a/tests/core/admission/test_machine.py
+++ b/tests/core/admission/test_machine.py
@@ -54,7 +54,7 @@
                     self.finals[name] += 1
                     assert self.finals[name] == 1, "answered twice"
         # A task whose request was given up on is stopped by its backend server.
-        for name in [name for name in self.session.running if self.finals[name]]:
+        while name := next((each for each in self.session.running if self.finals[each]), None):
             self.asked.pop(name, None)
             self._take(self.session.end(name, AttemptOutcome.STOPPED))
 
