--- a/tests/core/admission/session.py
+++ b/tests/core/admission/session.py
@@ -73,6 +73,7 @@
         how: PreemptHow | None = None,
         deadline_s: float = 60.0,
         queue: str = "p",
+        idempotent: bool = True,
     ) -> list[Decision]:
         """Submit a request that arrives now."""
         now_s = self.clock.monotonic_s()
@@ -81,7 +82,7 @@
             QueueId(queue),
             TeamId(team),
             RequestClass.URGENT if urgent else RequestClass.PATIENT,
-            idempotent=True,
+            idempotent=idempotent,
             arrived_s=now_s,
             deadline_s=now_s + deadline_s,
             preempt_how=how,
--- a/tests/core/admission/test_sessions.py
+++ b/tests/core/admission/test_sessions.py
@@ -10,6 +10,7 @@
     AttemptOutcome,
     Decision,
     Dispatch,
+    Fate,
     Preempt,
     PreemptHow,
     Refuse,
@@ -68,6 +69,12 @@
         self.assertEqual(session.submit("own", urgent=True, queue="s")[0].vm, "vm-s")
         verify_session(session.lines)
 
+    def test_a_stopped_request_that_is_not_idempotent_is_not_run_again(self) -> None:
+        session = Session()
+        session.submit("once", idempotent=False)
+        (refusal,) = session.end("once", AttemptOutcome.STOPPED)
+        self.assertEqual(refusal.fate, Fate.UNKNOWN)
+
     def test_aged_patient_work_without_room_does_not_keep_urgent_work_from_the_spare(self) -> None:
         session = Session(slots=2, spare_slots=3)
         for number in range(2):
--- a/toucandoor/adapters/caller_http.py
+++ b/toucandoor/adapters/caller_http.py
@@ -117,6 +117,7 @@
             raise _BadRequestError(503, "this entry is stopping", "entry.stop")
         team = self._team(environ, queue_id)
         request_class = _request_class(environ)
+        idempotent = _flag(environ, ATTR_IDEMPOTENT)
         now_s = self._clock.monotonic_s()
         deadline_s = _seconds(environ, ATTR_DEADLINE_S, DEFAULT_DEADLINE_S[request_class])
         return Request(
@@ -124,12 +125,12 @@
             queue=queue_id,
             team=team,
             request_class=request_class,
-            idempotent=_flag(environ, ATTR_IDEMPOTENT),
+            idempotent=idempotent,
             arrived_s=now_s,
             deadline_s=now_s + min(deadline_s or 0.0, DEADLINE_S_MAX),
             idempotency_key=environ.get(ATTR_IDEMPOTENCY_KEY),
             declared_run_s=_seconds(environ, ATTR_RUN_S, None),
-            preempt_how=_preempt_how(environ),
+            preempt_how=_preempt_how(environ, request_class, idempotent),
         )
 
     def _team(self, environ: Environ, queue_id: QueueId) -> TeamId | None:
@@ -233,15 +234,21 @@
         raise _BadRequestError(400, reason, "http.headers") from None
 
 
-def _preempt_how(environ: Environ) -> PreemptHow | None:
+def _preempt_how(
+    environ: Environ, request_class: RequestClass, idempotent: bool
+) -> PreemptHow | None:
     text = environ.get(ATTR_PREEMPT)
     if text is None:
         return None
-    try:
-        return PreemptHow(text)
-    except ValueError:
+    if text not in [how.value for how in PreemptHow]:
         reason = f"Toucandoor-Preempt must be checkpoint or stop, not {text[:40]!r}"
-        raise _BadRequestError(400, reason, "http.headers") from None
+        raise _BadRequestError(400, reason, "http.headers")
+    if request_class is RequestClass.URGENT:
+        raise _BadRequestError(400, "an urgent request is never preempted", "http.headers")
+    if text == PreemptHow.STOP.value and not idempotent:
+        reason = "Toucandoor-Preempt: stop runs the request again; it must be idempotent"
+        raise _BadRequestError(400, reason, "http.headers")
+    return PreemptHow(text)
 
 
 def _flag(environ: Environ, name: str) -> bool:
--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -39,7 +39,6 @@
     from toucandoor.ids import AttemptId, PoolId, QueueId, RequestId, VmId
 
 _NOT_RUN_OUTCOMES = (AttemptOutcome.BUSY, AttemptOutcome.DRAINING, AttemptOutcome.UNREACHABLE)
-_PREEMPTED_OUTCOMES = (AttemptOutcome.CHECKPOINTED, AttemptOutcome.STOPPED)
 
 
 @dataclass(slots=True)
@@ -269,7 +268,7 @@
         if event.outcome is AttemptOutcome.FAILED:
             reason = event.detail or "the task failed"
             return [self._give_up(running, 502, reason, Fate.FAILED)]
-        if event.outcome in _PREEMPTED_OUTCOMES and now_s < request.deadline_s:
+        if _may_resume(request, event.outcome) and now_s < request.deadline_s:
             return self._resume_later(request, event, now_s)
         not_run = event.outcome in _NOT_RUN_OUTCOMES
         if not not_run and not request.idempotent:
@@ -340,3 +339,9 @@
         request_id = running.request.request_id
         self._history.pop(request_id, None)
         return Refuse(request_id, status, reason, fate, "attempt", running.address, None)
+
+
+def _may_resume(request: Request, outcome: AttemptOutcome) -> bool:
+    """Return whether a preempted request may go on: from its token, or anew if idempotent."""
+    stopped = outcome is AttemptOutcome.STOPPED
+    return outcome is AttemptOutcome.CHECKPOINTED or (stopped and request.idempotent)
