Wire the permits into entry and controller

Cause: the programs used the static split. Excluded: counting waiting requests inside the engine (others change it now); a queue policy that counts wraps the other. Heartbeats through the store to find peers: each controller writes its address once, links say who is connected. Change: controllers carry the ceilings' messages over links within their data centre and follow the ledger; the first connected one coordinates. Entries hold EntryPermits. A newer incarnation of an entry proves that the earlier processes are dead: their permits come back after the task lease. A planned stop hands permits back at once. Not wired: an entry VM that never returns, and a data centre judged gone; their events exist in the core but nobody sends them yet, so their permits stay reserved. Conclusion: the programs hold ceilings in escrow.

--- a/toucandoor/adapters/controller_link.py
+++ b/toucandoor/adapters/controller_link.py
@@ -10,6 +10,7 @@
 from pydantic import ValidationError
 
 from toucandoor.adapters.link import Link, async_open_link
+from toucandoor.ceiling_messages import CeilingMail
 from toucandoor.core.configuration.models import Configuration
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.ids import IncarnationId
@@ -48,13 +49,26 @@
         configure: Callable[[int, Configuration], None],
         update_states: Callable[[list[VmState]], None],
         explain: Callable[[RequestId], list[str]],
+        take_mail: Callable[[CeilingMail], None],
     ) -> None:
         self._settings = settings
         self._configure = configure
         self._update_states = update_states
         self._explain = explain
+        self._take_mail = take_mail
         self._version = 0
         self._incarnation = IncarnationId(time.time_ns())
+        self._outbox: asyncio.Queue[Message] | None = None
+
+    @property
+    def incarnation(self) -> IncarnationId:
+        """This start of the entry's process."""
+        return self._incarnation
+
+    def post(self, message: Message) -> None:
+        """Send a message when its turn comes, or drop it while there is no link."""
+        if self._outbox is not None:
+            self._outbox.put_nowait(message)
 
     async def async_run(self) -> None:
         """Connect again and again, for ever."""
@@ -72,8 +86,21 @@
         await link.async_send(
             Hello(PROTOCOL_VERSION, settings.entry_id, self._incarnation, settings.data_centre)
         )
-        async for message in link.async_messages():
-            await self._async_take(message, link)
+        self._outbox = asyncio.Queue()
+        sending = asyncio.create_task(self._async_send(link, self._outbox))
+        try:
+            async for message in link.async_messages():
+                await self._async_take(message, link)
+        finally:
+            self._outbox = None
+            sending.cancel()
+
+    async def _async_send(self, link: Link, outbox: asyncio.Queue[Message]) -> None:
+        try:
+            while True:
+                await link.async_send(await outbox.get())
+        except ToucandoorError as err:
+            _LOGGER.info("%s %s", _PREFIX, err)
 
     async def _async_take(self, message: Message, link: Link) -> None:
         match message:
@@ -82,6 +109,8 @@
                 await link.async_send(ConfigurationAck(self._version))
             case VmStatesPush(states):
                 self._update_states(states)
+            case CeilingMail():
+                self._take_mail(message)
             case ExplainQuery(query_id, request_id):
                 await link.async_send(ExplainAnswer(query_id, self._explain(request_id)))
 
--- a/toucandoor/core/ceilings/const.py
+++ b/toucandoor/core/ceilings/const.py
@@ -9,7 +9,12 @@
 COORDINATOR_ID: Final = EntryId("ceilings-coordinator")
 """Stands for whichever controller coordinates a data centre's permits."""
 
+STORE_PREFIX: Final = "ceilings/"
 LEDGER_KEY: Final = "ceilings/ledger"
+CONTROLLERS_PREFIX: Final = "ceilings/controllers/"
+
+DEFAULT_START_MARGIN_S: Final = 3.0
+"""Time from a process's last check of its lease within which its last task has started."""
 
 DEFAULT_STATUS_INTERVAL_S: Final = 0.05
 """Shortest time between two status messages that change something."""
--- a/toucandoor/core/ceilings/coordinator.py
+++ b/toucandoor/core/ceilings/coordinator.py
@@ -19,6 +19,7 @@
     DEFAULT_LEDGER_WRITE_BURST,
     DEFAULT_LEDGER_WRITES_PER_MINUTE,
     DEFAULT_RESEND_S,
+    DEFAULT_START_MARGIN_S,
     DEFAULT_TURN_S,
 )
 from toucandoor.core.ceilings.count import EpochCount
@@ -128,6 +129,7 @@
         self._joining: set[Member] = set()
         self._gone: set[Member] = set()
         self._gone_later: dict[tuple[EntryId, IncarnationId], float] = {}
+        self._task_lease_s = 0.0
         self._lives_gone: dict[tuple[EntryId, IncarnationId], int] = {}
         self._data_centres_gone: dict[DataCentreId, DataCentreGone] = {}
         self._count: EpochCount | None = None
@@ -157,17 +159,21 @@
         """Return the team's permits in hand."""
         return self._exchange.holding.held[team]
 
-    def set_ceilings(self, version: ConfigVersion, ceilings: Mapping[TeamId, int]) -> None:
+    def set_ceilings(
+        self, version: ConfigVersion, ceilings: Mapping[TeamId, int], task_lease_s: float
+    ) -> None:
         """Take the ceilings of an accepted configuration; an older one changes nothing."""
         if version <= self._version:
             return
+        self._task_lease_s = task_lease_s
         self._version = version
         self._ceilings = dict(ceilings)
         self._plan_due = True
 
     def on_entry_gone(self, event: EntryGone) -> None:
         """Note that an incarnation's permits are free from a time on."""
-        self._gone_later[event.entry, event.incarnation] = event.last_task_end_s
+        key = (event.entry, event.incarnation)
+        self._gone_later[key] = max(self._gone_later.get(key, 0.0), event.last_task_end_s)
 
     def on_data_centre_gone(self, event: DataCentreGone) -> None:
         """Note that another data centre's permits are free from a time on."""
@@ -210,7 +216,7 @@
         if isinstance(message, PermitTransfer):
             return self._exchange.on_transfer(message)
         if isinstance(message, JoinRequest):
-            return self._on_join(message)
+            return self._on_join(message, now_s)
         if isinstance(message, EpochReport) and self._count is not None:
             self._count.on_report(message)
         if isinstance(message, PermitStatus):
@@ -380,6 +386,7 @@
             demand=self._demand(),
             version=self._version,
             ceilings=self._ceilings,
+            task_lease_s=self._task_lease_s,
             joined=frozenset(self._joining - self._gone),
             left=frozenset(left & set(line.members)),
             gone=frozenset(gone),
@@ -406,15 +413,29 @@
 
     # Members
 
-    def _on_join(self, request: JoinRequest) -> list[Envelope]:
+    def _on_join(self, request: JoinRequest, now_s: float) -> list[Envelope]:
         member = request.member
         is_counted = member in self._line().members and member not in self._gone
         if is_counted or request.epoch.term > 0 or self._is_marked_gone(member):
             # An answer without the member in it says that its permits are void.
             return [Envelope(member, self._epoch_start(request.question))]
         self._joining.add(member)
+        self._succeed(member, now_s)
         return []
 
+    def _succeed(self, member: Member, now_s: float) -> None:
+        """Take a newer incarnation as proof that the earlier ones' processes are dead.
+
+        Their tasks may run on until nobody has renewed them for a whole lease.
+        """
+        ledger = self._ledger or Ledger()
+        task_lease_s = max(self._task_lease_s, ledger.task_lease_s)
+        end_s = now_s + task_lease_s + DEFAULT_START_MARGIN_S
+        for other in self._line().members:
+            key = (other.entry, other.incarnation)
+            if other.entry == member.entry and other.incarnation < member.incarnation:
+                self._gone_later.setdefault(key, end_s)
+
     def _is_marked_gone(self, member: Member) -> bool:
         return member.life <= self._lives_gone.get((member.entry, member.incarnation), -1)
 
--- a/toucandoor/core/ceilings/ledger.py
+++ b/toucandoor/core/ceilings/ledger.py
@@ -61,6 +61,7 @@
     demand: Mapping[TeamId, int]
     version: ConfigVersion
     ceilings: Mapping[TeamId, int]
+    task_lease_s: float = 0.0
     joined: frozenset[Member] = frozenset()
     left: frozenset[Member] = frozenset()
     gone: frozenset[DataCentreId] = frozenset()
@@ -127,7 +128,12 @@
 def _with_ceilings(ledger: Ledger, view: LocalView) -> Ledger:
     if view.version <= ledger.version:
         return ledger
-    return msgspec.structs.replace(ledger, version=view.version, ceilings=dict(view.ceilings))
+    return msgspec.structs.replace(
+        ledger,
+        version=view.version,
+        ceilings=dict(view.ceilings),
+        task_lease_s=max(ledger.task_lease_s, view.task_lease_s),
+    )
 
 
 def _ceiling(ledger: Ledger, view: LocalView, team: TeamId) -> int:
--- a/toucandoor/core/ceilings/models.py
+++ b/toucandoor/core/ceilings/models.py
@@ -156,9 +156,11 @@
 
     Attributes:
         version: Configuration that the ceilings were taken from.
+        task_lease_s: Longest task lease of any configuration so far.
     """
 
     version: ConfigVersion = ConfigVersion(0)
+    task_lease_s: float = 0.0
     ceilings: dict[TeamId, int] = {}
     data_centres: dict[DataCentreId, DataCentrePart] = {}
 
--- a/toucandoor/measures/_ceilings.py
+++ b/toucandoor/measures/_ceilings.py
@@ -390,7 +390,7 @@
             self.new_coordinator(data_centre)
             return
         if self._sees_store(data_centre):
-            coordinator.set_ceilings(ConfigVersion(self.version), self.ceilings)
+            coordinator.set_ceilings(ConfigVersion(self.version), self.ceilings, TASK_LEASE_S)
             coordinator.on_ledger(self.store.ledger, self.store.revision, self.now_s)
         output = coordinator.tick(self.now_s)
         me = Member(COORDINATOR_ID, IncarnationId(coordinator.epoch.term))
--- a/toucandoor/programs/controller.py
+++ b/toucandoor/programs/controller.py
@@ -12,6 +12,7 @@
 import typer
 from websockets.asyncio.server import ServerConnection, serve
 
+from toucandoor.adapters.ceiling_task import CeilingTask
 from toucandoor.adapters.configuration_task import ConfigurationTask, Head
 from toucandoor.adapters.explain_task import ExplainTask
 from toucandoor.adapters.link import Link, authenticate
@@ -23,8 +24,11 @@
 from toucandoor.adapters.store_client import HttpStore
 from toucandoor.adapters.vm_list_task import ListedState, ListedVm, VmListTask
 from toucandoor.adapters.wsgi import make_server
+from toucandoor.ceiling_messages import CeilingMail
+from toucandoor.clock import SystemClock
+from toucandoor.core.leases.serving import FixedLease
 from toucandoor.exceptions import MessageError, SettingsError
-from toucandoor.ids import IncarnationId
+from toucandoor.ids import ConfigVersion, IncarnationId
 from toucandoor.messages import (
     MESSAGE_BYTES_MAX,
     PROTOCOL_VERSION,
@@ -60,6 +64,14 @@
         )
         self._operators = OperatorApi(self._configuration, self._status)
         self._entries: dict[Link, int] = {}
+        self._ceilings = CeilingTask(
+            settings,
+            self._incarnation,
+            self._store,
+            FixedLease(float("inf")),
+            SystemClock(),
+            self._async_send_entries,
+        )
         self._explain = ExplainTask(settings.entry_id, lambda: self._entries)
         self._operators.register("explain_request", self._explain.async_explain_request)
         self._states: list[VmState] = []
@@ -74,6 +86,7 @@
         tasks = [
             asyncio.create_task(self._configuration.async_run()),
             asyncio.create_task(self._vm_list.async_run()),
+            asyncio.create_task(self._ceilings.async_run()),
         ]
         async with serve(
             self._async_connection,
@@ -101,7 +114,11 @@
     async def _async_connection(self, connection: ServerConnection) -> None:
         assert connection.request is not None
         link = Link(connection, str(connection.remote_address))
-        handlers = {"/entry": self._async_entry, "/operator": self._async_operator}
+        handlers = {
+            "/entry": self._async_entry,
+            "/operator": self._async_operator,
+            "/peer": self._async_peer,
+        }
         try:
             await handlers[connection.request.path](link)
         except MessageError as err:
@@ -122,16 +139,23 @@
                 await link.async_send(_push(self._configuration.head))
             await link.async_send(VmStatesPush(self._states))
             async for message in link.async_messages():
-                self._take_from_entry(link, message)
+                await self._async_take_from_entry(link, message)
         finally:
             self._entries.pop(link, None)
 
-    def _take_from_entry(self, link: Link, message: Message) -> None:
+    async def _async_take_from_entry(self, link: Link, message: Message) -> None:
         match message:
             case ConfigurationAck(version):
                 self._entries[link] = version
             case ExplainAnswer():
                 self._explain.take(message)
+            case CeilingMail():
+                await self._ceilings.async_take(message, from_peer=False)
+
+    async def _async_peer(self, link: Link) -> None:
+        async for message in link.async_messages():
+            if isinstance(message, CeilingMail):
+                await self._ceilings.async_take(message, from_peer=True)
 
     async def _async_operator(self, link: Link) -> None:
         async for message in link.async_messages():
@@ -139,6 +163,7 @@
                 await link.async_send(await self._operators.async_handle(message, link.peer))
 
     async def _async_announce(self, head: Head) -> None:
+        self._ceilings.configure(ConfigVersion(head.version), head.configuration)
         await self._async_send_entries(_push(head))
 
     async def _async_take_list(self, listed: list[ListedVm]) -> None:
@@ -167,6 +192,7 @@
             "data_centre": self._settings.data_centre,
             "version": head.version if head else 0,
             "entries": [{"peer": link.peer, "version": v} for link, v in self._entries.items()],
+            "ceilings": self._ceilings.status(),
             "store_error": self._configuration.store_error,
             "store_calls": dict(self._store.calls),
         }
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -16,6 +16,7 @@
 from toucandoor.adapters.caller_server import make_caller_server
 from toucandoor.adapters.controller_link import ControllerLink
 from toucandoor.adapters.engine_loop import EngineLoop
+from toucandoor.adapters.entry_ceilings import EntryCeilings
 from toucandoor.adapters.logs import set_up_logs
 from toucandoor.adapters.metrics import EntryMetrics, make_ops_app
 from toucandoor.adapters.settings import EntrySettings
@@ -24,7 +25,9 @@
 from toucandoor.adapters.wsgi import make_server
 from toucandoor.clock import SystemClock
 from toucandoor.core.admission.policy import FirstComeFirstServed
-from toucandoor.core.ceilings.policy import StaticPermits
+from toucandoor.core.ceilings.demand import CountedQueue
+from toucandoor.core.ceilings.entry import EntryPermits
+from toucandoor.core.ceilings.models import Member
 from toucandoor.core.configuration.models import Configuration, QueueConfig
 from toucandoor.core.keys import KeyRing
 from toucandoor.core.leases.serving import FixedLease
@@ -37,6 +40,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "entry:"
+_LEAVE_WITHIN_S = 2.0
 
 
 class Entry:
@@ -45,16 +49,24 @@
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
         self._clock = SystemClock()
-        self._permits = StaticPermits({})
         self._lease = FixedLease(float("inf"))
+        self._link = ControllerLink(
+            settings,
+            self.configure,
+            self.update_states,
+            lambda request_id: self.loop.journal.explain(request_id),
+            lambda mail: self._ceilings.take(mail),
+        )
+        self._permits = EntryPermits(Member(settings.entry_id, self._link.incarnation), self._lease)
         self._engine = RequestEngine(
-            make_queue=_make_queue,
+            make_queue=self._make_queue,
             routing=LeastConnections(),
             permits=self._permits,
             lease=self._lease,
             new_attempt_id=lambda: AttemptId(uuid.uuid4().hex),
         )
         self.loop = EngineLoop(self._engine, self._clock)
+        self._ceilings = EntryCeilings(self._permits, self._clock, self.loop.call, self._link.post)
         self._configuration: Configuration | None = None
         self._keys: KeyRing | None = None
         self._states: dict[VmId, VmState] = {}
@@ -69,17 +81,16 @@
         callers = make_caller_server(settings, app, self._clock)
         ops_app = make_ops_app(self._not_ready, lambda: metrics.in_flight(self._engine.counts()))
         ops = make_server(settings.ops_address, ops_app, 2)
-        link = ControllerLink(
-            settings, self.configure, self.update_states, self.loop.journal.explain
-        )
         tasks = [asyncio.create_task(self.loop.async_run())]
-        tasks.append(asyncio.create_task(link.async_run()))
+        tasks.append(asyncio.create_task(self._link.async_run()))
+        tasks.append(asyncio.create_task(self._ceilings.async_run()))
         for server in (callers, ops):
             server.prepare()
             threading.Thread(target=server.serve, daemon=True).start()
         _LOGGER.info("%s serving at %s", _PREFIX, settings.caller_address)
         await stop.asked.wait()
         await self._async_drain(stop)
+        await self._ceilings.async_leave(_LEAVE_WITHIN_S)
         for task in tasks:
             task.cancel()
         await asyncio.to_thread(callers.stop)
@@ -97,13 +108,6 @@
     def _configure(self, version: int, configuration: Configuration) -> None:
         self._configuration = configuration
         self._keys = KeyRing(configuration)
-        total = self._settings.entries_total
-        self._permits.set_parts(
-            {
-                team_id: team.ceiling_running // total
-                for team_id, team in configuration.teams.items()
-            }
-        )
         self._engine.configure(configuration)
         self._update_servers()
         _LOGGER.info("%s configuration %s is in force", _PREFIX, version)
@@ -137,6 +141,9 @@
         queue = self._configuration.queues.get(queue_id) if self._configuration else None
         return None if queue is None else queue.open_to_all
 
+    def _make_queue(self, queue: QueueConfig) -> CountedQueue:
+        return CountedQueue(FirstComeFirstServed(queue.waiting_max), self._ceilings.waiting)
+
     def _not_ready(self) -> str:
         if self._stopping:
             return "stopping"
@@ -152,10 +159,6 @@
                 return
 
 
-def _make_queue(queue: QueueConfig) -> FirstComeFirstServed:
-    return FirstComeFirstServed(queue.waiting_max)
-
-
 def _command(
     settings_file: Annotated[Path | None, typer.Option("--settings", help="TOML file.")] = None,
     print_settings: Annotated[
