--- a/toucandoor/core/ceilings/ledger.py
+++ b/toucandoor/core/ceilings/ledger.py
@@ -167,6 +167,8 @@
     """Return what this data centre should give each other one."""
     held = {dc: line.parts.get(team, 0) for dc, line in sorted(ledger.data_centres.items())}
     demands = _demands(ledger, me, team, view)
+    if not any(demands[dc] > held[dc] for dc in held if dc != me):
+        return {}
     unclaimed = max(0, _ceiling(ledger, view, team) - sum(held.values()))
     moves = plan_moves(held, demands, spare=unclaimed, turn=view.turn)
     return {m.taker: m.permits for m in moves if m.giver == me}
--- a/toucandoor/measures/_ceilings_baselines.py
+++ b/toucandoor/measures/_ceilings_baselines.py
@@ -21,7 +21,13 @@
 class BaselineWorld(PermitWorld):
     """The same entries and faults without coordinators."""
 
-    def new_coordinator(self, data_centre: DataCentreId, *, keep_former: bool = False) -> None:
+    def new_coordinator(
+        self,
+        data_centre: DataCentreId,
+        *,
+        keep_former: bool = False,
+        former_sees_store: bool = True,
+    ) -> None:
         """Start nothing."""
 
     def report_gone(self) -> None:
