Take a later life as proof that the earlier holds nothing

Reading the code showed a third fault: a coordinator that took office after a newer incarnation had joined never took it as proof that the earlier was dead. Excluded: letting such a member join only after its former life was removed; the coordinator that knows of that may be dead. Change: incarnations and lives are compared over all listed and joining members, by whichever coordinator holds office. The roster of members and the office move to their own modules.

--- a/tests/core/ceilings/test_fleet.py
+++ b/tests/core/ceilings/test_fleet.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import json
 import unittest
+from pathlib import Path
 
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
@@ -131,3 +133,16 @@
 
 class FleetTest(FleetMachine.TestCase, unittest.TestCase):
     pass
+
+
+class FoundSessionsTest(unittest.TestCase):
+    """Sessions that failed in longer searches with the machine."""
+
+    def test_found_sessions(self) -> None:
+        sessions = json.loads((Path(__file__).parent / "found_sessions.json").read_text())
+        for number, steps in enumerate(sessions):
+            with self.subTest(session=number):
+                machine = FleetMachine()
+                for name, arguments in steps:
+                    getattr(machine, name)(**arguments)
+                machine.teardown()
--- a/tests/core/ceilings/test_sessions.py
+++ b/tests/core/ceilings/test_sessions.py
@@ -60,6 +60,21 @@
         world.run(5)
         self.assertLessEqual(world.running(RED), 20)
 
+    def test_newer_incarnation_proves_the_earlier_dead(self) -> None:
+        """Also to a coordinator that takes office after the newer one has joined."""
+        world = self.world = make_world()
+        world.report_gone = lambda: None
+        world.waiting[EntryId("north-0")][RED] = 20
+        world.run(3)
+        world.restart_entry(world.entries[0])
+        world.waiting[EntryId("north-1")][RED] = 30
+        world.run(20)
+        world.new_coordinator(NORTH)
+        world.run(5)
+        self.assertEqual(world.running(RED), 20)
+        world.run(35)
+        self.assertEqual(world.running(RED), 20)
+
 
 class StormTest(WorldTest):
     """Demand moves all the time while messages, writes or coordinators go wrong."""
--- a/toucandoor/adapters/ceiling_task.py
+++ b/toucandoor/adapters/ceiling_task.py
@@ -18,9 +18,10 @@
     LEDGER_KEY,
     STORE_PREFIX,
 )
-from toucandoor.core.ceilings.coordinator import Office, PermitCoordinator
+from toucandoor.core.ceilings.coordinator import PermitCoordinator
 from toucandoor.core.ceilings.ledger import decode_ledger, encode_ledger
 from toucandoor.core.ceilings.models import Ledger, WriteLedger
+from toucandoor.core.ceilings.office import Office
 from toucandoor.exceptions import StoreError
 from toucandoor.ids import ConfigVersion, EntryId
 from toucandoor.messages import PROTOCOL_VERSION, Hello
--- a/toucandoor/core/ceilings/coordinator.py
+++ b/toucandoor/core/ceilings/coordinator.py
@@ -10,14 +10,10 @@
 
 import logging
 from collections import Counter, defaultdict
-from dataclasses import dataclass, field
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from toucandoor.core.ceilings.const import (
     COORDINATOR_ID,
-    DEFAULT_LEDGER_WRITE_BURST,
-    DEFAULT_LEDGER_WRITES_PER_MINUTE,
     DEFAULT_RESEND_S,
     DEFAULT_START_MARGIN_S,
     DEFAULT_TURN_S,
@@ -50,7 +46,9 @@
     PermitTransferAck,
     WriteLedger,
 )
-from toucandoor.ids import ConfigVersion, EntryId, IncarnationId, OperationId
+from toucandoor.core.ceilings.office import CoordinatorOutput, Judgements, Office, WriteBudget
+from toucandoor.core.ceilings.roster import Roster
+from toucandoor.ids import ConfigVersion, IncarnationId, OperationId
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -62,45 +60,6 @@
 _PREFIX = "ceilings:"
 
 
-class Office(Enum):
-    """What a coordinator may do."""
-
-    CANDIDATE = "candidate"
-    """Its term is not in the ledger yet."""
-
-    HOLDER = "holder"
-
-    DEPOSED = "deposed"
-    """A later term is in the ledger; it does nothing any more."""
-
-
-@dataclass(slots=True)
-class CoordinatorOutput:
-    """What the coordinator wants done: messages to send and at most one write."""
-
-    envelopes: list[Envelope] = field(default_factory=list)
-    write: WriteLedger | None = None
-
-
-class WriteBudget:
-    """Token bucket that bounds the ledger writes of one coordinator."""
-
-    def __init__(self) -> None:
-        self._tokens = DEFAULT_LEDGER_WRITE_BURST
-        self._filled_s: float | None = None
-
-    def take(self, now_s: float) -> bool:
-        """Take a token; False when there is none."""
-        elapsed_s = 0.0 if self._filled_s is None else now_s - self._filled_s
-        self._filled_s = now_s
-        gained = elapsed_s * DEFAULT_LEDGER_WRITES_PER_MINUTE / 60.0
-        self._tokens = min(DEFAULT_LEDGER_WRITE_BURST, self._tokens + gained)
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
-
-
 class PermitCoordinator:
     """Moves permits between the data centre's members and the ledger.
 
@@ -112,7 +71,6 @@
     def __init__(self, data_centre: DataCentreId, start_id: str, lease: ServingLease) -> None:
         self._lease = lease
         self._lease_seen_until_s = lease.keyed_until_s()
-        self._term_seen_s: dict[DataCentreId, tuple[int, float]] = {}
         self._data_centre = data_centre
         self._start_id = start_id
         self._operations = 0
@@ -126,15 +84,11 @@
         self._budget = WriteBudget()
         self._version = ConfigVersion(0)
         self._ceilings: Mapping[TeamId, int] = {}
-        self._joining: set[Member] = set()
-        self._gone: set[Member] = set()
-        self._gone_later: dict[tuple[EntryId, IncarnationId], float] = {}
         self._task_lease_s = 0.0
-        self._lives_gone: dict[tuple[EntryId, IncarnationId], int] = {}
-        self._data_centres_gone: dict[DataCentreId, DataCentreGone] = {}
+        self._roster = Roster()
+        self._judgements = Judgements()
         self._count: EpochCount | None = None
         self._announced_s: float | None = None
-        self._outbox: list[Envelope] = []
         self._rewrite = False
         self._plan_due = True
         self._turn = 0
@@ -172,18 +126,17 @@
 
     def on_entry_gone(self, event: EntryGone) -> None:
         """Note that an incarnation's permits are free from a time on."""
-        key = (event.entry, event.incarnation)
-        self._gone_later[key] = max(self._gone_later.get(key, 0.0), event.last_task_end_s)
+        self._roster.on_gone(event)
 
     def on_data_centre_gone(self, event: DataCentreGone) -> None:
         """Note that another data centre's permits are free from a time on."""
         if event.data_centre != self._data_centre:
-            self._data_centres_gone[event.data_centre] = event
+            self._judgements.on_gone(event)
             self._plan_due = True
 
     def on_data_centre_back(self, data_centre: DataCentreId) -> None:
         """Forget that a data centre was gone."""
-        self._data_centres_gone.pop(data_centre, None)
+        self._judgements.on_back(data_centre)
 
     def on_ledger(self, ledger: Ledger, revision: int, now_s: float) -> None:
         """Take in the ledger as the store holds it: from a watch, a read, or an own write.
@@ -201,11 +154,11 @@
         self._plan_due = self._plan_due or revision != self._revision
         self._ledger = ledger
         self._revision = revision
-        self._note_terms(ledger, now_s)
-        if self._pending is not None and not self._settle(ledger, revision):
+        self._judgements.note_terms(ledger.data_centres, now_s)
+        if self._pending is not None and not self._settle(revision):
             return
         if self._office is Office.HOLDER:
-            self._take_gifts(ledger)
+            self._take_gifts()
 
     def on_message(self, message: CeilingMessage, now_s: float) -> list[Envelope]:
         """Handle a member's message; return the answers."""
@@ -216,7 +169,7 @@
         if isinstance(message, PermitTransfer):
             return self._exchange.on_transfer(message)
         if isinstance(message, JoinRequest):
-            return self._on_join(message, now_s)
+            return self._on_join(message)
         if isinstance(message, EpochReport) and self._count is not None:
             self._count.on_report(message)
         if isinstance(message, PermitStatus):
@@ -224,18 +177,18 @@
         if isinstance(message, PermitTransferAck):
             self._exchange.on_ack(message)
         if isinstance(message, LeaveNotice):
-            self._on_left(message.member)
+            self._roster.on_left(message.member)
         return []
 
     def tick(self, now_s: float) -> CoordinatorOutput:
         """Return what is due; call it often and after messages."""
         self._observe_lease(now_s)
-        self._expire_gone(now_s)
+        self._roster.expire(self._line().members, now_s)
         if self._office is Office.DEPOSED or self._ledger is None:
             return CoordinatorOutput()
         if self._office is Office.CANDIDATE:
             return CoordinatorOutput(write=self._write_office(now_s))
-        self._drop_gone()
+        self._drop_gone(now_s)
         self._close_count()
         self._exchange.drop_silent(now_s)
         write = self._plan(now_s) if self._is_plan_due(now_s) else self._again()
@@ -274,15 +227,6 @@
         self._count = None
         self._exchange.restart(self._exchange.me)
 
-    def _note_terms(self, ledger: Ledger, now_s: float) -> None:
-        for data_centre, line in ledger.data_centres.items():
-            if self._term_seen_s.get(data_centre, (-1, 0.0))[0] != line.term:
-                self._term_seen_s[data_centre] = (line.term, now_s)
-
-    def _is_reclaimable(self, event: DataCentreGone, now_s: float) -> bool:
-        seen_s = self._term_seen_s.get(event.data_centre, (0, now_s))[1]
-        return now_s >= event.last_task_end_s and event.judged_s > seen_s
-
     def _line(self) -> DataCentrePart:
         if self._ledger is None:
             return DataCentrePart()
@@ -309,7 +253,7 @@
         self._rewrite = False
         return self._pending
 
-    def _settle(self, ledger: Ledger, revision: int) -> bool:
+    def _settle(self, revision: int) -> bool:
         """Find out what became of the pending write; return whether that is known."""
         pending = self._pending
         if pending is None:
@@ -343,7 +287,7 @@
         _LOGGER.info("%s coordinating %s in term %s", _PREFIX, self._data_centre, line.term)
         self._start_count(Epoch(line.term, 0))
 
-    def _take_gifts(self, ledger: Ledger) -> None:
+    def _take_gifts(self) -> None:
         line = self._line()
         if line.term != self.epoch.term:
             _LOGGER.info("%s deposed by term %s", _PREFIX, line.term)
@@ -377,19 +321,17 @@
         return self._pending
 
     def _view(self, now_s: float) -> LocalView:
-        events = self._data_centres_gone.values()
-        gone = {e.data_centre for e in events if self._is_reclaimable(e, now_s)}
         line = self._line()
-        left = self._gone if self._count is None else set()
+        left = self._roster.gone if self._count is None else set()
         return LocalView(
             pool=self._exchange.holding.held,
             demand=self._demand(),
             version=self._version,
             ceilings=self._ceilings,
             task_lease_s=self._task_lease_s,
-            joined=frozenset(self._joining - self._gone),
+            joined=frozenset(self._roster.joining),
             left=frozenset(left & set(line.members)),
-            gone=frozenset(gone),
+            gone=self._judgements.reclaimable(now_s),
             turn=int(now_s / DEFAULT_TURN_S),
         )
 
@@ -413,60 +355,31 @@
 
     # Members
 
-    def _on_join(self, request: JoinRequest, now_s: float) -> list[Envelope]:
+    def _present(self) -> list[Member]:
+        return self._roster.present(self._line().members)
+
+    def _on_join(self, request: JoinRequest) -> list[Envelope]:
         member = request.member
-        is_counted = member in self._line().members and member not in self._gone
-        if is_counted or request.epoch.term > 0 or self._is_marked_gone(member):
+        is_void = request.epoch.term > 0 or self._roster.is_gone(member)
+        if is_void or member in self._present():
             # An answer without the member in it says that its permits are void.
             return [Envelope(member, self._epoch_start(request.question))]
-        self._joining.add(member)
-        self._succeed(member, now_s)
+        self._roster.joining.add(member)
         return []
 
-    def _succeed(self, member: Member, now_s: float) -> None:
-        """Take a newer incarnation as proof that the earlier ones' processes are dead.
+    def _epoch_start(self, answer_to: int = 0) -> EpochStart:
+        return EpochStart(self._exchange.me, self.epoch, self._present(), answer_to)
 
-        Their tasks may run on until nobody has renewed them for a whole lease.
-        """
+    def _drop_gone(self, now_s: float) -> None:
+        """Count anew without the members that are gone."""
+        listed = self._line().members
         ledger = self._ledger or Ledger()
         task_lease_s = max(self._task_lease_s, ledger.task_lease_s)
-        end_s = now_s + task_lease_s + DEFAULT_START_MARGIN_S
-        for other in self._line().members:
-            key = (other.entry, other.incarnation)
-            if other.entry == member.entry and other.incarnation < member.incarnation:
-                self._gone_later.setdefault(key, end_s)
-
-    def _is_marked_gone(self, member: Member) -> bool:
-        return member.life <= self._lives_gone.get((member.entry, member.incarnation), -1)
-
-    def _epoch_start(self, answer_to: int = 0) -> EpochStart:
-        members = [m for m in self._line().members if m not in self._gone]
-        return EpochStart(self._exchange.me, self.epoch, members, answer_to)
-
-    def _expire_gone(self, now_s: float) -> None:
-        due = [key for key, end_s in self._gone_later.items() if now_s >= end_s]
-        for key in due:
-            del self._gone_later[key]
-            listed = [m for m in self._line().members if (m.entry, m.incarnation) == key]
-            joining = [m for m in self._joining if (m.entry, m.incarnation) == key]
-            lives = [m.life for m in listed + joining]
-            self._lives_gone[key] = max(lives, default=self._lives_gone.get(key, 0))
-        if due:
-            self._joining = {m for m in self._joining if not self._is_marked_gone(m)}
-
-    def _on_left(self, member: Member) -> None:
-        self._lives_gone[member.entry, member.incarnation] = member.life
-        self._joining.discard(member)
-
-    def _drop_gone(self) -> None:
-        """Count anew without the members that are gone."""
-        listed = set(self._line().members)
-        self._gone &= listed
-        new = {m for m in listed if self._is_marked_gone(m)} - self._gone
+        self._roster.succeed(listed, now_s + task_lease_s + DEFAULT_START_MARGIN_S)
+        new = self._roster.newly_gone(listed)
         if not new:
             return
         self._plan_due = True
-        self._gone |= new
         if self._count is not None:
             for member in new:
                 self._count.on_gone(member)
@@ -475,7 +388,7 @@
     # Counting
 
     def _start_count(self, epoch: Epoch) -> None:
-        members = [m for m in self._line().members if m not in self._gone]
+        members = self._present()
         expected = Counter(self._accounted)
         expected.subtract(self._exchange.holding.held)
         expected.subtract(self._withdrawn)
@@ -485,10 +398,8 @@
         self._announced_s = None
 
     def _announce(self, now_s: float) -> list[Envelope]:
-        line = self._line()
-        self._exchange.peers = [m for m in line.members if m not in self._gone]
-        added = self._joining & set(line.members)
-        self._joining -= added
+        self._exchange.peers = self._present()
+        added = self._roster.take_added(self._line().members)
         start = self._epoch_start()
         told = self._exchange.peers if added else []
         envelopes = [Envelope(member, start) for member in told]
--- a/toucandoor/measures/_ceilings.py
+++ b/toucandoor/measures/_ceilings.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.core.ceilings.const import COORDINATOR_ID
-from toucandoor.core.ceilings.coordinator import Office, PermitCoordinator
+from toucandoor.core.ceilings.coordinator import PermitCoordinator
 from toucandoor.core.ceilings.entry import EntryPermits, Standing
 from toucandoor.core.ceilings.ledger import ceiling_in_force, decode_ledger, encode_ledger, total
 from toucandoor.core.ceilings.models import (
@@ -23,6 +23,7 @@
     Member,
     WriteLedger,
 )
+from toucandoor.core.ceilings.office import Office
 from toucandoor.core.leases.serving import FixedLease
 from toucandoor.ids import (
     AttemptId,
