--- a/tests/programs/test_ceilings.py
+++ b/tests/programs/test_ceilings.py
@@ -39,11 +39,13 @@
 data_centre = "dc-1"
 rack = "r"
 address = "{WORKERS[0]}"
+slots = 24
 [vms.w-2]
 pool = "p"
 data_centre = "dc-2"
 rack = "r"
 address = "{WORKERS[1]}"
+slots = 24
 """
 
 
--- a/toucandoor/core/ceilings/demand.py
+++ b/toucandoor/core/ceilings/demand.py
@@ -56,6 +56,10 @@
         """Estimate when a new request would find room."""
         return self._queue.retry_after_s(now_s)
 
+    def urgent_waiting(self, may_run: Callable[[Request], bool]) -> int:
+        """Count the waiting urgent requests that would start if there were a slot."""
+        return self._queue.urgent_waiting(may_run)
+
     def __len__(self) -> int:
         """Return how many requests wait."""
         return len(self._queue)
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -24,7 +24,8 @@
 from toucandoor.adapters.worker_client import WorkerClient
 from toucandoor.adapters.wsgi import make_server
 from toucandoor.clock import SystemClock
-from toucandoor.core.admission.policy import FirstComeFirstServed
+from toucandoor.core.admission.coordinator import AdmissionCoordinator
+from toucandoor.core.admission.lending import LendToUrgent
 from toucandoor.core.ceilings.demand import CountedQueue
 from toucandoor.core.ceilings.entry import EntryPermits
 from toucandoor.core.ceilings.models import Member
@@ -58,14 +59,17 @@
             lambda mail: self._ceilings.take(mail),
         )
         self._permits = EntryPermits(Member(settings.entry_id, self._link.incarnation), self._lease)
+        self._workers = WorkerClient(settings.connect_timeout_s)
+        self._admission = AdmissionCoordinator(LendToUrgent(), settings.entries_total)
         self._engine = RequestEngine(
             make_queue=self._make_queue,
+            admission=self._admission,
             routing=LeastConnections(),
             permits=self._permits,
             lease=self._lease,
             new_attempt_id=lambda: AttemptId(uuid.uuid4().hex),
         )
-        self.loop = EngineLoop(self._engine, self._clock)
+        self.loop = EngineLoop(self._engine, self._clock, self._workers.interrupt)
         self._ceilings = EntryCeilings(self._permits, self._clock, self.loop.call, self._link.post)
         self._configuration: Configuration | None = None
         self._keys: KeyRing | None = None
@@ -76,8 +80,7 @@
         """Serve until asked to stop."""
         settings, stop, metrics = self._settings, StopSignal(), EntryMetrics()
         view = EntryView(lambda: self._keys, self._is_open, lambda: self._stopping)
-        workers = WorkerClient(settings.connect_timeout_s)
-        app = CallerApp(self.loop, workers, metrics, self._clock, view, settings.entry_id)
+        app = CallerApp(self.loop, self._workers, metrics, self._clock, view, settings.entry_id)
         callers = make_caller_server(settings, app, self._clock)
         ops_app = make_ops_app(self._not_ready, lambda: metrics.in_flight(self._engine.counts()))
         ops = make_server(settings.ops_address, ops_app, 2)
@@ -108,7 +111,7 @@
     def _configure(self, version: int, configuration: Configuration) -> None:
         self._configuration = configuration
         self._keys = KeyRing(configuration)
-        self._engine.configure(configuration)
+        self._engine.configure(configuration, self._clock.monotonic_s())
         self._update_servers()
         _LOGGER.info("%s configuration %s is in force", _PREFIX, version)
 
@@ -142,7 +145,7 @@
         return None if queue is None else queue.open_to_all
 
     def _make_queue(self, queue: QueueConfig) -> CountedQueue:
-        return CountedQueue(FirstComeFirstServed(queue.waiting_max), self._ceilings.waiting)
+        return CountedQueue(self._admission.make_queue(queue), self._ceilings.waiting)
 
     def _not_ready(self) -> str:
         if self._stopping:
