Send fewer and smaller status messages

Cause: at the target's size an entry sent 3658 bytes a second of ceilings' messages under load, more than the whole control path may spend. Excluded: statuses only when permits are asked for; givers would be chosen from stale demand. Change: statuses that ask for permits go at most each 0.2 s, others each second; messages are arrays.

--- a/toucandoor/core/ceilings/const.py
+++ b/toucandoor/core/ceilings/const.py
@@ -16,8 +16,11 @@
 DEFAULT_START_MARGIN_S: Final = 3.0
 """Time from a process's last check of its lease within which its last task has started."""
 
-DEFAULT_STATUS_INTERVAL_S: Final = 0.05
-"""Shortest time between two status messages that change something."""
+DEFAULT_STATUS_INTERVAL_S: Final = 0.2
+"""Shortest time between two status messages that ask for permits."""
+
+DEFAULT_STATUS_CALM_INTERVAL_S: Final = 1.0
+"""Shortest time between two status messages that ask for nothing."""
 
 DEFAULT_STATUS_REFRESH_S: Final = 5.0
 """Time after which the whole status is sent again, in case messages were lost."""
--- a/toucandoor/core/ceilings/exchange.py
+++ b/toucandoor/core/ceilings/exchange.py
@@ -8,6 +8,7 @@
 
 from toucandoor.core.ceilings.const import (
     COORDINATOR_ID,
+    DEFAULT_STATUS_CALM_INTERVAL_S,
     DEFAULT_STATUS_INTERVAL_S,
     DEFAULT_STATUS_REFRESH_S,
     DEFAULT_TURN_S,
@@ -207,13 +208,17 @@
             return self._send_status(teams, whole=True, now_s=now_s)
         if not self._to_show or now_s - self._shown_s < DEFAULT_STATUS_INTERVAL_S:
             return []
-        teams = {team: self._status(team, demand_of) for team in self._to_show}
-        self._to_show = set()
+        teams = {team: self._status(team, demand_of) for team in sorted(self._to_show)}
         changed = {
             team: status
-            for team, status in sorted(teams.items())
+            for team, status in teams.items()
             if is_significant(self._shown.get(team, _NOTHING), status)
         }
+        is_urgent = any(status.demand > status.held for status in changed.values())
+        if not is_urgent and now_s - self._shown_s < DEFAULT_STATUS_CALM_INTERVAL_S:
+            self._to_show = set(changed)
+            return []
+        self._to_show = set()
         return self._send_status(changed, whole=False, now_s=now_s) if changed else []
 
     def _status(self, team: TeamId, demand_of: Callable[[TeamId], int]) -> TeamStatus:
--- a/toucandoor/core/ceilings/models.py
+++ b/toucandoor/core/ceilings/models.py
@@ -16,7 +16,7 @@
 )
 
 
-class Epoch(msgspec.Struct, frozen=True, order=True):
+class Epoch(msgspec.Struct, frozen=True, order=True, array_like=True):
     """Counting period of one data centre's permits; transfers count only within one.
 
     Attributes:
@@ -28,7 +28,7 @@
     round: int
 
 
-class Member(msgspec.Struct, frozen=True, order=True):
+class Member(msgspec.Struct, frozen=True, order=True, array_like=True):
     """One holder of permits.
 
     Attributes:
@@ -41,14 +41,14 @@
     life: int = 0
 
 
-class TeamStatus(msgspec.Struct, frozen=True):
+class TeamStatus(msgspec.Struct, frozen=True, array_like=True):
     """What one member holds and could use of one team's permits."""
 
     held: int
     demand: int
 
 
-class CeilingMessage(msgspec.Struct, frozen=True, tag_field="type"):
+class CeilingMessage(msgspec.Struct, frozen=True, tag_field="type", array_like=True):
     """Base of the messages between members of one data centre."""
 
 
--- a/toucandoor/measures/_ceilings.py
+++ b/toucandoor/measures/_ceilings.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from toucandoor.adapters.entry_ceilings import to_mail
 from toucandoor.core.ceilings.const import COORDINATOR_ID
 from toucandoor.core.ceilings.coordinator import PermitCoordinator
 from toucandoor.core.ceilings.entry import EntryPermits, Standing
@@ -33,6 +34,7 @@
     IncarnationId,
     TeamId,
 )
+from toucandoor.messages import encode
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -163,6 +165,8 @@
         self.conservation_breaches = 0
         self.messages = 0
         self.stranded_permit_s = 0.0
+        self.count_bytes = False
+        self.message_bytes = 0
         self.in_force: dict[TeamId, int] = {}
         self.entries_total = sum(data_centres.values())
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -461,6 +465,8 @@
     def _send(self, data_centre: DataCentreId, sender: Member, envelopes: list[Envelope]) -> None:
         for envelope in envelopes:
             self.messages += 1
+            if self.count_bytes:
+                self.message_bytes += len(encode(to_mail(envelope)))
             if self.random.random() < self.chaos.lost_ratio:
                 continue
             copies = 2 if self.random.random() < self.chaos.doubled_ratio else 1
