--- a/tests/core/ceilings/test_fleet.py
+++ b/tests/core/ceilings/test_fleet.py
@@ -11,7 +11,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from toucandoor.ids import DataCentreId, TeamId
-from toucandoor.measures._ceilings import CUT_OFF_GRACE_S, Chaos, FakeEntry, PermitWorld
+from toucandoor.measures._ceilings import PermitWorld
+from toucandoor.measures._ceilings_fakes import CUT_OFF_GRACE_S, Chaos, FakeEntry
 
 NORTH, SOUTH, WEST = DataCentreId("north"), DataCentreId("south"), DataCentreId("west")
 TEAMS = (TeamId("red"), TeamId("blue"))
--- a/tests/core/ceilings/test_sessions.py
+++ b/tests/core/ceilings/test_sessions.py
@@ -6,12 +6,21 @@
 from collections.abc import Callable
 
 from toucandoor.core.ceilings.const import COORDINATOR_ID
+from toucandoor.core.ceilings.coordinator import PermitCoordinator
 from toucandoor.core.ceilings.entry import EntryPermits
 from toucandoor.core.ceilings.ledger import total
-from toucandoor.core.ceilings.models import Epoch, EpochStart, JoinRequest, Member, PermitTransfer
+from toucandoor.core.ceilings.models import (
+    Epoch,
+    EpochStart,
+    JoinRequest,
+    Ledger,
+    Member,
+    PermitTransfer,
+)
 from toucandoor.core.leases.serving import FixedLease
 from toucandoor.ids import AttemptId, DataCentreId, EntryId, IncarnationId, TeamId
-from toucandoor.measures._ceilings import CUT_OFF_GRACE_S, Chaos, PermitWorld
+from toucandoor.measures._ceilings import PermitWorld
+from toucandoor.measures._ceilings_fakes import CUT_OFF_GRACE_S, Chaos
 
 NORTH, SOUTH = DataCentreId("north"), DataCentreId("south")
 RED = TeamId("red")
@@ -132,3 +141,11 @@
         assert isinstance(asked, JoinRequest)
         permits.on_message(EpochStart(coordinator, epoch, [me], asked.question), 15.0)
         self.assertTrue(permits.take(RED, AttemptId("e"), 15.0))
+
+    def test_a_coordinator_without_a_lease_takes_no_office(self) -> None:
+        lease = FixedLease(10.0)
+        coordinator = PermitCoordinator(NORTH, "c", lease)
+        coordinator.on_ledger(Ledger(), 0, 10.0)
+        self.assertIsNone(coordinator.tick(10.0).write)
+        lease.until_s = 30.0
+        self.assertIsNotNone(coordinator.tick(11.0).write)
--- a/toucandoor/adapters/ceiling_task.py
+++ b/toucandoor/adapters/ceiling_task.py
@@ -40,7 +40,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "ceilings:"
-_TICK_PERIOD_S: Final = 0.1
+_TICK_PERIOD_S: Final = 0.2
 _RETRY_S: Final = 0.5
 _DEPOSED_PAUSE_S: Final = 5.0
 
@@ -108,7 +108,6 @@
         if self._coordinator is not None:
             now_s = self._clock.monotonic_s()
             await self._async_send(self._coordinator.on_message(mail.message, now_s))
-            await self._async_tick()
         elif not from_peer:
             await self._peers.async_send(self._first(), mail)
 
--- a/toucandoor/core/ceilings/coordinator.py
+++ b/toucandoor/core/ceilings/coordinator.py
@@ -21,7 +21,6 @@
 from toucandoor.core.ceilings.count import EpochCount
 from toucandoor.core.ceilings.exchange import Exchange
 from toucandoor.core.ceilings.ledger import (
-    LedgerChange,
     LocalView,
     floor_of,
     plan_change,
@@ -48,7 +47,8 @@
 )
 from toucandoor.core.ceilings.office import CoordinatorOutput, Judgements, Office, WriteBudget
 from toucandoor.core.ceilings.roster import Roster
-from toucandoor.ids import ConfigVersion, IncarnationId, OperationId
+from toucandoor.core.ceilings.writes import LedgerWrites, WriteOutcome
+from toucandoor.ids import ConfigVersion, IncarnationId
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -72,14 +72,11 @@
         self._lease = lease
         self._lease_seen_until_s = lease.keyed_until_s()
         self._data_centre = data_centre
-        self._start_id = start_id
-        self._operations = 0
+        self._writes = LedgerWrites(start_id)
         self._office = Office.CANDIDATE
         self._exchange = Exchange(Member(COORDINATOR_ID, IncarnationId(0)))
         self._ledger: Ledger | None = None
         self._revision = -1
-        self._pending: WriteLedger | None = None
-        self._withdrawn: Counter[TeamId] = Counter()
         self._accounted: Counter[TeamId] = Counter()
         self._budget = WriteBudget()
         self._version = ConfigVersion(0)
@@ -89,7 +86,6 @@
         self._judgements = Judgements()
         self._count: EpochCount | None = None
         self._announced_s: float | None = None
-        self._rewrite = False
         self._plan_due = True
         self._turn = 0
         self._wanted: dict[TeamId, int] = {}
@@ -155,7 +151,7 @@
         self._ledger = ledger
         self._revision = revision
         self._judgements.note_terms(ledger.data_centres, now_s)
-        if self._pending is not None and not self._settle(revision):
+        if not self._settle(revision):
             return
         if self._office is Office.HOLDER:
             self._take_gifts()
@@ -191,7 +187,7 @@
         self._drop_gone(now_s)
         self._close_count()
         self._exchange.drop_silent(now_s)
-        write = self._plan(now_s) if self._is_plan_due(now_s) else self._again()
+        write = self._plan(now_s) if self._is_plan_due(now_s) else self._writes.again()
         envelopes = self._announce(now_s)
         envelopes += self._exchange.resend(now_s)
         envelopes += self._give(self._wanted, now_s)
@@ -213,8 +209,6 @@
         self._wanted = wanted
         return self._write(view, now_s)
 
-    # Office and ledger
-
     def _observe_lease(self, now_s: float) -> None:
         lapsed = now_s >= self._lease_seen_until_s
         self._lease_seen_until_s = self._lease.keyed_until_s()
@@ -222,62 +216,33 @@
             return
         _LOGGER.warning("%s lease ran out, term %s is over", _PREFIX, self.epoch.term)
         self._office = Office.CANDIDATE
-        self._pending = None
-        self._withdrawn.clear()
+        self._writes.forget()
         self._count = None
         self._exchange.restart(self._exchange.me)
 
     def _line(self) -> DataCentrePart:
-        if self._ledger is None:
-            return DataCentrePart()
-        return self._ledger.data_centres.get(self._data_centre, DataCentrePart())
-
-    def _operation(self) -> OperationId:
-        self._operations += 1
-        return OperationId(f"{self._start_id}.{self._operations}")
+        lines = self._ledger.data_centres if self._ledger is not None else {}
+        return lines.get(self._data_centre, DataCentrePart())
 
     def _write_office(self, now_s: float) -> WriteLedger | None:
-        if self._pending is not None or self._ledger is None:
-            return self._again()
-        if not self._budget.take(now_s):
+        if self._writes.is_open or self._ledger is None:
+            return self._writes.again()
+        if not self._lease.holds(now_s) or not self._budget.take(now_s):
             return None
-        operation = self._operation()
+        operation = self._writes.next_operation()
         ledger = take_office(self._ledger, self._data_centre, operation)
-        self._pending = WriteLedger(ledger, self._revision, operation)
-        return self._pending
-
-    def _again(self) -> WriteLedger | None:
-        """Return the write whose outcome is open, if the store was seen without it."""
-        if not self._rewrite:
-            return None
-        self._rewrite = False
-        return self._pending
+        return self._writes.send(ledger, self._revision)
 
     def _settle(self, revision: int) -> bool:
-        """Find out what became of the pending write; return whether that is known."""
-        pending = self._pending
-        if pending is None:
-            return True
-        line = self._line()
-        if line.operation == pending.operation:
-            self._pending = None
-            self._on_applied()
-            return True
-        if revision > pending.base_revision:
-            # The compare-and-swap can never succeed any more.
-            self._pending = None
-            self._exchange.holding.held.update(self._withdrawn)
-            self._withdrawn.clear()
-            return True
-        self._rewrite = True
-        return False
-
-    def _on_applied(self) -> None:
-        if self._office is Office.CANDIDATE:
+        """Act on what became of the last write; return whether that is known."""
+        outcome = self._writes.settle(self._line().operation, revision)
+        if outcome is WriteOutcome.APPLIED and self._office is Office.CANDIDATE:
             self._start_office()
-            return
-        self._accounted.subtract(self._withdrawn)
-        self._withdrawn.clear()
+        elif outcome is WriteOutcome.APPLIED:
+            self._accounted.subtract(self._writes.take_withdrawn())
+        elif outcome is WriteOutcome.VOID:
+            self._exchange.holding.held.update(self._writes.take_withdrawn())
+        return outcome is not WriteOutcome.OPEN
 
     def _start_office(self) -> None:
         line = self._line()
@@ -301,24 +266,18 @@
             self._exchange.touch(team)
 
     def _write(self, view: LocalView, now_s: float) -> WriteLedger | None:
-        if self._pending is not None or self._ledger is None:
+        if self._writes.is_open or self._ledger is None:
             self._plan_due = True
-            return self._again()
-        operation = OperationId(f"{self._start_id}.{self._operations + 1}")
+            return self._writes.again()
+        operation = self._writes.next_operation()
         change = plan_change(self._ledger, self._data_centre, view, operation)
         if change is None:
             return None
         if not self._budget.take(now_s):
             self._plan_due = True
             return None
-        self._operations += 1
-        return self._send_change(change, operation)
-
-    def _send_change(self, change: LedgerChange, operation: OperationId) -> WriteLedger:
-        self._withdrawn = +change.withdrawn
-        self._exchange.holding.held.subtract(self._withdrawn)
-        self._pending = WriteLedger(change.ledger, self._revision, operation)
-        return self._pending
+        self._exchange.holding.held.subtract(change.withdrawn)
+        return self._writes.send_change(change, self._revision)
 
     def _view(self, now_s: float) -> LocalView:
         line = self._line()
@@ -339,21 +298,17 @@
         ledger = self._ledger or Ledger()
         ceilings = self._ceilings if self._version > ledger.version else ledger.ceilings
         data_centres = len(set(ledger.data_centres) | {self._data_centre})
-        demand: dict[TeamId, int] = {}
-        for team, ceiling in ceilings.items():
-            floor = floor_of(ceiling, data_centres)
-            demand[team] = max(floor, self._exchange.demand_of_peers(team))
-        return demand
+        demand_of = self._exchange.demand_of_peers
+        return {
+            team: max(floor_of(ceiling, data_centres), demand_of(team))
+            for team, ceiling in ceilings.items()
+        }
 
     def _wanted_elsewhere(self, view: LocalView) -> dict[TeamId, int]:
         """Return the permits that the coordinator needs to retire or give away."""
-        if self._ledger is None:
-            return {}
+        ledger, me = self._ledger or Ledger(), self._data_centre
         teams = set(self._line().parts) | self._exchange.teams_known()
-        me = self._data_centre
-        return {team: wanted_elsewhere(self._ledger, me, team, view) for team in sorted(teams)}
-
-    # Members
+        return {team: wanted_elsewhere(ledger, me, team, view) for team in sorted(teams)}
 
     def _present(self) -> list[Member]:
         return self._roster.present(self._line().members)
@@ -385,13 +340,11 @@
                 self._count.on_gone(member)
         self._start_count(Epoch(self.epoch.term, self.epoch.round + 1))
 
-    # Counting
-
     def _start_count(self, epoch: Epoch) -> None:
         members = self._present()
         expected = Counter(self._accounted)
         expected.subtract(self._exchange.holding.held)
-        expected.subtract(self._withdrawn)
+        expected.subtract(self._writes.withdrawn)
         self._exchange.enter(epoch)
         self._exchange.peers = members
         self._count = EpochCount(epoch, expected, members)
--- a/toucandoor/measures/_ceilings.py
+++ b/toucandoor/measures/_ceilings.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
-import heapq
 import itertools
 from collections import Counter, defaultdict
-from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -14,13 +12,12 @@
 from toucandoor.core.ceilings.const import COORDINATOR_ID
 from toucandoor.core.ceilings.coordinator import PermitCoordinator
 from toucandoor.core.ceilings.entry import EntryPermits, Standing
-from toucandoor.core.ceilings.ledger import ceiling_in_force, decode_ledger, encode_ledger, total
+from toucandoor.core.ceilings.ledger import ceiling_in_force, total
 from toucandoor.core.ceilings.models import (
     CeilingMessage,
     DataCentreGone,
     EntryGone,
     Envelope,
-    Ledger,
     Member,
     WriteLedger,
 )
@@ -34,6 +31,18 @@
     IncarnationId,
     TeamId,
 )
+from toucandoor.measures._ceilings_fakes import (
+    CUT_OFF_GRACE_S,
+    ENTRY_LEASE_S,
+    JUDGE_MARGIN_S,
+    TASK_LEASE_S,
+    Agenda,
+    Chaos,
+    FakeEntry,
+    FakeStore,
+    FormerCoordinator,
+    Task,
+)
 from toucandoor.messages import encode
 
 if TYPE_CHECKING:
@@ -41,96 +50,6 @@
 
     from toucandoor.core.ceilings.policy import PermitPolicy
 
-ENTRY_LEASE_S = 6.0
-TASK_LEASE_S = 30.0
-CUT_OFF_GRACE_S = 120.0
-JUDGE_MARGIN_S = 1.0
-"""Time after a lease's end from which the holder is judged gone for good."""
-
-
-@dataclass(slots=True)
-class Task:
-    """A task on a backend server; it ends by itself or with its lease."""
-
-    team: TeamId
-    end_s: float
-    lease_end_s: float
-
-
-@dataclass(slots=True)
-class FakeEntry:
-    """An entry's process."""
-
-    entry: EntryId
-    data_centre: DataCentreId
-    incarnation: IncarnationId
-    lease: FixedLease
-    permits: PermitPolicy
-    tasks: dict[AttemptId, Task] = field(default_factory=dict)
-    alive: bool = True
-    paused: bool = False
-    cut_off: bool = False
-    granted_until_s: float = 0.0
-
-    @property
-    def runs(self) -> bool:
-        """Whether the process does anything now."""
-        return self.alive and not self.paused
-
-
-@dataclass(slots=True)
-class FormerCoordinator:
-    """A coordinator that goes on beside its successor."""
-
-    data_centre: DataCentreId
-    coordinator: PermitCoordinator
-    sees_store: bool
-
-
-class FakeStore:
-    """The ledger's key in the store, with outages and answers lost after the write."""
-
-    def __init__(self) -> None:
-        self.value = encode_ledger(Ledger())
-        self.ledger = Ledger()
-        self.revision = 0
-        self.up = True
-        self.writes = 0
-        self.calls = 0
-        self.bytes_max = 0
-
-    def swap(self, write: WriteLedger) -> bool:
-        """Write if the revision is the expected one; return whether it was."""
-        self.calls += 1
-        if write.base_revision != self.revision:
-            return False
-        self.writes += 1
-        self.revision += 1
-        self.value = encode_ledger(write.ledger)
-        self.ledger = decode_ledger(self.value)
-        self.bytes_max = max(self.bytes_max, len(self.value))
-        return True
-
-
-@dataclass(slots=True)
-class Chaos:
-    """What may happen to messages and answers.
-
-    Attributes:
-        lost_ratio: Part of the messages that never arrive.
-        doubled_ratio: Part of the messages that arrive twice.
-        late_ratio: Part of the messages that arrive up to `late_s` later, out of order.
-        answer_lost_ratio: Part of the writes that take effect without an answer.
-        write_late_ratio: Part of the writes that reach the store late or never.
-    """
-
-    lost_ratio: float = 0.0
-    doubled_ratio: float = 0.0
-    late_ratio: float = 0.0
-    late_s: float = 3.0
-    answer_lost_ratio: float = 0.0
-    write_late_ratio: float = 0.0
-
 
 class PermitWorld:
     """Entries with permits, one coordinator in each data centre, and the fakes around them."""
@@ -169,8 +88,7 @@
         self.message_bytes = 0
         self.in_force: dict[TeamId, int] = {}
         self.entries_total = sum(data_centres.values())
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
+        self._agenda = Agenda()
         self._attempts = itertools.count()
         self._starts = itertools.count()
         self.set_ceilings(self.ceilings)
@@ -179,8 +97,6 @@
             for index in range(count):
                 self.start_entry(EntryId(f"{data_centre}-{index}"), data_centre, 1)
 
-    # Faults and changes
-
     def set_ceilings(self, ceilings: Mapping[TeamId, int]) -> None:
         """Put a configuration with other ceilings in force."""
         self.version += 1
@@ -246,8 +162,6 @@
         for fake in self.entries:
             fake.paused = fake.cut_off = False
 
-    # Time
-
     def run(self, duration_s: float) -> None:
         """Let virtual time pass."""
         end_s = self.now_s + duration_s
@@ -260,7 +174,7 @@
         self._renew_leases()
         self._forget_former()
         self.report_gone()
-        self._deliver_due()
+        self._agenda.run_due(self.now_s)
         self._end_tasks()
         for fake in self.entries:
             if fake.runs:
@@ -273,30 +187,7 @@
 
     def running(self, team: TeamId) -> int:
         """Return how many tasks of the team really run."""
-        tasks = (t for f in [*self.entries, *self.former] for t in f.tasks.values())
-        return sum(1 for task in tasks if task.team == team and self._is_running(task))
-
-    def stranded(self) -> int:
-        """Return how many permits nobody can use now, of all teams together."""
-        usable = sum(ceiling_in_force(self.store.ledger, team) for team in self.ceilings)
-        usable -= sum(max(0, self._unclaimed(team)) for team in self.ceilings)
-        for data_centre, coordinator in self.coordinators.items():
-            if data_centre not in self.paused_coordinators and coordinator.office is Office.HOLDER:
-                usable -= sum(coordinator.pool(team) for team in self.ceilings)
-        for fake in self.entries:
-            permits = fake.permits
-            if isinstance(permits, EntryPermits) and self._may_spend(fake, permits):
-                usable -= sum(permits.holdings().values())
-        return usable
-
-    def _unclaimed(self, team: TeamId) -> int:
-        if not any(self._sees_store(data_centre) for data_centre in self.data_centres):
-            return 0
-        return self.ceilings[team] - total(self.store.ledger, team)
-
-    def _may_spend(self, fake: FakeEntry, permits: EntryPermits) -> bool:
-        in_force = permits.standing is Standing.COUNTED and fake.lease.holds(self.now_s)
-        return fake.runs and in_force
+        return self.running_by_team()[team]
 
     def held_by_team(self) -> Counter[TeamId]:
         """Return the permits of entries that are not gone and may spend them."""
@@ -409,16 +300,15 @@
             end_s = self.now_s + self.run_s()
             fake.tasks[attempt_id] = Task(team, end_s, self.now_s + TASK_LEASE_S)
 
-    # Coordinators and the store
-
-    def _sees_store(self, data_centre: DataCentreId) -> bool:
+    def sees_store(self, data_centre: DataCentreId) -> bool:
+        """Return whether a data centre reaches the store."""
         return self.store.up and data_centre not in self.cut_off
 
     def _run_coordinator(self, data_centre: DataCentreId, coordinator: PermitCoordinator) -> None:
         if coordinator.office is Office.DEPOSED:
             self.new_coordinator(data_centre)
             return
-        self._tick_coordinator(data_centre, coordinator, self._sees_store(data_centre))
+        self._tick_coordinator(data_centre, coordinator, self.sees_store(data_centre))
 
     def _tick_coordinator(
         self, data_centre: DataCentreId, coordinator: PermitCoordinator, sees_store: bool
@@ -434,33 +324,23 @@
 
     def _write(self, coordinator: PermitCoordinator, write: WriteLedger) -> None:
         if self.random.random() < self.chaos.write_late_ratio:
-            self._later(self.random.uniform(0, 5), lambda: self._swap_if_up(write))
+            self._later(self.random.uniform(0, 5), lambda: self.store.up and self.store.swap(write))
             return
         applied = self.store.swap(write)
         if applied and self.random.random() >= self.chaos.answer_lost_ratio:
             coordinator.on_ledger(self.store.ledger, self.store.revision, self.now_s)
 
-    def _swap_if_up(self, write: WriteLedger) -> None:
-        if self.store.up:
-            self.store.swap(write)
-
     def _all_coordinators(self, data_centre: DataCentreId) -> list[PermitCoordinator]:
         former = [f.coordinator for f in self.former_coordinators if f.data_centre == data_centre]
         return [self.coordinators[data_centre], *former]
 
     def _run_former_coordinators(self) -> None:
         for former in self.former_coordinators:
-            sees_store = former.sees_store and self._sees_store(former.data_centre)
+            sees_store = former.sees_store and self.sees_store(former.data_centre)
             self._tick_coordinator(former.data_centre, former.coordinator, sees_store)
 
-    # Messages
-
-    def _later(self, delay_s: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._queue, (self.now_s + delay_s, next(self._order), action))
-
-    def _deliver_due(self) -> None:
-        while self._queue and self._queue[0][0] <= self.now_s:
-            heapq.heappop(self._queue)[2]()
+    def _later(self, delay_s: float, action: Callable[[], object]) -> None:
+        self._agenda.add(self.now_s + delay_s, action)
 
     def _send(self, data_centre: DataCentreId, sender: Member, envelopes: list[Envelope]) -> None:
         for envelope in envelopes:
--- a/toucandoor/measures/_ceilings_baselines.py
+++ b/toucandoor/measures/_ceilings_baselines.py
@@ -41,10 +41,6 @@
             self.in_force[team] = max(self.ceilings[team], min(before, running[team]))
             self.overruns += max(0, running[team] - self.in_force[team])
 
-    def stranded(self) -> int:
-        """Return 0: permits do not move."""
-        return 0
-
 
 class StaticWorld(BaselineWorld):
     """Each entry has a fixed part of each ceiling."""
--- a/toucandoor/measures/ceiling_overrun.py
+++ b/toucandoor/measures/ceiling_overrun.py
@@ -8,16 +8,19 @@
 from random import Random
 from typing import Final
 
+from toucandoor.core.ceilings.entry import EntryPermits, Standing
+from toucandoor.core.ceilings.ledger import ceiling_in_force, total
+from toucandoor.core.ceilings.office import Office
 from toucandoor.ids import DataCentreId, TeamId
-from toucandoor.measures._ceilings import (
+from toucandoor.measures._ceilings import PermitWorld
+from toucandoor.measures._ceilings_baselines import CounterWorld, StaticWorld
+from toucandoor.measures._ceilings_fakes import (
     CUT_OFF_GRACE_S,
     ENTRY_LEASE_S,
     TASK_LEASE_S,
     Chaos,
     FakeEntry,
-    PermitWorld,
 )
-from toucandoor.measures._ceilings_baselines import CounterWorld, StaticWorld
 from toucandoor.measures.result import Figures, MeasureResult
 
 _USED_RATIO_MIN: Final = 0.9
@@ -155,6 +158,29 @@
 )
 
 
+def _stranded(world: PermitWorld) -> int:
+    """Return how many permits nobody can use now, of all teams together."""
+    ledger = world.store.ledger
+    count = 0
+    for team, ceiling in world.ceilings.items():
+        count += ceiling_in_force(ledger, team)
+        if any(world.sees_store(data_centre) for data_centre in world.data_centres):
+            count -= max(0, ceiling - total(ledger, team))
+        for data_centre, coordinator in world.coordinators.items():
+            is_paused = data_centre in world.paused_coordinators
+            if not is_paused and coordinator.office is Office.HOLDER:
+                count -= coordinator.pool(team)
+    return count - sum(_usable(world, fake) for fake in world.entries)
+
+
+def _usable(world: PermitWorld, fake: FakeEntry) -> int:
+    permits = fake.permits
+    if not isinstance(permits, EntryPermits) or permits.standing is not Standing.COUNTED:
+        return 0
+    may_spend = fake.runs and fake.lease.holds(world.now_s)
+    return sum(permits.holdings().values()) if may_spend else 0
+
+
 def _load(world: PermitWorld, duration_s: float) -> None:
     """Let random entries ask for random teams' tasks, more than the ceilings allow in places."""
     teams = list(world.ceilings)
@@ -164,7 +190,7 @@
             waiting = max(2, world.ceilings[team])
             world.waiting[entry.entry][team] = world.random.randint(0, waiting)
         world.run(1)
-        world.stranded_permit_s += world.stranded()
+        world.stranded_permit_s += _stranded(world)
 
 
 def _quiet(world: PermitWorld) -> None:
@@ -198,7 +224,7 @@
     """Return the seconds under load until nearly every permit is usable again."""
     under_way = _UNDER_WAY_RATIO_MAX * sum(world.ceilings.values())
     for seconds in range(int(_RECOVERY_S_MAX)):
-        if world.stranded() <= under_way:
+        if _stranded(world) <= under_way:
             return float(seconds)
         _load(world, 1)
     return None
