--- a/tests/core/leases/test_sessions.py
+++ b/tests/core/leases/test_sessions.py
@@ -18,7 +18,10 @@
         self.assertEqual(sessions.in_force(ConfigVersion(3), 6.1), 3)
         early = EntrySessions(TIMES, started_s=0.0)
         early.connected(IncarnationId(1))
-        self.assertEqual(early.in_force(ConfigVersion(3), 1.0), 3)
+        self.assertEqual(early.in_force(ConfigVersion(3), 1.0), 0)
+        early.acknowledged(IncarnationId(1), ConfigVersion(2))
+        self.assertEqual(early.in_force(ConfigVersion(3), 1.0), 2)
+        self.assertEqual(early.in_force(ConfigVersion(3), 6.1), 3)
 
     def test_an_entry_that_went_away_is_awaited_until_its_lease_ends(self) -> None:
         sessions = EntrySessions(TIMES, started_s=0.0)
--- /dev/null
+++ b/tests/programs/test_in_force.py
@@ -0,0 +1,140 @@
+"""Configuration and leases with real processes and sockets."""
+
+from __future__ import annotations
+
+import json
+import signal
+import time
+import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import urllib3
+
+from toucandoor.core.keys import secret_digest
+from toucandoor.measures._deployment import LocalDeployment
+
+ENTRY_LEASE_S = 2.0
+GRACE_S = 6.0
+DEADLINE = {"Toucandoor-Deadline-S": "3"}
+FOLDER = f"""
+[data_centres.dc-1]
+region = "r-1"
+[data_centres.dc-2]
+region = "r-1"
+[pools.p]
+unavailable_max = 1
+[queues.q]
+pool = "p"
+[queues.open]
+pool = "p"
+open_to_all = true
+[teams.a]
+ceiling_running = 12
+keys.a-1.sha256 = "{secret_digest('secret-of-a')}"
+keys.a-2.sha256 = "{secret_digest('second-of-a')}"
+[vms.w-1]
+pool = "p"
+data_centre = "dc-1"
+rack = "r"
+address = "127.43.2.1:8181"
+[policy]
+entry_lease_s = {ENTRY_LEASE_S}
+cut_off_grace_s = {GRACE_S}
+"""
+
+
+class InForceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        scratch = TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        self.folder = Path(scratch.name)
+        (self.folder / "10-all.toml").write_text(FOLDER)
+        settings = {"controller": {"accept_wait_s": "4"}}
+        deployment = LocalDeployment(self.folder, ["dc-1", "dc-1", "dc-2"], settings)
+        self.path = self.enterContext(deployment)
+        applied = self.path.operate("apply", str(self.folder), "--json")
+        self.assertEqual(applied.returncode, 0, applied.stdout + applied.stderr)
+        self.path.wait_ready()
+        self._wait(lambda: all(self._serves(n) for n in range(3)))
+
+    def test_accepted_means_in_force_at_every_entry(self) -> None:
+        for turn in range(3):
+            self._grow(turn)
+            applied = self._apply()
+            self.assertEqual(applied["pending"], [])
+            for entry in range(3):
+                status = self._status(entry)
+                self.assertEqual(status["version"], applied["version"])
+                self.assertEqual(status["entries"][0]["version"], applied["version"])
+
+    def test_a_frozen_vm_delays_withdrawn_by_its_lease_and_honours_no_key_after(self) -> None:
+        self._freeze("entry-2", signal.SIGSTOP)
+        started_s = time.monotonic()
+        withdrawn = self.path.operate("key", "withdraw", "a-1", "--json")
+        reply = json.loads(withdrawn.stdout)
+        if withdrawn.returncode == 1:
+            self.assertEqual([p["entry"] for p in reply["pending"]], ["entry-2"])
+            self._wait(lambda: not self._status(0)["pending"], 10.0)
+        taken_s = time.monotonic() - started_s
+        self._freeze("entry-2", signal.SIGCONT)
+        answer = self.path.request("q", b"{}", key="secret-of-a", entry=1)
+        self.assertIn(answer.status, (401, 503))
+        self.assertGreater(taken_s, 0.5)
+        self.assertLess(taken_s, ENTRY_LEASE_S + 4.0)
+        self._wait(lambda: self._serves(1, "second-of-a"))
+
+    def test_the_store_away_stops_nobody_and_a_restarted_vm_takes_it_from_a_peer(self) -> None:
+        self.path.set_faults(down=True)
+        for name in ("entry-2.controller", "entry-2.entry"):
+            self.path.processes[name].end()
+            self.path.processes[name].start()
+        self._wait(lambda: self._serves(1), 12.0)
+        time.sleep(GRACE_S)
+        self.assertTrue(all(self._serves(n) for n in range(3)))
+
+    def test_a_lost_answer_is_read_back(self) -> None:
+        self.path.set_faults(lose_answers=True)
+        self._grow(9)
+        applied = self._apply()
+        self.assertEqual(applied["pending"], [])
+        self.path.set_faults()
+
+    def test_a_vm_alone_stops_keyed_work_and_goes_on_with_open_queues(self) -> None:
+        self.path.set_faults(down=True)
+        for name in ("entry-1", "entry-2"):
+            self._freeze(name, signal.SIGSTOP)
+        self._wait(lambda: not self._serves(2), GRACE_S + 3.0)
+        self.assertEqual(self.path.request("open", b"{}", entry=2).status, 200)
+        for name in ("entry-1", "entry-2"):
+            self._freeze(name, signal.SIGCONT)
+        self._wait(lambda: all(self._serves(n) for n in range(3)), 8.0)
+
+    def _serves(self, entry: int, key: str = "secret-of-a") -> bool:
+        try:
+            answer = self.path.request("q", b"{}", key=key, entry=entry, headers=DEADLINE)
+            return answer.status == 200
+        except urllib3.exceptions.HTTPError:
+            return False  # the process is not there at present
+
+    def _status(self, entry: int) -> dict[str, Any]:
+        return json.loads(self.path.operate("status", "--json", entry=entry).stdout)
+
+    def _apply(self) -> dict[str, Any]:
+        applied = self.path.operate("apply", str(self.folder), "--json")
+        self.assertEqual(applied.returncode, 0, applied.stdout + applied.stderr)
+        return json.loads(applied.stdout)
+
+    def _grow(self, number: int) -> None:
+        (self.folder / f"20-{number}.toml").write_text(f"[teams.t{number}]\nceiling_running = 1\n")
+
+    def _freeze(self, vm: str, number: signal.Signals) -> None:
+        for program in ("entry", "controller"):
+            self.path.processes[f"{vm}.{program}"].send(number)
+
+    def _wait(self, holds: Any, within_s: float = 10.0) -> None:
+        until_s = time.monotonic() + within_s
+        while not holds():
+            self.assertLess(time.monotonic(), until_s, "not in time")
+            time.sleep(0.2)
--- a/toucandoor/adapters/controller_link.py
+++ b/toucandoor/adapters/controller_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import time
 from typing import TYPE_CHECKING
@@ -11,7 +12,7 @@
 
 from toucandoor.adapters.link import Link, async_open_link
 from toucandoor.core.configuration.models import Configuration
-from toucandoor.exceptions import ToucandoorError
+from toucandoor.exceptions import MessageError, ToucandoorError
 from toucandoor.ids import IncarnationId
 from toucandoor.messages import (
     PROTOCOL_VERSION,
@@ -21,16 +22,20 @@
     Message,
     VmStatesPush,
 )
+from toucandoor.peer_messages import EntryGoodbye, LeaseAnswer, LeaseAsk
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from toucandoor.adapters.settings import EntrySettings
+    from toucandoor.clock import Clock
+    from toucandoor.core.leases.sessions import HandedLease
     from toucandoor.messages import VmState
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "controller link:"
 _RECONNECT_S = 0.3
+_LEASE_INTERVAL_S = 1.0
 
 
 class ControllerLink:
@@ -42,10 +47,19 @@
     def __init__(
         self,
         settings: EntrySettings,
-        configure: Callable[[int, Configuration], None],
+        configure: Callable[[int, Configuration, Callable[[], None]], None],
         update_states: Callable[[list[VmState]], None],
+        lease: HandedLease,
+        clock: Clock,
     ) -> None:
         self._settings = settings
+        self._lease = lease
+        self._clock = clock
+        self._asked_s: dict[int, float] = {}
+        self._sequence = 0
+        self._in_force = 0
+        self._link: Link | None = None
+        self._acknowledging: set[asyncio.Task[None]] = set()
         self._configure = configure
         self._update_states = update_states
         self._version = 0
@@ -67,14 +81,46 @@
         await link.async_send(
             Hello(PROTOCOL_VERSION, settings.entry_id, self._incarnation, settings.data_centre)
         )
-        async for message in link.async_messages():
-            await self._async_take(message, link)
+        self._link = link
+        asking = asyncio.create_task(self._async_ask_lease(link))
+        try:
+            async for message in link.async_messages():
+                await self._async_take(message, link)
+        finally:
+            self._link = None
+            asking.cancel()
+
+    async def async_say_goodbye(self) -> None:
+        """Tell the controller that no keyed work starts here any more."""
+        self._lease.end()
+        if self._link is not None:
+            with contextlib.suppress(MessageError):
+                await self._link.async_send(EntryGoodbye())
+
+    async def _async_ask_lease(self, link: Link) -> None:
+        while True:
+            await self._async_ask_once(link)
+            await asyncio.sleep(_LEASE_INTERVAL_S)
+
+    async def _async_ask_once(self, link: Link) -> None:
+        self._sequence += 1
+        self._asked_s[self._sequence] = self._clock.monotonic_s()
+        with contextlib.suppress(MessageError):
+            await link.async_send(LeaseAsk(self._sequence, self._in_force))
+
+    def _take_lease(self, answer: LeaseAnswer) -> None:
+        sent_s = self._asked_s.pop(answer.sequence, None)
+        self._asked_s = {n: s for n, s in self._asked_s.items() if n > answer.sequence}
+        if sent_s is not None:
+            self._lease.renew(sent_s, answer.left_s)
 
     async def _async_take(self, message: Message, link: Link) -> None:
         match message:
             case ConfigurationPush():
                 self._take_configuration(message)
-                await link.async_send(ConfigurationAck(self._version))
+                await link.async_send(ConfigurationAck(self._in_force))
+            case LeaseAnswer():
+                self._take_lease(message)
             case VmStatesPush(states):
                 self._update_states(states)
 
@@ -87,4 +133,17 @@
             _LOGGER.error("%s refused configuration %s: %s", _PREFIX, push.version, err)
             return
         self._version = push.version
-        self._configure(push.version, configuration)
+        self._configure(push.version, configuration, lambda: self._switched(push.version))
+
+    def _switched(self, version: int) -> None:
+        """Acknowledge a version once everything in this process obeys it."""
+        self._in_force = version
+        if self._link is not None:
+            task = asyncio.ensure_future(self._async_acknowledge(self._link, version))
+            self._acknowledging.add(task)
+            task.add_done_callback(self._acknowledging.discard)
+
+    async def _async_acknowledge(self, link: Link, version: int) -> None:
+        with contextlib.suppress(MessageError):
+            await link.async_send(ConfigurationAck(version))
+            await self._async_ask_once(link)
--- a/toucandoor/adapters/link.py
+++ b/toucandoor/adapters/link.py
@@ -68,7 +68,12 @@
 
 
 async def async_open_link(
-    address: str, path: str, secret: str, *, open_timeout_s: float = 2.0
+    address: str,
+    path: str,
+    secret: str,
+    *,
+    open_timeout_s: float = 2.0,
+    ping_interval_s: float | None = 2.0,
 ) -> Link:
     """Connect to a controller.
 
@@ -76,6 +81,7 @@
         address: ``IP:port`` of the controller's link address.
         path: Role of this side: ``/entry``, ``/peer`` or ``/operator``.
         secret: Secret that the role requires.
+        ping_interval_s: Time between pings; None where the messages themselves tell a dead link.
 
     Raises:
         PeerAuthenticationError: The controller refused the secret.
@@ -87,7 +93,7 @@
             additional_headers={"Authorization": f"Bearer {secret}"},
             max_size=MESSAGE_BYTES_MAX,
             open_timeout=open_timeout_s,
-            ping_interval=2,
+            ping_interval=ping_interval_s,
             ping_timeout=4,
             compression=None,
             proxy=None,
--- a/toucandoor/adapters/operator_api.py
+++ b/toucandoor/adapters/operator_api.py
@@ -9,6 +9,7 @@
 
 from pydantic import ValidationError
 
+from toucandoor.adapters.in_force_task import pending_as_json
 from toucandoor.core.configuration.models import Configuration, KeyConfig, TeamConfig
 from toucandoor.exceptions import StoreConflictError, StoreError, ToucandoorError
 from toucandoor.ids import KeyId, TeamId
@@ -17,7 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from toucandoor.adapters.configuration_task import ConfigurationTask
+    from toucandoor.adapters.configuration_task import ConfigurationTask, Head
+    from toucandoor.adapters.in_force_task import InForceTask
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "operator:"
@@ -43,9 +45,15 @@
     """
 
     def __init__(
-        self, configuration: ConfigurationTask, status: Callable[[], dict[str, Any]]
+        self,
+        configuration: ConfigurationTask,
+        in_force: InForceTask,
+        accept_wait_s: float,
+        status: Callable[[], dict[str, Any]],
     ) -> None:
         self._configuration = configuration
+        self._in_force = in_force
+        self._accept_wait_s = accept_wait_s
         self._status = status
         self._actions: dict[str, Callable[[dict[str, Any]], Awaitable[OperatorReply]]] = {
             "apply": self._async_apply,
@@ -91,14 +99,24 @@
         head = await self._configuration.async_propose(
             int(arguments["base_version"]), asked, str(arguments.get("change_id", ""))
         )
-        return OperatorReply(True, body={"version": head.version})
+        return OperatorReply(True, body=await self._async_accepted(head))
+
+    async def _async_accepted(self, head: Head) -> dict[str, Any]:
+        """Wait until a version is in force everywhere; say what is pending when it is not yet."""
+        record = self._configuration.record
+        pending = await self._in_force.async_wait_accepted(record, self._accept_wait_s)
+        if not pending:
+            before = self._configuration.earlier(record.version - 1)
+            await self._configuration.async_collect(before, self._configuration.record)
+        return {"version": head.content_version, "pending": pending_as_json(pending)}
 
     async def _async_configuration(self, arguments: dict[str, Any]) -> OperatorReply:
         head = self._configuration.head
         if head is None:
             return OperatorReply(True, body={"version": 0, "configuration": {}})
         dumped = head.configuration.model_dump(mode="json")
-        return OperatorReply(True, body={"version": head.version, "configuration": dumped})
+        body = {"version": head.content_version, "configuration": dumped}
+        return OperatorReply(True, body=body)
 
     async def _async_status(self, arguments: dict[str, Any]) -> OperatorReply:
         return OperatorReply(True, body=self._status())
@@ -115,8 +133,9 @@
         key = KeyConfig(sha256=hashlib.sha256(secret.encode()).hexdigest())
         changed = team.model_copy(update={"keys": team.keys | {key_id: key}})
         configuration = _with_team(head.configuration, team_id, changed)
-        written = await self._configuration.async_propose(head.version, configuration)
-        return OperatorReply(True, body={"version": written.version, "secret": secret})
+        written = await self._configuration.async_propose(head.content_version, configuration)
+        body = {**await self._async_accepted(written), "secret": secret}
+        return OperatorReply(True, body=body)
 
     async def _async_key_withdraw(self, arguments: dict[str, Any]) -> OperatorReply:
         key_id = KeyId(arguments["key"])
@@ -128,8 +147,8 @@
             raise OperatorError("not_found", f"no such key: {key_id}")
         withdrawn = head.configuration.withdrawn_keys | {key_id}
         configuration = head.configuration.model_copy(update={"withdrawn_keys": withdrawn})
-        written = await self._configuration.async_propose(head.version, configuration)
-        return OperatorReply(True, body={"version": written.version})
+        written = await self._configuration.async_propose(head.content_version, configuration)
+        return OperatorReply(True, body=await self._async_accepted(written))
 
     def _present(self) -> Configuration | None:
         head = self._configuration.head
--- a/toucandoor/adapters/settings.py
+++ b/toucandoor/adapters/settings.py
@@ -63,6 +63,10 @@
         ops_address: Where health, readiness and metrics are served.
         store_address: The platform's key-value service.
         vm_list_address: The platform's list of live and leaving VMs.
+        accept_wait_s: Time that a command waits for a change to be in force everywhere before it
+            answers what is pending.
+        peer_addresses: Controllers to take the configuration from while the store is away and
+            nothing is known yet.
     """
 
     program: ClassVar[str] = "controller"
@@ -78,6 +82,8 @@
     watch_wait_s: Annotated[float, Field(gt=0)] = 20.0
     vm_list_period_s: Annotated[float, Field(gt=0)] = 1.0
     stop_grace_s: Annotated[float, Field(gt=0)] = 5.0
+    accept_wait_s: Annotated[float, Field(ge=0)] = 15.0
+    peer_addresses: tuple[Address, ...] = ()
 
 
 class EntrySettings(Settings):
--- a/toucandoor/core/configuration/head.py
+++ b/toucandoor/core/configuration/head.py
@@ -30,7 +30,7 @@
     Attributes:
         version: Grows by one with every swap.
         content_version: Version at which operators last changed the content; 0 before the first.
-        parts: Digest of each part by its name.
+        parts: Name in the store of each part by its section.
         slots: Entry VMs that take part.
         previous_slots: Slots of the last version that was in force everywhere before the slots
             changed; a VM may still reckon its majorities by them.
@@ -91,7 +91,10 @@
             self,
             version=version,
             content_version=version,
-            parts={name: digest(text) for name, text in split(configuration).items()},
+            parts={
+                name: self._part_name(name, text, version)
+                for name, text in split(configuration).items()
+            },
             recent=recent,
             entry_lease_s=max(self.entry_lease_s, policy.entry_lease_s),
             grace_s=max(self.grace_s, policy.cut_off_grace_s),
@@ -123,6 +126,14 @@
             return None
         return self._with_slots(left, self.lease_slots())
 
+    def _part_name(self, name: str, text: str, version: ConfigVersion) -> str:
+        """Keep an unchanged part's name; a new name is never used for any other version.
+
+        So a part that the newest head does not name can be deleted while operators race.
+        """
+        present = self.parts.get(name, "")
+        return present if present.startswith(digest(text)) else f"{digest(text)}.{version}"
+
     def _others(self, entry: EntryId, *added: Slot) -> tuple[Slot, ...]:
         return tuple(slot for slot in self.slots if slot.entry != entry) + added
 
@@ -140,7 +151,7 @@
 
 
 def digest(text: str) -> str:
-    """Return the name under which a part lies in the store."""
+    """Return what a part's name in the store begins with."""
     return hashlib.sha256(text.encode()).hexdigest()[:32]
 
 
--- a/toucandoor/core/leases/grants.py
+++ b/toucandoor/core/leases/grants.py
@@ -27,11 +27,17 @@
     """
 
     def __init__(self, times: LeaseTimes, started_s: float) -> None:
-        self.times = times
-        self._settled_s = started_s + times.granter_entry_lease_s()
+        self._times = times
+        self._longest = times
+        self._started_s = started_s
         self._grants: dict[EntryId, _Grant] = {}
         self._dead: dict[EntryId, IncarnationId] = {}
 
+    def set_times(self, times: LeaseTimes, longest: LeaseTimes) -> None:
+        """Take over the durations to grant and the longest that were ever granted."""
+        self._times = times
+        self._longest = longest
+
     def grant(
         self, entry: EntryId, incarnation: IncarnationId, version: ConfigVersion, now_s: float
     ) -> float:
@@ -40,11 +46,11 @@
             return 0.0
         self.note_incarnation(entry, incarnation)
         held = self._grants.get(entry)
-        until_s = now_s + self.times.granter_entry_lease_s()
+        until_s = now_s + self._times.granter_entry_lease_s()
         if held is not None:
             until_s = max(until_s, held.until_s)
         self._grants[entry] = _Grant(incarnation, version, until_s)
-        return self.times.entry_lease_s
+        return self._times.entry_lease_s
 
     def note_incarnation(self, entry: EntryId, incarnation: IncarnationId) -> None:
         """Take a newer incarnation at the same address as proof that the earlier are dead."""
@@ -65,7 +71,7 @@
 
     def settled(self, now_s: float) -> bool:
         """Return whether the grants of earlier incarnations of this node have run out."""
-        return now_s >= self._settled_s
+        return now_s >= self._started_s + self._longest.granter_entry_lease_s()
 
     def lower_than(self, version: ConfigVersion, now_s: float) -> tuple[EntryId, ...]:
         """Return the entries that may hold a grant made below a version."""
--- a/toucandoor/core/leases/models.py
+++ b/toucandoor/core/leases/models.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 from toucandoor.core.leases.const import CLOCK_DRIFT_RATIO
 from toucandoor.ids import ConfigVersion, DataCentreId, EntryId, IncarnationId
 
@@ -42,8 +44,7 @@
         return self.grace_s * (1 + CLOCK_DRIFT_RATIO)
 
 
-@dataclass(frozen=True, slots=True)
-class Poll:
+class Poll(msgspec.Struct, frozen=True, array_like=True):
     """Heartbeat from one node to another.
 
     Attributes:
@@ -60,8 +61,7 @@
     asks_grant: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class PollAnswer:
+class PollAnswer(msgspec.Struct, frozen=True, array_like=True):
     """Answer to a poll.
 
     Attributes:
--- a/toucandoor/core/leases/node.py
+++ b/toucandoor/core/leases/node.py
@@ -56,10 +56,10 @@
         """Take over the slots of the version in force."""
         self._slots = {slot.entry: slot for slot in slots}
 
-    def set_times(self, times: LeaseTimes) -> None:
-        """Take over the durations of the version in force."""
+    def set_times(self, times: LeaseTimes, longest: LeaseTimes) -> None:
+        """Take over the durations of the version in force, and the longest of any version."""
         self._times = times
-        self.grants.times = times
+        self.grants.set_times(times, longest)
 
     def set_known(self, version: ConfigVersion) -> None:
         """Note that the whole content of a version is here; a lower one changes nothing."""
--- a/toucandoor/measures/_deployment.py
+++ b/toucandoor/measures/_deployment.py
@@ -233,4 +233,5 @@
             "vm_list_address": self.platform_address,
             "peer_secret": PEER_SECRET,
             "operator_secret": OPERATOR_SECRET,
+            "peer_addresses": ",".join(each.link_address for each in self.entry_vms),
         }
--- a/toucandoor/programs/controller.py
+++ b/toucandoor/programs/controller.py
@@ -13,6 +13,7 @@
 from websockets.asyncio.server import ServerConnection, serve
 
 from toucandoor.adapters.configuration_task import ConfigurationTask, Head
+from toucandoor.adapters.in_force_task import InForceTask
 from toucandoor.adapters.link import Link, authenticate
 from toucandoor.adapters.logs import set_up_logs
 from toucandoor.adapters.metrics import make_ops_app
@@ -22,8 +23,9 @@
 from toucandoor.adapters.store_client import HttpStore
 from toucandoor.adapters.vm_list_task import ListedState, ListedVm, VmListTask
 from toucandoor.adapters.wsgi import make_server
+from toucandoor.clock import SystemClock
 from toucandoor.exceptions import MessageError, SettingsError
-from toucandoor.ids import IncarnationId
+from toucandoor.ids import ConfigVersion, IncarnationId
 from toucandoor.messages import (
     MESSAGE_BYTES_MAX,
     PROTOCOL_VERSION,
@@ -35,6 +37,15 @@
     VmState,
     VmStatesPush,
 )
+from toucandoor.peer_messages import (
+    ContentAsk,
+    EntryGoodbye,
+    LeaseAnswer,
+    LeaseAsk,
+    PeerGoodbye,
+    PeerPoll,
+    PeerPollAnswer,
+)
 
 if TYPE_CHECKING:
     from websockets.http11 import Request, Response
@@ -56,7 +67,12 @@
         self._vm_list = VmListTask(
             settings.vm_list_address, settings.vm_list_period_s, self._async_take_list
         )
-        self._operators = OperatorApi(self._configuration, self._status)
+        self._in_force = InForceTask(
+            settings, self._incarnation, self._configuration, SystemClock()
+        )
+        self._operators = OperatorApi(
+            self._configuration, self._in_force, settings.accept_wait_s, self._status
+        )
         self._entries: dict[Link, int] = {}
         self._states: list[VmState] = []
 
@@ -70,6 +86,8 @@
         tasks = [
             asyncio.create_task(self._configuration.async_run()),
             asyncio.create_task(self._vm_list.async_run()),
+            asyncio.create_task(self._in_force.async_run()),
+            asyncio.create_task(self._in_force.async_register()),
         ]
         async with serve(
             self._async_connection,
@@ -78,11 +96,12 @@
             process_request=self._authenticate,
             max_size=MESSAGE_BYTES_MAX,
             compression=None,
-            ping_interval=2,
-            ping_timeout=4,
+            ping_interval=20,
+            ping_timeout=10,
         ):
             _LOGGER.info("%s serving at %s", _PREFIX, settings.link_address)
             await stop.asked.wait()
+            await self._in_force.async_stop()
         for task in tasks:
             task.cancel()
         ops.stop()
@@ -97,7 +116,11 @@
     async def _async_connection(self, connection: ServerConnection) -> None:
         assert connection.request is not None
         link = Link(connection, str(connection.remote_address))
-        handlers = {"/entry": self._async_entry, "/operator": self._async_operator}
+        handlers = {
+            "/entry": self._async_entry,
+            "/operator": self._async_operator,
+            "/peer": self._async_peer,
+        }
         try:
             await handlers[connection.request.path](link)
         except MessageError as err:
@@ -117,23 +140,54 @@
             if self._configuration.head is not None:
                 await link.async_send(_push(self._configuration.head))
             await link.async_send(VmStatesPush(self._states))
+            incarnation = IncarnationId(0)
             async for message in link.async_messages():
-                self._take_from_entry(link, message)
+                if isinstance(message, Hello):
+                    incarnation = IncarnationId(message.incarnation)
+                await self._async_take_from_entry(link, incarnation, message)
         finally:
             self._entries.pop(link, None)
 
-    def _take_from_entry(self, link: Link, message: Message) -> None:
+    async def _async_take_from_entry(
+        self, link: Link, incarnation: IncarnationId, message: Message
+    ) -> None:
+        sessions = self._in_force.sessions
         match message:
+            case Hello():
+                sessions.connected(incarnation)
             case ConfigurationAck(version):
                 self._entries[link] = version
+                sessions.acknowledged(incarnation, ConfigVersion(version))
+                self._in_force.refresh()
+            case LeaseAsk(sequence, version):
+                sessions.acknowledged(incarnation, ConfigVersion(version))
+                left_s = self._in_force.hand_on(incarnation)
+                await link.async_send(LeaseAnswer(sequence, left_s))
+            case EntryGoodbye():
+                sessions.ended(incarnation)
+
+    async def _async_peer(self, link: Link) -> None:
+        async for message in link.async_messages():
+            match message:
+                case Hello() if message.protocol_version != PROTOCOL_VERSION:
+                    _LOGGER.warning("%s %s speaks another version", _PREFIX, message.sender)
+                    await link.async_close()
+                case PeerPoll(poll):
+                    await link.async_send(PeerPollAnswer(self._in_force.on_poll(poll)))
+                case ContentAsk():
+                    await link.async_send(self._in_force.content_for(message))
+                case PeerGoodbye():
+                    self._in_force.on_goodbye(message)
 
     async def _async_operator(self, link: Link) -> None:
         async for message in link.async_messages():
             if isinstance(message, OperatorRequest):
                 await link.async_send(await self._operators.async_handle(message, link.peer))
 
-    async def _async_announce(self, head: Head) -> None:
-        await self._async_send_entries(_push(head))
+    async def _async_announce(self, head: Head | None) -> None:
+        self._in_force.take_record(self._configuration.record)
+        if head is not None:
+            await self._async_send_entries(_push(head))
 
     async def _async_take_list(self, listed: list[ListedVm]) -> None:
         head = self._configuration.head
@@ -159,7 +213,8 @@
         return {
             "entry_id": self._settings.entry_id,
             "data_centre": self._settings.data_centre,
-            "version": head.version if head else 0,
+            "version": head.content_version if head else 0,
+            **self._in_force.status(),
             "entries": [{"peer": link.peer, "version": v} for link, v in self._entries.items()],
             "store_error": self._configuration.store_error,
             "store_calls": dict(self._store.calls),
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -8,7 +8,7 @@
 import time
 import uuid
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import typer
 
@@ -26,7 +26,7 @@
 from toucandoor.core.ceilings.policy import StaticPermits
 from toucandoor.core.configuration.models import Configuration, QueueConfig
 from toucandoor.core.keys import KeyRing
-from toucandoor.core.leases.serving import FixedLease
+from toucandoor.core.leases.sessions import HandedLease
 from toucandoor.core.requests.engine import RequestEngine
 from toucandoor.core.requests.models import BackendServer
 from toucandoor.core.routing.policy import LeastConnections
@@ -34,6 +34,9 @@
 from toucandoor.ids import AttemptId, QueueId, VmId
 from toucandoor.messages import VmState
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "entry:"
 
@@ -45,7 +48,7 @@
         self._settings = settings
         self._clock = SystemClock()
         self._permits = StaticPermits({})
-        self._lease = FixedLease(float("inf"))
+        self._lease = HandedLease()
         self._engine = RequestEngine(
             make_queue=_make_queue,
             routing=LeastConnections(),
@@ -72,7 +75,9 @@
         callers.max_request_body_size = settings.body_bytes_max
         ops_app = make_ops_app(self._not_ready, lambda: metrics.in_flight(self._engine.counts()))
         ops = make_server(settings.ops_address, ops_app, 2)
-        link = ControllerLink(settings, self.configure, self.update_states)
+        link = ControllerLink(
+            settings, self.configure, self.update_states, self._lease, self._clock
+        )
         tasks = [asyncio.create_task(self.loop.async_run())]
         tasks.append(asyncio.create_task(link.async_run()))
         for server in (callers, ops):
@@ -81,15 +86,23 @@
         _LOGGER.info("%s serving at %s", _PREFIX, settings.caller_address)
         await stop.asked.wait()
         await self._async_drain(stop)
+        await link.async_say_goodbye()
         for task in tasks:
             task.cancel()
         await asyncio.to_thread(callers.stop)
         await asyncio.to_thread(ops.stop)
         _LOGGER.info("%s stopped", _PREFIX)
 
-    def configure(self, version: int, configuration: Configuration) -> None:
-        """Put a configuration in force between two events."""
-        self.loop.call(lambda: self._configure(version, configuration))
+    def configure(
+        self, version: int, configuration: Configuration, switched: Callable[[], None]
+    ) -> None:
+        """Put a configuration in force between two events, then say so."""
+
+        def switch() -> None:
+            self._configure(version, configuration)
+            switched()
+
+        self.loop.call(switch)
 
     def update_states(self, states: list[VmState]) -> None:
         """Take the control path's word on VMs between two events."""
