Back off while the store is away, and tell peers' silence apart by who polls whom

Cause: a controller that was not registered read the store ten times a second while it was away; peers of other data centres, which are polled rarely, were shown as silent. Excluded: registering only once at the start. Change: exponential wait with jitter, no read when the slot came from a peer.

--- a/toucandoor/adapters/in_force_task.py
+++ b/toucandoor/adapters/in_force_task.py
@@ -42,6 +42,8 @@
 _PREFIX = "in force:"
 _ASK_TIMEOUT_S = 1.0
 _CONTENT_TIMEOUT_S = 3.0
+_REGISTER_WAIT_S = 0.4
+_REGISTER_WAIT_MAX_S = 5.0
 _FOLLOW_INTERVAL_S = 0.25
 _FOLLOW_SLOW_INTERVAL_S = 1.0
 _FOLLOW_FAST_S = 3.0
@@ -135,13 +137,16 @@
 
     async def async_register(self) -> None:
         """Take part: have this VM's slot in the head record."""
+        wait_s = _REGISTER_WAIT_S
         while True:
             try:
                 if await self._async_try_register():
                     return
+                wait_s = _REGISTER_WAIT_S
             except ToucandoorError as err:
                 _LOGGER.info("%s not registered yet: %s", _PREFIX, err)
-            await asyncio.sleep(self._random.uniform(0.2, 0.6))
+                wait_s = min(2 * wait_s, _REGISTER_WAIT_MAX_S)
+            await asyncio.sleep(wait_s * self._random.uniform(0.5, 1.5))
 
     def follow(self, record: HeadRecord) -> Acceptance:
         """Start to work out whether a version is in force everywhere."""
@@ -171,7 +176,11 @@
     def status(self) -> dict[str, Any]:
         """Return what operators see of leases, peers and pending versions, as JSON types."""
         now_s = self._clock.monotonic_s()
-        members = [self.members.member(slot.entry, now_s) for slot in self._others()]
+        near = {slot.entry for slot in self._near()}
+        members = [
+            self.members.member(slot.entry, now_s, expects_polls=slot.entry in near)
+            for slot in self._others()
+        ]
         return {
             "record_version": self.node.known,
             "in_force": self.node.in_force,
@@ -229,6 +238,8 @@
                 await self._async_pull(address)
 
     async def _async_try_register(self) -> bool:
+        if self._me in self._configuration.record.slots:
+            return True
         record, _ = await self._configuration.async_read()
         if self._me in record.slots:
             return True
--- a/toucandoor/core/membership/members.py
+++ b/toucandoor/core/membership/members.py
@@ -60,12 +60,18 @@
         if seen is not None:
             seen.left = True
 
-    def member(self, entry: EntryId, now_s: float) -> Member:
-        """Return what is known of a peer."""
+    def member(self, entry: EntryId, now_s: float, *, expects_polls: bool) -> Member:
+        """Return what is known of a peer.
+
+        Args:
+            expects_polls: Whether the peer sends this node heartbeats all the time.
+        """
         seen = self._seen.get(entry, _Seen())
         last_s = max(seen.heard_s, seen.answered_s)
         silent_s = None if math.isinf(last_s) else now_s - last_s
-        return Member(entry, seen.incarnation, _reach(seen, now_s), silent_s, seen.restarts)
+        return Member(
+            entry, seen.incarnation, _reach(seen, now_s, expects_polls), silent_s, seen.restarts
+        )
 
     def _meet(self, entry: EntryId, incarnation: IncarnationId) -> _Seen | None:
         seen = self._seen.setdefault(entry, _Seen())
@@ -78,11 +84,13 @@
         return seen
 
 
-def _reach(seen: _Seen, now_s: float) -> Reach:
+def _reach(seen: _Seen, now_s: float, expects_polls: bool) -> Reach:
     if seen.left:
         return Reach.LEFT
     if math.isinf(seen.heard_s) and math.isinf(seen.answered_s):
         return Reach.SILENT if seen.unanswered else Reach.UNKNOWN
+    if not expects_polls:
+        return Reach.SILENT if seen.unanswered else Reach.BOTH_WAYS
     hears = now_s - seen.heard_s <= SILENT_AFTER_S
     answers = now_s - seen.answered_s <= SILENT_AFTER_S and not seen.unanswered
     if hears and answers:
