--- a/toucandoor/adapters/configuration_task.py
+++ b/toucandoor/adapters/configuration_task.py
@@ -119,8 +119,8 @@
 
         texts = split(configuration)
         record = await self.async_swap(change, texts)
-        version = record.version_of(operation) or record.version
-        return Head(version, version, configuration)
+        made = record.version_of(operation) or record.content_version
+        return Head(record.version, made, configuration)
 
     async def async_swap(
         self, change: Callable[[HeadRecord], HeadRecord | None], texts: dict[str, str] | None = None
--- a/toucandoor/adapters/controller_link.py
+++ b/toucandoor/adapters/controller_link.py
@@ -18,6 +18,8 @@
     PROTOCOL_VERSION,
     ConfigurationAck,
     ConfigurationPush,
+    ExplainAnswer,
+    ExplainQuery,
     Hello,
     Message,
     VmStatesPush,
@@ -30,6 +32,7 @@
     from toucandoor.adapters.settings import EntrySettings
     from toucandoor.clock import Clock
     from toucandoor.core.leases.sessions import HandedLease
+    from toucandoor.ids import RequestId
     from toucandoor.messages import VmState
 
 _LOGGER = logging.getLogger(__name__)
@@ -51,6 +54,7 @@
         update_states: Callable[[list[VmState]], None],
         lease: HandedLease,
         clock: Clock,
+        explain: Callable[[RequestId], list[str]],
     ) -> None:
         self._settings = settings
         self._lease = lease
@@ -62,6 +66,7 @@
         self._acknowledging: set[asyncio.Task[None]] = set()
         self._configure = configure
         self._update_states = update_states
+        self._explain = explain
         self._version = 0
         self._incarnation = IncarnationId(time.time_ns())
 
@@ -123,6 +128,8 @@
                 self._take_lease(message)
             case VmStatesPush(states):
                 self._update_states(states)
+            case ExplainQuery(query_id, request_id):
+                await link.async_send(ExplainAnswer(query_id, self._explain(request_id)))
 
     def _take_configuration(self, push: ConfigurationPush) -> None:
         if push.version <= self._version:
--- a/toucandoor/core/configuration/head.py
+++ b/toucandoor/core/configuration/head.py
@@ -29,12 +29,12 @@
 
     Attributes:
         version: Grows by one with every swap.
-        content_version: Version at which operators last changed the content; 0 before the first.
+        content_version: Counts operators' changes alone; what they base the next change on.
         parts: Name in the store of each part by its section.
         slots: Entry VMs that take part.
         previous_slots: Slots of the last version that was in force everywhere before the slots
             changed; a VM may still reckon its majorities by them.
-        recent: Version of each of the last changes by its id, oldest first.
+        recent: Content version of each of the last changes by its id, oldest first.
         entry_lease_s: Longest entry lease that any version has set.
         grace_s: Longest grace that any version has set.
     """
@@ -58,7 +58,7 @@
         return msgspec.json.decode(text, type=cls)
 
     def version_of(self, change_id: OperationId) -> ConfigVersion | None:
-        """Return the version a recent change made, None when it is not known."""
+        """Return the content version a recent change made, None when it is not known."""
         return dict(self.recent).get(change_id)
 
     def lease_slots(self) -> tuple[Slot, ...]:
@@ -86,11 +86,12 @@
             )
         version = ConfigVersion(self.version + 1)
         policy = configuration.policy
-        recent = (*self.recent, (change_id, version))[-RECENT_CHANGES_MAX:]
+        content_version = ConfigVersion(self.content_version + 1)
+        recent = (*self.recent, (change_id, content_version))[-RECENT_CHANGES_MAX:]
         return msgspec.structs.replace(
             self,
             version=version,
-            content_version=version,
+            content_version=content_version,
             parts={
                 name: self._part_name(name, text, version)
                 for name, text in split(configuration).items()
@@ -158,7 +159,6 @@
 def split(configuration: Configuration) -> dict[str, str]:
     """Return a configuration's parts by name: one a team, one a data centre's VMs, the rest."""
     whole = configuration.model_dump(mode="json")
-    whole["withdrawn_keys"] = sorted(whole["withdrawn_keys"])
     parts: dict[str, Any] = {}
     for team, value in whole.pop("teams").items():
         parts[f"teams/{team}"] = value
--- a/toucandoor/core/leases/sessions.py
+++ b/toucandoor/core/leases/sessions.py
@@ -103,16 +103,22 @@
 
 
 class HandedLease(ServingLease):
-    """The entry's side of the lease that its controller hands on."""
+    """The entry's side of the lease that its controller hands on.
+
+    Attributes:
+        was_held: Whether it was renewed at all since the start.
+    """
 
     def __init__(self) -> None:
         self._until_s = -math.inf
         self._ended = False
+        self.was_held = False
 
     def renew(self, sent_s: float, left_s: float) -> None:
         """Count an answer from the time before its question was sent."""
         if left_s > 0 and not self._ended:
             self._until_s = max(self._until_s, sent_s + left_s)
+            self.was_held = True
 
     def end(self) -> None:
         """Give the lease up for good."""
--- a/toucandoor/programs/controller.py
+++ b/toucandoor/programs/controller.py
@@ -13,6 +13,7 @@
 from websockets.asyncio.server import ServerConnection, serve
 
 from toucandoor.adapters.configuration_task import ConfigurationTask, Head
+from toucandoor.adapters.explain_task import ExplainTask
 from toucandoor.adapters.in_force_task import InForceTask
 from toucandoor.adapters.link import Link, authenticate
 from toucandoor.adapters.logs import set_up_logs
@@ -31,6 +32,7 @@
     PROTOCOL_VERSION,
     ConfigurationAck,
     ConfigurationPush,
+    ExplainAnswer,
     Hello,
     Message,
     OperatorRequest,
@@ -74,6 +76,8 @@
             self._configuration, self._in_force, settings.accept_wait_s, self._status
         )
         self._entries: dict[Link, int] = {}
+        self._explain = ExplainTask(settings.entry_id, lambda: self._entries)
+        self._operators.register("explain_request", self._explain.async_explain_request)
         self._states: list[VmState] = []
 
     async def async_run(self) -> None:
@@ -165,6 +169,8 @@
                 await link.async_send(LeaseAnswer(sequence, left_s))
             case EntryGoodbye():
                 sessions.ended(incarnation)
+            case ExplainAnswer():
+                self._explain.take(message)
 
     async def _async_peer(self, link: Link) -> None:
         async for message in link.async_messages():
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -12,7 +12,8 @@
 
 import typer
 
-from toucandoor.adapters.caller_http import CallerApp, CallerGateway, EntryView
+from toucandoor.adapters.caller_http import CallerApp, EntryView
+from toucandoor.adapters.caller_server import make_caller_server
 from toucandoor.adapters.controller_link import ControllerLink
 from toucandoor.adapters.engine_loop import EngineLoop
 from toucandoor.adapters.logs import set_up_logs
@@ -68,15 +69,16 @@
         view = EntryView(lambda: self._keys, self._is_open, lambda: self._stopping)
         workers = WorkerClient(settings.connect_timeout_s)
         app = CallerApp(self.loop, workers, metrics, self._clock, view, settings.entry_id)
-        callers = make_server(
-            settings.caller_address, app, settings.threads, settings.body_timeout_s
-        )
-        callers.gateway = CallerGateway
-        callers.max_request_body_size = settings.body_bytes_max
+        callers = make_caller_server(settings, app, self._clock)
         ops_app = make_ops_app(self._not_ready, lambda: metrics.in_flight(self._engine.counts()))
         ops = make_server(settings.ops_address, ops_app, 2)
         link = ControllerLink(
-            settings, self.configure, self.update_states, self._lease, self._clock
+            settings,
+            self.configure,
+            self.update_states,
+            self._lease,
+            self._clock,
+            self.loop.journal.explain,
         )
         tasks = [asyncio.create_task(self.loop.async_run())]
         tasks.append(asyncio.create_task(link.async_run()))
@@ -154,7 +156,9 @@
     def _not_ready(self) -> str:
         if self._stopping:
             return "stopping"
-        return "" if self._configuration else "no configuration yet"
+        if not self._configuration:
+            return "no configuration yet"
+        return "" if self._lease.was_held else "no lease yet"
 
     async def _async_drain(self, stop: StopSignal) -> None:
         self._stopping = True
