--- a/toucandoor/measures/_fleet_drive.py
+++ b/toucandoor/measures/_fleet_drive.py
@@ -9,6 +9,7 @@
 from toucandoor.core.leases.const import (
     DEFAULT_FRESHNESS_INTERVAL_S,
     DEFAULT_POLL_INTERVAL_S,
+    FRESHNESS_TRIES,
 )
 
 if TYPE_CHECKING:
@@ -135,9 +136,8 @@
             self._poll(entry, list(fleet.nodes))
         if fleet.now_s < self._next_poll_s.get(entry, 0.0):
             return
-        self._next_poll_s[entry] = fleet.now_s + DEFAULT_POLL_INTERVAL_S * self.rng.uniform(
-            0.9, 1.1
-        )
+        interval_s = min(DEFAULT_POLL_INTERVAL_S, fleet.times.entry_lease_s / 3)
+        self._next_poll_s[entry] = fleet.now_s + interval_s * self.rng.uniform(0.9, 1.1)
         near = [e for e, m in fleet.nodes.items() if m.slot.data_centre == mine.slot.data_centre]
         self._poll(entry, near if self._confirmed(entry) else list(fleet.nodes))
         fleet.adopt(entry)
@@ -145,7 +145,8 @@
     def _confirmed(self, entry: EntryId) -> bool:
         fleet, node = self.fleet, self.fleet.nodes[entry].node
         age_s = node.fresh_age_s(fleet.local_s(entry))
-        limit_s = DEFAULT_FRESHNESS_INTERVAL_S * self.rng.uniform(1.0, 1.5)
+        interval_s = min(DEFAULT_FRESHNESS_INTERVAL_S, fleet.times.grace_s / FRESHNESS_TRIES)
+        limit_s = interval_s * self.rng.uniform(1.0, 1.5)
         if age_s is not None and age_s <= limit_s and node.caught_up():
             lease_left_s = node.entry_lease_until_s() - fleet.local_s(entry)
             return lease_left_s > fleet.times.entry_lease_s / 2
--- /dev/null
+++ b/toucandoor/measures/control_cost.py
@@ -0,0 +1,121 @@
+"""Processor, resident memory and bytes a second of a controller, at four sizes."""
+
+from __future__ import annotations
+
+import time
+from statistics import linear_regression, mean
+from typing import Final
+
+import psutil
+
+from toucandoor.measures._control_fleet import ControlFleet
+from toucandoor.measures.result import Figures, MeasureResult
+
+SIZES: Final = (2, 4, 8, 16)
+IDLE_S: Final = 20.0
+CHANGES: Final = 4
+NEAR_AT_TARGET: Final = 8
+FLEET_AT_TARGET: Final = 48
+TARGET_CHANGES_PER_S: Final = 2400 / 86400
+PROCESSOR_MAX_RATIO: Final = 0.017
+MEMORY_MAX_BYTES: Final = 128 * 1024 * 1024
+BYTES_MAX_PER_S: Final = 3000.0
+
+
+def run(seed: int) -> MeasureResult:
+    """Run controllers of one data centre at rest and through changes; the seed is unused.
+
+    The baseline is a heartbeat between all nodes of the fleet instead of within data centres.
+    """
+    product: Figures = {}
+    rows = [_run(size) for size in SIZES]
+    for size, row in zip(SIZES, rows, strict=True):
+        product |= {f"nodes_{size}_{name}": round(value, 5) for name, value in row.items()}
+    at_target = {name: _line(rows, name) for name in rows[0]}
+    for name, (slope, base) in at_target.items():
+        product[f"{name}_slope_per_node"] = round(slope, 6)
+        product[f"{name}_base"] = round(base, 5)
+    target = _at(at_target, NEAR_AT_TARGET, FLEET_AT_TARGET)
+    wide = _at(at_target, FLEET_AT_TARGET, FLEET_AT_TARGET)
+    product |= {f"target_{name}": round(value, 4) for name, value in target.items()}
+    return MeasureResult(
+        measure="control_cost",
+        seed=seed,
+        parameters={
+            "sizes": ",".join(map(str, SIZES)),
+            "idle_s": IDLE_S,
+            "changes": CHANGES,
+            "near_at_target": NEAR_AT_TARGET,
+            "fleet_at_target": FLEET_AT_TARGET,
+        },
+        product=product,
+        baseline={f"target_{name}": round(value, 4) for name, value in wide.items()},
+        bound={
+            "processor_max_ratio": PROCESSOR_MAX_RATIO,
+            "memory_max_bytes": MEMORY_MAX_BYTES,
+            "bytes_max_per_s": BYTES_MAX_PER_S,
+        },
+        holds=target["processor_ratio"] <= PROCESSOR_MAX_RATIO
+        and target["memory_bytes"] <= MEMORY_MAX_BYTES
+        and target["bytes_per_s"] <= BYTES_MAX_PER_S,
+    )
+
+
+def _run(size: int) -> dict[str, float]:
+    with ControlFleet(["dc-1"] * size, entries=False) as fleet:
+        time.sleep(7.0)
+        before = _state(fleet, size)
+        started_s = time.monotonic()
+        time.sleep(IDLE_S)
+        after = _state(fleet, size)
+        idle_s = time.monotonic() - started_s
+        for number in range(CHANGES):
+            fleet.apply(number)
+        changed = _state(fleet, size)
+        changing_s = time.monotonic() - started_s - idle_s
+    processor = (after["processor_s"] - before["processor_s"]) / idle_s
+    per_s = (after["bytes"] - before["bytes"]) / idle_s
+    extra_s = changed["processor_s"] - after["processor_s"] - processor * changing_s
+    extra = changed["bytes"] - after["bytes"] - per_s * changing_s
+    return {
+        "idle_processor_ratio": processor,
+        "memory_bytes": changed["memory_bytes"],
+        "idle_bytes_per_s": per_s,
+        "processor_s_per_change": max(0.0, extra_s / CHANGES),
+        "bytes_per_change": max(0.0, extra / CHANGES),
+    }
+
+
+def _state(fleet: ControlFleet, size: int) -> dict[str, float]:
+    """Return the mean over the nodes; a node moves its own questions' bytes and others' alike."""
+    processes = [
+        psutil.Process(process.process.pid)
+        for name, process in fleet.deployment.processes.items()
+        if name.endswith(".controller")
+    ]
+    times = [process.cpu_times() for process in processes]
+    statuses = [fleet.status(n) for n in range(size)]
+    return {
+        "processor_s": mean(each.user + each.system for each in times),
+        "memory_bytes": max(process.memory_info().rss for process in processes),
+        "bytes": 2 * mean(float(each["peer_bytes"]) for each in statuses),
+    }
+
+
+def _line(rows: list[dict[str, float]], name: str) -> tuple[float, float]:
+    slope, base = linear_regression(SIZES, [row[name] for row in rows])
+    return slope, base
+
+
+def _at(lines: dict[str, tuple[float, float]], near: int, fleet: int) -> dict[str, float]:
+    def value(name: str, size: int) -> float:
+        slope, base = lines[name]
+        return max(0.0, base + slope * size)
+
+    changes = TARGET_CHANGES_PER_S
+    return {
+        "processor_ratio": value("idle_processor_ratio", near)
+        + value("processor_s_per_change", fleet) * changes,
+        "memory_bytes": value("memory_bytes", fleet),
+        "bytes_per_s": value("idle_bytes_per_s", near) + value("bytes_per_change", fleet) * changes,
+    }
