Take an entry VM that is gone out of the majorities

Cause: a slot whose VM never comes back stays in the majorities for ever. Excluded: taking it out because it is silent (it may be cut off and serving). Before: after the removal the next change still waited for the VM's grace (the test's first run failed: pending entry-3, at_most_s 2.6).

--- a/tests/core/configuration/test_head.py
+++ b/tests/core/configuration/test_head.py
@@ -72,6 +72,10 @@
         less = head.without_slot(EntryId("e-1"), settled=True)
         assert less is not None
         self.assertEqual((less.slots, less.previous_slots), ((), (slot("e-1"),)))
+        settled = less.with_slots_settled(less.slots)
+        assert settled is not None
+        self.assertEqual((settled.version, settled.previous_slots), (less.version + 1, ()))
+        self.assertIsNone(less.with_slots_settled((slot("e-9"),)))
         more = less.with_slot(slot("e-2"), settled=True)
         assert more is not None
         self.assertEqual((more.slots, more.previous_slots), ((slot("e-2"),), ()))
--- a/tests/programs/test_in_force.py
+++ b/tests/programs/test_in_force.py
@@ -94,6 +94,19 @@
         time.sleep(GRACE_S)
         self.assertTrue(all(self._serves(n) for n in range(3)))
 
+    def test_an_entry_vm_that_is_gone_is_taken_out_of_the_majorities(self) -> None:
+        for program in ("entry", "controller"):
+            process = self.path.processes[f"entry-3.{program}"]
+            process.process.kill()
+            process.process.wait()
+        self._wait(lambda: self._remove("entry-3"), GRACE_S + 12.0)
+        self._wait(lambda: "entry-3" not in self._status(1)["peers"], GRACE_S + 5.0)
+        self._grow(5)
+        self.assertEqual(self._apply()["pending"], [])
+
+    def _remove(self, entry: str) -> bool:
+        return self.path.operate("entry", "remove", entry).returncode == 0
+
     def test_a_lost_answer_is_read_back(self) -> None:
         self.path.set_faults(lose_answers=True)
         self._grow(9)
--- a/toucandoor/adapters/in_force_task.py
+++ b/toucandoor/adapters/in_force_task.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -19,7 +20,7 @@
 from toucandoor.core.leases.node import LeaseNode
 from toucandoor.core.leases.sessions import EntrySessions
 from toucandoor.core.membership.members import Members
-from toucandoor.exceptions import StoreError, ToucandoorError
+from toucandoor.exceptions import StoreConflictError, StoreError, ToucandoorError
 from toucandoor.ids import ConfigVersion, EntryId, IncarnationId
 from toucandoor.messages import PROTOCOL_VERSION, Hello
 from toucandoor.peer_messages import (
@@ -148,6 +149,43 @@
                 wait_s = min(2 * wait_s, _REGISTER_WAIT_MAX_S)
             await asyncio.sleep(wait_s * self._random.uniform(0.5, 1.5))
 
+    async def async_remove(self, entry: EntryId, within_s: float) -> bool:
+        """Take an entry VM's slot out for good; return whether it was there.
+
+        Raises:
+            StoreConflictError: The version before it is not in force everywhere yet.
+            StoreError: The store could not be asked.
+        """
+        record, _ = await self._configuration.async_read()
+        pending = await self.async_wait_accepted(record, within_s)
+
+        def change(present: HeadRecord) -> HeadRecord | None:
+            if all(slot.entry != entry for slot in present.slots):
+                return None
+            settled = not pending and present.version == record.version
+            changed = present.without_slot(entry, settled=settled)
+            if changed is None:
+                raise StoreConflictError(
+                    "the version before is not in force everywhere yet; try again",
+                    step="slots.remove",
+                    peer=entry,
+                )
+            return changed
+
+        written = await self._configuration.async_swap(change)
+        self._spawn(self._async_settle_slots(written))
+        return written.version > record.version
+
+    async def _async_settle_slots(self, record: HeadRecord) -> None:
+        """Forget the slots before a change once nobody reckons by them any more."""
+        await self.async_wait_accepted(record, math.inf)
+        try:
+            await self._configuration.async_swap(
+                lambda present: present.with_slots_settled(record.slots)
+            )
+        except StoreError as err:
+            _LOGGER.info("%s former slots stay until the next change: %s", _PREFIX, err)
+
     def follow(self, record: HeadRecord) -> Acceptance:
         """Start to work out whether a version is in force everywhere."""
         version = record.version
--- a/toucandoor/adapters/operator_api.py
+++ b/toucandoor/adapters/operator_api.py
@@ -12,7 +12,7 @@
 from toucandoor.adapters.in_force_task import pending_as_json
 from toucandoor.core.configuration.models import Configuration, KeyConfig, TeamConfig
 from toucandoor.exceptions import StoreConflictError, StoreError, ToucandoorError
-from toucandoor.ids import KeyId, TeamId
+from toucandoor.ids import EntryId, KeyId, TeamId
 from toucandoor.messages import OperatorReply, OperatorRequest
 
 if TYPE_CHECKING:
@@ -61,6 +61,7 @@
             "status": self._async_status,
             "key_grant": self._async_key_grant,
             "key_withdraw": self._async_key_withdraw,
+            "entry_remove": self._async_entry_remove,
         }
 
     def register(
@@ -150,6 +151,12 @@
         written = await self._configuration.async_propose(head.content_version, configuration)
         return OperatorReply(True, body=await self._async_accepted(written))
 
+    async def _async_entry_remove(self, arguments: dict[str, Any]) -> OperatorReply:
+        entry = EntryId(arguments["entry"])
+        if not await self._in_force.async_remove(entry, self._accept_wait_s):
+            raise OperatorError("not_found", f"no such entry VM: {entry}")
+        return OperatorReply(True, body={"entry": entry})
+
     def _present(self) -> Configuration | None:
         head = self._configuration.head
         return head.configuration if head else None
--- a/toucandoor/core/configuration/head.py
+++ b/toucandoor/core/configuration/head.py
@@ -127,6 +127,16 @@
             return None
         return self._with_slots(left, self.lease_slots())
 
+    def with_slots_settled(self, slots: tuple[Slot, ...]) -> HeadRecord | None:
+        """Return the next version without the slots before, None where that changes nothing.
+
+        Args:
+            slots: Slots of a version that is in force everywhere.
+        """
+        if slots != self.slots or not self.previous_slots:
+            return None
+        return self._with_slots(self.slots, ())
+
     def _part_name(self, name: str, text: str, version: ConfigVersion) -> str:
         """Keep an unchanged part's name; a new name is never used for any other version.
 
--- a/toucandoor/programs/cli.py
+++ b/toucandoor/programs/cli.py
@@ -28,6 +28,8 @@
 )
 key_app = typer.Typer(help="Grant and withdraw teams' keys.", no_args_is_help=True)
 app.add_typer(key_app, name="key")
+entry_app = typer.Typer(help="Look after the system's own VMs.", no_args_is_help=True)
+app.add_typer(entry_app, name="entry")
 explain_app = typer.Typer(help="Say why something happened.", no_args_is_help=True)
 app.add_typer(explain_app, name="explain")
 
@@ -89,6 +91,9 @@
     base_version: Annotated[
         int | None, typer.Option(help="Version the folder was made for; default: present one.")
     ] = None,
+    change_id: Annotated[
+        str, typer.Option(help="Id of a change sent before, to read back what became of it.")
+    ] = "",
     as_json: JsonOption = False,
     settings: SettingsOption = None,
 ) -> None:
@@ -102,7 +107,7 @@
     arguments = {
         "configuration": asked.model_dump(mode="json"),
         "base_version": base_version,
-        "change_id": uuid.uuid4().hex,
+        "change_id": change_id or uuid.uuid4().hex,
     }
     _finish_change(_ask(settings, "apply", arguments, as_json), as_json)
 
@@ -152,6 +157,15 @@
     _show(body, "\n".join(body["lines"]), as_json)
 
 
+@entry_app.command("remove")
+def entry_remove(entry: str, as_json: JsonOption = False, settings: SettingsOption = None) -> None:
+    """Take an entry VM that does not come back out of the fleet's majorities.
+
+    Example: toucandoor entry remove entry-7
+    """
+    _show(_ask(settings, "entry_remove", {"entry": entry}, as_json), f"{entry} removed", as_json)
+
+
 def _finish_change(body: dict[str, Any], as_json: bool) -> None:
     pending = body.get("pending", [])
     text = f"version {body['version']} " + ("is pending" if pending else "accepted")
