Count the target's content in control_cost

Cause: the measured controllers carry a small configuration; the target's is 301 KB. Excluded: fleets of 2,000 backend servers on this machine. Change: sizes, memory and processor time of the target's content, computed with the product's own code, are added to the slopes. Before: left out.

--- a/toucandoor/measures/control_cost.py
+++ b/toucandoor/measures/control_cost.py
@@ -9,6 +9,7 @@
 import psutil
 
 from toucandoor.measures._control_fleet import ControlFleet
+from toucandoor.measures._target_content import content_costs
 from toucandoor.measures.result import Figures, MeasureResult
 
 SIZES: Final = (2, 4, 8, 16)
@@ -35,8 +36,10 @@
     for name, (slope, base) in at_target.items():
         product[f"{name}_slope_per_node"] = round(slope, 6)
         product[f"{name}_base"] = round(base, 5)
-    target = _at(at_target, NEAR_AT_TARGET, FLEET_AT_TARGET)
-    wide = _at(at_target, FLEET_AT_TARGET, FLEET_AT_TARGET)
+    content = content_costs()
+    target = _at(at_target, NEAR_AT_TARGET, content)
+    wide = _at(at_target, FLEET_AT_TARGET, content)
+    product |= {f"content_{name}": round(value, 5) for name, value in content.items()}
     product |= {f"target_{name}": round(value, 4) for name, value in target.items()}
     return MeasureResult(
         measure="control_cost",
@@ -107,15 +110,24 @@
     return slope, base
 
 
-def _at(lines: dict[str, tuple[float, float]], near: int, fleet: int) -> dict[str, float]:
+def _at(
+    lines: dict[str, tuple[float, float]], near: int, content: dict[str, float]
+) -> dict[str, float]:
+    """Return the cost at the target; each change replaces a data centre's largest part."""
+
     def value(name: str, size: int) -> float:
         slope, base = lines[name]
         return max(0.0, base + slope * size)
 
-    changes = TARGET_CHANGES_PER_S
+    processor_s = value("processor_s_per_change", FLEET_AT_TARGET)
+    change_processor_s = processor_s + content["join_s"] + content["push_s"]
+    moved = value("bytes_per_change", FLEET_AT_TARGET)
+    change_bytes = moved + content["head_bytes"] + content["vms_part_bytes"]
+    idle_bytes_per_s = value("idle_bytes_per_s", near)
+    idle_processor = value("idle_processor_ratio", near)
     return {
-        "processor_ratio": value("idle_processor_ratio", near)
-        + value("processor_s_per_change", fleet) * changes,
-        "memory_bytes": value("memory_bytes", fleet),
-        "bytes_per_s": value("idle_bytes_per_s", near) + value("bytes_per_change", fleet) * changes,
+        "processor_ratio": idle_processor + change_processor_s * TARGET_CHANGES_PER_S,
+        "memory_bytes": value("memory_bytes", FLEET_AT_TARGET) + content["memory_bytes"],
+        "idle_bytes_per_s": idle_bytes_per_s,
+        "bytes_per_s": idle_bytes_per_s + change_bytes * TARGET_CHANGES_PER_S,
     }
