--- a/toucandoor/adapters/in_force_task.py
+++ b/toucandoor/adapters/in_force_task.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -20,7 +19,7 @@
 from toucandoor.core.leases.node import LeaseNode
 from toucandoor.core.leases.sessions import EntrySessions
 from toucandoor.core.membership.members import Members
-from toucandoor.exceptions import StoreConflictError, StoreError, ToucandoorError
+from toucandoor.exceptions import StoreError, ToucandoorError
 from toucandoor.ids import ConfigVersion, EntryId, IncarnationId
 from toucandoor.messages import PROTOCOL_VERSION, Hello
 from toucandoor.peer_messages import (
@@ -43,8 +42,6 @@
 _PREFIX = "in force:"
 _ASK_TIMEOUT_S = 1.0
 _CONTENT_TIMEOUT_S = 3.0
-_REGISTER_WAIT_S = 0.4
-_REGISTER_WAIT_MAX_S = 5.0
 _FOLLOW_INTERVAL_S = 0.25
 _FOLLOW_SLOW_INTERVAL_S = 1.0
 _FOLLOW_FAST_S = 3.0
@@ -136,56 +133,6 @@
             interval_s = min(DEFAULT_POLL_INTERVAL_S, self._times().entry_lease_s / 3)
             await asyncio.sleep(interval_s * self._random.uniform(0.9, 1.1))
 
-    async def async_register(self) -> None:
-        """Take part: have this VM's slot in the head record."""
-        wait_s = _REGISTER_WAIT_S
-        while True:
-            try:
-                if await self._async_try_register():
-                    return
-                wait_s = _REGISTER_WAIT_S
-            except ToucandoorError as err:
-                _LOGGER.info("%s not registered yet: %s", _PREFIX, err)
-                wait_s = min(2 * wait_s, _REGISTER_WAIT_MAX_S)
-            await asyncio.sleep(wait_s * self._random.uniform(0.5, 1.5))
-
-    async def async_remove(self, entry: EntryId, within_s: float) -> bool:
-        """Take an entry VM's slot out for good; return whether it was there.
-
-        Raises:
-            StoreConflictError: The version before it is not in force everywhere yet.
-            StoreError: The store could not be asked.
-        """
-        record, _ = await self._configuration.async_read()
-        pending = await self.async_wait_accepted(record, within_s)
-
-        def change(present: HeadRecord) -> HeadRecord | None:
-            if all(slot.entry != entry for slot in present.slots):
-                return None
-            settled = not pending and present.version == record.version
-            changed = present.without_slot(entry, settled=settled)
-            if changed is None:
-                raise StoreConflictError(
-                    "the version before is not in force everywhere yet; try again",
-                    step="slots.remove",
-                    peer=entry,
-                )
-            return changed
-
-        written = await self._configuration.async_swap(change)
-        self._spawn(self._async_settle_slots(written))
-        return written.version > record.version
-
-    async def _async_settle_slots(self, record: HeadRecord) -> None:
-        """Forget the slots before a change once nobody reckons by them any more."""
-        await self.async_wait_accepted(record, math.inf)
-        try:
-            await self._configuration.async_swap(
-                lambda present: present.with_slots_settled(record.slots)
-            )
-        except StoreError as err:
-            _LOGGER.info("%s former slots stay until the next change: %s", _PREFIX, err)
-
     def follow(self, record: HeadRecord) -> Acceptance:
         """Start to work out whether a version is in force everywhere."""
         version = record.version
@@ -275,23 +222,6 @@
             if address != self._me.address and self.node.known == 0:
                 await self._async_pull(address)
 
-    async def _async_try_register(self) -> bool:
-        if self._me in self._configuration.record.slots:
-            return True
-        record, _ = await self._configuration.async_read()
-        if self._me in record.slots:
-            return True
-        followed = self.follow(record) if record.content_version else None
-        settled = followed is not None and followed.accepted(self._clock.monotonic_s())
-
-        def change(present: HeadRecord) -> HeadRecord | None:
-            here = self._me in present.slots
-            same = present.version == record.version
-            return None if here else present.with_slot(self._me, settled=settled and same)
-
-        written = await self._configuration.async_swap(change)
-        return self._me in written.slots
-
     async def _async_follow(self, version: ConfigVersion) -> None:
         started_s = self._clock.monotonic_s()
         followed = self._following[version]
--- a/toucandoor/adapters/operator_api.py
+++ b/toucandoor/adapters/operator_api.py
@@ -20,6 +20,7 @@
 
     from toucandoor.adapters.configuration_task import ConfigurationTask, Head
     from toucandoor.adapters.in_force_task import InForceTask
+    from toucandoor.adapters.slots_task import SlotsTask
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "operator:"
@@ -48,11 +49,13 @@
         self,
         configuration: ConfigurationTask,
         in_force: InForceTask,
+        slots: SlotsTask,
         accept_wait_s: float,
         status: Callable[[], dict[str, Any]],
     ) -> None:
         self._configuration = configuration
         self._in_force = in_force
+        self._slots = slots
         self._accept_wait_s = accept_wait_s
         self._status = status
         self._actions: dict[str, Callable[[dict[str, Any]], Awaitable[OperatorReply]]] = {
@@ -153,7 +156,7 @@
 
     async def _async_entry_remove(self, arguments: dict[str, Any]) -> OperatorReply:
         entry = EntryId(arguments["entry"])
-        if not await self._in_force.async_remove(entry, self._accept_wait_s):
+        if not await self._slots.async_remove(entry, self._accept_wait_s):
             raise OperatorError("not_found", f"no such entry VM: {entry}")
         return OperatorReply(True, body={"entry": entry})
 
--- a/toucandoor/programs/controller.py
+++ b/toucandoor/programs/controller.py
@@ -20,6 +20,7 @@
 from toucandoor.adapters.metrics import make_ops_app
 from toucandoor.adapters.operator_api import OperatorApi
 from toucandoor.adapters.settings import ControllerSettings, split_address
+from toucandoor.adapters.slots_task import SlotsTask
 from toucandoor.adapters.stopping import StopSignal
 from toucandoor.adapters.store_client import HttpStore
 from toucandoor.adapters.vm_list_task import ListedState, ListedVm, VmListTask
@@ -69,11 +70,15 @@
         self._vm_list = VmListTask(
             settings.vm_list_address, settings.vm_list_period_s, self._async_take_list
         )
-        self._in_force = InForceTask(
-            settings, self._incarnation, self._configuration, SystemClock()
-        )
+        clock = SystemClock()
+        self._in_force = InForceTask(settings, self._incarnation, self._configuration, clock)
+        self._slots = SlotsTask(settings, self._configuration, self._in_force, clock)
         self._operators = OperatorApi(
-            self._configuration, self._in_force, settings.accept_wait_s, self._status
+            self._configuration,
+            self._in_force,
+            self._slots,
+            settings.accept_wait_s,
+            self._status,
         )
         self._entries: dict[Link, int] = {}
         self._explain = ExplainTask(settings.entry_id, lambda: self._entries)
@@ -91,7 +96,7 @@
             asyncio.create_task(self._configuration.async_run()),
             asyncio.create_task(self._vm_list.async_run()),
             asyncio.create_task(self._in_force.async_run()),
-            asyncio.create_task(self._in_force.async_register()),
+            asyncio.create_task(self._slots.async_register()),
         ]
         async with serve(
             self._async_connection,
