--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -8,9 +8,11 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from random import Random
 from typing import TYPE_CHECKING
 
 from toucandoor.core.admission.slots import OpenAdmission, SlotAdmission
+from toucandoor.core.attempts.budget import RetryBudget
 from toucandoor.core.attempts.models import (
     AnswerFetched,
     AttemptDecision,
@@ -20,6 +22,7 @@
     TaskEnded,
     TaskWord,
 )
+from toucandoor.core.attempts.tracker import AttemptTracker
 from toucandoor.core.requests.commands import ProbeServer, ServerProbed
 from toucandoor.core.requests.const import START_WITHIN_S
 from toucandoor.core.requests.models import (
@@ -39,7 +42,6 @@
     from collections.abc import Callable, Iterable, Iterator
 
     from toucandoor.core.admission.policy import QueuePolicy
-    from toucandoor.core.attempts.tracker import AttemptTracker
     from toucandoor.core.ceilings.policy import PermitPolicy
     from toucandoor.core.configuration.models import Configuration, QueueConfig
     from toucandoor.core.leases.serving import ServingLease
@@ -77,6 +79,7 @@
         make_queue: Makes the queue policy of a queue.
         new_attempt_id: Returns an id no other attempt ever has.
         admission: Policy of the pools' slots.
+        tracker: Decides what becomes of each attempt.
     """
 
     def __init__(
@@ -86,20 +89,20 @@
         routing: RoutingPolicy,
         permits: PermitPolicy,
         lease: ServingLease,
-        tracker: AttemptTracker,
         new_attempt_id: Callable[[], AttemptId],
         admission: SlotAdmission | None = None,
+        tracker: AttemptTracker | None = None,
     ) -> None:
         self._make_queue = make_queue
         self._routing = routing
         self._permits = permits
         self._lease = lease
         self._new_attempt_id = new_attempt_id
-        self._tracker = tracker
         self._admission = admission or OpenAdmission()
         self._configuration: Configuration | None = None
         self._queues: dict[QueueId, QueuePolicy] = {}
         self._requests: dict[RequestId, _Waiting] = {}
+        self._tracker = tracker or AttemptTracker(RetryBudget(Random(0)), routing.is_healthy)
 
     def configure(self, configuration: Configuration, now_s: float = 0.0) -> None:
         """Put a configuration in force; waiting requests stay."""
@@ -202,6 +205,9 @@
         ]
 
     def _may_start(self, request: Request, now_s: float, no_room: set[_Place]) -> bool:
+        again = self._requests[request.request_id].again
+        if again is not None and now_s < again.not_before_s:
+            return False
         if not self._may_run(request, now_s):
             return False
         place = self._place(request, now_s)
@@ -218,9 +224,6 @@
         return self._admission.pools_for(request, home, now_s)
 
     def _may_run(self, request: Request, now_s: float) -> bool:
-        again = self._requests[request.request_id].again
-        if again is not None and now_s < again.not_before_s:
-            return False
         if request.team is None:
             return True
         return self._lease.holds(now_s) and self._permits.may_take(request.team, now_s)
@@ -230,14 +233,11 @@
         pool = self._configuration.queues[request.queue].pool
         urgent = request.request_class.value == "urgent"
         again = self._requests[request.request_id].again
+        exclude = again.exclude if again else frozenset()
         server = None
         for candidate in self._pools_for(request, now_s):
             server = self._routing.pick(
-                candidate,
-                now_s,
-                urgent=urgent,
-                exclude=again.exclude if again else (),
-                trial=request.idempotent,
+                candidate, now_s, urgent=urgent, exclude=exclude, trial=request.idempotent
             )
             if server is not None:
                 break
@@ -263,31 +263,33 @@
     def _attempt_ended(self, event: AttemptEnded, now_s: float) -> list[EngineDecision]:
         # What a lost connection says of its server is known once the server was asked.
         if event.outcome is not AttemptOutcome.UNKNOWN:
-            self._routing.ended(event, now_s)
-            self._admission.ended(event, now_s)
+            self._free_place(event, now_s)
         return self._follow(self._tracker.ended(event, now_s), now_s)
 
+    def _free_place(self, event: AttemptEnded, now_s: float) -> None:
+        """Tell the policies how an attempt ended; a second call changes nothing."""
+        self._routing.ended(event, now_s)
+        self._admission.ended(event, now_s)
+
     def _follow(self, decisions: Iterable[AttemptDecision], now_s: float) -> list[EngineDecision]:
         """Carry out what concerns the policies, pass on the rest, and start what now may."""
         passed_on: list[EngineDecision] = []
         for decision in decisions:
             match decision:
                 case TaskEnded(attempt_id):
-                    ended = AttemptEnded(attempt_id, AttemptOutcome.STOPPED)
-                    self._routing.ended(ended, now_s)
-                    self._admission.ended(ended, now_s)
+                    self._free_place(AttemptEnded(attempt_id, AttemptOutcome.STOPPED), now_s)
                     self._permits.give_back(attempt_id, now_s)
                 case Judged(attempt_id, outcome):
-                    ended = AttemptEnded(attempt_id, outcome)
-                    self._routing.ended(ended, now_s)
-                    self._admission.ended(ended, now_s)
+                    self._free_place(AttemptEnded(attempt_id, outcome), now_s)
                 case OutOfReach(vm):
                     self._routing.out_of_reach(vm, now_s)
                 case Requeue():
                     self._put_back(decision, now_s)
+                case Answer() | Refuse():
+                    self._requests.pop(decision.request_id, None)
+                    passed_on.append(decision)
                 case _:
                     passed_on.append(decision)
-        self._forget_answered(passed_on)
         return passed_on + self._start_all_waiting(now_s)
 
     def _put_back(self, decision: Requeue, now_s: float) -> None:
@@ -296,11 +298,6 @@
             waiting.again = decision
             self._queues[waiting.request.queue].put_back(waiting.request, now_s)
 
-    def _forget_answered(self, decisions: Iterable[EngineDecision]) -> None:
-        for decision in decisions:
-            if isinstance(decision, (Answer, Refuse)):
-                self._requests.pop(decision.request_id, None)
-
     def _probed(self, event: ServerProbed, now_s: float) -> list[EngineDecision]:
         if not event.reached:
             return []
@@ -319,8 +316,13 @@
             request = queue.cancel(request_id)
             if request is not None:
                 return [self._refuse(request, 503, "cancelled by the caller", "admission.cancel")]
-        self._requests.pop(request_id, None)
-        return self._follow(self._tracker.cancelled(request_id, now_s), now_s)
+        known = self._requests.pop(request_id, None) is not None
+        decisions = self._follow(self._tracker.cancelled(request_id, now_s), now_s)
+        if not known:
+            return decisions
+        # Its caller's thread may still be about to send the attempt, and waits for an answer then.
+        reason = "cancelled by the caller"
+        return [Refuse(request_id, 503, reason, Fate.UNKNOWN, "admission.cancel"), *decisions]
 
     def _tick(self, now_s: float) -> list[EngineDecision]:
         decisions: list[EngineDecision] = []
