--- a/toucandoor/core/configuration/head.py
+++ b/toucandoor/core/configuration/head.py
@@ -29,12 +29,12 @@
 
     Attributes:
         version: Grows by one with every swap.
-        content_version: Version at which operators last changed the content; 0 before the first.
-        parts: Digest of each part by its name.
+        content_version: Counts operators' changes alone; what they base the next change on.
+        parts: Name in the store of each part by its section.
         slots: Entry VMs that take part.
         previous_slots: Slots of the last version that was in force everywhere before the slots
             changed; a VM may still reckon its majorities by them.
-        recent: Version of each of the last changes by its id, oldest first.
+        recent: Content version of each of the last changes by its id, oldest first.
         entry_lease_s: Longest entry lease that any version has set.
         grace_s: Longest grace that any version has set.
     """
@@ -58,7 +58,7 @@
         return msgspec.json.decode(text, type=cls)
 
     def version_of(self, change_id: OperationId) -> ConfigVersion | None:
-        """Return the version a recent change made, None when it is not known."""
+        """Return the content version a recent change made, None when it is not known."""
         return dict(self.recent).get(change_id)
 
     def lease_slots(self) -> tuple[Slot, ...]:
@@ -86,12 +86,16 @@
             )
         version = ConfigVersion(self.version + 1)
         policy = configuration.policy
-        recent = (*self.recent, (change_id, version))[-RECENT_CHANGES_MAX:]
+        content_version = ConfigVersion(self.content_version + 1)
+        recent = (*self.recent, (change_id, content_version))[-RECENT_CHANGES_MAX:]
         return msgspec.structs.replace(
             self,
             version=version,
-            content_version=version,
-            parts={name: digest(text) for name, text in split(configuration).items()},
+            content_version=content_version,
+            parts={
+                name: self._part_name(name, text, version)
+                for name, text in split(configuration).items()
+            },
             recent=recent,
             entry_lease_s=max(self.entry_lease_s, policy.entry_lease_s),
             grace_s=max(self.grace_s, policy.cut_off_grace_s),
@@ -123,6 +127,24 @@
             return None
         return self._with_slots(left, self.lease_slots())
 
+    def with_slots_settled(self, slots: tuple[Slot, ...]) -> HeadRecord | None:
+        """Return the next version without the slots before, None where that changes nothing.
+
+        Args:
+            slots: Slots of a version that is in force everywhere.
+        """
+        if slots != self.slots or not self.previous_slots:
+            return None
+        return self._with_slots(self.slots, ())
+
+    def _part_name(self, name: str, text: str, version: ConfigVersion) -> str:
+        """Keep an unchanged part's name; a new name is never used for any other version.
+
+        So a part that the newest head does not name can be deleted while operators race.
+        """
+        present = self.parts.get(name, "")
+        return present if present.startswith(digest(text)) else f"{digest(text)}.{version}"
+
     def _others(self, entry: EntryId, *added: Slot) -> tuple[Slot, ...]:
         return tuple(slot for slot in self.slots if slot.entry != entry) + added
 
@@ -140,7 +162,7 @@
 
 
 def digest(text: str) -> str:
-    """Return the name under which a part lies in the store."""
+    """Return what a part's name in the store begins with."""
     return hashlib.sha256(text.encode()).hexdigest()[:32]
 
 
