--- a/toucandoor/fakes/middlebox.py
+++ b/toucandoor/fakes/middlebox.py
@@ -31,6 +31,7 @@
         self._loop = asyncio.new_event_loop()
         self._silent: set[int] = set()
         self._open: set[int] = set()
+        self._tasks: set[asyncio.Task[None] | None] = set()
         self._next = 0
         self._tear_next = 0
         self._accepting: asyncio.Server | None = None
@@ -62,10 +63,11 @@
     async def _async_close(self) -> None:
         if self._accepting is not None:
             self._accepting.close()
-        tasks = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        # Ending one direction of a connection may leave its other tasks a step to do.
+        while tasks := asyncio.all_tasks() - {asyncio.current_task()}:
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks, timeout=0.1)
 
     async def _async_accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -73,6 +75,8 @@
         self._next += 1
         number = self._next
         self._open.add(number)
+        # The event loop itself keeps no hold of a task whose connection lost one of its ends.
+        self._tasks.add(asyncio.current_task())
         with contextlib.suppress(OSError, asyncio.CancelledError):
             back_reader, back_writer = await asyncio.open_connection(*self._server)
             await asyncio.gather(
@@ -80,6 +84,7 @@
                 self._async_forward(number, back_reader, writer, answers=True),
             )
         self._open.discard(number)
+        self._tasks.discard(asyncio.current_task())
         writer.close()
 
     async def _async_forward(
--- a/toucandoor/measures/lost_or_doubled.py
+++ b/toucandoor/measures/lost_or_doubled.py
@@ -1,10 +1,12 @@
-"""Requests lost or doubled while backend servers and connections fail."""
+"""Requests lost or doubled while backend servers, connections and entries fail."""
 
 from __future__ import annotations
 
 import json
+import signal
 import threading
 import time
+import uuid
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -14,19 +16,33 @@
 
 import urllib3
 
+from toucandoor.measures._deployment import LocalDeployment
 from toucandoor.measures._faulty_pool import SECRET, FaultyPool
 from toucandoor.measures._simple_dispatcher import SimpleDispatcher
 from toucandoor.measures.result import Figures, MeasureResult
 
 SERVERS: Final = 6
 CALLERS: Final = 24
-LENGTH_S: Final = 25.0
+LENGTH_S: Final = 30.0
 REQUESTS_MAX: Final = 4000
 RUN_MIN_S: Final = 0.02
 RUN_MAX_S: Final = 0.3
 FAULT_PERIOD_S: Final = 0.5
 DEADLINE_S: Final = 15.0
-FAULTS: Final = ("kill", "freeze", "silent", "torn", "crossed", "failing")
+KEY_SKEW_S: Final = 1.2
+"""Time after which new keys are surely younger than the entries."""
+ENTRIES: Final = 2
+SUBMISSIONS_MAX: Final = 3
+FAULTS: Final = (
+    "kill",
+    "freeze",
+    "silent",
+    "torn",
+    "crossed",
+    "failing",
+    "entry_killed",
+    "entry_frozen",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,26 +58,14 @@
 
 
 def run(seed: int) -> MeasureResult:
-    """Run the same mix of requests and faults through an entry and through the baseline."""
-    with FaultyPool(SERVERS, subnet=1) as pool, pool.deploy() as deployment:
+    """Run the same mix of requests and faults through two entries and through the baseline."""
+    with FaultyPool(SERVERS, subnet=1) as pool, pool.deploy(ENTRIES) as deployment:
         applied = deployment.operate("apply", str(pool.folder))
         if applied.returncode != 0:
             raise RuntimeError(f"apply failed: {applied.stderr}")
         deployment.wait_ready()
-
-        def through_entry(result: str, idempotent: bool, body: bytes) -> _Sent:
-            headers = {
-                "Toucandoor-Idempotent": "true" if idempotent else "false",
-                "Toucandoor-Deadline-S": str(DEADLINE_S),
-            }
-            try:
-                answer = deployment.request("q", body, key=SECRET, headers=headers)
-            except urllib3.exceptions.HTTPError as err:
-                return _Sent(result, idempotent, 0, f"none: {err}", b"")
-            fate = "" if answer.status == 200 else json.loads(answer.data)["fate"]
-            return _Sent(result, idempotent, answer.status, fate, answer.data)
-
-        product = _measure(pool, seed, "product", through_entry)
+        time.sleep(KEY_SKEW_S)
+        product = _measure(pool, seed, "product", _through_entries(deployment), deployment)
     with FaultyPool(SERVERS, subnet=2) as pool:
         simple = SimpleDispatcher(pool.addresses)
 
@@ -69,12 +73,13 @@
             status, data = simple.request(body)
             return _Sent(result, idempotent, status, "" if status == 200 else "not_run", data)
 
-        baseline = _measure(pool, seed, "baseline", plainly)
+        baseline = _measure(pool, seed, "baseline", plainly, None)
     return MeasureResult(
         measure="lost_or_doubled",
         seed=seed,
         parameters={
             "servers": SERVERS,
+            "entries": ENTRIES,
             "callers": CALLERS,
             "length_s": LENGTH_S,
             "fault_period_s": FAULT_PERIOD_S,
@@ -87,10 +92,64 @@
     )
 
 
-def _measure(pool: FaultyPool, seed: int, name: str, send: Send) -> Figures:
+def _through_entries(deployment: LocalDeployment) -> Send:
+    """Return a caller that repeats through the other entry what was not answered for good."""
+
+    def send(result: str, idempotent: bool, body: bytes) -> _Sent:
+        headers = {
+            "Toucandoor-Idempotent": "true" if idempotent else "false",
+            "Toucandoor-Deadline-S": str(DEADLINE_S),
+            "Idempotency-Key": _new_key(),
+        }
+        fates: list[str] = []
+        for turn in range(SUBMISSIONS_MAX):
+            entry = (hash(result) + turn) % ENTRIES
+            status, fate, data = _submit(deployment, entry, body, headers)
+            if status == 200 or fate == "failed":
+                return _Sent(result, idempotent, status, fate, data)
+            fates.append(fate)
+            time.sleep(0.1)
+        return _Sent(result, idempotent, status, _settle(fates), b"")
+
+    return send
+
+
+def _settle(fates: list[str]) -> str:
+    """Return what a caller knows after its last submission.
+
+    A later "not run" speaks of that submission alone: one that ended unknown stays unknown, and
+    one that an entry died with is unsettled.
+    """
+    if "unknown" in fates:
+        return "unknown"
+    if fates[-1] == "not_run" and "none" in fates:
+        return "unsettled"
+    return fates[-1]
+
+
+def _submit(
+    deployment: LocalDeployment, entry: int, body: bytes, headers: dict[str, str]
+) -> tuple[int, str, bytes]:
+    try:
+        answer = deployment.request("q", body, key=SECRET, headers=headers, entry=entry)
+    except urllib3.exceptions.HTTPError:
+        return 0, "none", b""
+    fate = "" if answer.status == 200 else json.loads(answer.data)["fate"]
+    return answer.status, fate, answer.data
+
+
+def _new_key() -> str:
+    """Return a version 7 UUID."""
+    random = uuid.uuid4().int & ((1 << 62) - 1)
+    return str(uuid.UUID(int=(int(time.time() * 1000) << 80) | (7 << 76) | (2 << 62) | random))
+
+
+def _measure(
+    pool: FaultyPool, seed: int, name: str, send: Send, deployment: LocalDeployment | None
+) -> Figures:
     until_s = time.monotonic() + LENGTH_S
     counts: Counter[str] = Counter()
-    faults = threading.Thread(target=_provoke, args=(pool, seed, until_s, counts))
+    faults = threading.Thread(target=_provoke, args=(pool, seed, until_s, counts, deployment))
     faults.start()
 
     def call(caller: int) -> list[_Sent]:
@@ -116,12 +175,20 @@
     return sent
 
 
-def _provoke(pool: FaultyPool, seed: int, until_s: float, counts: Counter[str]) -> None:
+def _provoke(
+    pool: FaultyPool,
+    seed: int,
+    until_s: float,
+    counts: Counter[str],
+    deployment: LocalDeployment | None,
+) -> None:
     random = Random(seed)
     kinds: list[str] = []
     while time.monotonic() < until_s - FAULT_PERIOD_S:
         kinds = kinds or random.sample(FAULTS, len(FAULTS))
         kind, number = kinds.pop(), random.randrange(SERVERS)
+        if deployment is None and kind.startswith("entry"):
+            continue
         counts[kind] += 1
         match kind:
             case "kill":
@@ -132,6 +199,17 @@
                 pool.freeze(number)
                 time.sleep(3.0)
                 pool.thaw(number)
+            case "entry_killed" if deployment is not None:
+                entry = deployment.processes[f"entry-{number % ENTRIES + 1}.entry"]
+                entry.send(signal.SIGKILL)
+                entry.process.wait()
+                entry.start()
+                deployment.wait_ready()
+            case "entry_frozen" if deployment is not None:
+                entry = deployment.processes[f"entry-{number % ENTRIES + 1}.entry"]
+                entry.send(signal.SIGSTOP)
+                time.sleep(3.0)
+                entry.send(signal.SIGCONT)
             case "silent":
                 pool.middleboxes[number].go_silent()
             case "torn":
@@ -151,7 +229,7 @@
     """Count broken promises; a run in the log is the truth."""
     wrong = [s for s in sent if s.status == 200 and s.body != _answer_of(s.result)]
     untrue = [s for s in sent if s.fate == "not_run" and runs[s.result] > 0]
-    unanswered = [s for s in sent if s.status == 0]
+    unanswered = [s for s in sent if s.fate == "none"]
     doubled = [s for s in sent if not s.idempotent and runs[s.result] > 1]
     return {
         "requests": len(sent),
@@ -163,6 +241,7 @@
         "answered": sum(s.status == 200 for s in sent),
         "not_run": sum(s.fate == "not_run" for s in sent),
         "unknown": sum(s.fate == "unknown" for s in sent),
+        "unsettled": sum(s.fate == "unsettled" for s in sent),
         "failed": sum(s.fate == "failed" for s in sent),
     }
 
