--- a/tests/core/attempts/test_sessions.py
+++ b/tests/core/attempts/test_sessions.py
@@ -4,9 +4,9 @@
 
 import unittest
 
-from tests.core.attempts.common import Session, request
-from toucandoor.core.attempts.models import AnswerFetched, TaskState, TaskWord
-from toucandoor.core.requests.models import AttemptEnded, AttemptOutcome
+from tests.core.attempts.common import LEASE_S, Session, request
+from toucandoor.core.attempts.models import AnswerFetched, TaskEnded, TaskState, TaskWord
+from toucandoor.core.requests.models import AttemptEnded, AttemptOutcome, Fate, Refuse
 from toucandoor.ids import AttemptId
 
 
@@ -84,3 +84,30 @@
         session.event(_word("a1", None))
         session.tick(10.0)
         session.verify()
+
+    def test_an_unknown_attempt_forbids_not_run_when_retries_end(self) -> None:
+        session = Session()
+        job = request("job", idempotent=True)
+        session.start(job, "a1", "vm-1")
+        session.event(_ended("a1", AttemptOutcome.UNKNOWN))
+        session.event(_word("a1", None))
+        for index in range(2, 5):
+            session.start(job, f"a{index}", f"vm-{index}")
+            decisions = session.event(_ended(f"a{index}", AttemptOutcome.UNREACHABLE))
+        refused = next(each for each in decisions if isinstance(each, Refuse))
+        self.assertEqual(refused.fate, Fate.UNKNOWN)
+
+    def test_a_permit_waits_for_the_end_of_a_renewed_lease(self) -> None:
+        """The answer to a renewal was lost, so the lease may count from its last instant."""
+        session = Session()
+        job = request("job", idempotent=False)
+        session.start(job, "a1", "vm-1")
+        session.tick(9.0)
+        session.event(_word("a1", None))
+        session.event(_ended("a1", AttemptOutcome.UNKNOWN))
+        session.event(_word("a1", None))
+        ended_s = None
+        while ended_s is None:
+            if TaskEnded(AttemptId("a1")) in session.tick(0.5):
+                ended_s = session.clock.monotonic_s()
+        self.assertEqual(ended_s, 9.0 + 1.0 + LEASE_S + 1.0)
