--- a/tests/programs/test_backend_faults.py
+++ b/tests/programs/test_backend_faults.py
@@ -97,6 +97,41 @@
             for number in range(2):
                 self.pool.set_faults(number, fail_all=False)
 
+    def test_a_leaving_server_is_sent_nothing_new_and_used_again_when_it_stays(self) -> None:
+        self.pool.drain(0)
+        self.addCleanup(self.pool.drain, 0, on=False)
+        left_s = time.time()
+        while time.time() < left_s + 6.0:
+            self.assertEqual(self.send()[0], 200)
+        self.assertLess(self.pool.last_sent_s(0) - left_s, 5.0)
+        self.pool.drain(0, on=False)
+        stays_s = time.time()
+        while self.pool.last_sent_s(0) < stays_s:
+            self.assertLess(time.time() - stays_s, 5.0, "not used again")
+            self.send()
+
+    def test_a_server_that_fails_everything_costs_idempotent_requests_nothing(self) -> None:
+        for _ in range(10):
+            self.send()
+        self.pool.set_faults(0, fail_all=True)
+        self.addCleanup(self.pool.set_faults, 0, fail_all=False)
+        answers = [self.send(Toucandoor_Idempotent="true") for _ in range(30)]
+        self.assertEqual({status for status, _ in answers}, {200})
+
+    def test_crossed_answers_reach_nobody(self) -> None:
+        for number in range(2):
+            self.pool.set_faults(number, cross_answers=True)
+            self.addCleanup(self.pool.set_faults, number, cross_answers=False)
+        first = self.name
+        for number in range(6):
+            self.name = f"{first}-{number}"
+            status, answer = self.send()
+            if status == 200:
+                self.assertEqual(answer, {"result": self.name})
+            else:
+                self.assertEqual((status, answer["fate"]), (504, "unknown"))
+            self.assertEqual(self.pool.runs()[self.name], 1)
+
     def test_a_repeat_through_another_entry_gets_the_first_answer(self) -> None:
         key = new_key()
         for entry in (0, 1, 0):
