--- a/toucandoor/measures/_ceilings.py
+++ b/toucandoor/measures/_ceilings.py
@@ -3,26 +3,25 @@
 from __future__ import annotations
 
 import dataclasses
-import heapq
 import itertools
 from collections import Counter, defaultdict
-from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
 
+from toucandoor.adapters.entry_ceilings import to_mail
 from toucandoor.core.ceilings.const import COORDINATOR_ID
-from toucandoor.core.ceilings.coordinator import Office, PermitCoordinator
+from toucandoor.core.ceilings.coordinator import PermitCoordinator
 from toucandoor.core.ceilings.entry import EntryPermits, Standing
-from toucandoor.core.ceilings.ledger import ceiling_in_force, decode_ledger, encode_ledger, total
+from toucandoor.core.ceilings.ledger import ceiling_in_force, total
 from toucandoor.core.ceilings.models import (
     CeilingMessage,
     DataCentreGone,
     EntryGone,
     Envelope,
-    Ledger,
     Member,
     WriteLedger,
 )
+from toucandoor.core.ceilings.office import Office
 from toucandoor.core.leases.serving import FixedLease
 from toucandoor.ids import (
     AttemptId,
@@ -32,93 +31,25 @@
     IncarnationId,
     TeamId,
 )
+from toucandoor.measures._ceilings_fakes import (
+    CUT_OFF_GRACE_S,
+    ENTRY_LEASE_S,
+    JUDGE_MARGIN_S,
+    TASK_LEASE_S,
+    Agenda,
+    Chaos,
+    FakeEntry,
+    FakeStore,
+    FormerCoordinator,
+    Task,
+)
+from toucandoor.messages import encode
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from toucandoor.core.ceilings.policy import PermitPolicy
 
-ENTRY_LEASE_S = 6.0
-TASK_LEASE_S = 30.0
-CUT_OFF_GRACE_S = 120.0
-JUDGE_MARGIN_S = 1.0
-"""Time after a lease's end from which the holder is judged gone for good."""
-
-
-@dataclass(slots=True)
-class Task:
-    """A task on a backend server; it ends by itself or with its lease."""
-
-    team: TeamId
-    end_s: float
-    lease_end_s: float
-
-
-@dataclass(slots=True)
-class FakeEntry:
-    """An entry's process."""
-
-    entry: EntryId
-    data_centre: DataCentreId
-    incarnation: IncarnationId
-    lease: FixedLease
-    permits: PermitPolicy
-    tasks: dict[AttemptId, Task] = field(default_factory=dict)
-    alive: bool = True
-    paused: bool = False
-    cut_off: bool = False
-    granted_until_s: float = 0.0
-
-    @property
-    def runs(self) -> bool:
-        """Whether the process does anything now."""
-        return self.alive and not self.paused
-
-
-class FakeStore:
-    """The ledger's key in the store, with outages and answers lost after the write."""
-
-    def __init__(self) -> None:
-        self.value = encode_ledger(Ledger())
-        self.ledger = Ledger()
-        self.revision = 0
-        self.up = True
-        self.writes = 0
-        self.calls = 0
-        self.bytes_max = 0
-
-    def swap(self, write: WriteLedger) -> bool:
-        """Write if the revision is the expected one; return whether it was."""
-        self.calls += 1
-        if write.base_revision != self.revision:
-            return False
-        self.writes += 1
-        self.revision += 1
-        self.value = encode_ledger(write.ledger)
-        self.ledger = decode_ledger(self.value)
-        self.bytes_max = max(self.bytes_max, len(self.value))
-        return True
-
-
-@dataclass(slots=True)
-class Chaos:
-    """What may happen to messages and answers.
-
-    Attributes:
-        lost_ratio: Part of the messages that never arrive.
-        doubled_ratio: Part of the messages that arrive twice.
-        late_ratio: Part of the messages that arrive up to `late_s` later, out of order.
-        answer_lost_ratio: Part of the writes that take effect without an answer.
-        write_late_ratio: Part of the writes that reach the store late or never.
-    """
-
-    lost_ratio: float = 0.0
-    doubled_ratio: float = 0.0
-    late_ratio: float = 0.0
-    late_s: float = 3.0
-    answer_lost_ratio: float = 0.0
-    write_late_ratio: float = 0.0
-
 
 class PermitWorld:
     """Entries with permits, one coordinator in each data centre, and the fakes around them."""
@@ -137,9 +68,10 @@
         self.chaos = Chaos()
         self.entries: list[FakeEntry] = []
         self.former: list[FakeEntry] = []
+        self._by_id: dict[EntryId, FakeEntry] = {}
         self.coordinators: dict[DataCentreId, PermitCoordinator] = {}
         self.coordinator_leases: dict[DataCentreId, FixedLease] = {}
-        self.former_coordinators: list[tuple[DataCentreId, PermitCoordinator]] = []
+        self.former_coordinators: list[FormerCoordinator] = []
         self.paused_coordinators: set[DataCentreId] = set()
         self.cut_off: dict[DataCentreId, float] = {}
         self.data_centres = list(data_centres)
@@ -152,10 +84,11 @@
         self.conservation_breaches = 0
         self.messages = 0
         self.stranded_permit_s = 0.0
+        self.count_bytes = False
+        self.message_bytes = 0
         self.in_force: dict[TeamId, int] = {}
         self.entries_total = sum(data_centres.values())
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
+        self._agenda = Agenda()
         self._attempts = itertools.count()
         self._starts = itertools.count()
         self.set_ceilings(self.ceilings)
@@ -164,19 +97,25 @@
             for index in range(count):
                 self.start_entry(EntryId(f"{data_centre}-{index}"), data_centre, 1)
 
-    # Faults and changes
-
     def set_ceilings(self, ceilings: Mapping[TeamId, int]) -> None:
         """Put a configuration with other ceilings in force."""
         self.version += 1
         self.ceilings = dict(ceilings)
 
-    def new_coordinator(self, data_centre: DataCentreId, *, keep_former: bool = False) -> None:
+    def new_coordinator(
+        self,
+        data_centre: DataCentreId,
+        *,
+        keep_former: bool = False,
+        former_sees_store: bool = True,
+    ) -> None:
         """Start a coordinator; the earlier one of the data centre is dead or goes on unaware."""
         former = self.coordinators.get(data_centre)
         if keep_former and former is not None:
             self.coordinator_leases[data_centre].until_s = float("inf")
-            self.former_coordinators.append((data_centre, former))
+            self.former_coordinators.append(
+                FormerCoordinator(data_centre, former, former_sees_store)
+            )
         start_id = f"{data_centre}.{next(self._starts)}"
         lease = FixedLease(self.now_s + ENTRY_LEASE_S)
         self.coordinator_leases[data_centre] = lease
@@ -223,8 +162,6 @@
         for fake in self.entries:
             fake.paused = fake.cut_off = False
 
-    # Time
-
     def run(self, duration_s: float) -> None:
         """Let virtual time pass."""
         end_s = self.now_s + duration_s
@@ -235,8 +172,9 @@
         """Let one step pass: leases, messages, tasks, starts, then the checks."""
         self.now_s += self.step_s
         self._renew_leases()
+        self._forget_former()
         self.report_gone()
-        self._deliver_due()
+        self._agenda.run_due(self.now_s)
         self._end_tasks()
         for fake in self.entries:
             if fake.runs:
@@ -249,30 +187,7 @@
 
     def running(self, team: TeamId) -> int:
         """Return how many tasks of the team really run."""
-        tasks = (t for f in [*self.entries, *self.former] for t in f.tasks.values())
-        return sum(1 for task in tasks if task.team == team and self._is_running(task))
-
-    def stranded(self) -> int:
-        """Return how many permits nobody can use now, of all teams together."""
-        usable = sum(ceiling_in_force(self.store.ledger, team) for team in self.ceilings)
-        usable -= sum(max(0, self._unclaimed(team)) for team in self.ceilings)
-        for data_centre, coordinator in self.coordinators.items():
-            if data_centre not in self.paused_coordinators and coordinator.office is Office.HOLDER:
-                usable -= sum(coordinator.pool(team) for team in self.ceilings)
-        for fake in self.entries:
-            permits = fake.permits
-            if isinstance(permits, EntryPermits) and self._may_spend(fake, permits):
-                usable -= sum(permits.holdings().values())
-        return usable
-
-    def _unclaimed(self, team: TeamId) -> int:
-        if not any(self._sees_store(data_centre) for data_centre in self.data_centres):
-            return 0
-        return self.ceilings[team] - total(self.store.ledger, team)
-
-    def _may_spend(self, fake: FakeEntry, permits: EntryPermits) -> bool:
-        in_force = permits.standing is Standing.COUNTED and fake.lease.holds(self.now_s)
-        return fake.runs and in_force
+        return self.running_by_team()[team]
 
     def held_by_team(self) -> Counter[TeamId]:
         """Return the permits of entries that are not gone and may spend them."""
@@ -330,6 +245,11 @@
         if isinstance(fake.permits, EntryPermits):
             fake.permits.restart(fake.incarnation)
 
+    def _forget_former(self) -> None:
+        """Forget dead processes once their coordinators had ample time to hear of them."""
+        old_s = self.now_s - 10 * TASK_LEASE_S
+        self.former = [fake for fake in self.former if fake.granted_until_s > old_s]
+
     def _is_past_grace(self, data_centre: DataCentreId) -> bool:
         since_s = self.cut_off.get(data_centre)
         return since_s is not None and self.now_s - since_s > CUT_OFF_GRACE_S
@@ -380,58 +300,53 @@
             end_s = self.now_s + self.run_s()
             fake.tasks[attempt_id] = Task(team, end_s, self.now_s + TASK_LEASE_S)
 
-    # Coordinators and the store
-
-    def _sees_store(self, data_centre: DataCentreId) -> bool:
+    def sees_store(self, data_centre: DataCentreId) -> bool:
+        """Return whether a data centre reaches the store."""
         return self.store.up and data_centre not in self.cut_off
 
     def _run_coordinator(self, data_centre: DataCentreId, coordinator: PermitCoordinator) -> None:
         if coordinator.office is Office.DEPOSED:
             self.new_coordinator(data_centre)
             return
-        if self._sees_store(data_centre):
-            coordinator.set_ceilings(ConfigVersion(self.version), self.ceilings)
+        self._tick_coordinator(data_centre, coordinator, self.sees_store(data_centre))
+
+    def _tick_coordinator(
+        self, data_centre: DataCentreId, coordinator: PermitCoordinator, sees_store: bool
+    ) -> None:
+        if sees_store:
+            coordinator.set_ceilings(ConfigVersion(self.version), self.ceilings, TASK_LEASE_S)
             coordinator.on_ledger(self.store.ledger, self.store.revision, self.now_s)
         output = coordinator.tick(self.now_s)
         me = Member(COORDINATOR_ID, IncarnationId(coordinator.epoch.term))
         self._send(data_centre, me, output.envelopes)
-        if output.write is not None and self._sees_store(data_centre):
+        if output.write is not None and sees_store:
             self._write(coordinator, output.write)
 
     def _write(self, coordinator: PermitCoordinator, write: WriteLedger) -> None:
         if self.random.random() < self.chaos.write_late_ratio:
-            self._later(self.random.uniform(0, 5), lambda: self._swap_if_up(write))
+            self._later(self.random.uniform(0, 5), lambda: self.store.up and self.store.swap(write))
             return
         applied = self.store.swap(write)
         if applied and self.random.random() >= self.chaos.answer_lost_ratio:
             coordinator.on_ledger(self.store.ledger, self.store.revision, self.now_s)
 
-    def _swap_if_up(self, write: WriteLedger) -> None:
-        if self.store.up:
-            self.store.swap(write)
-
     def _all_coordinators(self, data_centre: DataCentreId) -> list[PermitCoordinator]:
-        former = [c for dc, c in self.former_coordinators if dc == data_centre]
+        former = [f.coordinator for f in self.former_coordinators if f.data_centre == data_centre]
         return [self.coordinators[data_centre], *former]
 
     def _run_former_coordinators(self) -> None:
-        """Let former coordinators go on that are cut off from the store but not from members."""
-        for data_centre, coordinator in self.former_coordinators:
-            me = Member(COORDINATOR_ID, IncarnationId(coordinator.epoch.term))
-            self._send(data_centre, me, coordinator.tick(self.now_s).envelopes)
-
-    # Messages
-
-    def _later(self, delay_s: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._queue, (self.now_s + delay_s, next(self._order), action))
+        for former in self.former_coordinators:
+            sees_store = former.sees_store and self.sees_store(former.data_centre)
+            self._tick_coordinator(former.data_centre, former.coordinator, sees_store)
 
-    def _deliver_due(self) -> None:
-        while self._queue and self._queue[0][0] <= self.now_s:
-            heapq.heappop(self._queue)[2]()
+    def _later(self, delay_s: float, action: Callable[[], object]) -> None:
+        self._agenda.add(self.now_s + delay_s, action)
 
     def _send(self, data_centre: DataCentreId, sender: Member, envelopes: list[Envelope]) -> None:
         for envelope in envelopes:
             self.messages += 1
+            if self.count_bytes:
+                self.message_bytes += len(encode(to_mail(envelope)))
             if self.random.random() < self.chaos.lost_ratio:
                 continue
             copies = 2 if self.random.random() < self.chaos.doubled_ratio else 1
@@ -457,9 +372,9 @@
                 me = Member(COORDINATOR_ID, IncarnationId(coordinator.epoch.term))
                 self._send(data_centre, me, answers)
             return
-        for fake in self.entries:
-            if fake.entry == envelope.to.entry:
-                self._deliver_to_entry(fake, sender, envelope.message)
+        fake = self._entry_of(envelope.to.entry)
+        if fake is not None:
+            self._deliver_to_entry(fake, sender, envelope.message)
 
     def _deliver_to_entry(self, fake: FakeEntry, sender: Member, message: CeilingMessage) -> None:
         if not isinstance(fake.permits, EntryPermits):
@@ -471,5 +386,12 @@
         answers = fake.permits.on_message(message, self.now_s)
         self._send(fake.data_centre, fake.permits.me, answers)
 
+    def _entry_of(self, entry: EntryId) -> FakeEntry | None:
+        fake = self._by_id.get(entry)
+        if fake is None or not fake.alive:
+            self._by_id = {each.entry: each for each in self.entries}
+        return self._by_id.get(entry)
+
     def _is_cut(self, entry: EntryId) -> bool:
-        return any(fake.entry == entry and fake.cut_off for fake in self.entries)
+        fake = self._entry_of(entry) if entry != COORDINATOR_ID else None
+        return fake is not None and fake.cut_off
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -18,6 +18,7 @@
 from toucandoor.adapters.claims import ClaimBoard, ClaimClient, make_claims_servers
 from toucandoor.adapters.controller_link import ControllerLink
 from toucandoor.adapters.engine_loop import EngineLoop
+from toucandoor.adapters.entry_ceilings import EntryCeilings
 from toucandoor.adapters.errands import Errands
 from toucandoor.adapters.idempotency import IdempotencyGuard
 from toucandoor.adapters.logs import set_up_logs
@@ -31,8 +32,10 @@
 from toucandoor.core.admission.lending import LendToUrgent
 from toucandoor.core.attempts.budget import RetryBudget
 from toucandoor.core.attempts.tracker import AttemptTracker
-from toucandoor.core.ceilings.policy import StaticPermits
-from toucandoor.core.configuration.models import Configuration
+from toucandoor.core.ceilings.demand import CountedQueue
+from toucandoor.core.ceilings.entry import EntryPermits
+from toucandoor.core.ceilings.models import Member
+from toucandoor.core.configuration.models import Configuration, QueueConfig
 from toucandoor.core.keys import KeyRing
 from toucandoor.core.leases.serving import FixedLease
 from toucandoor.core.requests.engine import RequestEngine
@@ -44,6 +47,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "entry:"
+_LEAVE_WITHIN_S = 2.0
 
 
 class Entry:
@@ -52,14 +56,21 @@
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
         self._clock = SystemClock()
-        self._permits = StaticPermits({})
         self._lease = FixedLease(float("inf"))
+        self._link = ControllerLink(
+            settings,
+            self.configure,
+            self.update_states,
+            lambda request_id: self.loop.journal.explain(request_id),
+            lambda mail: self._ceilings.take(mail),
+        )
+        self._permits = EntryPermits(Member(settings.entry_id, self._link.incarnation), self._lease)
         self._workers = WorkerClient(settings.connect_timeout_s)
+        self._admission = AdmissionCoordinator(LendToUrgent(), settings.entries_total)
         self._routing = SharedLoadRouting(Random(), settings.data_centre, settings.entries_total)
-        admission = AdmissionCoordinator(LendToUrgent(), settings.entries_total)
         self._engine = RequestEngine(
-            make_queue=admission.make_queue,
-            admission=admission,
+            make_queue=self._make_queue,
+            admission=self._admission,
             routing=self._routing,
             tracker=AttemptTracker(RetryBudget(Random()), self._routing.is_healthy),
             permits=self._permits,
@@ -69,6 +80,7 @@
         errands = Errands(self._workers)
         self.loop = EngineLoop(self._engine, self._clock, errands.perform)
         errands.post = self.loop.post
+        self._ceilings = EntryCeilings(self._permits, self._clock, self.loop.call, self._link.post)
         self._configuration: Configuration | None = None
         self._keys: KeyRing | None = None
         self._states: dict[VmId, VmState] = {}
@@ -86,11 +98,9 @@
         callers = make_caller_server(settings, app, self._clock)
         ops_app = make_ops_app(self._not_ready, lambda: metrics.in_flight(self._engine.counts()))
         ops = make_server(settings.ops_address, ops_app, 2)
-        link = ControllerLink(
-            settings, self.configure, self.update_states, self.loop.journal.explain
-        )
         tasks = [asyncio.create_task(self.loop.async_run())]
-        tasks.append(asyncio.create_task(link.async_run()))
+        tasks.append(asyncio.create_task(self._link.async_run()))
+        tasks.append(asyncio.create_task(self._ceilings.async_run()))
         servers = [callers, ops, *make_claims_servers(settings, board)]
         for server in servers:
             server.prepare()
@@ -98,6 +108,7 @@
         _LOGGER.info("%s serving at %s", _PREFIX, settings.caller_address)
         await stop.asked.wait()
         await self._async_drain(stop)
+        await self._ceilings.async_leave(_LEAVE_WITHIN_S)
         for task in tasks:
             task.cancel()
         for server in servers:
@@ -115,13 +126,6 @@
     def _configure(self, version: int, configuration: Configuration) -> None:
         self._configuration = configuration
         self._keys = KeyRing(configuration)
-        total = self._settings.entries_total
-        self._permits.set_parts(
-            {
-                team_id: team.ceiling_running // total
-                for team_id, team in configuration.teams.items()
-            }
-        )
         self._engine.configure(configuration, self._clock.monotonic_s())
         self._workers.task_lease_s = configuration.policy.task_lease_s
         self._update_servers()
@@ -156,6 +160,9 @@
         queue = self._configuration.queues.get(queue_id) if self._configuration else None
         return None if queue is None else queue.open_to_all
 
+    def _make_queue(self, queue: QueueConfig) -> CountedQueue:
+        return CountedQueue(self._admission.make_queue(queue), self._ceilings.waiting)
+
     def _not_ready(self) -> str:
         if self._stopping:
             return "stopping"
