--- a/tests/core/admission/test_fair.py
+++ b/tests/core/admission/test_fair.py
@@ -4,14 +4,23 @@
 
 import time
 import unittest
+from dataclasses import replace
 
 from toucandoor.core.admission.drain import DrainRate
 from toucandoor.core.admission.fair import FairQueue, FairSettings
 from toucandoor.core.admission.models import SlotUse
+from toucandoor.core.admission.pool import PoolAdmission
 from toucandoor.core.admission.reserve import LentReserve
-from toucandoor.core.requests.models import Request, RequestClass
+from toucandoor.core.requests.models import (
+    AttemptEnded,
+    AttemptOutcome,
+    BackendServer,
+    PreemptHow,
+    Request,
+    RequestClass,
+)
 from toucandoor.core.shares.ledger import ShareLedger
-from toucandoor.ids import AttemptId, QueueId, RequestId, TeamId
+from toucandoor.ids import AttemptId, PoolId, QueueId, RequestId, TeamId, VmId
 
 
 def _request(number: int, team: str = "a", *, urgent: bool = True, now_s: float = 0.0) -> Request:
@@ -67,6 +76,19 @@
             self.assertTrue(LentReserve(1.0).may_start_patient(use, preemptible=False))
 
 
+class PoolAdmissionTest(unittest.TestCase):
+    def test_a_stop_that_was_not_asked_for_is_no_preemption(self) -> None:
+        pool = PoolAdmission(LentReserve(0.5), 2)
+        request = replace(_request(0, urgent=False), preempt_how=PreemptHow.STOP)
+        server = BackendServer(VmId("v"), PoolId("p"), "10.0.0.1:1", 2, 64, "dc-1", "r-1")
+        for number in range(4):
+            attempt_id = AttemptId(f"x-{number}")
+            pool.started(request, attempt_id, server, 0.0)
+            pool.ended(AttemptEnded(attempt_id, AttemptOutcome.STOPPED), 1.0)
+        pool.started(request, AttemptId("y"), server, 2.0)
+        self.assertEqual(len(pool.use(2.0).preemptible), 1)
+
+
 class DrainRateTest(unittest.TestCase):
     def test_follows_starts_and_decays_without_them(self) -> None:
         drain = DrainRate()
--- a/toucandoor/core/admission/fair.py
+++ b/toucandoor/core/admission/fair.py
@@ -14,6 +14,7 @@
 from toucandoor.core.admission.drain import DrainRate
 from toucandoor.core.admission.lanes import LaneKey, Lanes, lane_key
 from toucandoor.core.admission.policy import QueuePolicy
+from toucandoor.core.requests.models import RequestClass
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -79,9 +80,9 @@
 
     def next(self, now_s: float, may_start: Callable[[Request], bool]) -> Request | None:
         """Remove and return the next request that may start, or None."""
-        request = self._aged(now_s, may_start) or self._first(
-            self._by_share(now_s), now_s, may_start
-        )
+        lanes = self._by_share(now_s)
+        request = self._first(self._aged(lanes, now_s), now_s, may_start)
+        request = request or self._first(lanes, now_s, may_start)
         if request is None:
             return None
         self._remove(request.request_id)
@@ -124,21 +125,21 @@
 
     def _by_share(self, now_s: float) -> list[LaneKey]:
         """Return the lanes, the one to serve first in front."""
+        teams = {key.team for key in self._lanes.occupied()}
+        virtual = {team: self._shares.virtual(team, now_s) for team in teams}
 
         def rank(key: LaneKey) -> tuple[float, bool, float]:
             credit = self._settings.urgent_credit if key.urgent else 0.0
-            virtual = self._shares.virtual(key.team, now_s)
-            return (virtual - credit, not key.urgent, self._lanes.oldest(key).arrived_s)
+            first = self._lanes.oldest(key)
+            return (virtual[key.team] - credit, not key.urgent, first.arrived_s)
 
         return sorted(self._lanes.occupied(), key=rank)
 
-    def _aged(self, now_s: float, may_start: Callable[[Request], bool]) -> Request | None:
-        """Return an aged patient request that may start, by share, when its turn has come."""
+    def _aged(self, lanes: list[LaneKey], now_s: float) -> list[LaneKey]:
+        """Return the lanes whose oldest request is aged and patient, when their turn has come."""
         if self._starts_since_aged + 1 < self._settings.aged_every:
-            return None
-        lanes = self._by_share(now_s)
-        aged = [key for key in lanes if self._is_aged(self._lanes.oldest(key), now_s)]
-        return self._first(aged, now_s, may_start)
+            return []
+        return [key for key in lanes if self._is_aged(self._lanes.oldest(key), now_s)]
 
     def _first(
         self, keys: Iterable[LaneKey], now_s: float, may_start: Callable[[Request], bool]
@@ -150,8 +151,8 @@
         return None
 
     def _is_aged(self, request: Request, now_s: float) -> bool:
-        waited_s = now_s - request.arrived_s
-        return not lane_key(request).urgent and waited_s >= self._settings.ageing_s
+        patient = request.request_class is RequestClass.PATIENT
+        return patient and now_s - request.arrived_s >= self._settings.ageing_s
 
     def _count_turn(self, request: Request, now_s: float) -> None:
         aged = self._is_aged(request, now_s)
