--- a/tests/core/admission/session.py
+++ b/tests/core/admission/session.py
@@ -82,6 +82,7 @@
         how: PreemptHow | None = None,
         deadline_s: float = 60.0,
         queue: str = "p",
+        idempotent: bool = True,
     ) -> list[Decision]:
         """Submit a request that arrives now."""
         now_s = self.clock.monotonic_s()
@@ -90,7 +91,7 @@
             QueueId(queue),
             TeamId(team),
             RequestClass.URGENT if urgent else RequestClass.PATIENT,
-            idempotent=True,
+            idempotent=idempotent,
             arrived_s=now_s,
             deadline_s=now_s + deadline_s,
             preempt_how=how,
--- a/tests/core/admission/test_sessions.py
+++ b/tests/core/admission/test_sessions.py
@@ -15,6 +15,7 @@
     PreemptHow,
     Refuse,
 )
+from toucandoor.ids import RequestId
 
 
 def _started(decisions: list[Decision]) -> list[str]:
@@ -37,6 +38,16 @@
         self.assertEqual(session.running[name].resume_token, "token-1")
         verify_session(session.lines)
 
+    def test_a_resumed_task_that_finds_no_slot_still_resumes_from_its_token(self) -> None:
+        session = Session(slots=2)
+        session.submit("once", how=PreemptHow.CHECKPOINT, idempotent=False)
+        session.end("once", AttemptOutcome.CHECKPOINTED, "token-1")
+        for outcome in (AttemptOutcome.BUSY, AttemptOutcome.DRAINING):
+            session.end("once", outcome)
+            session.after(2.5)
+            self.assertEqual(session.running[RequestId("once")].resume_token, "token-1")
+        verify_session(session.lines)
+
     def test_patient_work_that_cannot_be_preempted_stays_out_of_the_reserve(self) -> None:
         session = Session(slots=4)
         started = [session.submit(f"patient-{number}") for number in range(4)]
