Set the urgent credit to 300 s of virtual time

Excluded: no credit limit at all; a team that calls everything urgent would then never wait for the others' patient work.

--- a/toucandoor/core/admission/const.py
+++ b/toucandoor/core/admission/const.py
@@ -10,7 +10,7 @@
 DEFAULT_AGED_EVERY: Final = 4
 """One start in so many goes to an aged patient request, when one waits."""
 
-DEFAULT_URGENT_CREDIT_S: Final = 120.0
+DEFAULT_URGENT_CREDIT_S: Final = 300.0
 """Virtual time by which an urgent request goes before the patient ones of a team level with it."""
 
 DEFAULT_LANE_PROBES: Final = 4
