--- a/tests/programs/test_ceilings.py
+++ b/tests/programs/test_ceilings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import signal
 import threading
@@ -14,11 +15,10 @@
 import urllib3
 
 from toucandoor.core.keys import secret_digest
-from toucandoor.measures._deployment import HTTP, LocalDeployment
+from toucandoor.measures._deployment import HTTP, LocalDeployment, free_address
 
 CEILING = 6
 TASK_LEASE_S = 5.0
-WORKERS = ("127.44.1.1:8181", "127.44.1.2:8181")
 FOLDER = f"""
 [policy]
 task_lease_s = {TASK_LEASE_S}
@@ -38,13 +38,13 @@
 pool = "p"
 data_centre = "dc-1"
 rack = "r"
-address = "{WORKERS[0]}"
+address = "WORKER-1"
 slots = 24
 [vms.w-2]
 pool = "p"
 data_centre = "dc-2"
 rack = "r"
-address = "{WORKERS[1]}"
+address = "WORKER-2"
 slots = 24
 """
 
@@ -54,11 +54,16 @@
         scratch = TemporaryDirectory()
         self.addCleanup(scratch.cleanup)
         folder = Path(scratch.name)
-        (folder / "10-all.toml").write_text(FOLDER)
+        self.folder = folder
+        self.workers = [free_address(), free_address()]
+        text = FOLDER.replace("WORKER-1", self.workers[0]).replace("WORKER-2", self.workers[1])
+        (folder / "10-all.toml").write_text(text)
         self.fleet = self.enterContext(LocalDeployment(folder, ["dc-1", "dc-1", "dc-2"]))
         applied = self.fleet.operate("apply", str(folder), "--json")
         self.assertEqual(applied.returncode, 0, applied.stderr)
         self.fleet.wait_ready()
+        for address in self.workers:
+            self.fleet.wait_for(address, "/v1/status")
         self.most = 0
         self.stop = threading.Event()
         self.addCleanup(self.stop.set)
@@ -66,12 +71,13 @@
 
     def running(self) -> int:
         """Return what the workers say they run."""
-        pages = [json.loads(HTTP.request("GET", f"http://{w}/v1/status").data) for w in WORKERS]
-        return sum(len(page["running"]) for page in pages)
+        answers = [HTTP.request("GET", f"http://{each}/v1/status") for each in self.workers]
+        return sum(len(json.loads(answer.data)["running"]) for answer in answers)
 
     def watch(self) -> None:
         while not self.stop.wait(0.02):
-            self.most = max(self.most, self.running())
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                self.most = max(self.most, self.running())
 
     def send(self, entry: int, count: int, run_s: float) -> None:
         def ask() -> None:
@@ -111,3 +117,32 @@
         self.send(1, 20, 3.0)
         self.wait_until(lambda: self.running() == CEILING, 20)
         self.assertEqual(self.most, CEILING)
+
+    def test_store_and_controller_fail_and_the_ceiling_comes_down(self) -> None:
+        self.fleet.set_faults(lose_answers=True)
+        self.send(2, 12, 1.0)
+        self.wait_until(lambda: self.running() == CEILING, 20)
+        controller = self.fleet.processes["entry-3.controller"]
+        controller.send(signal.SIGKILL)
+        controller.process.wait()
+        controller.start()
+        self.fleet.set_faults(down=True)
+        self.wait_until(lambda: self.running() == 0, 20)
+        self.send(2, 12, 1.0)
+        self.wait_until(lambda: self.running() == CEILING, 20)
+        self.fleet.set_faults(lose_answers=True)
+        self.wait_until(lambda: self.running() == 0, 20)
+        self.send(0, 12, 3.0)
+        self.wait_until(lambda: self.running() == CEILING, 20)
+        self.send(2, 6, 1.0)
+        self.wait_until(lambda: self.running() == 0, 20)
+        self.fleet.set_faults()
+        (self.folder / "20-lower.toml").write_text("[teams.a]\nceiling_running = 2\n")
+        applied = self.fleet.operate("apply", str(self.folder), "--json")
+        self.assertEqual(applied.returncode, 0, applied.stderr)
+        self.send(1, 60, 0.5)
+        self.wait_until(lambda: self.running() <= 2, 20)
+        self.assertEqual(self.most, CEILING)
+        self.most = 0
+        time.sleep(2)
+        self.assertLessEqual(self.most, 2)
