--- a/toucandoor/adapters/caller_http.py
+++ b/toucandoor/adapters/caller_http.py
@@ -14,10 +14,13 @@
 from cheroot.errors import MaxSizeExceeded
 
 from toucandoor.adapters.caller_server import ATTR_SENDER, ATTR_SOCKET
+from toucandoor.adapters.idempotency import Claim
 from toucandoor.adapters.wsgi import respond
 from toucandoor.core.attempts.models import FetchAnswer
 from toucandoor.core.requests.models import (
     Answer,
+    AttemptEnded,
+    AttemptOutcome,
     Cancelled,
     Dispatch,
     Fate,
@@ -33,6 +36,7 @@
     from collections.abc import Callable, Iterable
 
     from toucandoor.adapters.engine_loop import EngineLoop
+    from toucandoor.adapters.idempotency import IdempotencyGuard
     from toucandoor.adapters.metrics import EntryMetrics
     from toucandoor.adapters.slow_senders import SenderWatch
     from toucandoor.adapters.worker_client import WorkerAnswer, WorkerClient
@@ -91,7 +95,9 @@
         clock: Clock,
         view: EntryView,
         entry_id: str,
+        guard: IdempotencyGuard | None = None,
     ) -> None:
+        self._guard = guard
         self._loop = loop
         self._workers = workers
         self._metrics = metrics
@@ -119,6 +125,7 @@
             raise _BadRequestError(503, "this entry is stopping", "entry.stop")
         team = self._team(environ, queue_id)
         request_class = _request_class(environ)
+        idempotent = _flag(environ, ATTR_IDEMPOTENT)
         now_s = self._clock.monotonic_s()
         deadline_s = _seconds(environ, ATTR_DEADLINE_S, DEFAULT_DEADLINE_S[request_class])
         return Request(
@@ -126,12 +133,12 @@
             queue=queue_id,
             team=team,
             request_class=request_class,
-            idempotent=_flag(environ, ATTR_IDEMPOTENT),
+            idempotent=idempotent,
             arrived_s=now_s,
             deadline_s=now_s + min(deadline_s or 0.0, DEADLINE_S_MAX),
             idempotency_key=environ.get(ATTR_IDEMPOTENCY_KEY),
             declared_run_s=_seconds(environ, ATTR_RUN_S, None),
-            preempt_how=_preempt_how(environ),
+            preempt_how=_preempt_how(environ, request_class, idempotent),
         )
 
     def _team(self, environ: Environ, queue_id: QueueId) -> TeamId | None:
@@ -156,36 +163,72 @@
     def _serve(
         self, request: Request, body: bytes, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
+        claim: Claim | None = None
+        if self._guard is not None and self._guard.concerns(request):
+            begun = self._guard.begin(request)
+            if not isinstance(begun, Claim):
+                return self._finish(request, begun, start_response)
+            claim = begun
         mailbox = self._loop.submit(Submitted(request))
-        answers: dict[AttemptId, WorkerAnswer | None] = {}
-        started = False
         try:
-            while True:
-                decision = self._wait(mailbox, request, environ)
-                match decision:
-                    case Dispatch():
-                        if not started:
-                            self._note_start(request)
-                            started = True
-                        trace = environ.get("HTTP_TRACEPARENT", "")
-                        ended, answer = self._workers.send(decision, request, body, trace)
-                        answers = {decision.attempt_id: answer}
-                        self._loop.post(ended)
-                    case FetchAnswer():
-                        fetched, answer = self._workers.fetch(decision)
-                        answers = {decision.attempt_id: answer}
-                        self._loop.post(fetched)
-                    case Answer(_, attempt_id) if (answer := answers.get(attempt_id)) is not None:
-                        self._note_end(request, 200, "answered")
-                        headers = [("Toucandoor-Request-Id", request.request_id)]
-                        return respond(
-                            start_response, 200, answer.body, answer.content_type, headers
-                        )
-                    case Refuse():
-                        self._note_end(request, decision.status, decision.fate.value)
-                        return _problem(start_response, decision, decision.retry_after_s)
+            end = self._carry_out(request, body, environ, mailbox, claim)
         finally:
             self._loop.forget(request.request_id)
+        if claim is not None and isinstance(end, Refuse) and end.fate is Fate.NOT_RUN:
+            claim.not_run()
+        return self._finish(request, end, start_response)
+
+    def _carry_out(
+        self,
+        request: Request,
+        body: bytes,
+        environ: Environ,
+        mailbox: queue.SimpleQueue[CallerDecision],
+        claim: Claim | None,
+    ) -> WorkerAnswer | Refuse:
+        """Do what the engine decides for the request until its final answer is known."""
+        trace = environ.get("HTTP_TRACEPARENT", "")
+        answers: dict[AttemptId, WorkerAnswer | None] = {}
+        started = False
+        while True:
+            decision = self._wait(mailbox, request, environ)
+            match decision:
+                case Dispatch():
+                    if not started:
+                        self._note_start(request)
+                        started = True
+                    if claim is not None and not claim.announce(decision):
+                        return self._give_up_claim(decision)
+                    ended, answer = self._workers.send(decision, request, body, trace)
+                    answers = {decision.attempt_id: answer}
+                    self._loop.post(ended)
+                case FetchAnswer():
+                    fetched, answer = self._workers.fetch(decision)
+                    answers = {decision.attempt_id: answer}
+                    self._loop.post(fetched)
+                case Answer(_, attempt_id) if (answer := answers.get(attempt_id)) is not None:
+                    return answer
+                case Refuse():
+                    return decision
+
+    def _give_up_claim(self, dispatch: Dispatch) -> Refuse:
+        """End a request whose idempotency key another submission has taken over."""
+        self._loop.post(AttemptEnded(dispatch.attempt_id, AttemptOutcome.NOT_SENT))
+        self._loop.post(Cancelled(dispatch.request_id))
+        # Work before a checkpoint has run.
+        fate = Fate.UNKNOWN if dispatch.resume_token else Fate.NOT_RUN
+        reason = "the key's owner is out of reach or gave the key to a later submission"
+        return Refuse(dispatch.request_id, 503, reason, fate, "idempotency.announce")
+
+    def _finish(
+        self, request: Request, end: WorkerAnswer | Refuse, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        if isinstance(end, Refuse):
+            self._note_end(request, end.status, end.fate.value)
+            return _problem(start_response, end, end.retry_after_s)
+        self._note_end(request, 200, "answered")
+        headers = [("Toucandoor-Request-Id", request.request_id)]
+        return respond(start_response, 200, end.body, end.content_type, headers)
 
     def _wait(
         self, mailbox: queue.SimpleQueue[Any], request: Request, environ: Environ
@@ -240,15 +283,21 @@
         raise _BadRequestError(400, reason, "http.headers") from None
 
 
-def _preempt_how(environ: Environ) -> PreemptHow | None:
+def _preempt_how(
+    environ: Environ, request_class: RequestClass, idempotent: bool
+) -> PreemptHow | None:
     text = environ.get(ATTR_PREEMPT)
     if text is None:
         return None
-    try:
-        return PreemptHow(text)
-    except ValueError:
+    if text not in [how.value for how in PreemptHow]:
         reason = f"Toucandoor-Preempt must be checkpoint or stop, not {text[:40]!r}"
-        raise _BadRequestError(400, reason, "http.headers") from None
+        raise _BadRequestError(400, reason, "http.headers")
+    if request_class is RequestClass.URGENT:
+        raise _BadRequestError(400, "an urgent request is never preempted", "http.headers")
+    if text == PreemptHow.STOP.value and not idempotent:
+        reason = "Toucandoor-Preempt: stop runs the request again; it must be idempotent"
+        raise _BadRequestError(400, reason, "http.headers")
+    return PreemptHow(text)
 
 
 def _flag(environ: Environ, name: str) -> bool:
--- a/toucandoor/core/attempts/state.py
+++ b/toucandoor/core/attempts/state.py
@@ -35,6 +35,7 @@
 
     Attributes:
         setbacks: Attempts that failed, ended unknown or met no backend server.
+        resume_token: Token of the last checkpoint; work before it is never run again.
         ran: Whether an attempt certainly ran, if only in part.
         unknown: Attempts that may have run.
     """
@@ -44,6 +45,7 @@
     setbacks: int = 0
     failed_on: set[VmId] = field(default_factory=set)
     tried: set[VmId] = field(default_factory=set)
+    resume_token: str | None = None
     ran: bool = False
     unknown: set[AttemptId] = field(default_factory=set)
 
