Carry maintenance and moves out from the controllers, and say why

Cause: the planner and moves were decisions without anyone to carry them out. Excluded: a read of every record for each entry's routing (a watch on the maps instead); a controller without the lease answering why a VM is not drained (it names the holder); a new VM being due at once (its time runs from when it is first seen). Before and after: script/test tests.programs.test_maintenance: 3 passed: a controller killed (kill -9) while a VM drains under load, the other carries on, 3 VMs rebooted once each, 0 tasks cut, never more than 1 out with a budget of 1, all answers whole or "not run"; a move seen by the entries and one refused by the budget; a move whose answers are lost is done once. Conclusion: the promise holds with real processes. Signals come from the holder's own entry only, until controllers are linked.

--- /dev/null
+++ b/tests/core/maintenance/test_log_and_reasons.py
@@ -0,0 +1,204 @@
+"""Tests of the event log, the reasons given, orders and signals."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from datetime import timedelta
+
+from toucandoor.clock import ManualClock
+from toucandoor.core.maintenance.const import LOG_SEGMENT_MAX_BYTES, LOG_SEGMENTS_KEPT
+from toucandoor.core.maintenance.event_log import (
+    LogRead,
+    Segment,
+    between,
+    decode_segment,
+    decode_summary,
+    flush,
+    segment_key,
+    summary_key,
+)
+from toucandoor.core.maintenance.models import MaintenanceSettings, ServiceSignals, VmReport
+from toucandoor.core.maintenance.orders import MaintainOrder, OrderSession
+from toucandoor.core.maintenance.signals import SignalGate
+from toucandoor.core.maintenance.urgent_starts import UrgentStarts
+from toucandoor.core.maintenance.wave import Obstacle, WavePlanner, WaveView
+from toucandoor.core.pools.const import KEY_LEDGER
+from toucandoor.core.pools.models import (
+    EventKind,
+    FleetEvent,
+    Swap,
+    SwapDone,
+    SwapLost,
+    VmStep,
+    assignment_key,
+    decode_map,
+    encode,
+)
+from toucandoor.core.pools.move import MoveEnded, MoveOutcome
+from toucandoor.core.pools.records import first_ledger, first_map, fleet_keys, fleet_read
+from toucandoor.fakes.fleets import SMALL, data_centres, fleet_configuration
+from toucandoor.fakes.virtual_store import VirtualStore
+from toucandoor.ids import DataCentreId, OperationId, VmId
+
+_DC = DataCentreId("dc1")
+_NOW = ManualClock().now()
+_SETTINGS = MaintenanceSettings()
+_CONFIGURATION = fleet_configuration(SMALL)
+
+
+class LogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = VirtualStore()
+
+    def _read(self) -> LogRead:
+        value, revision = self.store.get(summary_key(_DC))
+        summary = decode_summary(value)
+        slot, slot_revision = self.store.get(segment_key(_DC, summary.segment))
+        return LogRead(summary, revision, decode_segment(slot), slot_revision)
+
+    def _keep(self, events: list[FleetEvent]) -> int:
+        step = flush(_DC, events, self._read())
+        while isinstance(step, Swap):
+            self.store.swap(step)
+            step = flush(_DC, events, self._read())
+        return step
+
+    @staticmethod
+    def _events(first: int, count: int) -> list[FleetEvent]:
+        return [
+            FleetEvent(n, _NOW + timedelta(minutes=n), EventKind.STEP, "c", "r" * 80, VmId("v"))
+            for n in range(first, first + count)
+        ]
+
+    def _segments(self) -> list[Segment]:
+        slots = [self.store.values.get(segment_key(_DC, n)) for n in range(LOG_SEGMENTS_KEPT)]
+        return [each for each in map(decode_segment, slots) if each]
+
+    def test_stays_bounded_and_keeps_the_latest_whole(self) -> None:
+        last = 0
+        for first in range(0, 12_000, 300):
+            # The first events of each batch come twice, as after a crash before the map was cut.
+            last = self._keep(self._events(max(0, first - 10), 310))
+        self.assertLess(max(len(value) for value in self.store.values.values()), 200_000)
+        self.assertLessEqual(len(self.store.values), LOG_SEGMENTS_KEPT + 1)
+        length = timedelta(minutes=600)
+        found = between(self._segments(), [], _NOW + timedelta(minutes=last - 600), length)
+        self.assertEqual([each.sequence for each in found], list(range(last - 600, last)))
+        summary = decode_summary(self.store.values[summary_key(_DC)])
+        kept = min(each.events[0].sequence for each in self._segments())
+        self.assertEqual(sum(n for day in summary.days.values() for n in day.values()), kept)
+        self.assertGreater(kept, 0)
+
+    def test_a_crash_between_copy_and_cut_leaves_no_double(self) -> None:
+        events = self._events(0, 5)
+        self.assertEqual(self._keep(events), 5)
+        self.assertEqual(self._keep(events), 5)
+        self.assertEqual(len(between(self._segments(), events, _NOW, timedelta(hours=1))), 5)
+        self.assertLess(len(self.store.values[segment_key(_DC, 0)]), LOG_SEGMENT_MAX_BYTES)
+
+
+class ReasonsTest(unittest.TestCase):
+    def _explain(self, **changes: object) -> Obstacle | None:
+        record = first_map(_CONFIGURATION, 1, _DC)
+        vm = sorted(record.vms)[0]
+        vm_changes = {k[3:]: v for k, v in changes.items() if k.startswith("vm_")}
+        record = replace(record.with_vm(vm, **vm_changes), paused=changes.get("paused"))
+        stored = {key: (None, 0) for key in fleet_keys(data_centres(SMALL))}
+        ledger = replace(first_ledger(_CONFIGURATION, 1), granted={record.vms[vm].pool: {_DC: 1}})
+        if changes.get("no_place"):
+            ledger = first_ledger(_CONFIGURATION, 1)
+        read = replace(
+            fleet_read(data_centres(SMALL), stored),
+            ledger=ledger,
+            unavailable=frozenset({VmId(str(changes["out"]))} if "out" in changes else ()),
+        )
+        read.maps[_DC] = record
+        other = DataCentreId("dc2")
+        read.maps[other] = first_map(_CONFIGURATION, 1, other)
+        reports = {} if changes.get("silent") else {vm: VmReport(vm, "b", True)}
+        if changes.get("unhealthy"):
+            reports = {vm: VmReport(vm, "b", False)}
+        view = WaveView(
+            record,
+            read,
+            reports,
+            {vm} if changes.get("leaving") else (),
+            _NOW,
+            list_fresh=not changes.get("stale"),
+            store_seen=not changes.get("away"),
+        )
+        return WavePlanner(view, _SETTINGS).explain(vm).obstacle
+
+    def test_each_obstacle_is_named(self) -> None:
+        first = sorted(first_map(_CONFIGURATION, 1, _DC).vms)[0]
+        pool = _CONFIGURATION.vms[first].pool
+        mate = next(v for v, e in _CONFIGURATION.vms.items() if e.pool == pool and v != first)
+        cases: list[tuple[dict[str, object], Obstacle | None]] = [
+            ({}, None),
+            ({"away": True}, Obstacle.STORE_AWAY),
+            ({"stale": True}, Obstacle.LIST_STALE),
+            ({"paused": "urgent requests start late"}, Obstacle.PAUSED),
+            ({"vm_step": VmStep.DRAINING}, Obstacle.UNDER_WAY),
+            ({"vm_maintained_at": _NOW}, Obstacle.NOT_DUE),
+            ({"leaving": True}, Obstacle.LEAVING),
+            ({"vm_out_since": _NOW}, Obstacle.OUT),
+            ({"vm_not_before": _NOW + timedelta(hours=1)}, Obstacle.RETRY_LATER),
+            ({"out": mate}, Obstacle.BUDGET_USED),
+            ({"no_place": True}, Obstacle.NO_PLACE_HERE),
+            ({"silent": True}, Obstacle.NOT_ASKED),
+            ({"unhealthy": True}, Obstacle.UNHEALTHY),
+        ]
+        for changes, obstacle in cases:
+            with self.subTest(changes):
+                self.assertIs(self._explain(**changes), obstacle)
+
+
+class OrderTest(unittest.TestCase):
+    def test_order_is_noted_once_after_a_lost_answer(self) -> None:
+        store = VirtualStore()
+        for each in data_centres(SMALL):
+            record = first_map(_CONFIGURATION, 1, each)
+            store.swap(Swap(assignment_key(each), 0, encode(record)))
+        store.swap(Swap(KEY_LEDGER, 0, encode(first_ledger(_CONFIGURATION, 1))))
+        session = OrderSession(MaintainOrder(OperationId("o"), _DC, None, "ann"))
+        keys = fleet_keys(data_centres(SMALL))
+
+        def read() -> object:
+            stored = {key: store.get(key) for key in keys}
+            return session.on_read(fleet_read(data_centres(SMALL), stored), _NOW)
+
+        swap = read()
+        assert isinstance(swap, Swap)
+        store.swap(swap)
+        session.on_answer(SwapLost(swap.key))
+        ended = read()
+        assert isinstance(ended, MoveEnded)
+        self.assertIs(ended.outcome, MoveOutcome.MOVED)
+        record = decode_map(store.values[assignment_key(_DC)])
+        self.assertEqual(len(record.events), 1)
+        self.assertIsNotNone(record.wave)
+        self.assertIsInstance(session.on_answer(SwapDone(swap.key, 9)), MoveEnded)
+
+
+class SignalsTest(unittest.TestCase):
+    def test_pauses_at_once_and_resumes_after_a_good_while(self) -> None:
+        gate, good = SignalGate(_SETTINGS), ServiceSignals(0.0, 0.0)
+        self.assertIsNotNone(gate.reason(0.0))
+        gate.on_signals(good, 0.0)
+        self.assertIsNone(gate.reason(0.0))
+        gate.on_signals(ServiceSignals(0.0, 0.5), 10.0)
+        self.assertEqual(gate.reason(10.0), "teams are short of their shares")
+        for now_s in (20.0, 40.0, 79.0):
+            gate.on_signals(good, now_s)
+            self.assertIsNotNone(gate.reason(now_s))
+        gate.on_signals(good, 80.0)
+        self.assertIsNone(gate.reason(80.0))
+        self.assertIsNotNone(gate.reason(80.0 + _SETTINGS.signals_age_max_s + 1))
+
+    def test_urgent_starts_leave_the_window(self) -> None:
+        starts = UrgentStarts(10.0)
+        starts.started(late=True, now_s=0.0)
+        starts.started(late=False, now_s=5.0)
+        self.assertEqual(starts.counts(6.0), (2, 1))
+        self.assertEqual(starts.counts(11.0), (1, 0))
--- /dev/null
+++ b/tests/programs/test_maintenance.py
@@ -0,0 +1,160 @@
+"""Maintenance and moves with separate processes and real sockets."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+import time
+import unittest
+from collections import Counter
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from toucandoor.core.keys import secret_digest
+from toucandoor.measures._deployment import HTTP, LocalDeployment, free_address
+
+_FLEET = f"""
+[data_centres.dc-1]
+region = "r-1"
+[pools.p]
+unavailable_max = 1
+[pools.spare]
+unavailable_max = 1
+[queues.q]
+pool = "p"
+[queues.spare]
+pool = "spare"
+open_to_all = true
+[teams.a]
+ceiling_running = 4
+[teams.a.keys.a-1]
+sha256 = "{secret_digest('secret-of-a')}"
+"""
+_SETTINGS = {"controller": {"planning_lease_s": "3", "planner_period_s": "0.2"}}
+
+
+def _fleet(workers: dict[str, str]) -> str:
+    vms = [
+        f'[vms.{vm}]\npool = "p"\ndata_centre = "dc-1"\nrack = "r"\naddress = "{address}"\n'
+        for vm, address in workers.items()
+    ]
+    return _FLEET + "".join(vms)
+
+
+class MaintenanceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        scratch = TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        folder = Path(scratch.name)
+        self.workers = {f"w-{n}": free_address() for n in (1, 2, 3)}
+        (folder / "10-all.toml").write_text(_fleet(self.workers))
+        self.path = self.enterContext(LocalDeployment(folder, ["dc-1", "dc-1"], _SETTINGS))
+        self.path.set_vm_list([{"id": vm, "state": "live"} for vm in self.workers])
+        self.assertEqual(self.path.operate("apply", str(folder), "--json").returncode, 0)
+        self.path.wait_ready()
+        self._wait(lambda: len(self._map().get("vms", {})) == 3, 15)
+
+    def _stored(self, key: str) -> dict[str, Any]:
+        answer = HTTP.request(
+            "GET", f"http://{self.path.platform_address}/v1/kv/{key.replace('/', '%2F')}"
+        )
+        return json.loads(json.loads(answer.data)["value"]) if answer.status == 200 else {}
+
+    def _map(self) -> dict[str, Any]:
+        return self._stored("fleet/assignment/dc-1")
+
+    def _worker(self, vm: str) -> dict[str, Any]:
+        return HTTP.request("GET", f"http://{self.workers[vm]}/control/maintenance").json()
+
+    def _out(self) -> list[str]:
+        steps = {vm: each.get("step", "in_service") for vm, each in self._map()["vms"].items()}
+        return [vm for vm, step in steps.items() if step != "in_service"]
+
+    def _wait(self, done: Any, within_s: float) -> None:
+        until_s = time.monotonic() + within_s
+        while not done():
+            if time.monotonic() > until_s:
+                shown = json.dumps(self._map(), indent=1)
+                self.fail(f"not within {within_s} s\n{shown}")
+            time.sleep(0.1)
+
+    def _holder_entry(self) -> str:
+        return str(self._stored("fleet/planner/dc-1")["holder"]).partition("@")[0]
+
+    def test_controller_killed_while_draining_another_carries_on(self) -> None:
+        answers: Counter[str] = Counter()
+        stop = threading.Event()
+
+        def call(entry: int) -> None:
+            urgent = {"Toucandoor-Class": "urgent"}
+            while not stop.is_set():
+                body = b'{"run_s": 5, "result": "x"}'
+                answer = self.path.request(
+                    "q", body, key="secret-of-a", entry=entry, headers=urgent
+                )
+                fate = "" if answer.status == 200 else answer.json().get("fate")
+                answers[f"{answer.status} {fate}".strip()] += 1
+
+        callers = [threading.Thread(target=call, args=(n % 2,), daemon=True) for n in range(4)]
+        for caller in callers:
+            caller.start()
+        self.assertEqual(self.path.operate("wave", "dc-1").returncode, 0)
+        self._wait(lambda: any(self._worker(vm)["draining"] for vm in self.workers), 30)
+        holder = self._holder_entry()
+        self.path.processes[f"{holder}.controller"].send(signal.SIGKILL)
+        most_out = 0
+
+        def all_rebooted() -> bool:
+            nonlocal most_out
+            most_out = max(most_out, len(self._out()))
+            return not self._out() and all(self._worker(vm)["reboots"] for vm in self.workers)
+
+        self._wait(all_rebooted, 90)
+        stop.set()
+        for caller in callers:
+            caller.join(15)
+        self.assertNotEqual(self._holder_entry(), holder)
+        states = [self._worker(vm) for vm in self.workers]
+        self.assertEqual([each["reboots"] for each in states], [1, 1, 1])
+        self.assertEqual(sum(each["cut"] for each in states), 0)
+        self.assertEqual(most_out, 1)
+        self.assertGreater(answers["200"], 8)
+        self.assertFalse([key for key in answers if key not in ("200", "503 not_run")], answers)
+        survivor = 1 if holder == "entry-1" else 0
+        told = self.path.operate("explain", "fleet", entry=survivor).stdout
+        self.assertIn("takeover", told)
+        self.assertIn("its probes pass", told)
+
+    def test_move_is_seen_by_the_entries_and_bounded_by_the_budget(self) -> None:
+        moved = self.path.operate("move", "w-1", "--from", "p", "--to", "spare", "--json")
+        self.assertEqual(moved.returncode, 0, moved.stdout + moved.stderr)
+        until_s = time.monotonic() + 5
+        status = 0
+        while status != 200 and time.monotonic() < until_s:
+            status = self.path.request("spare", b"{}", entry=1).status
+        self.assertEqual(status, 200)
+        refused = self.path.operate("move", "w-2", "--from", "p", "--to", "spare", "--json")
+        self.assertEqual(refused.returncode, 1)
+        self.assertIn("budget", json.loads(refused.stdout)["reason"])
+        self.assertIn(
+            "not due",
+            self.path.operate("explain", "vm", "w-2").stdout
+            + self.path.operate("explain", "vm", "w-2", entry=1).stdout,
+        )
+
+    def test_move_with_a_lost_answer_is_read_back(self) -> None:
+        self.path.set_faults(lose_answers=True)
+        done: list[Any] = []
+        thread = threading.Thread(
+            target=lambda: done.append(
+                self.path.operate("move", "w-1", "--from", "p", "--to", "spare", "--json")
+            )
+        )
+        thread.start()
+        thread.join(60)
+        self.path.set_faults()
+        self.assertEqual(done[0].returncode, 0, done[0].stdout)
+        moved = [each for each in self._map()["vms"].values() if each["pool"] == "spare"]
+        self.assertEqual(len(moved), 1)
--- a/toucandoor/adapters/controller_link.py
+++ b/toucandoor/adapters/controller_link.py
@@ -29,11 +29,12 @@
 
     from toucandoor.adapters.settings import EntrySettings
     from toucandoor.ids import RequestId
-    from toucandoor.messages import VmState
+    from toucandoor.messages import ServiceReport, VmState
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "controller link:"
 _RECONNECT_S = 0.3
+_REPORT_EVERY_S = 5.0
 
 
 class ControllerLink:
@@ -48,11 +49,13 @@
         configure: Callable[[int, Configuration], None],
         update_states: Callable[[list[VmState]], None],
         explain: Callable[[RequestId], list[str]],
+        service_report: Callable[[], ServiceReport],
     ) -> None:
         self._settings = settings
         self._configure = configure
         self._update_states = update_states
         self._explain = explain
+        self._service_report = service_report
         self._version = 0
         self._incarnation = IncarnationId(time.time_ns())
 
@@ -72,8 +75,20 @@
         await link.async_send(
             Hello(PROTOCOL_VERSION, settings.entry_id, self._incarnation, settings.data_centre)
         )
-        async for message in link.async_messages():
-            await self._async_take(message, link)
+        reports = asyncio.create_task(self._async_report(link))
+        try:
+            async for message in link.async_messages():
+                await self._async_take(message, link)
+        finally:
+            reports.cancel()
+
+    async def _async_report(self, link: Link) -> None:
+        while True:
+            try:
+                await link.async_send(self._service_report())
+            except ToucandoorError:
+                return  # the session ends by itself and reconnects
+            await asyncio.sleep(_REPORT_EVERY_S)
 
     async def _async_take(self, message: Message, link: Link) -> None:
         match message:
--- /dev/null
+++ b/toucandoor/adapters/fleet_store.py
@@ -0,0 +1,122 @@
+"""The fleet's records in the platform's store, as events of the core."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from toucandoor.core.maintenance.const import KEY_LEASE_PREFIX, LOG_SEGMENTS_KEPT
+from toucandoor.core.maintenance.event_log import (
+    LogRead,
+    Segment,
+    decode_segment,
+    decode_summary,
+    segment_key,
+    summary_key,
+)
+from toucandoor.core.maintenance.lease import LeaseRead, decode_lease
+from toucandoor.core.pools.const import KEY_ASSIGNMENT_PREFIX, KEY_LEDGER
+from toucandoor.core.pools.models import (
+    FleetRead,
+    StoreAway,
+    SwapConflict,
+    SwapDone,
+    SwapLost,
+    assignment_key,
+)
+from toucandoor.core.pools.records import fleet_read
+from toucandoor.exceptions import StoreAnswerLostError, StoreConflictError, StoreError
+from toucandoor.ids import DataCentreId
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from toucandoor.adapters.store_client import Store, StoredValue
+    from toucandoor.core.pools.models import StoreAnswer, Swap
+
+
+class FleetStore:
+    """Reads and swaps the fleet's records; every outcome becomes an event. All calls block."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    def swap(self, swap: Swap) -> StoreAnswer:
+        """Carry out a compare-and-swap."""
+        try:
+            revision = self._store.put(
+                swap.key, swap.value.decode(), expected_revision=swap.expected_revision
+            )
+        except StoreConflictError:
+            return SwapConflict(swap.key)
+        except StoreAnswerLostError:
+            return SwapLost(swap.key)
+        except StoreError:
+            return StoreAway(swap.key)
+        return SwapDone(swap.key, revision)
+
+    def read_lease(self, key: str) -> LeaseRead | StoreAway:
+        """Read a planning lease."""
+        try:
+            stored = self._store.get(key)
+        except StoreError:
+            return StoreAway(key)
+        if stored is None:
+            return LeaseRead(None, 0)
+        return LeaseRead(decode_lease(stored.value.encode()), stored.revision)
+
+    def read_fleet(self, data_centres: Iterable[DataCentreId]) -> FleetRead | StoreAway:
+        """Read all maps, the ledger and the leases' revisions in three calls.
+
+        Args:
+            data_centres: Data centres that exist by the configuration, with a map or without.
+        """
+        try:
+            ledger = self._store.get(KEY_LEDGER)
+            found = [ledger] if ledger else []
+            found += self._store.list(KEY_ASSIGNMENT_PREFIX)
+            found += self._store.list(KEY_LEASE_PREFIX)
+        except StoreError:
+            return StoreAway(KEY_ASSIGNMENT_PREFIX)
+        return _fleet_read({*data_centres, *_with_map(found)}, found)
+
+    def read_log(self, data_centre: DataCentreId) -> LogRead | StoreAway:
+        """Read a log's summary and the slot that is being filled."""
+        try:
+            stored = self._store.get(summary_key(data_centre))
+            summary = decode_summary(stored.value.encode() if stored else None)
+            slot = self._store.get(segment_key(data_centre, summary.segment))
+        except StoreError:
+            return StoreAway(summary_key(data_centre))
+        segment = decode_segment(slot.value.encode() if slot else None)
+        return LogRead(
+            summary,
+            stored.revision if stored else 0,
+            segment,
+            slot.revision if slot else 0,
+        )
+
+    def read_segments(self, data_centre: DataCentreId) -> list[Segment]:
+        """Return all segments of a log; raises `StoreError`."""
+        slots = [
+            self._store.get(segment_key(data_centre, number)) for number in range(LOG_SEGMENTS_KEPT)
+        ]
+        segments = [decode_segment(slot.value.encode()) for slot in slots if slot]
+        return [each for each in segments if each]
+
+
+def _with_map(found: list[StoredValue]) -> set[DataCentreId]:
+    return {
+        DataCentreId(each.key.removeprefix(KEY_ASSIGNMENT_PREFIX))
+        for each in found
+        if each.key.startswith(KEY_ASSIGNMENT_PREFIX)
+    }
+
+
+def _fleet_read(data_centres: set[DataCentreId], found: list[StoredValue]) -> FleetRead:
+    stored: dict[str, tuple[bytes | None, int]] = {
+        each.key: (each.value.encode(), each.revision) for each in found
+    }
+    for data_centre in data_centres:
+        stored.setdefault(assignment_key(data_centre), (None, 0))
+    stored.setdefault(KEY_LEDGER, (None, 0))
+    return fleet_read(data_centres, stored)
--- /dev/null
+++ b/toucandoor/adapters/fleet_task.py
@@ -0,0 +1,303 @@
+"""Controller task that plans maintenance and carries decisions of the fleet core out."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from toucandoor.adapters.fleet_store import FleetStore
+from toucandoor.adapters.threads import async_call
+from toucandoor.adapters.vm_list_task import ListedState
+from toucandoor.adapters.worker_admin import WorkerAdmin
+from toucandoor.clock import SystemClock
+from toucandoor.core.maintenance.event_log import ReadLog
+from toucandoor.core.maintenance.lease import ReadLease
+from toucandoor.core.maintenance.models import (
+    ConfigurationSeen,
+    ListSeen,
+    MaintenanceSettings,
+    ServiceSignals,
+    Tick,
+)
+from toucandoor.core.maintenance.planner import MaintenancePlanner
+from toucandoor.core.pools.const import KEY_ASSIGNMENT_PREFIX
+from toucandoor.core.pools.models import ReadFleet, Swap, decode_map
+from toucandoor.exceptions import StoreError
+from toucandoor.messages import VmState
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from toucandoor.adapters.configuration_task import ConfigurationTask
+    from toucandoor.adapters.settings import ControllerSettings
+    from toucandoor.adapters.store_client import Store, StoredValue, WatchResult
+    from toucandoor.adapters.vm_list_task import VmListTask
+    from toucandoor.clock import Clock
+    from toucandoor.core.configuration.models import Configuration
+    from toucandoor.core.maintenance.models import VmAct
+    from toucandoor.core.maintenance.planner import PlannerDecision, PlannerEvent
+    from toucandoor.core.pools.models import AssignmentMap
+    from toucandoor.ids import DataCentreId, VmId
+    from toucandoor.messages import ServiceReport
+
+_LOGGER = logging.getLogger(__name__)
+_PREFIX = "fleet:"
+_RETRY_S = 0.5
+_STEPS_A_TICK = 6
+
+
+class FleetTask:
+    """Owns the planner; everything it hears and does passes through one coroutine.
+
+    Args:
+        signals: Returns how well the entries serve now.
+        period_s: Time between two ticks.
+    """
+
+    def __init__(
+        self,
+        planner: MaintenancePlanner,
+        data_centre: DataCentreId,
+        fleet_store: FleetStore,
+        workers: WorkerAdmin,
+        configuration: ConfigurationTask,
+        vm_list: VmListTask,
+        clock: Clock,
+        signals: Callable[[], ServiceSignals | None],
+        period_s: float,
+    ) -> None:
+        self.planner = planner
+        self.data_centre = data_centre
+        self._store = fleet_store
+        self._workers = workers
+        self._configuration = configuration
+        self._vm_list = vm_list
+        self._clock = clock
+        self._signals = signals
+        self._period_s = period_s
+        self._told_version = -1
+
+    async def async_run(self) -> None:
+        """Plan until cancelled."""
+        while True:
+            started_s = self._clock.monotonic_s()
+            self._observe()
+            await self._async_tick()
+            spent_s = self._clock.monotonic_s() - started_s
+            await asyncio.sleep(max(0.05, self._period_s - spent_s))
+
+    async def async_release(self) -> None:
+        """Give the planning lease back, so that a successor need not wait for its end."""
+        swap = self.planner.release(self._clock.monotonic_s())
+        if swap is not None:
+            await async_call(lambda: self._store.swap(swap))
+
+    def _observe(self) -> None:
+        head = self._configuration.head
+        if head is not None and head.version != self._told_version:
+            self._told_version = head.version
+            self._tell(ConfigurationSeen(head.version, head.configuration))
+        if head is not None and self._vm_list.read_s is not None:
+            vms = head.configuration.vms
+            live = {
+                each.vm: each.data_centre or vms[each.vm].data_centre
+                for each in self._vm_list.listed
+                if each.vm in vms
+            }
+            leaving = frozenset(
+                each.vm for each in self._vm_list.listed if each.state is ListedState.LEAVING
+            )
+            age_s = self._clock.monotonic_s() - self._vm_list.read_s
+            self._tell(ListSeen(live, leaving, age_s))
+        signals = self._signals()
+        if signals is not None:
+            self._tell(signals)
+
+    async def _async_tick(self) -> None:
+        for _ in range(_STEPS_A_TICK):
+            decisions = self._tell(Tick())
+            if not decisions:
+                return
+            await asyncio.gather(*(self._async_carry_out(each) for each in decisions))
+
+    def _tell(self, event: PlannerEvent) -> list[PlannerDecision]:
+        return self.planner.handle(event, self._clock.monotonic_s(), self._clock.now())
+
+    async def _async_carry_out(self, decision: PlannerDecision) -> None:
+        event = await self._async_answer(decision)
+        if event is None:
+            return
+        for follow_up in self._tell(event):
+            await self._async_carry_out(follow_up)
+
+    async def _async_answer(self, decision: PlannerDecision) -> PlannerEvent | None:
+        match decision:
+            case Swap():
+                return await async_call(lambda: self._store.swap(decision))
+            case ReadLease(key=key):
+                return await async_call(lambda: self._store.read_lease(key))
+            case ReadFleet():
+                head = self._configuration.head
+                known = {*(head.configuration.data_centres if head else ()), self.data_centre}
+                return await async_call(lambda: self._store.read_fleet(known))
+            case ReadLog(data_centre=data_centre):
+                return await async_call(lambda: self._store.read_log(data_centre))
+        return await self._async_act(decision)
+
+    async def _async_act(self, act: VmAct) -> PlannerEvent | None:
+        head = self._configuration.head
+        if head is None or act.vm not in head.configuration.vms:
+            return None
+        address = head.configuration.vms[act.vm].address
+
+        def tell() -> PlannerEvent | None:
+            # The thread may have started late: the lease must hold when the act is sent.
+            if not self.planner.lease.may_finish(self._clock.monotonic_s()):
+                return None
+            return self._workers.tell(act, address)
+
+        return await async_call(tell)
+
+
+class FleetMaps:
+    """Follows all data centres' assignment maps, for the entries' routing and for commands."""
+
+    def __init__(
+        self, store: Store, watch_wait_s: float, announce: Callable[[], Awaitable[None]]
+    ) -> None:
+        self._store = store
+        self._watch_wait_s = watch_wait_s
+        self._announce = announce
+        self._revisions: dict[DataCentreId, int] = {}
+        self.maps: dict[DataCentreId, AssignmentMap] = {}
+
+    async def async_run(self) -> None:
+        """Follow the maps for ever; keep the last ones while the store is away."""
+        revision = -1
+        while True:
+            try:
+                if revision < 0:
+                    found = await async_call(lambda: self._store.list(KEY_ASSIGNMENT_PREFIX))
+                    revision = max((each.revision for each in found), default=0)
+                    await self._async_take(found)
+                result = await self._async_watch(revision)
+                revision = result.revision
+                await self._async_take(result.changed)
+            except StoreError as err:
+                revision = -1
+                _LOGGER.warning("%s %s", _PREFIX, err)
+                await asyncio.sleep(_RETRY_S)
+
+    async def _async_watch(self, after_revision: int) -> WatchResult:
+        return await async_call(
+            lambda: self._store.watch(KEY_ASSIGNMENT_PREFIX, after_revision, self._watch_wait_s)
+        )
+
+    async def _async_take(self, found: tuple[StoredValue, ...]) -> None:
+        newer = False
+        for stored in found:
+            record = decode_map(stored.value.encode())
+            if stored.revision > self._revisions.get(record.data_centre, 0):
+                self._revisions[record.data_centre] = stored.revision
+                self.maps[record.data_centre] = record
+                newer = True
+        if newer:
+            await self._announce()
+
+
+def vm_states(
+    configuration: Configuration,
+    leaving: set[VmId],
+    maps: dict[DataCentreId, AssignmentMap],
+) -> list[VmState]:
+    """Return the states of the VMs that differ from the configuration, for the entries."""
+    states = []
+    for vm_id, vm in configuration.vms.items():
+        record = maps.get(vm.data_centre)
+        assigned = record.vms.get(vm_id) if record else None
+        pool = assigned.pool if assigned else vm.pool
+        cordoned = assigned.planned_out if assigned else False
+        if pool != vm.pool or cordoned or vm_id in leaving:
+            states.append(VmState(vm_id, pool, leaving=vm_id in leaving, cordoned=cordoned))
+    return states
+
+
+class ServiceView:
+    """The latest report of this VM's entry."""
+
+    def __init__(self) -> None:
+        self._signals: ServiceSignals | None = None
+
+    def take(self, report: ServiceReport) -> None:
+        """Take a report in."""
+        late_ratio = report.urgent_late / max(1, report.urgent_started)
+        self._signals = ServiceSignals(late_ratio, report.share_error_ratio)
+
+    def signals(self) -> ServiceSignals | None:
+        """Return the signals that came since the last call, or None."""
+        signals, self._signals = self._signals, None
+        return signals
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """The parts of a controller that look after pools and maintenance."""
+
+    task: FleetTask
+    maps: FleetMaps
+    store: FleetStore
+    clock: Clock
+    vm_list: VmListTask
+
+    def unavailable(self) -> frozenset[VmId]:
+        """Return the VMs of any map that the platform does not list as live."""
+        live = {each.vm for each in self.vm_list.listed if each.state is ListedState.LIVE}
+        return frozenset(
+            vm for record in self.maps.maps.values() for vm in record.vms if vm not in live
+        )
+
+
+def make_fleet(
+    settings: ControllerSettings,
+    store: Store,
+    configuration: ConfigurationTask,
+    vm_list: VmListTask,
+    announce: Callable[[], Awaitable[None]],
+    signals: Callable[[], ServiceSignals | None],
+) -> Fleet:
+    """Return the fleet's parts of a controller, wired to each other."""
+    clock = SystemClock()
+    fleet_store = FleetStore(store)
+    planner = MaintenancePlanner(
+        process_name(settings.entry_id),
+        settings.data_centre,
+        MaintenanceSettings(
+            lease_s=settings.planning_lease_s,
+            renew_every_s=settings.planning_lease_s / 3,
+            interval_s=settings.maintenance_interval_s,
+            drain_timeout_s=settings.drain_timeout_s,
+            reboot_timeout_s=settings.reboot_timeout_s,
+        ),
+    )
+    workers = WorkerAdmin(settings.store_timeout_s)
+    task = FleetTask(
+        planner,
+        settings.data_centre,
+        fleet_store,
+        workers,
+        configuration,
+        vm_list,
+        clock,
+        signals,
+        settings.planner_period_s,
+    )
+    maps = FleetMaps(store, settings.watch_wait_s, announce)
+    return Fleet(task, maps, fleet_store, clock, vm_list)
+
+
+def process_name(entry_id: str) -> str:
+    """Return an id for this start of a controller; a later start never has the same."""
+    return f"{entry_id}@{time.time_ns()}"
--- a/toucandoor/adapters/metrics.py
+++ b/toucandoor/adapters/metrics.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import threading
+import time
 from typing import TYPE_CHECKING
 
 from aioprometheus import REGISTRY, Counter, Gauge, Histogram, render
 
 from toucandoor.adapters.wsgi import respond
+from toucandoor.core.configuration.const import DEFAULT_URGENT_START_TARGET_S
+from toucandoor.core.maintenance.urgent_starts import UrgentStarts
+from toucandoor.core.requests.models import RequestClass
+from toucandoor.messages import ServiceReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -31,11 +37,24 @@
             buckets=_BUCKETS_S,
         )
         self._answers = Counter("toucandoor_answers_total", "Final answers by status and fate")
+        self._urgent = UrgentStarts()
+        self._urgent_lock = threading.Lock()
+        self.urgent_target_s = DEFAULT_URGENT_START_TARGET_S
         self._in_flight = Gauge("toucandoor_requests", "Requests waiting and running")
 
     def started(self, team: str, request_class: str, seconds: float) -> None:
         """Note a request's first dispatch."""
         self._start_s.observe({"team": team, "class": request_class}, seconds)
+        if request_class == RequestClass.URGENT.value:
+            late = seconds > self.urgent_target_s
+            with self._urgent_lock:
+                self._urgent.started(late=late, now_s=time.monotonic())
+
+    def service_report(self) -> ServiceReport:
+        """Return how well urgent requests started lately."""
+        with self._urgent_lock:
+            started, late = self._urgent.counts(time.monotonic())
+        return ServiceReport(started, late)
 
     def answered(
         self, team: str, request_class: str, status: int, fate: str, seconds: float
--- a/toucandoor/adapters/settings.py
+++ b/toucandoor/adapters/settings.py
@@ -10,6 +10,12 @@
 from pydantic import BaseModel, ConfigDict, Field, SecretStr, StringConstraints, ValidationError
 
 from toucandoor.core.configuration.const import ADDRESS_PATTERN, ID_PATTERN
+from toucandoor.core.maintenance.const import (
+    DEFAULT_DRAIN_TIMEOUT_S,
+    DEFAULT_INTERVAL_S,
+    DEFAULT_LEASE_S,
+    DEFAULT_REBOOT_TIMEOUT_S,
+)
 from toucandoor.exceptions import SettingsError
 from toucandoor.ids import DataCentreId, EntryId
 
@@ -63,6 +69,11 @@
         ops_address: Where health, readiness and metrics are served.
         store_address: The platform's key-value service.
         vm_list_address: The platform's list of live and leaving VMs.
+        planner_period_s: Time between two looks of the maintenance planner at its VMs.
+        planning_lease_s: How long the planning lease lasts after a renewal was sent.
+        maintenance_interval_s: Time within which every VM is maintained once.
+        drain_timeout_s: Time after which a drain that does not end is called off.
+        reboot_timeout_s: Time after which a VM that is not back counts as failed.
     """
 
     program: ClassVar[str] = "controller"
@@ -77,6 +88,11 @@
     store_timeout_s: Annotated[float, Field(gt=0)] = 2.0
     watch_wait_s: Annotated[float, Field(gt=0)] = 20.0
     vm_list_period_s: Annotated[float, Field(gt=0)] = 1.0
+    planner_period_s: Annotated[float, Field(gt=0)] = 1.0
+    planning_lease_s: Annotated[float, Field(ge=1)] = DEFAULT_LEASE_S
+    maintenance_interval_s: Annotated[float, Field(gt=0)] = DEFAULT_INTERVAL_S
+    drain_timeout_s: Annotated[float, Field(gt=0)] = DEFAULT_DRAIN_TIMEOUT_S
+    reboot_timeout_s: Annotated[float, Field(gt=0)] = DEFAULT_REBOOT_TIMEOUT_S
     stop_grace_s: Annotated[float, Field(gt=0)] = 5.0
 
 
--- a/toucandoor/adapters/vm_list_task.py
+++ b/toucandoor/adapters/vm_list_task.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import time
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -12,7 +13,7 @@
 import urllib3
 
 from toucandoor.adapters.threads import async_call
-from toucandoor.ids import VmId
+from toucandoor.ids import DataCentreId, VmId
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -30,10 +31,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedVm:
-    """One VM of the platform's list."""
+    """One VM of the platform's list.
+
+    Attributes:
+        data_centre: Where the platform says it is; None when it does not say.
+    """
 
     vm: VmId
     state: ListedState
+    data_centre: DataCentreId | None = None
 
 
 class VmListTask:
@@ -50,6 +56,7 @@
         self._announce = announce
         self._http = urllib3.PoolManager(retries=False, timeout=2.0)
         self.listed: list[ListedVm] = []
+        self.read_s: float | None = None
 
     async def async_run(self) -> None:
         """Read the list for ever; keep the last one while it cannot be read."""
@@ -59,6 +66,7 @@
             except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as err:
                 _LOGGER.warning("%s cannot be read: %s", _PREFIX, err)
             else:
+                self.read_s = time.monotonic()
                 if listed != self.listed:
                     self.listed = listed
                     await self._announce(listed)
@@ -69,4 +77,6 @@
         if response.status != 200:
             raise ValueError(f"status {response.status}")
         vms = json.loads(response.data)["vms"]
-        return [ListedVm(VmId(vm["id"]), ListedState(vm["state"])) for vm in vms]
+        return [
+            ListedVm(VmId(vm["id"]), ListedState(vm["state"]), vm.get("data_centre")) for vm in vms
+        ]
--- a/toucandoor/core/maintenance/upkeep.py
+++ b/toucandoor/core/maintenance/upkeep.py
@@ -39,7 +39,8 @@
     """Return the map with the VMs of a configuration; an older one changes nothing.
 
     A VM is added only where the platform's list places it too. A VM never changes its data
-    centre, so controllers that follow different configurations cannot both add it.
+    centre, so controllers that follow different configurations cannot both add it. The time to
+    its first maintenance runs from here.
     """
     if seen.version < record.configuration_version:
         return record
@@ -56,7 +57,7 @@
         if known is not None and (known.home, known.rack) != (vm.pool, vm.rack):
             record = record.with_vm(vm_id, home=vm.pool, rack=vm.rack)
         elif known is None and vm_id in located_here:
-            vms = {**record.vms, vm_id: VmAssignment(vm.pool, vm.pool, vm.rack)}
+            vms = {**record.vms, vm_id: VmAssignment(vm.pool, vm.pool, vm.rack, maintained_at=now)}
             record = replace(record, vms=vms).with_event(
                 now, EventKind.ADDED, actor, "configured and listed", vm=vm_id, pool=vm.pool
             )
--- a/toucandoor/core/maintenance/wave.py
+++ b/toucandoor/core/maintenance/wave.py
@@ -83,6 +83,8 @@
     last = vm.maintained_at or _LONG_AGO
     if record.wave is not None and last < record.wave.requested_at:
         return True
+    if vm.requested_at is not None and last < vm.requested_at:
+        return True
     return now - last >= timedelta(seconds=interval_s)
 
 
--- a/toucandoor/core/pools/models.py
+++ b/toucandoor/core/pools/models.py
@@ -69,6 +69,7 @@
         boot: Boot of the VM that the planned stop began on; acts on another boot are refused.
         out_since: Start of an unplanned outage, as far as it is known.
         maintained_at: End of the last planned stop.
+        requested_at: When an operator last asked for a planned stop.
         failures: Planned stops that did not complete since the last good one.
         not_before: Time before which no new planned stop is tried.
     """
@@ -81,6 +82,7 @@
     boot: str = ""
     out_since: datetime | None = None
     maintained_at: datetime | None = None
+    requested_at: datetime | None = None
     failures: int = 0
     not_before: datetime | None = None
 
--- a/toucandoor/fakes/worker.py
+++ b/toucandoor/fakes/worker.py
@@ -9,6 +9,7 @@
 import json
 import threading
 import time
+import uuid
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -48,6 +49,9 @@
     Attributes:
         runs: How often each request id was run, for tests that count doubled requests.
         fail_all: Whether every task fails.
+        reboot_s: How long a reboot takes; nothing is answered meanwhile.
+        reboots: Reboots so far.
+        cut: Tasks that were running when a reboot was ordered.
     """
 
     def __init__(self, vm: str, slots: int) -> None:
@@ -56,11 +60,19 @@
         self.draining = False
         self.fail_all = False
         self.runs: dict[str, int] = {}
+        self.reboot_s = 1.0
+        self.reboots = 0
+        self.cut = 0
+        self._boot = uuid.uuid4().hex
+        self._fence = 0
+        self._up_at_s = 0.0
         self._lock = threading.Lock()
         self._tasks: dict[str, Task] = {}
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Serve one call."""
+        if time.monotonic() < self._up_at_s and not environ["PATH_INFO"].startswith("/control/"):
+            return respond_json(start_response, 503, {"reason": "rebooting"})
         parts = environ["PATH_INFO"].strip("/").split("/")
         match (environ["REQUEST_METHOD"], parts):
             case ("POST", ["v1", "tasks"]):
@@ -78,11 +90,19 @@
             case ("GET", ["v1", "health"]):
                 return respond_json(start_response, 200, {"vm": self.vm})
             case ("POST", ["v1", ("drain" | "undrain" | "reboot") as what]):
-                self._set_draining(what)
+                refusal = self._maintain(what, read_json(environ))
+                if refusal:
+                    return respond_json(start_response, 409, {"reason": refusal})
                 return respond_json(start_response, 200, self._status())
             case ("POST", ["control", "fail_all"]):
                 self.fail_all = bool(read_json(environ).get("on", True))
                 return respond_json(start_response, 200, {})
+            case ("POST", ["control", "reboot_s"]):
+                self.reboot_s = float(read_json(environ)["seconds"])
+                return respond_json(start_response, 200, {})
+            case ("GET", ["control", "maintenance"]):
+                counts = {"reboots": self.reboots, "cut": self.cut, "draining": self.draining}
+                return respond_json(start_response, 200, counts)
             case ("GET", ["control", "runs"]):
                 return respond_json(start_response, 200, self.runs)
         return respond_json(start_response, 404, {"reason": "no such call"})
@@ -170,11 +190,25 @@
                 task.wake.set()
         return self._ask(task_id)
 
-    def _set_draining(self, what: str) -> None:
+    def _maintain(self, what: str, asked: dict[str, Any]) -> str:
+        """Carry out an order; return why it was refused, or an empty string."""
         with self._lock:
+            if asked.get("boot", self._boot) != self._boot:
+                return "meant for an earlier boot"
+            if int(asked.get("fence", self._fence)) < self._fence:
+                return "sent under an earlier lease"
+            self._fence = int(asked.get("fence", self._fence))
             self.draining = what == "drain"
             if what == "reboot":
-                self._tasks.clear()
+                self._reboot()
+            return ""
+
+    def _reboot(self) -> None:
+        self.cut += self._running()
+        self.reboots += 1
+        self._tasks.clear()
+        self._boot, self._fence = uuid.uuid4().hex, 0
+        self._up_at_s = time.monotonic() + self.reboot_s
 
     def _status(self) -> dict[str, Any]:
         with self._lock:
@@ -184,8 +218,16 @@
                 "slots": self.slots,
                 "slots_free": self.slots - len(running),
                 "draining": self.draining,
+                "boot": self._boot,
+                "fence": self._fence,
                 "running": [
-                    {"id": t.task_id, "team": t.team, "class": t.task_class} for t in running
+                    {
+                        "id": t.task_id,
+                        "team": t.team,
+                        "class": t.task_class,
+                        "can_checkpoint": t.task_class == "patient",
+                    }
+                    for t in running
                 ],
             }
 
--- a/toucandoor/measures/_fleet_run.py
+++ b/toucandoor/measures/_fleet_run.py
@@ -211,7 +211,7 @@
         return controller
 
     def run(self) -> RunFigures:
-        """Run until every VM is maintained or the time is up."""
+        """Run until every VM is maintained that is not out for another cause, or the time is up."""
         while self.clock.monotonic_s() < self._settings.end_s:
             self.clock.advance(self._settings.tick_s)
             self.step()
@@ -419,9 +419,15 @@
         return float("inf")
 
     def _all_done(self) -> bool:
-        healthy = [vm for vm in self.vms.values() if vm.fault is None]
+        now_s = self.clock.monotonic_s()
         maintained = self._maintained()
-        return all(vm.vm in maintained for vm in healthy)
+        return not any(
+            self.vms[vm_id].fault is None
+            and vm_id not in maintained
+            and (vm.planned_out or self.vms[vm_id].up(now_s))
+            for record in self._maps.values()
+            for vm_id, vm in record.vms.items()
+        )
 
     def _maintained(self) -> set[VmId]:
         return {
--- a/toucandoor/messages.py
+++ b/toucandoor/messages.py
@@ -68,6 +68,20 @@
     states: list[VmState]
 
 
+class ServiceReport(Message, frozen=True, tag="service_report"):
+    """How well an entry served lately.
+
+    Attributes:
+        urgent_started: Urgent requests started in the last half minute.
+        urgent_late: Those of them that started later than the configured target.
+        share_error_ratio: Largest distance of a team from its share while the fleet is full.
+    """
+
+    urgent_started: int
+    urgent_late: int
+    share_error_ratio: float = 0.0
+
+
 class ExplainQuery(Message, frozen=True, tag="explain_query"):
     """Asks an entry what became of a request."""
 
--- a/toucandoor/programs/cli.py
+++ b/toucandoor/programs/cli.py
@@ -138,6 +138,70 @@
     _finish_change(_ask(settings, "key_withdraw", {"key": key}, as_json), as_json)
 
 
+@app.command()
+def move(
+    vm: str,
+    source: Annotated[str, typer.Option("--from", help="Pool it is in.")],
+    target: Annotated[str, typer.Option("--to", help="Pool it goes to.")],
+    operation: Annotated[str, typer.Option(help="Id of this move, to ask again.")] = "",
+    as_json: JsonOption = False,
+    settings: SettingsOption = None,
+) -> None:
+    """Move a VM to another pool.
+
+    Example: toucandoor move vm-17 --from north --to payments
+    """
+    operation = operation or uuid.uuid4().hex
+    arguments = {"vm": vm, "source": source, "target": target, "operation": operation}
+    body = _ask(settings, "move", arguments, as_json)
+    _show(body, f"{vm} moved to {target} (operation {operation})", as_json)
+
+
+@app.command()
+def drain(vm: str, as_json: JsonOption = False, settings: SettingsOption = None) -> None:
+    """Maintain a VM as soon as the budgets allow: drain, reboot, probe, serve again.
+
+    Example: toucandoor drain vm-17
+    """
+    body = _ask(settings, "maintain", {"vm": vm, "operation": uuid.uuid4().hex}, as_json)
+    _show(body, f"{vm} is due; see: toucandoor explain vm {vm}", as_json)
+
+
+@app.command()
+def wave(data_centre: str, as_json: JsonOption = False, settings: SettingsOption = None) -> None:
+    """Maintain every VM of a data centre as soon as the budgets allow.
+
+    Example: toucandoor wave dc-1
+    """
+    arguments = {"data_centre": data_centre, "operation": uuid.uuid4().hex}
+    body = _ask(settings, "maintain", arguments, as_json)
+    _show(body, f"every VM of {data_centre} is due", as_json)
+
+
+@explain_app.command("vm")
+def explain_vm(vm: str, as_json: JsonOption = False, settings: SettingsOption = None) -> None:
+    """Say where a VM stands, why it is not being drained, and what happened to it.
+
+    Example: toucandoor explain vm vm-17
+    """
+    body = _ask(settings, "explain_vm", {"vm": vm}, as_json)
+    _show(body, "\n".join(body["lines"]), as_json)
+
+
+@explain_app.command("fleet")
+def explain_fleet(
+    hours: Annotated[float, typer.Option(help="How far back.")] = 12.0,
+    as_json: JsonOption = False,
+    settings: SettingsOption = None,
+) -> None:
+    """Say what the fleet did in the last hours, and why.
+
+    Example: toucandoor explain fleet --hours 12
+    """
+    body = _ask(settings, "explain_fleet", {"hours": hours}, as_json)
+    _show(body, "\n".join(body["lines"]) or "nothing", as_json)
+
+
 @explain_app.command("request")
 def explain_request(
     request: str, as_json: JsonOption = False, settings: SettingsOption = None
--- a/toucandoor/programs/controller.py
+++ b/toucandoor/programs/controller.py
@@ -14,6 +14,8 @@
 
 from toucandoor.adapters.configuration_task import ConfigurationTask, Head
 from toucandoor.adapters.explain_task import ExplainTask
+from toucandoor.adapters.fleet_commands import FleetCommands
+from toucandoor.adapters.fleet_task import ServiceView, make_fleet, vm_states
 from toucandoor.adapters.link import Link, authenticate
 from toucandoor.adapters.logs import set_up_logs
 from toucandoor.adapters.metrics import make_ops_app
@@ -34,6 +36,7 @@
     Hello,
     Message,
     OperatorRequest,
+    ServiceReport,
     VmState,
     VmStatesPush,
 )
@@ -62,7 +65,17 @@
         self._entries: dict[Link, int] = {}
         self._explain = ExplainTask(settings.entry_id, lambda: self._entries)
         self._operators.register("explain_request", self._explain.async_explain_request)
-        self._states: list[VmState] = []
+        self._listed: list[ListedVm] = []
+        self._service = ServiceView()
+        self._fleet = make_fleet(
+            settings,
+            self._store,
+            self._configuration,
+            self._vm_list,
+            self._async_announce_states,
+            self._service.signals,
+        )
+        self._register_fleet_commands()
 
     async def async_run(self) -> None:
         """Serve until asked to stop."""
@@ -74,6 +87,8 @@
         tasks = [
             asyncio.create_task(self._configuration.async_run()),
             asyncio.create_task(self._vm_list.async_run()),
+            asyncio.create_task(self._fleet.maps.async_run()),
+            asyncio.create_task(self._fleet.task.async_run()),
         ]
         async with serve(
             self._async_connection,
@@ -89,6 +104,7 @@
             await stop.asked.wait()
         for task in tasks:
             task.cancel()
+        await self._fleet.task.async_release()
         ops.stop()
         _LOGGER.info("%s stopped", _PREFIX)
 
@@ -120,7 +136,7 @@
             )
             if self._configuration.head is not None:
                 await link.async_send(_push(self._configuration.head))
-            await link.async_send(VmStatesPush(self._states))
+            await link.async_send(VmStatesPush(self._states()))
             async for message in link.async_messages():
                 self._take_from_entry(link, message)
         finally:
@@ -130,6 +146,8 @@
         match message:
             case ConfigurationAck(version):
                 self._entries[link] = version
+            case ServiceReport():
+                self._service.take(message)
             case ExplainAnswer():
                 self._explain.take(message)
 
@@ -142,16 +160,28 @@
         await self._async_send_entries(_push(head))
 
     async def _async_take_list(self, listed: list[ListedVm]) -> None:
+        self._listed = listed
+        await self._async_announce_states()
+
+    async def _async_announce_states(self) -> None:
+        await self._async_send_entries(VmStatesPush(self._states()))
+
+    def _states(self) -> list[VmState]:
         head = self._configuration.head
         if head is None:
-            return
-        vms = head.configuration.vms
-        self._states = [
-            VmState(each.vm, vms[each.vm].pool, leaving=each.state is ListedState.LEAVING)
-            for each in listed
-            if each.vm in vms
-        ]
-        await self._async_send_entries(VmStatesPush(self._states))
+            return []
+        leaving = {each.vm for each in self._listed if each.state is ListedState.LEAVING}
+        return vm_states(head.configuration, leaving, self._fleet.maps.maps)
+
+    def _register_fleet_commands(self) -> None:
+        fleet = self._fleet
+        commands = FleetCommands(
+            fleet.task, fleet.maps, fleet.store, fleet.clock, fleet.unavailable
+        )
+        self._operators.register("move", commands.async_move)
+        self._operators.register("maintain", commands.async_maintain)
+        self._operators.register("explain_vm", commands.async_explain_vm)
+        self._operators.register("explain_fleet", commands.async_explain_fleet)
 
     async def _async_send_entries(self, message: Message) -> None:
         for link in list(self._entries):
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -63,17 +63,22 @@
         self._keys: KeyRing | None = None
         self._states: dict[VmId, VmState] = {}
         self._stopping = False
+        self._metrics = EntryMetrics()
 
     async def async_run(self) -> None:
         """Serve until asked to stop."""
-        settings, stop, metrics = self._settings, StopSignal(), EntryMetrics()
+        settings, stop, metrics = self._settings, StopSignal(), self._metrics
         view = EntryView(lambda: self._keys, self._is_open, lambda: self._stopping)
         app = CallerApp(self.loop, self._workers, metrics, self._clock, view, settings.entry_id)
         callers = make_caller_server(settings, app, self._clock)
         ops_app = make_ops_app(self._not_ready, lambda: metrics.in_flight(self._engine.counts()))
         ops = make_server(settings.ops_address, ops_app, 2)
         link = ControllerLink(
-            settings, self.configure, self.update_states, self.loop.journal.explain
+            settings,
+            self.configure,
+            self.update_states,
+            self.loop.journal.explain,
+            metrics.service_report,
         )
         tasks = [asyncio.create_task(self.loop.async_run())]
         tasks.append(asyncio.create_task(link.async_run()))
@@ -100,6 +105,7 @@
     def _configure(self, version: int, configuration: Configuration) -> None:
         self._configuration = configuration
         self._keys = KeyRing(configuration)
+        self._metrics.urgent_target_s = configuration.policy.urgent_start_target_s
         total = self._settings.entries_total
         self._permits.set_parts(
             {
