Take other data centres' maps from the watch that entries need anyway

Cause: a planner read every map after each own write and every 10 s: 120 KB at the target size, 12 KB a second when idle, against 3 KB for a node. Excluded: reading less often (outages of other data centres would be seen later); following the whole fleet prefix (it holds the event log too). Change: one watch for each controller serves entries and planner; the own map is read only when the outcome of an own swap is not known or the watch is behind.

--- a/toucandoor/adapters/fleet_commands.py
+++ b/toucandoor/adapters/fleet_commands.py
@@ -20,8 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from toucandoor.adapters.fleet_maps import FleetMaps
     from toucandoor.adapters.fleet_store import FleetStore
-    from toucandoor.adapters.fleet_task import FleetMaps, FleetTask
+    from toucandoor.adapters.fleet_task import FleetTask
     from toucandoor.clock import Clock
     from toucandoor.core.pools.models import FleetEvent, StoreAnswer
 
--- a/toucandoor/adapters/fleet_store.py
+++ b/toucandoor/adapters/fleet_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from toucandoor.core.maintenance.const import KEY_LEASE_PREFIX, LOG_SEGMENTS_KEPT
@@ -31,7 +32,7 @@
     from collections.abc import Iterable
 
     from toucandoor.adapters.store_client import Store, StoredValue
-    from toucandoor.core.pools.models import StoreAnswer, Swap
+    from toucandoor.core.pools.models import AssignmentMap, StoreAnswer, Swap
 
 
 class FleetStore:
@@ -79,6 +80,28 @@
             return StoreAway(KEY_ASSIGNMENT_PREFIX)
         return _fleet_read({*data_centres, *_with_map(found)}, found)
 
+    def read_around(
+        self,
+        data_centres: Iterable[DataCentreId],
+        maps: dict[DataCentreId, AssignmentMap],
+        revisions: dict[str, int],
+    ) -> FleetRead | StoreAway:
+        """Read the ledger and the leases' revisions; take the maps as they were followed.
+
+        Args:
+            data_centres: Data centres that exist by the configuration, with a map or without.
+            maps: Maps as last seen by a watch.
+            revisions: Their revisions, by key.
+        """
+        try:
+            ledger = self._store.get(KEY_LEDGER)
+            found = [ledger] if ledger else []
+            found += self._store.list(KEY_LEASE_PREFIX)
+        except StoreError:
+            return StoreAway(KEY_LEDGER)
+        around = _fleet_read({*data_centres, *maps}, found)
+        return replace(around, maps=around.maps | maps, revisions=around.revisions | revisions)
+
     def read_log(self, data_centre: DataCentreId) -> LogRead | StoreAway:
         """Read a log's summary and the slot that is being filled."""
         try:
--- a/toucandoor/adapters/fleet_task.py
+++ b/toucandoor/adapters/fleet_task.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from toucandoor.adapters.fleet_maps import FleetMaps
 from toucandoor.adapters.fleet_store import FleetStore
 from toucandoor.adapters.threads import async_call
 from toucandoor.adapters.vm_list_task import ListedState
@@ -23,9 +24,7 @@
     Tick,
 )
 from toucandoor.core.maintenance.planner import MaintenancePlanner
-from toucandoor.core.pools.const import KEY_ASSIGNMENT_PREFIX
-from toucandoor.core.pools.models import ReadFleet, Swap, decode_map
-from toucandoor.exceptions import StoreError
+from toucandoor.core.pools.models import FleetRead, ReadFleet, Swap, SwapDone, assignment_key
 from toucandoor.messages import VmState
 
 if TYPE_CHECKING:
@@ -33,13 +32,13 @@
 
     from toucandoor.adapters.configuration_task import ConfigurationTask
     from toucandoor.adapters.settings import ControllerSettings
-    from toucandoor.adapters.store_client import Store, StoredValue, WatchResult
+    from toucandoor.adapters.store_client import Store
     from toucandoor.adapters.vm_list_task import VmListTask
     from toucandoor.clock import Clock
     from toucandoor.core.configuration.models import Configuration
     from toucandoor.core.maintenance.models import VmAct
     from toucandoor.core.maintenance.planner import PlannerDecision, PlannerEvent
-    from toucandoor.core.pools.models import AssignmentMap
+    from toucandoor.core.pools.models import AssignmentMap, StoreAway
     from toucandoor.ids import DataCentreId, VmId
     from toucandoor.messages import ServiceReport
 
@@ -63,6 +62,7 @@
         data_centre: DataCentreId,
         fleet_store: FleetStore,
         workers: WorkerAdmin,
+        maps: FleetMaps,
         configuration: ConfigurationTask,
         vm_list: VmListTask,
         clock: Clock,
@@ -73,6 +73,8 @@
         self.data_centre = data_centre
         self._store = fleet_store
         self._workers = workers
+        self._maps = maps
+        self._own_revision: int | None = None
         self._configuration = configuration
         self._vm_list = vm_list
         self._clock = clock
@@ -136,17 +138,32 @@
     async def _async_answer(self, decision: PlannerDecision) -> PlannerEvent | None:
         match decision:
             case Swap():
-                return await async_call(lambda: self._store.swap(decision))
+                answer = await async_call(lambda: self._store.swap(decision))
+                if answer.key == assignment_key(self.data_centre):
+                    # Unless it is known what the swap did, the own map must be read itself.
+                    self._own_revision = answer.revision if isinstance(answer, SwapDone) else None
+                return answer
             case ReadLease(key=key):
                 return await async_call(lambda: self._store.read_lease(key))
             case ReadFleet():
-                head = self._configuration.head
-                known = {*(head.configuration.data_centres if head else ()), self.data_centre}
-                return await async_call(lambda: self._store.read_fleet(known))
+                return await self._async_read_fleet()
             case ReadLog(data_centre=data_centre):
                 return await async_call(lambda: self._store.read_log(data_centre))
         return await self._async_act(decision)
 
+    async def _async_read_fleet(self) -> FleetRead | StoreAway:
+        head = self._configuration.head
+        known = {*(head.configuration.data_centres if head else ()), self.data_centre}
+        followed = self._maps.revisions()
+        own = followed.get(assignment_key(self.data_centre), 0)
+        if self._own_revision is None or own < self._own_revision or not self._maps.fresh():
+            read = await async_call(lambda: self._store.read_fleet(known))
+            if isinstance(read, FleetRead):
+                self._own_revision = read.revisions[assignment_key(self.data_centre)]
+            return read
+        maps = dict(self._maps.maps)
+        return await async_call(lambda: self._store.read_around(known, maps, followed))
+
     async def _async_act(self, act: VmAct) -> PlannerEvent | None:
         head = self._configuration.head
         if head is None or act.vm not in head.configuration.vms:
@@ -162,52 +179,6 @@
         return await async_call(tell)
 
 
-class FleetMaps:
-    """Follows all data centres' assignment maps, for the entries' routing and for commands."""
-
-    def __init__(
-        self, store: Store, watch_wait_s: float, announce: Callable[[], Awaitable[None]]
-    ) -> None:
-        self._store = store
-        self._watch_wait_s = watch_wait_s
-        self._announce = announce
-        self._revisions: dict[DataCentreId, int] = {}
-        self.maps: dict[DataCentreId, AssignmentMap] = {}
-
-    async def async_run(self) -> None:
-        """Follow the maps for ever; keep the last ones while the store is away."""
-        revision = -1
-        while True:
-            try:
-                if revision < 0:
-                    found = await async_call(lambda: self._store.list(KEY_ASSIGNMENT_PREFIX))
-                    revision = max((each.revision for each in found), default=0)
-                    await self._async_take(found)
-                result = await self._async_watch(revision)
-                revision = result.revision
-                await self._async_take(result.changed)
-            except StoreError as err:
-                revision = -1
-                _LOGGER.warning("%s %s", _PREFIX, err)
-                await asyncio.sleep(_RETRY_S)
-
-    async def _async_watch(self, after_revision: int) -> WatchResult:
-        return await async_call(
-            lambda: self._store.watch(KEY_ASSIGNMENT_PREFIX, after_revision, self._watch_wait_s)
-        )
-
-    async def _async_take(self, found: tuple[StoredValue, ...]) -> None:
-        newer = False
-        for stored in found:
-            record = decode_map(stored.value.encode())
-            if stored.revision > self._revisions.get(record.data_centre, 0):
-                self._revisions[record.data_centre] = stored.revision
-                self.maps[record.data_centre] = record
-                newer = True
-        if newer:
-            await self._announce()
-
-
 def vm_states(
     configuration: Configuration,
     leaving: set[VmId],
@@ -283,18 +254,19 @@
         ),
     )
     workers = WorkerAdmin(settings.store_timeout_s)
+    maps = FleetMaps(store, settings.watch_wait_s, clock, announce)
     task = FleetTask(
         planner,
         settings.data_centre,
         fleet_store,
         workers,
+        maps,
         configuration,
         vm_list,
         clock,
         signals,
         settings.planner_period_s,
     )
-    maps = FleetMaps(store, settings.watch_wait_s, announce)
     return Fleet(task, maps, fleet_store, clock, vm_list)
 
 
