--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -8,6 +8,7 @@
 import time
 import uuid
 from pathlib import Path
+from random import Random
 from typing import Annotated
 
 import typer
@@ -16,6 +17,7 @@
 from toucandoor.adapters.caller_server import make_caller_server
 from toucandoor.adapters.controller_link import ControllerLink
 from toucandoor.adapters.engine_loop import EngineLoop
+from toucandoor.adapters.errands import Errands
 from toucandoor.adapters.logs import set_up_logs
 from toucandoor.adapters.metrics import EntryMetrics, make_ops_app
 from toucandoor.adapters.settings import EntrySettings
@@ -25,13 +27,15 @@
 from toucandoor.clock import SystemClock
 from toucandoor.core.admission.coordinator import AdmissionCoordinator
 from toucandoor.core.admission.lending import LendToUrgent
+from toucandoor.core.attempts.budget import RetryBudget
+from toucandoor.core.attempts.tracker import AttemptTracker
 from toucandoor.core.ceilings.policy import StaticPermits
 from toucandoor.core.configuration.models import Configuration
 from toucandoor.core.keys import KeyRing
 from toucandoor.core.leases.serving import FixedLease
 from toucandoor.core.requests.engine import RequestEngine
 from toucandoor.core.requests.models import BackendServer
-from toucandoor.core.routing.policy import LeastConnections
+from toucandoor.core.routing.shared_load import SharedLoadRouting
 from toucandoor.exceptions import SettingsError
 from toucandoor.ids import AttemptId, QueueId, VmId
 from toucandoor.messages import VmState
@@ -50,15 +54,19 @@
         self._lease = FixedLease(float("inf"))
         self._workers = WorkerClient(settings.connect_timeout_s)
         admission = AdmissionCoordinator(LendToUrgent(), settings.entries_total)
+        self._routing = SharedLoadRouting(Random(), settings.data_centre, settings.entries_total)
         self._engine = RequestEngine(
             make_queue=admission.make_queue,
             admission=admission,
-            routing=LeastConnections(),
+            routing=self._routing,
+            tracker=AttemptTracker(RetryBudget(Random()), self._routing.is_healthy),
             permits=self._permits,
             lease=self._lease,
             new_attempt_id=lambda: AttemptId(uuid.uuid4().hex),
         )
-        self.loop = EngineLoop(self._engine, self._clock, self._workers.interrupt)
+        self._errands = Errands(self._workers)
+        self.loop = EngineLoop(self._engine, self._clock, self._errands.perform)
+        self._errands.post = self.loop.post
         self._configuration: Configuration | None = None
         self._keys: KeyRing | None = None
         self._states: dict[VmId, VmState] = {}
@@ -114,6 +122,7 @@
             }
         )
         self._engine.configure(configuration, self._clock.monotonic_s())
+        self._workers.task_lease_s = configuration.policy.task_lease_s
         self._update_servers()
         _LOGGER.info("%s configuration %s is in force", _PREFIX, version)
 
