--- a/tests/core/maintenance/test_promises.py
+++ b/tests/core/maintenance/test_promises.py
@@ -48,6 +48,14 @@
     return run
 
 
+def _whole(run: FleetRun) -> None:
+    """Run for 500 s, also when every VM is maintained before."""
+    for _ in range(500):
+        run.clock.advance(1.0)
+        run.step()
+    run._conclude()
+
+
 class FaultsTest(unittest.TestCase):
     def test_budgets_hold_in_every_fault_alone(self) -> None:
         for name, case in CASES.items():
@@ -64,17 +72,20 @@
         self.assertGreater(run.figures.budget_breaches, 0)
 
     def test_without_places_taken_first_budgets_break(self) -> None:
-        self.assertEqual(breaches(_run("freezes", "s9", 400.0).figures), 0)
-        run = _run("freezes", "s9", 400.0, wave_planner=CheckThenAct)
-        self.assertGreater(run.figures.over_held + run.figures.budget_breaches, 0)
+        found = 0
+        for seed in ("s7", "s9"):
+            self.assertEqual(breaches(_run("freezes", seed, 400.0).figures), 0)
+            figures = _run("freezes", seed, 400.0, wave_planner=CheckThenAct).figures
+            found += figures.over_held + figures.budget_breaches
+        self.assertGreater(found, 0)
 
     def test_without_boot_and_fence_late_acts_stop_vms_in_service(self) -> None:
         case = RunSettings(late_act_ratio=1.0, end_s=500.0)
         run = LateDrain(SMALL, case, "late")
-        run.run()
+        _whole(run)
         self.assertEqual((run.figures.unplaced_stops, run.figures.refused_acts), (0, 1))
         run = LateDrain(SMALL, case, "late", guarded=False)
-        run.run()
+        _whole(run)
         self.assertEqual(run.figures.unplaced_stops, 1)
 
     def test_waves_pause_and_resume_with_the_signals(self) -> None:
--- a/toucandoor/core/maintenance/models.py
+++ b/toucandoor/core/maintenance/models.py
@@ -33,6 +33,7 @@
         fleet_read_every_s: Time after which the fleet's records are read again.
         unseen_after_s: Time without a renewal of its planning lease after which a data centre's
             VMs count as out.
+        replan_after_s: Time after which a plan that changed nothing is made again unasked.
         idle_return_s: Time after which places handed out but never taken up are given back.
         urgent_late_max_ratio: Part of urgent starts that may be late before waves pause.
         share_error_max_ratio: Distance from a team's share at which waves pause.
@@ -59,6 +60,7 @@
     act_again_after_s: float = const.DEFAULT_ACT_AGAIN_AFTER_S
     fleet_read_every_s: float = const.DEFAULT_FLEET_READ_EVERY_S
     unseen_after_s: float = const.DEFAULT_UNSEEN_AFTER_S
+    replan_after_s: float = const.DEFAULT_REPLAN_AFTER_S
     idle_return_s: float = const.DEFAULT_IDLE_RETURN_S
     urgent_late_max_ratio: float = const.DEFAULT_URGENT_LATE_MAX_RATIO
     share_error_max_ratio: float = const.DEFAULT_SHARE_ERROR_MAX_RATIO
--- a/toucandoor/core/maintenance/planner.py
+++ b/toucandoor/core/maintenance/planner.py
@@ -96,6 +96,7 @@
         self._untaken_since_s: float | None = None
         self._visibility = Visibility(settings.unseen_after_s)
         self._stale = True
+        self._quiet_until_s = float("-inf")
 
     @property
     def lease(self) -> PlanningLease:
@@ -104,6 +105,8 @@
 
     def handle(self, event: PlannerEvent, now_s: float, now: datetime) -> list[PlannerDecision]:
         """Take an event and return the decisions that follow."""
+        if not isinstance(event, Tick | ListSeen | ServiceSignals):
+            self._quiet_until_s = float("-inf")
         match event:
             case Tick():
                 return self._tick(now_s, now)
@@ -178,7 +181,7 @@
             self._asked_fleet = True
             return [ReadFleet()]
         record = self._read.maps[self._data_centre]
-        if record.fence > self._lease.fence:
+        if record.fence > self._lease.fence or now_s < self._quiet_until_s:
             return []
         planned = self._planned(record, now_s, now)
         if planned != record:
@@ -186,6 +189,8 @@
         ledger = self._planned_ledger()
         if ledger != self._read.ledger:
             return [self._swap(KEY_LEDGER, encode(ledger))]
+        if not record.events:
+            self._quiet_until_s = now_s + self._settings.replan_after_s
         return self._log_step(record)
 
     def _swap(self, key: str, value: bytes) -> Swap:
--- a/toucandoor/measures/_fleet_run.py
+++ b/toucandoor/measures/_fleet_run.py
@@ -228,7 +228,9 @@
         self._work(now_s)
         listed = self._listed(now_s)
         late = self._in_span(now_s, self._settings.bad_signals_s)
-        for index, controller in enumerate(self.controllers):
+        order = list(enumerate(self.controllers))
+        self._rng.shuffle(order)
+        for index, controller in order:
             if self._rng.random() < self._settings.kill_ratio:
                 self.kill(index)
                 continue
@@ -254,7 +256,8 @@
         )
 
     def _tick(self, controller: _Controller, now_s: float) -> None:
-        for _ in range(4):
+        # Planners run side by side: each gets as far as chance has it before the next one's turn.
+        for _ in range(self._rng.randint(1, 4)):
             decisions = self._tell(controller, Tick())
             if not decisions:
                 return
