--- a/toucandoor/adapters/controller_link.py
+++ b/toucandoor/adapters/controller_link.py
@@ -10,6 +10,7 @@
 from pydantic import ValidationError
 
 from toucandoor.adapters.link import Link, async_open_link
+from toucandoor.ceiling_messages import CeilingMail
 from toucandoor.core.configuration.models import Configuration
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.ids import IncarnationId
@@ -29,12 +30,11 @@
 
     from toucandoor.adapters.settings import EntrySettings
     from toucandoor.ids import RequestId
-    from toucandoor.messages import ServiceReport, VmState
+    from toucandoor.messages import VmState
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "controller link:"
 _RECONNECT_S = 0.3
-_REPORT_EVERY_S = 5.0
 
 
 class ControllerLink:
@@ -49,15 +49,26 @@
         configure: Callable[[int, Configuration], None],
         update_states: Callable[[list[VmState]], None],
         explain: Callable[[RequestId], list[str]],
-        service_report: Callable[[], ServiceReport],
+        take_mail: Callable[[CeilingMail], None],
     ) -> None:
         self._settings = settings
         self._configure = configure
         self._update_states = update_states
         self._explain = explain
-        self._service_report = service_report
+        self._take_mail = take_mail
         self._version = 0
         self._incarnation = IncarnationId(time.time_ns())
+        self._outbox: asyncio.Queue[Message] | None = None
+
+    @property
+    def incarnation(self) -> IncarnationId:
+        """This start of the entry's process."""
+        return self._incarnation
+
+    def post(self, message: Message) -> None:
+        """Send a message when its turn comes, or drop it while there is no link."""
+        if self._outbox is not None:
+            self._outbox.put_nowait(message)
 
     async def async_run(self) -> None:
         """Connect again and again, for ever."""
@@ -75,20 +86,21 @@
         await link.async_send(
             Hello(PROTOCOL_VERSION, settings.entry_id, self._incarnation, settings.data_centre)
         )
-        reports = asyncio.create_task(self._async_report(link))
+        self._outbox = asyncio.Queue()
+        sending = asyncio.create_task(self._async_send(link, self._outbox))
         try:
             async for message in link.async_messages():
                 await self._async_take(message, link)
         finally:
-            reports.cancel()
+            self._outbox = None
+            sending.cancel()
 
-    async def _async_report(self, link: Link) -> None:
-        while True:
-            try:
-                await link.async_send(self._service_report())
-            except ToucandoorError:
-                return  # the session ends by itself and reconnects
-            await asyncio.sleep(_REPORT_EVERY_S)
+    async def _async_send(self, link: Link, outbox: asyncio.Queue[Message]) -> None:
+        try:
+            while True:
+                await link.async_send(await outbox.get())
+        except ToucandoorError as err:
+            _LOGGER.info("%s %s", _PREFIX, err)
 
     async def _async_take(self, message: Message, link: Link) -> None:
         match message:
@@ -97,6 +109,8 @@
                 await link.async_send(ConfigurationAck(self._version))
             case VmStatesPush(states):
                 self._update_states(states)
+            case CeilingMail():
+                self._take_mail(message)
             case ExplainQuery(query_id, request_id):
                 await link.async_send(ExplainAnswer(query_id, self._explain(request_id)))
 
--- a/toucandoor/adapters/worker_client.py
+++ b/toucandoor/adapters/worker_client.py
@@ -32,6 +32,7 @@
 _PREFIX = "worker:"
 
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
+INTERRUPT_TIMEOUT_S = 2.0
 _FETCH_TIMEOUT_S = 5.0
 _WAIT_PAST_DEADLINE_S = 5.0
 
@@ -105,6 +106,10 @@
             return AnswerFetched(decision.attempt_id, whole=False), None
         return AnswerFetched(decision.attempt_id, whole=True), _whole(response)
 
+    def ask(self, decision: AskTask) -> TaskWord:
+        """Ask about a task on a new connection."""
+        return self._ask(decision)
+
     def perform(self, decision: ServerDecision) -> TaskWord | ServerProbed | None:
         """Carry out a decision that no caller's thread waits for; return what came of it."""
         match decision:
@@ -134,7 +139,7 @@
                 decision.address, method, path, headers, DEFAULT_ASK_TIMEOUT_S
             )
             return _read_word(decision, response)
-        except (OSError, HTTPError, ValueError, KeyError) as err:
+        except (OSError, HTTPError, ValueError, KeyError, TypeError) as err:
             _LOGGER.info("%s no word from %s: %s", _PREFIX, decision.address, err)
             return TaskWord(decision.attempt_id, None)
 
@@ -176,6 +181,21 @@
         connection.close()
 
 
+def _interrupt(preempt: Preempt) -> None:
+    """Ask for a task's checkpoint or stop; its attempt's own answer says how it ended."""
+    path = f"/v1/tasks/{preempt.attempt_id}/{preempt.how.value}"
+    try:
+        _on_new_connection(preempt.address, "POST", path, {}, INTERRUPT_TIMEOUT_S)
+    except (OSError, HTTPError) as err:
+        _LOGGER.warning(
+            "%s task %s at %s was not interrupted: %s",
+            _PREFIX,
+            preempt.attempt_id,
+            preempt.address,
+            err,
+        )
+
+
 def _probe(decision: ProbeServer) -> ServerProbed:
     try:
         response = _on_new_connection(
@@ -183,21 +203,14 @@
         )
         status: dict[str, Any] = json.loads(response.data)
         return ServerProbed(decision.vm, response.status == 200, bool(status["draining"]))
-    except (OSError, HTTPError, ValueError, KeyError):
+    except (OSError, HTTPError, ValueError, KeyError, TypeError):
         return ServerProbed(decision.vm, reached=False)
 
 
-def _interrupt(preempt: Preempt) -> None:
-    """Ask for a task's checkpoint or stop; its attempt's own answer says how it ended."""
-    path = f"/v1/tasks/{preempt.attempt_id}/{preempt.how.value}"
-    try:
-        _on_new_connection(preempt.address, "POST", path, {}, DEFAULT_ASK_TIMEOUT_S)
-    except (OSError, HTTPError, ValueError) as err:
-        _LOGGER.warning("%s %s at %s not interrupted: %s", _PREFIX, path, preempt.address, err)
-
-
 def _read_word(decision: AskTask | StopTask, response: BaseHTTPResponse) -> TaskWord:
-    told: dict[str, Any] = json.loads(response.data)
+    told = json.loads(response.data)
+    if response.status != 200 or not isinstance(told, dict):
+        raise ValueError(f"status {response.status} without a word")
     up_s = told.get("up_s")
     return TaskWord(
         attempt_id=decision.attempt_id,
--- a/toucandoor/core/admission/pool.py
+++ b/toucandoor/core/admission/pool.py
@@ -79,9 +79,9 @@
         attempt = self._running.pop(event.attempt_id, None)
         if attempt is None:
             return
-        self._asked_s.pop(event.attempt_id, None)
+        asked = self._asked_s.pop(event.attempt_id, None) is not None
         self._use = None
-        if event.outcome in _INTERRUPTED:
+        if asked and event.outcome in _INTERRUPTED:
             self._remember(attempt)
         else:
             self._preempted.pop(attempt.request.request_id, None)
--- a/toucandoor/core/attempts/tracker.py
+++ b/toucandoor/core/attempts/tracker.py
@@ -291,7 +291,8 @@
             return decisions
         if not costs_retry:
             # The routing policy paces servers that say so; the request waits in its queue.
-            return [*decisions, Requeue(state.request.request_id, now_s, frozenset())]
+            requeue = Requeue(state.request.request_id, now_s, frozenset(), state.resume_token)
+            return [*decisions, requeue]
         state.setbacks += 1
         if state.setbacks < DEFAULT_ATTEMPTS_MAX and self._budget.take(now_s):
             return [*decisions, self._requeue(state, now_s)]
@@ -307,6 +308,7 @@
         if resume_token is None and not state.request.idempotent:
             return [*decisions, self._refuse(attempt, 502, "checkpoint lost", Fate.FAILED)]
         state.ran = True
+        state.resume_token = resume_token
         requeue = Requeue(state.request.request_id, now_s, frozenset(), resume_token)
         return [*decisions, requeue]
 
@@ -327,7 +329,8 @@
 
     def _requeue(self, state: RequestState, now_s: float) -> Requeue:
         not_before_s = now_s + self._budget.backoff_s(state.setbacks)
-        return Requeue(state.request.request_id, not_before_s, frozenset(state.tried))
+        tried = frozenset(state.tried)
+        return Requeue(state.request.request_id, not_before_s, tried, state.resume_token)
 
     def _refuse(self, attempt: Attempt, status: int, reason: str, fate: Fate) -> Refuse:
         sent = attempt.dispatch
--- a/toucandoor/core/ceilings/ledger.py
+++ b/toucandoor/core/ceilings/ledger.py
@@ -61,6 +61,7 @@
     demand: Mapping[TeamId, int]
     version: ConfigVersion
     ceilings: Mapping[TeamId, int]
+    task_lease_s: float = 0.0
     joined: frozenset[Member] = frozenset()
     left: frozenset[Member] = frozenset()
     gone: frozenset[DataCentreId] = frozenset()
@@ -127,7 +128,12 @@
 def _with_ceilings(ledger: Ledger, view: LocalView) -> Ledger:
     if view.version <= ledger.version:
         return ledger
-    return msgspec.structs.replace(ledger, version=view.version, ceilings=dict(view.ceilings))
+    return msgspec.structs.replace(
+        ledger,
+        version=view.version,
+        ceilings=dict(view.ceilings),
+        task_lease_s=max(ledger.task_lease_s, view.task_lease_s),
+    )
 
 
 def _ceiling(ledger: Ledger, view: LocalView, team: TeamId) -> int:
@@ -161,6 +167,8 @@
     """Return what this data centre should give each other one."""
     held = {dc: line.parts.get(team, 0) for dc, line in sorted(ledger.data_centres.items())}
     demands = _demands(ledger, me, team, view)
+    if not any(demands[dc] > held[dc] for dc in held if dc != me):
+        return {}
     unclaimed = max(0, _ceiling(ledger, view, team) - sum(held.values()))
     moves = plan_moves(held, demands, spare=unclaimed, turn=view.turn)
     return {m.taker: m.permits for m in moves if m.giver == me}
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -15,9 +15,12 @@
 
 from toucandoor.adapters.caller_http import CallerApp, EntryView
 from toucandoor.adapters.caller_server import make_caller_server
+from toucandoor.adapters.claims import ClaimBoard, ClaimClient, make_claims_servers
 from toucandoor.adapters.controller_link import ControllerLink
 from toucandoor.adapters.engine_loop import EngineLoop
+from toucandoor.adapters.entry_ceilings import EntryCeilings
 from toucandoor.adapters.errands import Errands
+from toucandoor.adapters.idempotency import IdempotencyGuard
 from toucandoor.adapters.logs import set_up_logs
 from toucandoor.adapters.metrics import EntryMetrics, make_ops_app
 from toucandoor.adapters.settings import EntrySettings
@@ -29,8 +32,10 @@
 from toucandoor.core.admission.lending import LendToUrgent
 from toucandoor.core.attempts.budget import RetryBudget
 from toucandoor.core.attempts.tracker import AttemptTracker
-from toucandoor.core.ceilings.policy import StaticPermits
-from toucandoor.core.configuration.models import Configuration
+from toucandoor.core.ceilings.demand import CountedQueue
+from toucandoor.core.ceilings.entry import EntryPermits
+from toucandoor.core.ceilings.models import Member
+from toucandoor.core.configuration.models import Configuration, QueueConfig
 from toucandoor.core.keys import KeyRing
 from toucandoor.core.leases.serving import FixedLease
 from toucandoor.core.requests.engine import RequestEngine
@@ -42,6 +47,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "entry:"
+SERVICE_REPORT_EVERY_S = 2.0
+_LEAVE_WITHIN_S = 2.0
 
 
 class Entry:
@@ -50,23 +57,31 @@
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
         self._clock = SystemClock()
-        self._permits = StaticPermits({})
         self._lease = FixedLease(float("inf"))
+        self._link = ControllerLink(
+            settings,
+            self.configure,
+            self.update_states,
+            lambda request_id: self.loop.journal.explain(request_id),
+            lambda mail: self._ceilings.take(mail),
+        )
+        self._permits = EntryPermits(Member(settings.entry_id, self._link.incarnation), self._lease)
         self._workers = WorkerClient(settings.connect_timeout_s)
-        admission = AdmissionCoordinator(LendToUrgent(), settings.entries_total)
+        self._admission = AdmissionCoordinator(LendToUrgent(), settings.entries_total)
         self._routing = SharedLoadRouting(Random(), settings.data_centre, settings.entries_total)
         self._engine = RequestEngine(
-            make_queue=admission.make_queue,
-            admission=admission,
+            make_queue=self._make_queue,
+            admission=self._admission,
             routing=self._routing,
             tracker=AttemptTracker(RetryBudget(Random()), self._routing.is_healthy),
             permits=self._permits,
             lease=self._lease,
             new_attempt_id=lambda: AttemptId(uuid.uuid4().hex),
         )
-        self._errands = Errands(self._workers)
-        self.loop = EngineLoop(self._engine, self._clock, self._errands.perform)
-        self._errands.post = self.loop.post
+        errands = Errands(self._workers)
+        self.loop = EngineLoop(self._engine, self._clock, errands.perform)
+        errands.post = self.loop.post
+        self._ceilings = EntryCeilings(self._permits, self._clock, self.loop.call, self._link.post)
         self._configuration: Configuration | None = None
         self._keys: KeyRing | None = None
         self._states: dict[VmId, VmState] = {}
@@ -77,31 +92,37 @@
         """Serve until asked to stop."""
         settings, stop, metrics = self._settings, StopSignal(), self._metrics
         view = EntryView(lambda: self._keys, self._is_open, lambda: self._stopping)
-        app = CallerApp(self.loop, self._workers, metrics, self._clock, view, settings.entry_id)
+        board = ClaimBoard(settings, self._clock)
+        guard = IdempotencyGuard(ClaimClient(settings, board), self._workers, self._clock)
+        app = CallerApp(
+            self.loop, self._workers, metrics, self._clock, view, settings.entry_id, guard
+        )
         callers = make_caller_server(settings, app, self._clock)
         ops_app = make_ops_app(self._not_ready, lambda: metrics.in_flight(self._engine.counts()))
         ops = make_server(settings.ops_address, ops_app, 2)
-        link = ControllerLink(
-            settings,
-            self.configure,
-            self.update_states,
-            self.loop.journal.explain,
-            metrics.service_report,
-        )
         tasks = [asyncio.create_task(self.loop.async_run())]
-        tasks.append(asyncio.create_task(link.async_run()))
-        for server in (callers, ops):
+        tasks.append(asyncio.create_task(self._link.async_run()))
+        tasks.append(asyncio.create_task(self._ceilings.async_run()))
+        tasks.append(asyncio.create_task(self._async_report()))
+        servers = [callers, ops, *make_claims_servers(settings, board)]
+        for server in servers:
             server.prepare()
             threading.Thread(target=server.serve, daemon=True).start()
         _LOGGER.info("%s serving at %s", _PREFIX, settings.caller_address)
         await stop.asked.wait()
         await self._async_drain(stop)
+        await self._ceilings.async_leave(_LEAVE_WITHIN_S)
         for task in tasks:
             task.cancel()
-        await asyncio.to_thread(callers.stop)
-        await asyncio.to_thread(ops.stop)
+        for server in servers:
+            await asyncio.to_thread(server.stop)
         _LOGGER.info("%s stopped", _PREFIX)
 
+    async def _async_report(self) -> None:
+        while True:
+            self._link.post(self._metrics.service_report())
+            await asyncio.sleep(SERVICE_REPORT_EVERY_S)
+
     def configure(self, version: int, configuration: Configuration) -> None:
         """Put a configuration in force between two events."""
         self.loop.call(lambda: self._configure(version, configuration))
@@ -114,13 +135,6 @@
         self._configuration = configuration
         self._keys = KeyRing(configuration)
         self._metrics.urgent_target_s = configuration.policy.urgent_start_target_s
-        total = self._settings.entries_total
-        self._permits.set_parts(
-            {
-                team_id: team.ceiling_running // total
-                for team_id, team in configuration.teams.items()
-            }
-        )
         self._engine.configure(configuration, self._clock.monotonic_s())
         self._workers.task_lease_s = configuration.policy.task_lease_s
         self._update_servers()
@@ -155,6 +169,9 @@
         queue = self._configuration.queues.get(queue_id) if self._configuration else None
         return None if queue is None else queue.open_to_all
 
+    def _make_queue(self, queue: QueueConfig) -> CountedQueue:
+        return CountedQueue(self._admission.make_queue(queue), self._ceilings.waiting)
+
     def _not_ready(self) -> str:
         if self._stopping:
             return "stopping"
