--- a/toucandoor/programs/controller.py
+++ b/toucandoor/programs/controller.py
@@ -15,6 +15,8 @@
 from toucandoor.adapters.ceiling_task import CeilingTask
 from toucandoor.adapters.configuration_task import ConfigurationTask, Head
 from toucandoor.adapters.explain_task import ExplainTask
+from toucandoor.adapters.fleet_commands import FleetCommands
+from toucandoor.adapters.fleet_task import ServiceView, make_fleet, vm_states
 from toucandoor.adapters.in_force_task import InForceTask
 from toucandoor.adapters.link import Link, authenticate
 from toucandoor.adapters.logs import set_up_logs
@@ -39,6 +41,7 @@
     Hello,
     Message,
     OperatorRequest,
+    ServiceReport,
     VmState,
     VmStatesPush,
 )
@@ -93,7 +96,17 @@
         )
         self._explain = ExplainTask(settings.entry_id, lambda: self._entries)
         self._operators.register("explain_request", self._explain.async_explain_request)
-        self._states: list[VmState] = []
+        self._listed: list[ListedVm] = []
+        self._service = ServiceView()
+        self._fleet = make_fleet(
+            settings,
+            self._store,
+            self._configuration,
+            self._vm_list,
+            self._async_announce_states,
+            self._service.signals,
+        )
+        self._register_fleet_commands()
 
     async def async_run(self) -> None:
         """Serve until asked to stop."""
@@ -107,6 +120,8 @@
             asyncio.create_task(self._vm_list.async_run()),
             asyncio.create_task(self._in_force.async_run()),
             asyncio.create_task(self._slots.async_register()),
+            asyncio.create_task(self._fleet.maps.async_run()),
+            asyncio.create_task(self._fleet.task.async_run()),
             asyncio.create_task(self._ceilings.async_run()),
         ]
         async with serve(
@@ -124,6 +139,7 @@
             await self._in_force.async_stop()
         for task in tasks:
             task.cancel()
+        await self._fleet.task.async_release()
         ops.stop()
         _LOGGER.info("%s stopped", _PREFIX)
 
@@ -159,7 +175,7 @@
             )
             if self._configuration.head is not None:
                 await link.async_send(_push(self._configuration.head))
-            await link.async_send(VmStatesPush(self._states))
+            await link.async_send(VmStatesPush(self._states()))
             incarnation = IncarnationId(0)
             async for message in link.async_messages():
                 if isinstance(message, Hello):
@@ -185,6 +201,8 @@
                 await link.async_send(LeaseAnswer(sequence, left_s))
             case EntryGoodbye():
                 sessions.ended(incarnation)
+            case ServiceReport():
+                self._service.take(message)
             case ExplainAnswer():
                 self._explain.take(message)
             case CeilingMail():
@@ -217,16 +235,28 @@
             await self._async_send_entries(_push(head))
 
     async def _async_take_list(self, listed: list[ListedVm]) -> None:
+        self._listed = listed
+        await self._async_announce_states()
+
+    async def _async_announce_states(self) -> None:
+        await self._async_send_entries(VmStatesPush(self._states()))
+
+    def _states(self) -> list[VmState]:
         head = self._configuration.head
         if head is None:
-            return
-        vms = head.configuration.vms
-        self._states = [
-            VmState(each.vm, vms[each.vm].pool, leaving=each.state is ListedState.LEAVING)
-            for each in listed
-            if each.vm in vms
-        ]
-        await self._async_send_entries(VmStatesPush(self._states))
+            return []
+        leaving = {each.vm for each in self._listed if each.state is ListedState.LEAVING}
+        return vm_states(head.configuration, leaving, self._fleet.maps.maps)
+
+    def _register_fleet_commands(self) -> None:
+        fleet = self._fleet
+        commands = FleetCommands(
+            fleet.task, fleet.maps, fleet.store, fleet.clock, fleet.unavailable
+        )
+        self._operators.register("move", commands.async_move)
+        self._operators.register("maintain", commands.async_maintain)
+        self._operators.register("explain_vm", commands.async_explain_vm)
+        self._operators.register("explain_fleet", commands.async_explain_fleet)
 
     async def _async_send_entries(self, message: Message) -> None:
         for link in list(self._entries):
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -50,6 +50,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "entry:"
+SERVICE_REPORT_EVERY_S = 2.0
 _LEAVE_WITHIN_S = 2.0
 
 
@@ -90,10 +91,11 @@
         self._keys: KeyRing | None = None
         self._states: dict[VmId, VmState] = {}
         self._stopping = False
+        self._metrics = EntryMetrics()
 
     async def async_run(self) -> None:
         """Serve until asked to stop."""
-        settings, stop, metrics = self._settings, StopSignal(), EntryMetrics()
+        settings, stop, metrics = self._settings, StopSignal(), self._metrics
         view = EntryView(lambda: self._keys, self._is_open, lambda: self._stopping)
         board = ClaimBoard(settings, self._clock)
         guard = IdempotencyGuard(ClaimClient(settings, board), self._workers, self._clock)
@@ -106,6 +108,7 @@
         tasks = [asyncio.create_task(self.loop.async_run())]
         tasks.append(asyncio.create_task(self._link.async_run()))
         tasks.append(asyncio.create_task(self._ceilings.async_run()))
+        tasks.append(asyncio.create_task(self._async_report()))
         servers = [callers, ops, *make_claims_servers(settings, board)]
         for server in servers:
             server.prepare()
@@ -121,6 +124,11 @@
             await asyncio.to_thread(server.stop)
         _LOGGER.info("%s stopped", _PREFIX)
 
+    async def _async_report(self) -> None:
+        while True:
+            self._link.post(self._metrics.service_report())
+            await asyncio.sleep(SERVICE_REPORT_EVERY_S)
+
     def configure(
         self, version: int, configuration: Configuration, switched: Callable[[], None]
     ) -> None:
@@ -139,6 +147,7 @@
     def _configure(self, version: int, configuration: Configuration) -> None:
         self._configuration = configuration
         self._keys = KeyRing(configuration)
+        self._metrics.urgent_target_s = configuration.policy.urgent_start_target_s
         self._engine.configure(configuration, self._clock.monotonic_s())
         self._workers.task_lease_s = configuration.policy.task_lease_s
         self._update_servers()
