--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -9,7 +9,7 @@
 import uuid
 from pathlib import Path
 from random import Random
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import typer
 
@@ -37,7 +37,7 @@
 from toucandoor.core.ceilings.models import Member
 from toucandoor.core.configuration.models import Configuration, QueueConfig
 from toucandoor.core.keys import KeyRing
-from toucandoor.core.leases.serving import FixedLease
+from toucandoor.core.leases.sessions import HandedLease
 from toucandoor.core.requests.engine import RequestEngine
 from toucandoor.core.requests.models import BackendServer
 from toucandoor.core.routing.shared_load import SharedLoadRouting
@@ -45,6 +45,9 @@
 from toucandoor.ids import AttemptId, QueueId, VmId
 from toucandoor.messages import VmState
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "entry:"
 _LEAVE_WITHIN_S = 2.0
@@ -56,11 +59,13 @@
     def __init__(self, settings: EntrySettings) -> None:
         self._settings = settings
         self._clock = SystemClock()
-        self._lease = FixedLease(float("inf"))
+        self._lease = HandedLease()
         self._link = ControllerLink(
             settings,
             self.configure,
             self.update_states,
+            self._lease,
+            self._clock,
             lambda request_id: self.loop.journal.explain(request_id),
             lambda mail: self._ceilings.take(mail),
         )
@@ -109,15 +114,23 @@
         await stop.asked.wait()
         await self._async_drain(stop)
         await self._ceilings.async_leave(_LEAVE_WITHIN_S)
+        await self._link.async_say_goodbye()
         for task in tasks:
             task.cancel()
         for server in servers:
             await asyncio.to_thread(server.stop)
         _LOGGER.info("%s stopped", _PREFIX)
 
-    def configure(self, version: int, configuration: Configuration) -> None:
-        """Put a configuration in force between two events."""
-        self.loop.call(lambda: self._configure(version, configuration))
+    def configure(
+        self, version: int, configuration: Configuration, switched: Callable[[], None]
+    ) -> None:
+        """Put a configuration in force between two events, then say so."""
+
+        def switch() -> None:
+            self._configure(version, configuration)
+            switched()
+
+        self.loop.call(switch)
 
     def update_states(self, states: list[VmState]) -> None:
         """Take the control path's word on VMs between two events."""
@@ -166,7 +179,9 @@
     def _not_ready(self) -> str:
         if self._stopping:
             return "stopping"
-        return "" if self._configuration else "no configuration yet"
+        if not self._configuration:
+            return "no configuration yet"
+        return "" if self._lease.was_held else "no lease yet"
 
     async def _async_drain(self, stop: StopSignal) -> None:
         self._stopping = True
