--- a/toucandoor/programs/controller.py
+++ b/toucandoor/programs/controller.py
@@ -12,6 +12,7 @@
 import typer
 from websockets.asyncio.server import ServerConnection, serve
 
+from toucandoor.adapters.ceiling_task import CeilingTask
 from toucandoor.adapters.configuration_task import ConfigurationTask, Head
 from toucandoor.adapters.explain_task import ExplainTask
 from toucandoor.adapters.in_force_task import InForceTask
@@ -25,7 +26,9 @@
 from toucandoor.adapters.store_client import HttpStore
 from toucandoor.adapters.vm_list_task import ListedState, ListedVm, VmListTask
 from toucandoor.adapters.wsgi import make_server
+from toucandoor.ceiling_messages import CeilingMail
 from toucandoor.clock import SystemClock
+from toucandoor.core.leases.serving import FixedLease
 from toucandoor.exceptions import MessageError, SettingsError
 from toucandoor.ids import ConfigVersion, IncarnationId
 from toucandoor.messages import (
@@ -81,6 +84,14 @@
             self._status,
         )
         self._entries: dict[Link, int] = {}
+        self._ceilings = CeilingTask(
+            settings,
+            self._incarnation,
+            self._store,
+            FixedLease(float("inf")),
+            clock,
+            self._async_send_entries,
+        )
         self._explain = ExplainTask(settings.entry_id, lambda: self._entries)
         self._operators.register("explain_request", self._explain.async_explain_request)
         self._states: list[VmState] = []
@@ -97,6 +108,7 @@
             asyncio.create_task(self._vm_list.async_run()),
             asyncio.create_task(self._in_force.async_run()),
             asyncio.create_task(self._slots.async_register()),
+            asyncio.create_task(self._ceilings.async_run()),
         ]
         async with serve(
             self._async_connection,
@@ -176,6 +188,8 @@
                 sessions.ended(incarnation)
             case ExplainAnswer():
                 self._explain.take(message)
+            case CeilingMail():
+                await self._ceilings.async_take(message, from_peer=False)
 
     async def _async_peer(self, link: Link) -> None:
         async for message in link.async_messages():
@@ -189,6 +203,8 @@
                     await link.async_send(self._in_force.content_for(message))
                 case PeerGoodbye():
                     self._in_force.on_goodbye(message)
+                case CeilingMail():
+                    await self._ceilings.async_take(message, from_peer=True)
 
     async def _async_operator(self, link: Link) -> None:
         async for message in link.async_messages():
@@ -198,6 +214,7 @@
     async def _async_announce(self, head: Head | None) -> None:
         self._in_force.take_record(self._configuration.record)
         if head is not None:
+            self._ceilings.configure(ConfigVersion(head.version), head.configuration)
             await self._async_send_entries(_push(head))
 
     async def _async_take_list(self, listed: list[ListedVm]) -> None:
@@ -227,6 +244,7 @@
             "version": head.content_version if head else 0,
             **self._in_force.status(),
             "entries": [{"peer": link.peer, "version": v} for link, v in self._entries.items()],
+            "ceilings": self._ceilings.status(),
             "store_error": self._configuration.store_error,
             "store_calls": dict(self._store.calls),
         }
