--- a/toucandoor/core/leases/node.py
+++ b/toucandoor/core/leases/node.py
@@ -138,6 +138,14 @@
             return -math.inf
         return min(self.entry_lease_until_s(), self.fresh_until_s())
 
+    def touch_lease(self) -> ServingLease:
+        """Return the lease on being in touch, whatever version is in force here.
+
+        It is for work that a version behind does no harm to, such as handing out permits under the
+        ledger's own ceilings; the keyed lease lapses for a moment at each new version.
+        """
+        return _TouchLease(self)
+
     def fresh_until_s(self) -> float:
         """Return the end of the freshness lease."""
         return self._fresh_from_s + self._times.grace_s
@@ -181,3 +189,13 @@
 
     def _confirm(self, from_s: float) -> None:
         self._fresh_from_s = max(self._fresh_from_s, from_s)
+
+
+class _TouchLease(ServingLease):
+    """The entry and freshness leases of a node without its version."""
+
+    def __init__(self, node: LeaseNode) -> None:
+        self._node = node
+
+    def keyed_until_s(self) -> float:
+        return min(self._node.entry_lease_until_s(), self._node.fresh_until_s())
--- a/toucandoor/programs/controller.py
+++ b/toucandoor/programs/controller.py
@@ -90,7 +90,7 @@
             settings,
             self._incarnation,
             self._store,
-            self._in_force.node,
+            self._in_force.node.touch_lease(),
             clock,
             self._async_send_entries,
         )
