Start nothing for a key that was withdrawn while its request waited

Cause: keys were checked on arrival only, so a waiting request, or one whose thread had checked it just before a new configuration, could start after 'withdrawn' was answered. Excluded: checking again in the callers' threads; they wait, and the engine decides. Change: a request carries the digest of its key; the engine checks it on arrival and before each start, and gives waiting requests up with 401, not run, at the next tick. Conclusion: a dispatch that was decided before the new configuration may still send its first byte for up to 1 s after.

--- a/tests/core/requests/test_engine.py
+++ b/tests/core/requests/test_engine.py
@@ -33,11 +33,13 @@
 from toucandoor.core.routing.shared_load import SharedLoadRouting
 from toucandoor.ids import AttemptId, PoolId, QueueId, RequestId, TeamId, VmId
 
+ANSWERED = AttemptOutcome.ANSWERED
+KEY_DIGEST = "1" * 64
 CONFIGURATION = Configuration.model_validate(
     {
         "pools": {"p": {"unavailable_max": 1}},
         "queues": {"q": {"pool": "p"}},
-        "teams": {"a": {"ceiling_running": 2}},
+        "teams": {"a": {"ceiling_running": 2, "keys": {"k": {"sha256": KEY_DIGEST}}}},
     }
 )
 
@@ -70,7 +72,14 @@
         self.lines.append({"at_s": round(now_s, 3), "event": event, "decisions": decisions})
         return decisions
 
-    def submit(self, name: str, *, idempotent: bool = False, deadline_s: float = 60.0) -> list[Any]:
+    def submit(
+        self,
+        name: str,
+        *,
+        idempotent: bool = False,
+        deadline_s: float = 60.0,
+        key_digest: str | None = None,
+    ) -> list[Any]:
         now_s = self.clock.monotonic_s()
         request = Request(
             request_id=RequestId(name),
@@ -80,6 +89,7 @@
             idempotent=idempotent,
             arrived_s=now_s,
             deadline_s=now_s + deadline_s,
+            key_digest=key_digest,
         )
         return self.handle(Submitted(request))
 
@@ -108,6 +118,20 @@
         self.assertEqual([each.request_id for each in started], ["third"])
         verify_session(self.lines)
 
+    def test_a_request_that_waits_does_not_outlive_its_key(self) -> None:
+        for name in ("first", "second", "third"):
+            self.submit(name, key_digest=KEY_DIGEST)
+        withdrawn = CONFIGURATION.model_copy(
+            update={"withdrawn_keys": CONFIGURATION.teams[TeamId("a")].keys}
+        )
+        self.engine.configure(withdrawn)
+        self.assertFalse(any(isinstance(e, Dispatch) for e in self.end("a1", ANSWERED)))
+        (refused,) = [each for each in self.tick(0.05) if isinstance(each, Refuse)]
+        self.assertEqual((refused.request_id, refused.status), ("third", 401))
+        (late,) = self.submit("late", key_digest=KEY_DIGEST)
+        self.assertEqual((late.status, late.fate.value), (401, "not_run"))
+        verify_session(self.lines)
+
     def test_a_resumed_task_keeps_its_token_over_a_busy_server(self) -> None:
         self.submit("job")
         token = AttemptEnded(AttemptId("a1"), AttemptOutcome.CHECKPOINTED, resume_token="t-1")
--- a/toucandoor/adapters/caller_http.py
+++ b/toucandoor/adapters/caller_http.py
@@ -17,6 +17,7 @@
 from toucandoor.adapters.idempotency import Claim
 from toucandoor.adapters.wsgi import respond
 from toucandoor.core.attempts.models import FetchAnswer
+from toucandoor.core.keys import secret_digest
 from toucandoor.core.requests.models import (
     Answer,
     AttemptEnded,
@@ -123,7 +124,7 @@
         queue_id = _queue_of(environ)
         if self._view.stopping():
             raise _BadRequestError(503, "this entry is stopping", "entry.stop")
-        team = self._team(environ, queue_id)
+        team, key_digest = self._team(environ, queue_id)
         request_class = _request_class(environ)
         idempotent = _flag(environ, ATTR_IDEMPOTENT)
         now_s = self._clock.monotonic_s()
@@ -138,10 +139,12 @@
             deadline_s=now_s + min(deadline_s or 0.0, DEADLINE_S_MAX),
             idempotency_key=environ.get(ATTR_IDEMPOTENCY_KEY),
             declared_run_s=_seconds(environ, ATTR_RUN_S, None),
+            key_digest=key_digest,
             preempt_how=_preempt_how(environ, request_class, idempotent),
         )
 
-    def _team(self, environ: Environ, queue_id: QueueId) -> TeamId | None:
+    def _team(self, environ: Environ, queue_id: QueueId) -> tuple[TeamId, str] | tuple[None, None]:
+        """Return the team and the digest of its key, or nothing where none is needed."""
         keys = self._view.keys()
         if keys is None:
             raise _BadRequestError(503, "no configuration yet", "entry.configuration")
@@ -151,14 +154,14 @@
         scheme, _, secret = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
         if not secret:
             if open_to_all:
-                return None
+                return None, None
             raise _BadRequestError(401, "this queue needs a team's key", "admission.key")
         if scheme.lower() != "bearer":
             raise _BadRequestError(401, "Authorization must be of kind Bearer", "admission.key")
         team = keys.team_of(secret.strip())
         if team is None:
             raise _BadRequestError(401, "unknown or withdrawn key", "admission.key")
-        return team
+        return team, secret_digest(secret.strip())
 
     def _serve(
         self, request: Request, body: bytes, environ: Environ, start_response: StartResponse
--- a/toucandoor/core/keys.py
+++ b/toucandoor/core/keys.py
@@ -30,3 +30,7 @@
     def team_of(self, secret: str) -> TeamId | None:
         """Return the team a secret works for, None for an unknown or withdrawn one."""
         return self._team_of.get(secret_digest(secret))
+
+    def works_for(self, digest: str, team: TeamId) -> bool:
+        """Return whether the secret of this digest still works for a team."""
+        return self._team_of.get(digest) == team
--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -23,6 +23,7 @@
     TaskWord,
 )
 from toucandoor.core.attempts.tracker import AttemptTracker
+from toucandoor.core.keys import KeyRing
 from toucandoor.core.requests.commands import ProbeServer, ServerProbed
 from toucandoor.core.requests.const import START_WITHIN_S
 from toucandoor.core.requests.models import (
@@ -100,6 +101,8 @@
         self._new_attempt_id = new_attempt_id
         self._admission = admission or OpenAdmission()
         self._configuration: Configuration | None = None
+        self._keys: KeyRing | None = None
+        self._keys_changed = False
         self._queues: dict[QueueId, QueuePolicy] = {}
         self._requests: dict[RequestId, _Waiting] = {}
         self._tracker = tracker or AttemptTracker(RetryBudget(Random(0)), routing.is_healthy)
@@ -107,6 +110,8 @@
     def configure(self, configuration: Configuration, now_s: float = 0.0) -> None:
         """Put a configuration in force; waiting requests stay."""
         self._configuration = configuration
+        self._keys = KeyRing(configuration)
+        self._keys_changed = True
         self._admission.configure(configuration, now_s)
         for queue_id, queue in configuration.queues.items():
             if queue_id not in self._queues:
@@ -166,6 +171,8 @@
         team = self._configuration.teams.get(request.team) if self._configuration else None
         if team is None:
             return self._refuse(request, 403, "no such team", "admission.team")
+        if not self._key_works(request):
+            return self._refuse(request, 401, "the key was withdrawn", "admission.key")
         if team.ceiling_running == 0:
             return self._refuse(request, 429, "the team's ceiling is 0", "admission.ceiling")
         return None
@@ -223,9 +230,30 @@
         home = self._configuration.queues[request.queue].pool
         return self._admission.pools_for(request, home, now_s)
 
+    def _key_works(self, request: Request) -> bool:
+        if request.team is None or request.key_digest is None or self._keys is None:
+            return True
+        return self._keys.works_for(request.key_digest, request.team)
+
+    def _refuse_withdrawn(self) -> list[EngineDecision]:
+        """Give up the waiting requests whose key a new configuration has withdrawn."""
+        if not self._keys_changed:
+            return []
+        self._keys_changed = False
+        decisions: list[EngineDecision] = []
+        for request in [each.request for each in self._requests.values()]:
+            if self._key_works(request):
+                continue
+            if self._queues[request.queue].cancel(request.request_id) is not None:
+                reason = "the key was withdrawn"
+                decisions.append(self._refuse(request, 401, reason, "admission.key"))
+        return decisions
+
     def _may_run(self, request: Request, now_s: float) -> bool:
         if request.team is None:
             return True
+        if not self._key_works(request):
+            return False
         return self._lease.holds(now_s) and self._permits.may_take(request.team, now_s)
 
     def _dispatch(self, request: Request, now_s: float) -> Dispatch | None:
@@ -325,7 +353,7 @@
         return [Refuse(request_id, 503, reason, Fate.UNKNOWN, "admission.cancel"), *decisions]
 
     def _tick(self, now_s: float) -> list[EngineDecision]:
-        decisions: list[EngineDecision] = []
+        decisions = self._refuse_withdrawn()
         for server in self._routing.due_for_probe(now_s):
             decisions.append(ProbeServer(server.vm, server.address))
         for queue in self._queues.values():
--- a/toucandoor/core/requests/models.py
+++ b/toucandoor/core/requests/models.py
@@ -80,6 +80,7 @@
     Attributes:
         team: Team whose key came with it; None on queues open to all.
         idempotent: Whether it may be sent again when its fate is unknown.
+        key_digest: Digest of the key's secret; the key must still work when the request starts.
         arrived_s: Monotonic time of arrival.
         deadline_s: Monotonic time after which the caller no longer wants it to start or run.
         idempotency_key: The caller's own id of this submission, the same when it repeats it.
@@ -96,6 +97,7 @@
     deadline_s: float
     idempotency_key: str | None = None
     declared_run_s: float | None = None
+    key_digest: str | None = None
     preempt_how: PreemptHow | None = None
 
 
