Tell operators what a command waits for; start both programs by one function

Excluded: progress from the command line's own clock; it cannot say what is awaited. Change: a line a second with the entries that are awaited; programs/starting.py; settings and figures of the virtual fleet in a module of their own. Before: standard error empty.

--- a/tests/core/maintenance/test_promises.py
+++ b/tests/core/maintenance/test_promises.py
@@ -15,7 +15,8 @@
 from toucandoor.core.maintenance.models import DrainVm
 from toucandoor.core.maintenance.wave import WavePlanner
 from toucandoor.fakes.fleets import OBERLAND, SMALL, WHISTLELINE
-from toucandoor.measures._fleet_run import FleetRun, RunSettings
+from toucandoor.measures._fleet_models import RunSettings
+from toucandoor.measures._fleet_run import FleetRun
 from toucandoor.measures.budget_breach import CASES, CheckThenAct, breaches
 
 
--- a/tests/core/maintenance/test_session.py
+++ b/tests/core/maintenance/test_session.py
@@ -9,7 +9,8 @@
 from toucandoor.core.maintenance.models import AskVm
 from toucandoor.core.pools.models import Swap, assignment_key, decode_map
 from toucandoor.fakes.fleets import SMALL
-from toucandoor.measures._fleet_run import FleetRun, RunSettings
+from toucandoor.measures._fleet_models import RunSettings
+from toucandoor.measures._fleet_run import FleetRun
 
 if TYPE_CHECKING:
     from toucandoor.core.maintenance.planner import PlannerDecision
--- a/tests/programs/test_in_force.py
+++ b/tests/programs/test_in_force.py
@@ -74,6 +74,7 @@
         started_s = time.monotonic()
         withdrawn = self.path.operate("key", "withdraw", "a-1", "--json")
         reply = json.loads(withdrawn.stdout)
+        self.assertIn("dc-1/entry-2: no answer", withdrawn.stderr)
         if withdrawn.returncode == 1:
             self.assertEqual([p["entry"] for p in reply["pending"]], ["entry-2"])
             self._wait(lambda: not self._status(0)["pending"], 10.0)
--- a/toucandoor/measures/budget_breach.py
+++ b/toucandoor/measures/budget_breach.py
@@ -7,7 +7,8 @@
 
 from toucandoor.core.maintenance.wave import WavePlanner
 from toucandoor.fakes.fleets import OBERLAND, WHISTLELINE
-from toucandoor.measures._fleet_run import FleetRun, RunFigures, RunSettings
+from toucandoor.measures._fleet_models import RunFigures, RunSettings
+from toucandoor.measures._fleet_run import FleetRun
 from toucandoor.measures.result import Figures, MeasureResult
 
 if TYPE_CHECKING:
--- a/toucandoor/measures/planner_cost.py
+++ b/toucandoor/measures/planner_cost.py
@@ -7,7 +7,8 @@
 
 from toucandoor.core.pools.models import assignment_key
 from toucandoor.fakes.fleets import TARGET, FleetSize, data_centres
-from toucandoor.measures._fleet_run import FleetRun, RunSettings, _Controller
+from toucandoor.measures._fleet_models import RunSettings
+from toucandoor.measures._fleet_run import FleetRun, _Controller
 from toucandoor.measures.result import Figures, MeasureResult
 
 if TYPE_CHECKING:
--- a/toucandoor/measures/rollout_time.py
+++ b/toucandoor/measures/rollout_time.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.fakes.fleets import SIZES, TARGET
-from toucandoor.measures._fleet_run import FleetRun, RunSettings
+from toucandoor.measures._fleet_models import RunSettings
+from toucandoor.measures._fleet_run import FleetRun
 from toucandoor.measures.result import Figures, MeasureResult
 
 if TYPE_CHECKING:
--- a/toucandoor/programs/controller.py
+++ b/toucandoor/programs/controller.py
@@ -6,8 +6,7 @@
 import logging
 import threading
 import time
-from pathlib import Path
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Any
 
 import typer
 from websockets.asyncio.server import ServerConnection, serve
@@ -19,7 +18,6 @@
 from toucandoor.adapters.fleet_task import ServiceView, make_fleet, vm_states
 from toucandoor.adapters.in_force_task import InForceTask
 from toucandoor.adapters.link import Link, authenticate
-from toucandoor.adapters.logs import set_up_logs
 from toucandoor.adapters.metrics import make_ops_app
 from toucandoor.adapters.operator_api import OperatorApi
 from toucandoor.adapters.settings import ControllerSettings, split_address
@@ -30,7 +28,7 @@
 from toucandoor.adapters.wsgi import make_server
 from toucandoor.ceiling_messages import CeilingMail
 from toucandoor.clock import SystemClock
-from toucandoor.exceptions import MessageError, SettingsError
+from toucandoor.exceptions import MessageError
 from toucandoor.ids import ConfigVersion, IncarnationId
 from toucandoor.messages import (
     MESSAGE_BYTES_MAX,
@@ -40,6 +38,7 @@
     ExplainAnswer,
     Hello,
     Message,
+    OperatorProgress,
     OperatorRequest,
     ServiceReport,
     VmState,
@@ -54,12 +53,14 @@
     PeerPoll,
     PeerPollAnswer,
 )
+from toucandoor.programs.starting import PrintSettingsOption, SettingsFileOption, start
 
 if TYPE_CHECKING:
     from websockets.http11 import Request, Response
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "controller:"
+_PROGRESS_PERIOD_S = 1.0
 
 
 class Controller:
@@ -226,7 +227,22 @@
     async def _async_operator(self, link: Link) -> None:
         async for message in link.async_messages():
             if isinstance(message, OperatorRequest):
-                await link.async_send(await self._operators.async_handle(message, link.peer))
+                await self._async_command(link, message)
+
+    async def _async_command(self, link: Link, request: OperatorRequest) -> None:
+        """Carry out a command, telling the operator meanwhile what it waits for."""
+        work = asyncio.create_task(self._operators.async_handle(request, link.peer))
+        while not (await asyncio.wait({work}, timeout=_PROGRESS_PERIOD_S))[0]:
+            await link.async_send(OperatorProgress(self._progress()))
+        await link.async_send(work.result())
+
+    def _progress(self) -> str:
+        awaited = [
+            f"{each.data_centre}/{each.entry}: {each.reason.value}"
+            for entries in self._in_force.pending().values()
+            for each in entries
+        ]
+        return "waiting for " + ("; ".join(awaited) or "the store")
 
     async def _async_announce(self, head: Head | None) -> None:
         self._in_force.take_record(self._configuration.record)
@@ -287,22 +303,10 @@
 
 
 def _command(
-    settings_file: Annotated[Path | None, typer.Option("--settings", help="TOML file.")] = None,
-    print_settings: Annotated[
-        bool, typer.Option(help="Print the settings with secrets masked and exit.")
-    ] = False,
+    settings_file: SettingsFileOption = None, print_settings: PrintSettingsOption = False
 ) -> None:
     """Run the control path of one entry VM."""
-    try:
-        settings = ControllerSettings.load(settings_file)
-    except SettingsError as err:
-        typer.echo(str(err), err=True)
-        raise typer.Exit(2) from err
-    if print_settings:
-        typer.echo(settings.printable())
-        return
-    set_up_logs(settings.program, settings.log_level)
-    asyncio.run(_async_main(settings))
+    start(ControllerSettings, settings_file, print_settings, _async_main)
 
 
 async def _async_main(settings: ControllerSettings) -> None:
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -7,9 +7,8 @@
 import threading
 import time
 import uuid
-from pathlib import Path
 from random import Random
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING
 
 import typer
 
@@ -21,7 +20,6 @@
 from toucandoor.adapters.entry_ceilings import EntryCeilings
 from toucandoor.adapters.errands import Errands
 from toucandoor.adapters.idempotency import IdempotencyGuard
-from toucandoor.adapters.logs import set_up_logs
 from toucandoor.adapters.metrics import EntryMetrics, make_ops_app
 from toucandoor.adapters.settings import EntrySettings
 from toucandoor.adapters.stopping import StopSignal
@@ -41,9 +39,9 @@
 from toucandoor.core.requests.engine import RequestEngine
 from toucandoor.core.requests.models import BackendServer
 from toucandoor.core.routing.shared_load import SharedLoadRouting
-from toucandoor.exceptions import SettingsError
 from toucandoor.ids import AttemptId, QueueId, VmId
 from toucandoor.messages import VmState
+from toucandoor.programs.starting import PrintSettingsOption, SettingsFileOption, start
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -203,22 +201,10 @@
 
 
 def _command(
-    settings_file: Annotated[Path | None, typer.Option("--settings", help="TOML file.")] = None,
-    print_settings: Annotated[
-        bool, typer.Option(help="Print the settings with secrets masked and exit.")
-    ] = False,
+    settings_file: SettingsFileOption = None, print_settings: PrintSettingsOption = False
 ) -> None:
     """Take callers' requests and run them on backend servers."""
-    try:
-        settings = EntrySettings.load(settings_file)
-    except SettingsError as err:
-        typer.echo(str(err), err=True)
-        raise typer.Exit(2) from err
-    if print_settings:
-        typer.echo(settings.printable())
-        return
-    set_up_logs(settings.program, settings.log_level)
-    asyncio.run(_async_main(settings))
+    start(EntrySettings, settings_file, print_settings, _async_main)
 
 
 async def _async_main(settings: EntrySettings) -> None:
