Give up the requests of a queue that operators remove

Cause: the engine kept the queues of earlier configurations and looked their pools up in the present one: after a queue was removed every event failed with KeyError, and nothing was decided any more (found by reading as a newcomer; test_requests_of_a_queue_that_is_removed_are_given_up failed so). Excluded: keeping removed queues until they are empty; their requests could wait for ever. Change: at a new configuration the waiting requests of removed queues get 404, not run, and those whose key was withdrawn 401, with the next event; a request that comes back to a removed queue too.

--- a/tests/core/requests/test_engine.py
+++ b/tests/core/requests/test_engine.py
@@ -19,6 +19,7 @@
 from toucandoor.core.requests.commands import EngineEvent, ServerProbed
 from toucandoor.core.requests.engine import RequestEngine
 from toucandoor.core.requests.models import (
+    Answer,
     AttemptEnded,
     AttemptOutcome,
     BackendServer,
@@ -125,13 +126,29 @@
             update={"withdrawn_keys": CONFIGURATION.teams[TeamId("a")].keys}
         )
         self.engine.configure(withdrawn)
-        self.assertFalse(any(isinstance(e, Dispatch) for e in self.end("a1", ANSWERED)))
-        (refused,) = [each for each in self.tick(0.05) if isinstance(each, Refuse)]
+        after = [*self.end("a1", ANSWERED), *self.tick(0.05)]
+        self.assertFalse(any(isinstance(each, Dispatch) for each in after))
+        (refused,) = [each for each in after if isinstance(each, Refuse)]
         self.assertEqual((refused.request_id, refused.status), ("third", 401))
         (late,) = self.submit("late", key_digest=KEY_DIGEST)
         self.assertEqual((late.status, late.fate.value), (401, "not_run"))
         verify_session(self.lines)
 
+    def test_requests_of_a_queue_that_is_removed_are_given_up(self) -> None:
+        for name in ("first", "second", "third"):
+            self.submit(name)
+        self.engine.configure(CONFIGURATION.model_copy(update={"queues": {}}))
+        (refused,) = self.tick(0.05)
+        self.assertEqual(
+            (refused.request_id, refused.status, refused.fate.value), ("third", 404, "not_run")
+        )
+        answered = self.end("a1", ANSWERED)
+        self.assertIn(Answer(RequestId("first"), AttemptId("a1")), answered)
+        requeued = [*self.end("a2", AttemptOutcome.BUSY), *self.tick(0.05)]
+        (gone,) = [each for each in requeued if isinstance(each, Refuse)]
+        self.assertEqual((gone.request_id, gone.status), ("second", 404))
+        verify_session(self.lines)
+
     def test_a_resumed_task_keeps_its_token_over_a_busy_server(self) -> None:
         self.submit("job")
         token = AttemptEnded(AttemptId("a1"), AttemptOutcome.CHECKPOINTED, resume_token="t-1")
--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -102,7 +102,7 @@
         self._admission = admission or OpenAdmission()
         self._configuration: Configuration | None = None
         self._keys: KeyRing | None = None
-        self._keys_changed = False
+        self._given_up: list[EngineDecision] = []
         self._queues: dict[QueueId, QueuePolicy] = {}
         self._requests: dict[RequestId, _Waiting] = {}
         self._tracker = tracker or AttemptTracker(RetryBudget(Random(0)), routing.is_healthy)
@@ -111,11 +111,14 @@
         """Put a configuration in force; waiting requests stay."""
         self._configuration = configuration
         self._keys = KeyRing(configuration)
-        self._keys_changed = True
         self._admission.configure(configuration, now_s)
         for queue_id, queue in configuration.queues.items():
             if queue_id not in self._queues:
                 self._queues[queue_id] = self._make_queue(queue)
+        self._give_up_withdrawn()
+        for queue_id in self._queues.keys() - configuration.queues.keys():
+            self._give_up_waiting(queue_id)
+            del self._queues[queue_id]
 
     def update_servers(self, servers: Iterable[BackendServer], now_s: float) -> None:
         """Replace the list of backend servers."""
@@ -130,6 +133,11 @@
 
     def handle(self, event: EngineEvent, now_s: float) -> list[EngineDecision]:
         """Take one event in and return the decisions that follow, in order."""
+        decisions = self._decide(event, now_s)
+        given_up, self._given_up = self._given_up, []
+        return given_up + decisions
+
+    def _decide(self, event: EngineEvent, now_s: float) -> list[EngineDecision]:
         match event:
             case Submitted(request):
                 return self._submitted(request, now_s)
@@ -235,19 +243,25 @@
             return True
         return self._keys.works_for(request.key_digest, request.team)
 
-    def _refuse_withdrawn(self) -> list[EngineDecision]:
-        """Give up the waiting requests whose key a new configuration has withdrawn."""
-        if not self._keys_changed:
-            return []
-        self._keys_changed = False
-        decisions: list[EngineDecision] = []
+    def _give_up_withdrawn(self) -> None:
+        """Refuse the waiting requests whose key no longer works."""
         for request in [each.request for each in self._requests.values()]:
             if self._key_works(request):
                 continue
-            if self._queues[request.queue].cancel(request.request_id) is not None:
+            queue = self._queues.get(request.queue)
+            if queue is not None and queue.cancel(request.request_id) is not None:
                 reason = "the key was withdrawn"
-                decisions.append(self._refuse(request, 401, reason, "admission.key"))
-        return decisions
+                self._given_up.append(self._refuse(request, 401, reason, "admission.key"))
+
+    def _give_up_waiting(self, queue_id: QueueId) -> None:
+        """Refuse the requests that wait in a queue that is being removed."""
+        queue = self._queues[queue_id]
+        for request in [each.request for each in self._requests.values()]:
+            if request.queue == queue_id and queue.cancel(request.request_id) is not None:
+                self._given_up.append(self._refuse_without_queue(request))
+
+    def _refuse_without_queue(self, request: Request) -> Refuse:
+        return self._refuse(request, 404, "the queue was removed", "admission.queue")
 
     def _may_run(self, request: Request, now_s: float) -> bool:
         if request.team is None:
@@ -322,9 +336,14 @@
 
     def _put_back(self, decision: Requeue, now_s: float) -> None:
         waiting = self._requests.get(decision.request_id)
-        if waiting is not None:
-            waiting.again = decision
-            self._queues[waiting.request.queue].put_back(waiting.request, now_s)
+        if waiting is None:
+            return
+        waiting.again = decision
+        queue = self._queues.get(waiting.request.queue)
+        if queue is None:
+            self._given_up.append(self._refuse_without_queue(waiting.request))
+            return
+        queue.put_back(waiting.request, now_s)
 
     def _probed(self, event: ServerProbed, now_s: float) -> list[EngineDecision]:
         if not event.reached:
@@ -353,7 +372,7 @@
         return [Refuse(request_id, 503, reason, Fate.UNKNOWN, "admission.cancel"), *decisions]
 
     def _tick(self, now_s: float) -> list[EngineDecision]:
-        decisions = self._refuse_withdrawn()
+        decisions: list[EngineDecision] = []
         for server in self._routing.due_for_probe(now_s):
             decisions.append(ProbeServer(server.vm, server.address))
         for queue in self._queues.values():
