Leave a VM that drains by its own word alone

Excluded: routing; its leaving word came within a second and was withdrawn only after the undrain. Change: a VM reports the fencing number of the order that drains it, and only ordered drains are undone.

--- a/tests/core/maintenance/test_log_and_reasons.py
+++ b/tests/core/maintenance/test_log_and_reasons.py
@@ -8,6 +8,7 @@
 
 from toucandoor.clock import ManualClock
 from toucandoor.core.maintenance.const import LOG_SEGMENT_MAX_BYTES, LOG_SEGMENTS_KEPT
+from toucandoor.core.maintenance.drain import stray_drains
 from toucandoor.core.maintenance.event_log import (
     LogRead,
     Segment,
@@ -18,7 +19,12 @@
     segment_key,
     summary_key,
 )
-from toucandoor.core.maintenance.models import MaintenanceSettings, ServiceSignals, VmReport
+from toucandoor.core.maintenance.models import (
+    MaintenanceSettings,
+    ServiceSignals,
+    UndrainVm,
+    VmReport,
+)
 from toucandoor.core.maintenance.orders import MaintainOrder, OrderSession
 from toucandoor.core.maintenance.signals import SignalGate
 from toucandoor.core.maintenance.urgent_starts import UrgentStarts
@@ -202,3 +208,14 @@
         starts.started(late=False, now_s=5.0)
         self.assertEqual(starts.counts(6.0), (2, 1))
         self.assertEqual(starts.counts(11.0), (1, 0))
+
+
+class StrayDrainTest(unittest.TestCase):
+    def test_only_drains_that_a_planner_ordered_are_undone(self) -> None:
+        record = first_map(_CONFIGURATION, 1, _DC)
+        own, ordered, *_ = sorted(record.vms)
+        reports = {
+            own: VmReport(own, "b", draining=True, fence=4),
+            ordered: VmReport(ordered, "b", draining=True, fence=4, drain_fence=4),
+        }
+        self.assertEqual(stray_drains(record, reports, 5), [UndrainVm(ordered, "b", 5)])
--- a/toucandoor/adapters/worker_admin.py
+++ b/toucandoor/adapters/worker_admin.py
@@ -57,6 +57,7 @@
                 bool(status["draining"]),
                 running,
                 int(status["fence"]),
+                int(status.get("drain_fence", 0)),
             )
         except (urllib3.exceptions.HTTPError, ValueError, KeyError, TypeError) as err:
             _LOGGER.info("%s no answer from %s at %s: %s", _PREFIX, vm, address, err)
--- a/toucandoor/core/maintenance/drain.py
+++ b/toucandoor/core/maintenance/drain.py
@@ -92,12 +92,13 @@
 ) -> list[VmAct]:
     """Return the acts that undo drains of VMs which their record has in service.
 
-    Such a drain was sent by a controller that was frozen on the way and woke up too late.
+    Such a drain was sent by a controller that was frozen on the way and woke up too late. A VM that
+    drains by its own word, or by somebody else's, is leaving and is left alone.
     """
     return [
         UndrainVm(vm_id, report.boot, fence)
         for vm_id, report in sorted(reports.items())
-        if report.draining and vm_id in record.vms and not record.vms[vm_id].planned_out
+        if report.drain_fence > 0 and vm_id in record.vms and not record.vms[vm_id].planned_out
     ]
 
 
--- a/toucandoor/core/maintenance/models.py
+++ b/toucandoor/core/maintenance/models.py
@@ -99,6 +99,7 @@
         boot: Changes with each boot of the VM.
         fence: Highest fencing number of an act the VM has taken in this boot.
         healthy: Whether its health check passed.
+        drain_fence: Fencing number of the order that drains it; 0 when it drains by its own word.
     """
 
     vm: VmId
@@ -107,6 +108,7 @@
     draining: bool = False
     running: tuple[RunningTask, ...] = ()
     fence: int = 0
+    drain_fence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/toucandoor/fakes/virtual_vm.py
+++ b/toucandoor/fakes/virtual_vm.py
@@ -47,6 +47,7 @@
     boots: int = 1
     fence: int = 0
     draining: bool = False
+    drain_fence: int = 0
     down_until_s: float = float("-inf")
     tasks: dict[str, tuple[float, bool]] = field(default_factory=dict)
     tasks_cut: int = 0
@@ -80,7 +81,10 @@
         self.tasks = {name: task for name, task in self.tasks.items() if task[0] > now_s}
         running = tuple(RunningTask(name, can) for name, (_, can) in sorted(self.tasks.items()))
         healthy = not (self.fault is VmFault.FAILS_PROBES and self.boots > 1)
-        return VmReport(self.vm, self.boot, healthy, self.draining, running, self.fence)
+        drain_fence = self.drain_fence if self.draining else 0
+        return VmReport(
+            self.vm, self.boot, healthy, self.draining, running, self.fence, drain_fence
+        )
 
     def take(self, act: VmAct, now_s: float) -> bool:
         """Carry an act out; False when the VM is down or refuses it."""
@@ -96,7 +100,7 @@
                 self.fence = max(act.fence, self.fence)
         match act:
             case DrainVm():
-                self.draining = True
+                self.draining, self.drain_fence = True, act.fence
             case UndrainVm():
                 self.draining = False
             case CheckpointTask(task_id=task_id):
--- a/toucandoor/fakes/worker.py
+++ b/toucandoor/fakes/worker.py
@@ -68,6 +68,7 @@
         self.vm = vm
         self.slots = slots
         self.draining = False
+        self._drain_fence = 0
         self.fail_all = False
         self.cross_answers = False
         self._up_since_s = time.monotonic()
@@ -265,6 +266,7 @@
                 return "sent under an earlier lease"
             self._fence = int(asked.get("fence", self._fence))
             self.draining = what == "drain"
+            self._drain_fence = int(asked.get("fence", 0)) if self.draining else 0
             if what == "reboot":
                 self._reboot()
             return ""
@@ -286,6 +288,7 @@
                 "draining": self.draining,
                 "boot": self._boot,
                 "fence": self._fence,
+                "drain_fence": self._drain_fence,
                 "running": [
                     {
                         "id": t.task_id,
