--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -38,6 +37,7 @@
     Submitted,
     Tick,
 )
+from toucandoor.core.requests.waiting import StartPlace, WaitingRequest
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -47,32 +47,11 @@
     from toucandoor.core.configuration.models import Configuration, QueueConfig
     from toucandoor.core.leases.serving import ServingLease
     from toucandoor.core.requests.commands import EngineDecision, EngineEvent
-    from toucandoor.core.requests.models import BackendServer, RequestClass
+    from toucandoor.core.requests.models import BackendServer
     from toucandoor.core.routing.policy import RoutingPolicy
     from toucandoor.ids import AttemptId, PoolId, QueueId, RequestId
 
 
-@dataclass(slots=True)
-class _Waiting:
-    """A request without a final answer, and what its attempts so far ask for."""
-
-    request: Request
-    again: Requeue | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class _Place:
-    """Where a request may start; equal for requests that find room in the same places.
-
-    Attributes:
-        only: The request, when it avoids servers it has failed on.
-    """
-
-    only: RequestId | None
-    request_class: RequestClass
-    pools: tuple[PoolId, ...]
-
-
 class RequestEngine:
     """Decides over all requests of one entry.
 
@@ -104,7 +83,7 @@
         self._keys: KeyRing | None = None
         self._given_up: list[EngineDecision] = []
         self._queues: dict[QueueId, QueuePolicy] = {}
-        self._requests: dict[RequestId, _Waiting] = {}
+        self._requests: dict[RequestId, WaitingRequest] = {}
         self._tracker = tracker or AttemptTracker(RetryBudget(Random(0)), routing.is_healthy)
 
     def configure(self, configuration: Configuration, now_s: float = 0.0) -> None:
@@ -161,7 +140,7 @@
         refusal = self._check_team(request, now_s)
         if refusal is not None:
             return [refusal]
-        self._requests[request.request_id] = _Waiting(request)
+        self._requests[request.request_id] = WaitingRequest(request)
         if not queue.offer(request, now_s):
             return [
                 self._refuse(
@@ -189,7 +168,7 @@
         decisions: list[EngineDecision] = []
         queue = self._queues[queue_id]
         set_aside: list[Request] = []
-        no_room: set[_Place] = set()
+        no_room: set[StartPlace] = set()
         while True:
             request = queue.next(now_s, lambda each: self._may_start(each, now_s, no_room))
             if request is None:
@@ -219,7 +198,7 @@
             for decision in self._admission.reclaim(pool, waiting, now_s)
         ]
 
-    def _may_start(self, request: Request, now_s: float, no_room: set[_Place]) -> bool:
+    def _may_start(self, request: Request, now_s: float, no_room: set[StartPlace]) -> bool:
         again = self._requests[request.request_id].again
         if again is not None and now_s < again.not_before_s:
             return False
@@ -228,10 +207,10 @@
         place = self._place(request, now_s)
         return bool(place.pools) and place not in no_room
 
-    def _place(self, request: Request, now_s: float) -> _Place:
+    def _place(self, request: Request, now_s: float) -> StartPlace:
         again = self._requests[request.request_id].again
         only = request.request_id if again and again.exclude else None
-        return _Place(only, request.request_class, tuple(self._pools_for(request, now_s)))
+        return StartPlace(only, request.request_class, tuple(self._pools_for(request, now_s)))
 
     def _pools_for(self, request: Request, now_s: float) -> Iterator[PoolId]:
         assert self._configuration is not None
