End an entry in bounded time, with a final answer for every request

Excluded: leaving the threads behind without an answer; the callers would learn nothing. Change: when the grace is over or a second signal comes, waiting requests are refused as not run, running ones are answered as unknown and their tasks stopped; servers get 2 s to end; what threads still wait for does not hold up the process.

--- a/tests/programs/test_path.py
+++ b/tests/programs/test_path.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import signal
+import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -114,6 +116,21 @@
         unknown = self.path.operate("explain", "request", "entry-2-0", entry=1)
         self.assertIn("not_found", unknown.stderr)
 
+    def test_a_second_signal_ends_an_entry_at_once_with_a_final_answer(self) -> None:
+        entry = self.path.processes["entry-2.entry"]
+        with ThreadPoolExecutor(1) as pool:
+            sent = pool.submit(self.path.request, "open", b'{"run_s": 30}', entry=1)
+            time.sleep(0.7)
+            entry.send(signal.SIGTERM)
+            time.sleep(0.3)
+            entry.send(signal.SIGTERM)
+            self.assertEqual(entry.process.wait(10), 0)
+            problem = json.loads(sent.result(1).data)
+        self.assertEqual((problem["status"], problem["fate"]), (503, "unknown"))
+        self.assertEqual(problem["step"], "entry.stop")
+        entry.start()
+        self.path.wait_ready()
+
     def test_racing_operators_get_a_conflict(self) -> None:
         folder = str(self.path.folder)
         stale = self.path.operate("apply", folder, "--base-version", "99")
--- a/toucandoor/adapters/engine_loop.py
+++ b/toucandoor/adapters/engine_loop.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import queue
 from typing import TYPE_CHECKING
 
 from toucandoor.core.attempts.models import FetchAnswer
-from toucandoor.core.requests.commands import CallerDecision, EngineEvent, ServerDecision
+from toucandoor.core.requests.commands import (
+    CallerDecision,
+    EngineDecision,
+    EngineEvent,
+    ServerDecision,
+)
 from toucandoor.core.requests.journal import RequestJournal
 from toucandoor.core.requests.models import Answer, Dispatch, Refuse, Submitted, Tick
 
@@ -50,6 +56,7 @@
         self._inbox: asyncio.Queue[EngineEvent | Callable[[], None]] = asyncio.Queue()
         self.journal = RequestJournal()
         self._mailboxes: dict[RequestId, Mailbox] = {}
+        self._all_answered = asyncio.Event()
 
     def post(self, event: EngineEvent) -> None:
         """Pass an event on from any thread."""
@@ -65,6 +72,8 @@
     def forget(self, request_id: RequestId) -> None:
         """Drop the mailbox of a request that was answered."""
         self._mailboxes.pop(request_id, None)
+        if not self._mailboxes:
+            self._loop.call_soon_threadsafe(self._all_answered.set)
 
     def call(self, action: Callable[[], None]) -> None:
         """Run an action between two events, from the loop's own thread."""
@@ -93,6 +102,17 @@
             _LOGGER.exception("%s an event failed", _PREFIX)
             return
         self.journal.note(event, decisions, now_s)
+        self._hand_out(decisions)
+
+    async def async_give_up_all(self, within_s: float) -> None:
+        """Give every request its final answer and wait for the callers' threads to pass it on."""
+        self._hand_out(self._engine.give_up_all(self._clock.monotonic_s()))
+        self._all_answered.clear()
+        if self._mailboxes:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._all_answered.wait(), within_s)
+
+    def _hand_out(self, decisions: list[EngineDecision]) -> None:
         for decision in decisions:
             if not isinstance(decision, _TO_CALLER):
                 self._perform(decision)
--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -24,7 +24,7 @@
 from toucandoor.core.attempts.tracker import AttemptTracker
 from toucandoor.core.keys import KeyRing
 from toucandoor.core.requests.commands import ProbeServer, ServerProbed
-from toucandoor.core.requests.const import START_WITHIN_S
+from toucandoor.core.requests.const import START_WITHIN_S, STOP_RETRY_S
 from toucandoor.core.requests.models import (
     Answer,
     AttemptEnded,
@@ -337,18 +337,39 @@
                 decisions.extend(self._start_waiting(queue_id, now_s))
         return decisions + self._reclaim(now_s) if self._configuration else decisions
 
+    def give_up_all(self, now_s: float) -> list[EngineDecision]:
+        """Give every request its final answer, because this entry stops."""
+        reason, step = "this entry is stopping", "entry.stop"
+        decisions: list[EngineDecision] = []
+        # Those that wait go first, so that none takes the place of one that is stopped.
+        for request in [each.request for each in self._requests.values()]:
+            queue = self._queues.get(request.queue)
+            if queue is not None and queue.cancel(request.request_id) is not None:
+                decisions.append(self._refuse(request, 503, reason, step, STOP_RETRY_S))
+        for request_id in list(self._requests):
+            decisions += self._give_up(request_id, now_s, reason, step)
+        return decisions
+
     def _cancelled(self, request_id: RequestId, now_s: float) -> list[EngineDecision]:
+        return self._give_up(request_id, now_s, "cancelled by the caller", "admission.cancel")
+
+    def _give_up(
+        self,
+        request_id: RequestId,
+        now_s: float,
+        reason: str,
+        step: str,
+    ) -> list[EngineDecision]:
         for queue in self._queues.values():
             request = queue.cancel(request_id)
             if request is not None:
-                return [self._refuse(request, 503, "cancelled by the caller", "admission.cancel")]
+                return [self._refuse(request, 503, reason, step)]
         known = self._requests.pop(request_id, None) is not None
         decisions = self._follow(self._tracker.cancelled(request_id, now_s), now_s)
         if not known:
             return decisions
         # Its caller's thread may still be about to send the attempt, and waits for an answer then.
-        reason = "cancelled by the caller"
-        return [Refuse(request_id, 503, reason, Fate.UNKNOWN, "admission.cancel"), *decisions]
+        return [Refuse(request_id, 503, reason, Fate.UNKNOWN, step), *decisions]
 
     def _tick(self, now_s: float) -> list[EngineDecision]:
         decisions: list[EngineDecision] = []
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -23,6 +23,7 @@
 from toucandoor.adapters.metrics import EntryMetrics, make_ops_app
 from toucandoor.adapters.settings import EntrySettings
 from toucandoor.adapters.stopping import StopSignal
+from toucandoor.adapters.threads import async_call
 from toucandoor.adapters.worker_client import WorkerClient
 from toucandoor.adapters.wsgi import make_server
 from toucandoor.clock import SystemClock
@@ -114,12 +115,13 @@
         _LOGGER.info("%s serving at %s", _PREFIX, settings.caller_address)
         await stop.asked.wait()
         await self._async_drain(stop)
+        await self.loop.async_give_up_all(_LEAVE_WITHIN_S)
         await self._ceilings.async_leave(_LEAVE_WITHIN_S)
         await self._link.async_say_goodbye()
         for task in tasks:
             task.cancel()
-        for server in servers:
-            await asyncio.to_thread(server.stop)
+        stopping = [asyncio.create_task(async_call(server.stop)) for server in servers]
+        await asyncio.wait(stopping, timeout=_LEAVE_WITHIN_S)
         _LOGGER.info("%s stopped", _PREFIX)
 
     async def _async_report(self) -> None:
--- a/toucandoor/programs/starting.py
+++ b/toucandoor/programs/starting.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+import os
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, TypeVar
 
@@ -44,6 +46,9 @@
         return
     set_up_logs(settings.program, settings.log_level)
     asyncio.run(_async_serve(serve, settings))
+    logging.shutdown()
+    # All that had to be finished is; a thread that still waits in a call must not hold up the end.
+    os._exit(0)
 
 
 async def _async_serve(serve: Callable[[_S], Awaitable[None]], settings: _S) -> None:
