Log step and peer of every refusal

Excluded: logging the caller's key or its digest. Change: two fields more, one line for each early refusal. Before: no line with a step. After: tests.programs.test_path looks the line of each refusal up by its request id; it and test_bad_input 11 passed. Conclusion: what a caller was told can be found in the logs.

--- a/tests/programs/test_path.py
+++ b/tests/programs/test_path.py
@@ -91,6 +91,12 @@
                     (answer.status, problem["step"], problem["fate"]), (status, step, "not_run")
                 )
                 self.assertEqual(answer.headers["Content-Type"], "application/problem+json")
+                (line,) = [
+                    json.loads(each)
+                    for each in self.path.log("entry-1.entry").splitlines()
+                    if problem["request_id"] in each
+                ]
+                self.assertEqual(line["step"], step)
 
     def test_open_queue_needs_no_key(self) -> None:
         self.assertEqual(self.path.request("open", b"{}").status, 200)
--- a/toucandoor/adapters/caller_http.py
+++ b/toucandoor/adapters/caller_http.py
@@ -113,6 +113,16 @@
             request = self._parse(environ, request_id)
             body = _read_body(environ)
         except _BadRequestError as err:
+            _LOGGER.info(
+                "%s request refused with %s",
+                _PREFIX,
+                err.status,
+                extra={
+                    "request_id": request_id,
+                    "step": err.step,
+                    "peer": environ.get("REMOTE_ADDR", ""),
+                },
+            )
             return _problem(
                 start_response,
                 Refuse(request_id, err.status, err.reason, Fate.NOT_RUN, err.step),
@@ -227,7 +237,7 @@
         self, request: Request, end: WorkerAnswer | Refuse, start_response: StartResponse
     ) -> Iterable[bytes]:
         if isinstance(end, Refuse):
-            self._note_end(request, end.status, end.fate.value)
+            self._note_end(request, end.status, end.fate.value, end.step, end.peer)
             return _problem(start_response, end, end.retry_after_s)
         self._note_end(request, 200, "answered")
         headers = [("Toucandoor-Request-Id", request.request_id)]
@@ -250,7 +260,9 @@
         waited_s = self._clock.monotonic_s() - request.arrived_s
         self._metrics.started(request.team or "", request.request_class.value, waited_s)
 
-    def _note_end(self, request: Request, status: int, fate: str) -> None:
+    def _note_end(
+        self, request: Request, status: int, fate: str, step: str = "", peer: str = ""
+    ) -> None:
         taken_s = self._clock.monotonic_s() - request.arrived_s
         team, kind = request.team or "", request.request_class.value
         self._metrics.answered(team, kind, status, fate, taken_s)
@@ -263,6 +275,8 @@
                 "team": team,
                 "class": kind,
                 "fate": fate,
+                "step": step,
+                "peer": peer,
                 "taken_s": round(taken_s, 4),
             },
         )
