Count running tasks before looking at the most seen so far

Cause: the test's watcher read the most seen so far (6), then counted for some milliseconds, then stored the larger; a reset to 0 in between was overwritten with the old 6. Change: count first, then compare. Conclusion: a fault of the test, not of the permits.

--- a/tests/programs/test_ceilings.py
+++ b/tests/programs/test_ceilings.py
@@ -82,7 +82,9 @@
     def watch(self) -> None:
         while not self.stop.wait(0.02):
             with contextlib.suppress(urllib3.exceptions.HTTPError):
-                self.most = max(self.most, self.running())
+                # Counted first: an older value of most may have been reset during the count.
+                count = self.running()
+                self.most = max(self.most, count)
 
     def send(self, entry: int, count: int, run_s: float) -> None:
         def ask() -> None:
