Take a request out of its queue in one place

Excluded: moving the engine's parts apart further; they share its state. Change: _leave_queue; the cancellation's one-line wrapper goes.

--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -121,7 +121,8 @@
             case Submitted(request):
                 return self._submitted(request, now_s)
             case Cancelled(request_id):
-                return self._cancelled(request_id, now_s)
+                reason, step = "cancelled by the caller", "admission.cancel"
+                return self._give_up(request_id, now_s, reason, step)
             case AttemptEnded():
                 return self._attempt_ended(event, now_s)
             case TaskWord():
@@ -225,20 +226,21 @@
     def _give_up_withdrawn(self) -> None:
         """Refuse the waiting requests whose key no longer works."""
         for request in [each.request for each in self._requests.values()]:
-            if self._key_works(request):
-                continue
-            queue = self._queues.get(request.queue)
-            if queue is not None and queue.cancel(request.request_id) is not None:
+            if not self._key_works(request) and self._leave_queue(request):
                 reason = "the key was withdrawn"
                 self._given_up.append(self._refuse(request, 401, reason, "admission.key"))
 
     def _give_up_waiting(self, queue_id: QueueId) -> None:
         """Refuse the requests that wait in a queue that is being removed."""
-        queue = self._queues[queue_id]
         for request in [each.request for each in self._requests.values()]:
-            if request.queue == queue_id and queue.cancel(request.request_id) is not None:
+            if request.queue == queue_id and self._leave_queue(request):
                 self._given_up.append(self._refuse_without_queue(request))
 
+    def _leave_queue(self, request: Request) -> bool:
+        """Take a request out of its queue; False when it does not wait there."""
+        queue = self._queues.get(request.queue)
+        return queue is not None and queue.cancel(request.request_id) is not None
+
     def _refuse_without_queue(self, request: Request) -> Refuse:
         return self._refuse(request, 404, "the queue was removed", "admission.queue")
 
@@ -343,22 +345,14 @@
         decisions: list[EngineDecision] = []
         # Those that wait go first, so that none takes the place of one that is stopped.
         for request in [each.request for each in self._requests.values()]:
-            queue = self._queues.get(request.queue)
-            if queue is not None and queue.cancel(request.request_id) is not None:
+            if self._leave_queue(request):
                 decisions.append(self._refuse(request, 503, reason, step, STOP_RETRY_S))
         for request_id in list(self._requests):
             decisions += self._give_up(request_id, now_s, reason, step)
         return decisions
 
-    def _cancelled(self, request_id: RequestId, now_s: float) -> list[EngineDecision]:
-        return self._give_up(request_id, now_s, "cancelled by the caller", "admission.cancel")
-
     def _give_up(
-        self,
-        request_id: RequestId,
-        now_s: float,
-        reason: str,
-        step: str,
+        self, request_id: RequestId, now_s: float, reason: str, step: str
     ) -> list[EngineDecision]:
         for queue in self._queues.values():
             request = queue.cancel(request_id)
