--- /dev/null
+++ b/toucandoor/adapters/job_callers.py
@@ -0,0 +1,193 @@
+"""The application that callers of jobs speak to."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final, TypeVar
+
+import msgspec
+
+from toucandoor.adapters.job_desk import WriteOutcome
+from toucandoor.adapters.wsgi import respond, respond_json
+from toucandoor.exceptions import ToucandoorError
+from toucandoor.ids import JobId, TeamId
+from toucandoor.platform.caller_routes import (
+    JobFault,
+    bearer_key,
+    decode_job_body,
+    encode_pending,
+    encode_state,
+    is_job_id,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from toucandoor.adapters.job_desk import JobDesk
+    from toucandoor.adapters.wsgi import Environ, StartResponse
+    from toucandoor.clock import Clock
+    from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
+
+_LOGGER = logging.getLogger(__name__)
+
+_T = TypeVar("_T")
+
+DEADLINE_HEADER: Final = "HTTP_X_TOUCANDOOR_DEADLINE_MS"
+DEFAULT_WAIT_S: Final = 3.0
+"""How long a caller waits that does not say so; the usual timeout of a queue."""
+ANSWER_MARGIN_S: Final = 0.3
+"""Kept back from a caller's wait for the way of the answer."""
+RETRY_AFTER_S: Final = 1
+"""When to come back after the store did not take a job: other entry VMs may reach it, and a retry
+goes to another one."""
+
+
+class _Refused(Exception):  # noqa: N818
+    """Ends a call with a status and a reason."""
+
+    def __init__(self, status: int, reason: str, retry_after_s: int | None = None) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class JobCallers:
+    """WSGI application: jobs handed in, asked about and cancelled."""
+
+    def __init__(
+        self,
+        desk: JobDesk,
+        configuration: Callable[[], JobConfiguration | None],
+        clock: Clock,
+    ) -> None:
+        self._desk = desk
+        self._configuration = configuration
+        self._clock = clock
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one call."""
+        try:
+            body = self._answer(environ)
+        except _Refused as refused:
+            fields = _log_fields(environ) | {"status": refused.status, "reason": refused.reason}
+            _LOGGER.info("callers: refused", extra=fields)
+            headers = []
+            if refused.retry_after_s is not None:
+                headers.append(("Retry-After", str(refused.retry_after_s)))
+            return respond_json(start_response, refused.status, {"error": refused.reason}, headers)
+        return respond(start_response, 200, body, "application/json")
+
+    def _answer(self, environ: Environ) -> bytes:
+        configuration = self._configuration()
+        if configuration is None:
+            raise _Refused(503, "no configuration yet", RETRY_AFTER_S)
+        host = str(environ.get("HTTP_HOST", "")).split(":")[0]
+        path = str(environ.get("PATH_INFO", ""))
+        queue = configuration.queue_for(host, path)
+        if queue is None:
+            raise _Refused(404, "no such queue")
+        team = self._team(environ, configuration, queue)
+        method = str(environ["REQUEST_METHOD"])
+        rest = path.removeprefix(queue.path_prefix)
+        if not rest and method == "GET":
+            return encode_pending(self._read(lambda: self._desk.pending(queue.name)))
+        if not is_job_id(rest):
+            raise _Refused(400, "the path ends in no job id")
+        job_id = JobId(rest)
+        wait_s = _wait_s(environ) - ANSWER_MARGIN_S
+        until_s = self._clock.monotonic_s() + wait_s
+        if method == "POST":
+            return self._submit(environ, configuration, queue, team, job_id, until_s)
+        if method == "GET":
+            return self._state(queue, job_id)
+        if method == "DELETE":
+            return self._cancel(queue, job_id, until_s)
+        raise _Refused(405, "no such method")
+
+    def _team(self, environ: Environ, configuration: JobConfiguration, queue: JobQueue) -> TeamId:
+        key = bearer_key(str(environ.get("HTTP_AUTHORIZATION", "")))
+        team = configuration.team_of(key)
+        if team is None and not queue.public:
+            raise _Refused(401, "unknown key")
+        return team or TeamId("")
+
+    def _submit(
+        self,
+        environ: Environ,
+        configuration: JobConfiguration,
+        queue: JobQueue,
+        team: TeamId,
+        job_id: JobId,
+        until_s: float,
+    ) -> bytes:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > configuration.body_bytes_max:
+            raise _Refused(413, "the body is too large")
+        body = environ["wsgi.input"].read(length)
+        accepted_unix_ms = int(self._clock.now().timestamp() * 1000)
+        try:
+            spec = decode_job_body(body, job_id, queue, team, accepted_unix_ms)
+        except JobFault as fault:
+            raise _Refused(400, fault.reason) from fault
+        outcome = self._desk.submit(spec, until_s)
+        _LOGGER.info(
+            "callers: job %s",
+            outcome.value,
+            extra={
+                "job": job_id,
+                "queue": queue.name,
+                "team": team,
+                "configuration": configuration.version,
+                "steps": len(spec.steps),
+                "tasks": sum(step.count for step in spec.steps),
+            },
+        )
+        _check_outcome(outcome)
+        return b"{}"
+
+    def _state(self, queue: JobQueue, job_id: JobId) -> bytes:
+        status = self._read(lambda: self._desk.status(job_id))
+        if status is None or status.queue != queue.name:
+            raise _Refused(410, "no such job")
+        return encode_state(status.state)
+
+    def _cancel(self, queue: JobQueue, job_id: JobId, until_s: float) -> bytes:
+        status = self._read(lambda: self._desk.status(job_id))
+        if status is None or status.queue != queue.name:
+            raise _Refused(410, "no such job")
+        outcome = self._desk.cancel(job_id, until_s)
+        _LOGGER.info(
+            "callers: cancel %s", outcome.value, extra={"job": job_id, "queue": queue.name}
+        )
+        _check_outcome(outcome)
+        return b"{}"
+
+    def _read(self, action: Callable[[], _T]) -> _T:
+        try:
+            return action()
+        except (ToucandoorError, msgspec.MsgspecError) as err:
+            raise _Refused(503, f"the store does not answer: {err}", RETRY_AFTER_S) from err
+
+
+def _check_outcome(outcome: WriteOutcome) -> None:
+    if outcome is WriteOutcome.NOT_STORED:
+        raise _Refused(503, "the store does not take it; it has not run", RETRY_AFTER_S)
+    if outcome is WriteOutcome.UNKNOWN:
+        raise _Refused(504, "whether it is stored is unknown")
+
+
+def _wait_s(environ: Environ) -> float:
+    try:
+        return float(environ[DEADLINE_HEADER]) / 1000
+    except (KeyError, ValueError):
+        return DEFAULT_WAIT_S
+
+
+def _log_fields(environ: Environ) -> dict[str, str]:
+    return {
+        "method": str(environ.get("REQUEST_METHOD", "")),
+        "host": str(environ.get("HTTP_HOST", "")),
+        "path": str(environ.get("PATH_INFO", "")),
+        "request": str(environ.get("HTTP_REQUEST_ID", "")),
+    }
--- /dev/null
+++ b/toucandoor/adapters/owner_task.py
@@ -0,0 +1,150 @@
+"""Claims the schedule's ownership and, while it holds, runs the scheduler against the platform."""
+
+from __future__ import annotations
+
+import logging
+import random
+import threading
+from typing import TYPE_CHECKING, Final
+from uuid import uuid4
+
+import msgspec
+
+from toucandoor.adapters.owner_term import OwnerTerm
+from toucandoor.core.ownership.lease import (
+    OWNER_KEY,
+    OWNER_TTL_S,
+    OwnerRecord,
+    OwnershipLease,
+    decode_owner,
+    encode_owner,
+)
+from toucandoor.core.records import HistoryLostError, Transaction, TransactionConflictError
+from toucandoor.exceptions import StoreAnswerLostError, ToucandoorError
+from toucandoor.ids import FencingToken
+
+if TYPE_CHECKING:
+    from toucandoor.adapters.owner_term import Surroundings
+    from toucandoor.core.records import Record, StoreLease
+
+_LOGGER = logging.getLogger(__name__)
+
+WATCH_WAIT_S: Final = 1.5
+"""How long a watch of the ownership waits; below its lease, so that a silent connection to the
+store delays a take-over by less than that."""
+RETRY_PAUSE_S: Final = 0.2
+"""Pause after the store did not answer."""
+CLAIM_JITTER_S: Final = 0.04
+"""Claims are spread over this long, ten answers of the store, so that few of them conflict."""
+
+
+class OwnerTask:
+    """Thread that owns the schedule whenever no other entry VM does."""
+
+    def __init__(self, surroundings: Surroundings) -> None:
+        self._around = surroundings
+        self._stop = threading.Event()
+        self._term: OwnerTerm | None = None
+        self._revision: int | None = None
+        self._thread = threading.Thread(target=self._run, name="owner", daemon=True)
+
+    def start(self) -> None:
+        """Begin to watch for the ownership."""
+        self._thread.start()
+
+    def stop(self, timeout_s: float) -> None:
+        """Hand the ownership over and end."""
+        self._stop.set()
+        term = self._term
+        if term is not None:
+            term.stop()
+        self._thread.join(timeout_s)
+
+    @property
+    def owns(self) -> bool:
+        """Whether this process owns the schedule now."""
+        return self._term is not None
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            try:
+                if self._vacant() and not self._stop.is_set():
+                    self._revision = None
+                    self._stop.wait(random.uniform(0, CLAIM_JITTER_S))
+                    self._claim_and_serve()
+            except HistoryLostError:
+                self._revision = None
+            except ToucandoorError as err:
+                _LOGGER.info("owner: the store does not answer: %s", err)
+                self._revision = None
+                self._stop.wait(RETRY_PAUSE_S)
+            except Exception:
+                # A fault of ours must not leave the fleet without an owner for good.
+                _LOGGER.exception("owner: a term broke")
+                self._revision = None
+                self._stop.wait(RETRY_PAUSE_S)
+
+    def _vacant(self) -> bool:
+        """Wait for a change of the ownership where one is known; return whether nobody has it."""
+        store = self._around.store
+        if self._revision is not None:
+            changes = store.watch(OWNER_KEY, self._revision, WATCH_WAIT_S)
+            self._revision = changes.revision
+            if not changes.deleted:
+                return False
+        snapshot = store.read_prefix(OWNER_KEY)
+        self._revision = snapshot.revision
+        return all(record.key != OWNER_KEY for record in snapshot.records)
+
+    def _claim_and_serve(self) -> None:
+        clock = self._around.clock
+        claim = OwnerRecord(self._around.entry_id, uuid4().hex)
+        asked_at_s = clock.monotonic_s()
+        lease = self._around.store.grant_lease(OWNER_TTL_S)
+        token = self._claim(claim, lease)
+        if token is None:
+            self._around.store.end_lease(lease.lease_id)
+            return
+        _LOGGER.info(
+            "owner: this VM owns the schedule",
+            extra={"token": token, "claim_s": clock.monotonic_s() - asked_at_s},
+        )
+        validity = OwnershipLease(clock, asked_at_s, lease.ttl_s)
+        term = OwnerTerm(self._around, token, lease, validity)
+        self._term = term
+        try:
+            if not self._stop.is_set():
+                term.serve()
+        finally:
+            self._term = None
+            self._release(lease)
+
+    def _claim(self, claim: OwnerRecord, lease: StoreLease) -> FencingToken | None:
+        """Write the claim; return its token, None where another VM was first."""
+        value = encode_owner(claim)
+        transaction = Transaction({OWNER_KEY: 0}, {OWNER_KEY: value}, lease_id=lease.lease_id)
+        store = self._around.store
+        try:
+            return FencingToken(store.write(transaction))
+        except TransactionConflictError:
+            return None
+        except StoreAnswerLostError:
+            record = store.read(OWNER_KEY)
+            if record is not None and _is_claim(record, claim):
+                return FencingToken(record.created_revision)
+            raise
+
+    def _release(self, lease: StoreLease) -> None:
+        try:
+            self._around.store.end_lease(lease.lease_id)
+            _LOGGER.info("owner: the ownership is given back")
+        except ToucandoorError as err:
+            _LOGGER.warning("owner: the ownership ends with its lease: %s", err)
+
+
+def _is_claim(record: Record, claim: OwnerRecord) -> bool:
+    try:
+        return decode_owner(record.value) == claim
+    except msgspec.MsgspecError as err:
+        _LOGGER.error("owner: its record cannot be read: %s", err)
+        return False
--- a/toucandoor/clock.py
+++ b/toucandoor/clock.py
@@ -55,3 +55,14 @@
     def advance_to(self, monotonic_s: float) -> None:
         """Move forward to a monotonic time in seconds; an earlier time changes nothing."""
         self._elapsed_s = max(self._elapsed_s, monotonic_s)
+
+
+class BootClock(SystemClock):
+    """Clock whose monotonic time goes on while the VM is suspended.
+
+    Leases end on other machines meanwhile; a clock that stands still would outlive them.
+    """
+
+    def monotonic_s(self) -> float:
+        """Return seconds since the VM's boot, suspended time included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/toucandoor/core/scheduling/placement.py
@@ -0,0 +1,74 @@
+"""Choice of a backend server for a task."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from toucandoor.core.jobs.models import Resources, Step
+    from toucandoor.core.scheduling.progress import StepProgress, Task
+    from toucandoor.core.scheduling.worker_view import WorkerView
+    from toucandoor.ids import WorkerId
+
+
+def allowed_workers(
+    workers: Iterable[WorkerView], step: StepProgress, now_s: float
+) -> list[WorkerView]:
+    """Return the backend servers that may run tasks of a step, whatever their room."""
+    label = step.step.required_label
+    tickets = step.advice.tickets if step.advice is not None else None
+    return [
+        worker
+        for worker in workers
+        if worker.usable(now_s)
+        and (not label or label in worker.entry.labels)
+        and (tickets is None or worker.entry.worker_id in tickets)
+    ]
+
+
+def choose_worker(
+    allowed: Sequence[WorkerView],
+    step: StepProgress,
+    task: Task,
+    on_worker: dict[WorkerId, int],
+) -> WorkerView | None:
+    """Choose a backend server with room for a task, None where there is none.
+
+    Args:
+        allowed: Servers that may run the step.
+        step: The step.
+        task: The task.
+        on_worker: Tasks of this step by server, for the bound per server.
+    """
+    needs = step.step.room
+    bound = step.step.per_worker_max
+    fitting = [
+        worker
+        for worker in allowed
+        if needs.fits_in(worker.free)
+        and not (bound and on_worker.get(worker.entry.worker_id, 0) >= bound)
+        and not worker.probing
+    ]
+    if not fitting:
+        return None
+    return min(fitting, key=lambda worker: _cost(worker, step.step, task))
+
+
+def _cost(worker: WorkerView, step: Step, task: Task) -> tuple[bool, bool, float]:
+    """Order servers: where the task has not failed, near its data, then the best fit."""
+    failed_there = worker.entry.worker_id in task.avoid
+    far = bool(step.data_rack) and step.data_rack not in worker.entry.labels
+    spread = step.long_running and not step.uses_leftovers
+    used = _used_ratio(worker.used, worker.entry.capacity)
+    return (failed_there, far, used if spread else -used)
+
+
+def _used_ratio(used: Resources, capacity: Resources) -> float:
+    ratios = [0.0]
+    if capacity.cpu_millicores:
+        ratios.append(used.cpu_millicores / capacity.cpu_millicores)
+    if capacity.memory_mb:
+        ratios.append(used.memory_mb / capacity.memory_mb)
+    return max(ratios)
--- /dev/null
+++ b/toucandoor/core/scheduling/progress.py
@@ -0,0 +1,199 @@
+"""Progress of a job in the memory of the schedule's owner, and its record."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from toucandoor.core.jobs.models import JobState, StepKey, TaskKey
+from toucandoor.core.jobs.records import DoneRecord, ProgressRecord, RunRecord, TaskRecord
+
+if TYPE_CHECKING:
+    from toucandoor.core.jobs.models import JobSpec, Step
+    from toucandoor.core.scheduling.worker_view import Run
+    from toucandoor.core.scheduling.workers import Advice
+    from toucandoor.ids import WorkerId
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task of a step.
+
+    Attributes:
+        key: Which task.
+        step: What it needs.
+        attempt: Highest attempt number used.
+        failed_attempts: Attempts that failed; for a gang, of any of its tasks.
+        done: Whether a run has ended as done.
+        checkpoint: Latest saved progress.
+        runs: Runs that may exist; one but for copies.
+        avoid: Backend servers on which it failed.
+        not_before_s: Earliest time of its next start.
+        away_since_s: For a long-running task, since when it is not fully at work; None while it is.
+    """
+
+    key: TaskKey
+    step: Step
+    attempt: int = 0
+    failed_attempts: set[int] = field(default_factory=set)
+    done: bool = False
+    checkpoint: str = ""
+    runs: list[Run] = field(default_factory=list)
+    avoid: set[WorkerId] = field(default_factory=set)
+    not_before_s: float = 0.0
+    away_since_s: float | None = 0.0
+
+    @property
+    def waiting(self) -> bool:
+        """Whether it needs a run."""
+        return not self.done and not self.runs
+
+
+@dataclass(slots=True, eq=False)
+class StepProgress:
+    """One step of one occurrence.
+
+    Attributes:
+        key: Which step.
+        step: What its tasks need.
+        tasks: Its tasks.
+        undone: Tasks that are not done.
+        advice: What the queue's adviser said last.
+        advice_until_s: How long that holds.
+        advice_in_flight: Whether the adviser is being asked.
+    """
+
+    key: StepKey
+    step: Step
+    tasks: list[Task]
+    undone: int
+    advice: Advice | None = None
+    advice_until_s: float = 0.0
+    advice_in_flight: bool = False
+
+    @property
+    def done(self) -> bool:
+        """Whether all its tasks are done."""
+        return self.undone == 0
+
+
+@dataclass(slots=True, eq=False)
+class JobProgress:
+    """A job and how far it is.
+
+    Attributes:
+        spec: The job.
+        state: What its caller is shown.
+        started: Whether any task has ever started.
+        cancelled: Whether its caller has cancelled it.
+        steps: Steps of the occurrences that have become due.
+        version: Version of the progress in memory.
+        committed_version: Version that is in the store.
+        revision: Revision of its record in the store; 0 before it exists.
+        write_in_flight: Whether a write of its record awaits its answer.
+        dirty: Whether the record in the store is behind.
+        finished_unix_ms: When it reached a final state.
+        arrived_s: When the owner first saw it, on the monotonic clock.
+    """
+
+    spec: JobSpec
+    state: JobState = JobState.QUEUED
+    started: bool = False
+    cancelled: bool = False
+    steps: dict[tuple[int, int], StepProgress] = field(default_factory=dict)
+    version: int = 0
+    committed_version: int = 0
+    revision: int = 0
+    write_in_flight: bool = False
+    dirty: bool = False
+    finished_unix_ms: int = 0
+    arrived_s: float = 0.0
+
+    def step(self, occurrence: int, number: int) -> StepProgress:
+        """Return a step of an occurrence, made when it is first asked for."""
+        found = self.steps.get((occurrence, number))
+        if found is not None:
+            return found
+        step = self.spec.steps[number]
+        key = StepKey(self.spec.job_id, occurrence, number)
+        tasks = [Task(TaskKey(*key, index), step) for index in range(step.count)]
+        made = StepProgress(key, step, tasks, step.count)
+        self.steps[(occurrence, number)] = made
+        return made
+
+    def open_occurrence(self, occurrence: int) -> None:
+        """Make all steps of an occurrence that has become due."""
+        for number in range(len(self.spec.steps)):
+            self.step(occurrence, number)
+
+    def runnable(self, step: StepProgress) -> bool:
+        """Return whether all that a step waits for is done."""
+        occurrence = step.key.occurrence
+        return all(self.step(occurrence, earlier).done for earlier in step.step.after)
+
+    @property
+    def all_done(self) -> bool:
+        """Whether every task of every occurrence is done."""
+        return len(self.steps) == self.spec.occurrences * len(self.spec.steps) and all(
+            step.done for step in self.steps.values()
+        )
+
+    def record(self) -> ProgressRecord:
+        """Return what the store keeps of this."""
+        done: list[DoneRecord] = []
+        tasks: list[TaskRecord] = []
+        if not self.state.final:
+            for step in self.steps.values():
+                finished = tuple(task.key.number for task in step.tasks if task.done)
+                if finished:
+                    done.append(DoneRecord(step.key.occurrence, step.key.step, finished))
+        for step in self.steps.values():
+            for task in step.tasks:
+                if task.runs or (task.attempt and not task.done and not self.state.final):
+                    tasks.append(_task_record(task))
+        return ProgressRecord(
+            state=self.state,
+            queue=self.spec.queue,
+            team=self.spec.team,
+            started=self.started,
+            version=self.version,
+            done=tuple(done),
+            tasks=tuple(tasks),
+            finished_unix_ms=self.finished_unix_ms,
+        )
+
+    def restore(self, record: ProgressRecord, revision: int) -> list[tuple[Task, RunRecord]]:
+        """Take over what the store has, and return the runs that may exist."""
+        self.state = record.state
+        self.started = record.started
+        self.version = self.committed_version = record.version
+        self.revision = revision
+        self.finished_unix_ms = record.finished_unix_ms
+        for done in record.done:
+            step = self.step(done.occurrence, done.step)
+            for index in done.indexes:
+                step.tasks[index].done = True
+            step.undone = sum(not task.done for task in step.tasks)
+        runs: list[tuple[Task, RunRecord]] = []
+        for kept in record.tasks:
+            task = self.step(kept.occurrence, kept.step).tasks[kept.index]
+            task.attempt = kept.attempt
+            task.failed_attempts = set(kept.failed_attempts)
+            task.checkpoint = kept.checkpoint
+            runs += [(task, run) for run in kept.runs]
+        return runs
+
+
+def _task_record(task: Task) -> TaskRecord:
+    return TaskRecord(
+        occurrence=task.key.occurrence,
+        step=task.key.step,
+        index=task.key.number,
+        attempt=task.attempt,
+        failed_attempts=tuple(sorted(task.failed_attempts)),
+        checkpoint=task.checkpoint,
+        runs=tuple(
+            RunRecord(run.key.attempt, run.worker.entry.worker_id, run.worker.entry.born_unix_ms)
+            for run in task.runs
+        ),
+    )
--- /dev/null
+++ b/toucandoor/core/scheduling/queue_order.py
@@ -0,0 +1,69 @@
+"""Order in which waiting steps get room.
+
+Answers demand that goes round the queues in turns, each asking several times what its pool holds
+for some seconds: then some jobs must be late, and it matters which.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from toucandoor.core.jobs.models import JobSpec
+    from toucandoor.core.scheduling.progress import JobProgress, StepProgress
+
+_MS = 1000.0
+
+
+def longest_chain_s(spec: JobSpec) -> float:
+    """Return the estimated length of the longest chain of steps."""
+    ends: list[float] = []
+    for step in spec.steps:
+        begin = max((ends[earlier] for earlier in step.after), default=0.0)
+        ends.append(begin + step.estimate_ms / _MS)
+    return max(ends, default=0.0)
+
+
+def objective_s(spec: JobSpec) -> float:
+    """Return the time after its arrival, or due time, in which a job should be done."""
+    terms = spec.terms
+    return terms.slack_ratio * longest_chain_s(spec) + terms.target_duration_ms / _MS
+
+
+def remaining_chain_s(job: JobProgress, occurrence: int) -> float:
+    """Return the estimated length of what is left of the longest chain of an occurrence."""
+    ends: list[float] = []
+    for number, step in enumerate(job.spec.steps):
+        begin = max((ends[earlier] for earlier in step.after), default=0.0)
+        left = 0.0 if job.step(occurrence, number).done else step.estimate_ms / _MS
+        ends.append(begin + left)
+    return max(ends, default=0.0)
+
+
+def remaining_core_s(job: JobProgress, occurrence: int) -> float:
+    """Return the estimated processor time that an occurrence still needs, in core-seconds."""
+    total = 0.0
+    for number, step in enumerate(job.spec.steps):
+        undone = job.step(occurrence, number).undone
+        total += undone * step.needs.cpu_millicores / _MS * step.estimate_ms / _MS
+    return total
+
+
+def step_rank(job: JobProgress, step: StepProgress, now_unix_ms: float) -> tuple[float, ...]:
+    """Return the sort key of a waiting step; lower comes first.
+
+    Long-running tasks come first: their callers lose by every second they are away. Then jobs that
+    can still meet their objective, by the queue's priority, the least work left first; jobs that
+    can't come last, in the order of their arrival.
+    """
+    spec = job.spec
+    if step.step.long_running:
+        return (0.0, float(spec.terms.priority), float(spec.accepted_unix_ms))
+    occurrence = step.key.occurrence
+    due_ms = spec.first_due_unix_ms + occurrence * spec.interval_ms if spec.timed else 0
+    begin_ms = due_ms or spec.accepted_unix_ms
+    objective_ms = begin_ms + objective_s(spec) * _MS
+    left_ms = remaining_chain_s(job, occurrence) * _MS
+    if now_unix_ms + left_ms > objective_ms:
+        return (2.0, float(spec.terms.priority), float(begin_ms))
+    return (1.0, float(spec.terms.priority), remaining_core_s(job, occurrence))
--- a/toucandoor/ids.py
+++ b/toucandoor/ids.py
@@ -27,3 +27,15 @@
 ConfigVersion = NewType("ConfigVersion", int)
 OperationId = NewType("OperationId", str)
 """Names one change an operator or planner makes, so that a lost answer can be read back."""
+
+JobId = NewType("JobId", str)
+"""Chosen by the caller; the same id handed in twice is one job."""
+
+WorkerId = NewType("WorkerId", str)
+"""One life of a backend server; a restart in place may keep it, with a later boot time."""
+
+StoreLeaseId = NewType("StoreLeaseId", int)
+"""A lease of the platform's store; keys written under it go when it ends."""
+
+FencingToken = NewType("FencingToken", int)
+"""Grows with each change of the schedule's owner; backend servers refuse orders of a lower one."""
--- /dev/null
+++ b/toucandoor/platform/http.py
@@ -0,0 +1,138 @@
+"""The one HTTP client for everything on the platform."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final, TypeVar
+
+import msgspec
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    MaxRetryError,
+    NewConnectionError,
+)
+from urllib3.util import Timeout
+
+from toucandoor.exceptions import ToucandoorError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+CONNECT_TIMEOUT_S: Final = 1.0
+"""Longest wait for a connection: several times the way between data centres, so that a cut shows
+before callers give up."""
+IDLE_CONNECTIONS_MAX: Final = 8
+"""Connections kept to one address; orders, the long poll and reads go on at the same time."""
+
+_NO_DELAY = HTTPConnection.default_socket_options
+_KEEP_ALIVE = [
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+]
+
+_T = TypeVar("_T")
+
+
+class CallNotSentError(ToucandoorError):
+    """No connection could be made; the other side has not seen the call."""
+
+
+class CallUnansweredError(ToucandoorError):
+    """The call went out and no whole answer came back."""
+
+
+class AnswerUnreadableError(ToucandoorError):
+    """The answer's body is not what the protocol says."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole HTTP answer."""
+
+    status: int
+    body: bytes
+    step: str
+    peer: str
+
+    def decode(self, kind: type[_T]) -> _T:
+        """Decode the body.
+
+        Raises:
+            AnswerUnreadableError: It is not of that kind.
+        """
+        try:
+            return msgspec.json.decode(self.body, type=kind)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as err:
+            raise AnswerUnreadableError(str(err), step=self.step, peer=self.peer) from err
+
+
+class PlatformHttp:
+    """Calls by HTTP and JSON over kept connections; repeats nothing by itself."""
+
+    def __init__(self) -> None:
+        self._pool = urllib3.PoolManager(
+            num_pools=2048,
+            maxsize=IDLE_CONNECTIONS_MAX,
+            retries=False,
+            socket_options=[*_NO_DELAY, *_KEEP_ALIVE],
+        )
+
+    def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        *,
+        step: str,
+        timeout_s: float,
+        body: Any = None,
+        query: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Answer:
+        """Make one call.
+
+        Args:
+            method: HTTP method.
+            address: ``IP:port`` of the other side.
+            path: Path of the call.
+            step: Name of the step in errors.
+            timeout_s: Longest wait for each part of the answer.
+            body: Sent as JSON; None for no body.
+            query: Query of the URL.
+            headers: Headers besides the usual.
+
+        Raises:
+            CallNotSentError: No connection was made.
+            CallUnansweredError: No whole answer came.
+        """
+        sent = dict(headers or {})
+        data = None
+        if body is not None:
+            data = msgspec.json.encode(body)
+            sent["Content-Type"] = "application/json"
+        try:
+            response = self._pool.request(
+                method,
+                f"http://{address}{path}",
+                fields=dict(query) if query and method == "GET" else None,
+                body=data,
+                headers=sent,
+                redirect=False,
+                timeout=Timeout(connect=min(timeout_s, CONNECT_TIMEOUT_S), read=timeout_s),
+            )
+        except (NewConnectionError, ConnectTimeoutError) as err:
+            raise CallNotSentError(_reason(err), step=step, peer=address) from err
+        except (HTTPError, OSError) as err:
+            raise CallUnansweredError(_reason(err), step=step, peer=address) from err
+        return Answer(response.status, response.data, step, address)
+
+
+def _reason(err: Exception) -> str:
+    cause = err.reason if isinstance(err, MaxRetryError) and err.reason else err
+    return f"{type(cause).__name__}: {cause}"[:200]
--- /dev/null
+++ b/toucandoor/platform/operator_records.py
@@ -0,0 +1,176 @@
+"""What operators write to the platform's store, as the project's types."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+import msgspec
+
+from toucandoor.core.jobs.configuration import (
+    DEFAULT_BODY_BYTES_MAX,
+    JobConfiguration,
+    JobPool,
+    JobQueue,
+    JobTeam,
+    QueueAdvice,
+)
+from toucandoor.core.jobs.models import Resources
+from toucandoor.core.maintenance.job_waves import WaveOrder
+from toucandoor.ids import ConfigVersion, PoolId, QueueId, TeamId, VmId
+
+_LOGGER = logging.getLogger(__name__)
+
+OPERATOR_PREFIX: Final = "op/"
+CONFIGURATION_KEY: Final = "op/config"
+WAVE_PREFIX: Final = "op/wave/"
+WAVE_STATUS_PREFIX: Final = "status/wave/"
+WORKER_PREFIX: Final = "servers/"
+
+
+class _Advice(msgspec.Struct, frozen=True):
+    decision_ms: float = 0
+    # Time for each server asked about, not a repetition.
+    period_ms: float = 0
+    validity_ms: float = 0
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    service: str
+    host: str = ""
+    prefix: str = "/"
+    public: bool = False
+    priority: int = 0
+    max_attempts: int = 1
+    slack_factor: float = 1.0
+    target_duration_ms: float = 0
+    recommendation: _Advice | None = None
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    # Whether its servers refuse what does not fit; says nothing of admission by us.
+    admission_check: bool = True
+    standby: bool = False
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_body_bytes: int = DEFAULT_BODY_BYTES_MAX
+
+
+class _Room(msgspec.Struct, frozen=True):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Tenant(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: list[str] = []
+    # Jobs a second that are owed to it.
+    weight: float = 1.0
+    upper_bound: _Room = _Room()
+
+
+class _Config(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = _Limits()
+
+
+class _Wave(msgspec.Struct, frozen=True):
+    rollout_wave: int
+    machines: list[str]
+    deadline_s: float
+    # Most machines of the wave that may be down at once.
+    upper_bound: int
+
+
+class _WaveStatus(msgspec.Struct, frozen=True):
+    state: str
+
+
+def decode_configuration(value: bytes) -> JobConfiguration | None:
+    """Decode the operators' configuration, None where it cannot be read."""
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as err:
+        _LOGGER.error("configuration: a version cannot be read: %s", err)
+        return None
+    return JobConfiguration(
+        version=ConfigVersion(config.version),
+        queues={QueueId(route.name): _queue(route) for route in config.routes},
+        pools={
+            PoolId(service.name): JobPool(
+                PoolId(service.name), service.admission_check, service.standby
+            )
+            for service in config.services
+        },
+        teams={TeamId(tenant.name): _team(tenant) for tenant in config.tenants},
+        body_bytes_max=config.limits.max_body_bytes,
+        source=value,
+    )
+
+
+def decode_wave(value: bytes) -> WaveOrder | None:
+    """Decode an operators' wave, None where it cannot be read."""
+    try:
+        wave = msgspec.json.decode(value, type=_Wave)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as err:
+        _LOGGER.error("maintenance: a wave cannot be read: %s", err)
+        return None
+    return WaveOrder(
+        number=wave.rollout_wave,
+        vms=tuple(VmId(machine) for machine in wave.machines),
+        within_s=wave.deadline_s,
+        down_max=wave.upper_bound,
+    )
+
+
+def encode_wave_status(*, completed: bool) -> bytes:
+    """Return the bytes of a wave's status."""
+    return msgspec.json.encode(_WaveStatus("completed" if completed else "in_progress"))
+
+
+def wave_is_completed(value: bytes) -> bool:
+    """Return whether a wave's status says that it is completed."""
+    try:
+        return msgspec.json.decode(value, type=_WaveStatus).state == "completed"
+    except (msgspec.MsgspecError, UnicodeDecodeError) as err:
+        _LOGGER.warning("maintenance: a wave's status cannot be read: %s", err)
+        return False
+
+
+def _queue(route: _Route) -> JobQueue:
+    advice = route.recommendation
+    return JobQueue(
+        name=QueueId(route.name),
+        host=route.host,
+        path_prefix=route.prefix,
+        pool=PoolId(route.service),
+        public=route.public,
+        priority=route.priority,
+        attempts_max=route.max_attempts,
+        slack_ratio=route.slack_factor,
+        target_duration_s=route.target_duration_ms / 1000,
+        advice=(
+            None
+            if advice is None
+            else QueueAdvice(
+                advice.decision_ms / 1000, advice.period_ms / 1000, advice.validity_ms / 1000
+            )
+        ),
+    )
+
+
+def _team(tenant: _Tenant) -> JobTeam:
+    bound = tenant.upper_bound
+    return JobTeam(
+        name=TeamId(tenant.name),
+        keys=frozenset(tenant.api_keys),
+        jobs_per_s=tenant.weight,
+        ceiling=Resources(bound.cpu, bound.mem_mb, bound.gpu),
+    )
--- /dev/null
+++ b/toucandoor/platform/settings.py
@@ -0,0 +1,197 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from toucandoor.exceptions import SettingsError
+from toucandoor.ids import DataCentreId, EntryId
+
+SETTINGS_FILE_VARIABLE: Final = "TOUCANDOOR_NODE_FILE"
+_ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What a process learns of itself and of the platform.
+
+    Attributes:
+        entry_id: Name of the entry VM.
+        data_centre: Its data centre.
+        ip: Its address.
+        caller_address: Where callers connect.
+        ready_address: Where the balancer asks for readiness.
+        peer_port_first: First port that is free for the system's own use.
+        peer_port_last: Last such port.
+        seed_addresses: Control addresses of up to three entry VMs; may be stale.
+        store_address: The platform's store.
+        vm_list_address: The platform's list of machines; empty where there is none.
+        advice_address: The adviser of queues; empty where there is none.
+        memory_bytes_max: Memory beyond which the process is killed.
+        heartbeat_s: Interval of the backend servers' entries.
+        grace_s: Time from the request to stop until the process is killed.
+        lease_s_max: Longest lease of a backend server.
+        kill_timeout_s: Longest time that a stop takes.
+        gang_timeout_s: How long a gang's task waits for the others.
+        visible_s: Time after which an accepted job must be known everywhere.
+        status_kept_s: Time for which a finished job's state is kept.
+        start_early_s_max: Most that an occurrence may start before its due time.
+        holder_lease_s: Time within which two holders must not order the same VM by turns.
+        unavailable_notice_s: Time after which a task that is not at work counts as away.
+        vm_maintenance_s: Time that a VM's maintenance takes.
+        vm_move_s: Time that a VM's move takes.
+        tail_harm_s: Time for which a tail may be over its target because of others.
+        pace_delay_s: Time until a new pace has effect.
+        vm_orders_per_s: Orders on VMs a second, from all entry VMs together.
+    """
+
+    entry_id: EntryId
+    data_centre: DataCentreId
+    ip: str
+    caller_address: str
+    ready_address: str
+    peer_port_first: int
+    peer_port_last: int
+    seed_addresses: tuple[str, ...]
+    store_address: str
+    vm_list_address: str
+    advice_address: str
+    memory_bytes_max: int
+    heartbeat_s: float
+    grace_s: float
+    lease_s_max: float
+    kill_timeout_s: float
+    gang_timeout_s: float
+    visible_s: float
+    status_kept_s: float
+    start_early_s_max: float
+    holder_lease_s: float
+    unavailable_notice_s: float
+    vm_maintenance_s: float
+    vm_move_s: float
+    tail_harm_s: float
+    pace_delay_s: float
+    vm_orders_per_s: float
+
+
+class _Table(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _Addresses(_Table):
+    frontend: str = Field(pattern=_ADDRESS)
+    ready: str = Field(pattern=_ADDRESS)
+
+
+class _Limits(_Table):
+    memory_mb: float = Field(gt=0)
+
+
+class _Bounds(_Table):
+    grace_s: float = Field(default=6, gt=0)
+    hold_max_ms: float = Field(default=6000, gt=0)
+    kill_timeout_ms: float = 200
+    gang_timeout_ms: float = 3000
+    visible_ms: float = 3000
+    status_s: float = 120
+    early_ms: float = 250
+    lease_ms: float = 3000
+    notice_ms: float = 4500
+    maintenance_s: float = 2
+    migrate_s: float = 1.5
+    impact_ms: float = 4000
+    rate_window_ms: float = 100
+
+
+class _Store(_Table):
+    address: str = Field(pattern=_ADDRESS)
+
+
+class _CloudApi(_Table):
+    address: str = ""
+    duty_per_s: float = 1
+
+
+class _File(_Table):
+    node_name: str = Field(min_length=1)
+    zone: str = Field(min_length=1)
+    ip: str
+    port_range: tuple[int, int]
+    seed_nodes: list[str] = []
+    heartbeat_ms: float = 1500
+    recommendation: str = ""
+    bind_addresses: _Addresses
+    limits: _Limits
+    bounds: _Bounds = _Bounds()
+    platform: _Store
+    cloud_api: _CloudApi = _CloudApi()
+
+
+def load_node_settings(path: Path | None = None) -> NodeSettings:
+    """Read and check the settings file.
+
+    Args:
+        path: The file; None for the one that the environment names.
+
+    Raises:
+        SettingsError: The file cannot be read, or values are wrong; names each of them.
+    """
+    if path is None:
+        named = os.environ.get(SETTINGS_FILE_VARIABLE, "")
+        if not named:
+            reason = f"{SETTINGS_FILE_VARIABLE} names no file"
+            raise SettingsError(reason, step="settings.read")
+        path = Path(named)
+    try:
+        values = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as err:
+        raise SettingsError(str(err), step="settings.read", peer=str(path)) from err
+    try:
+        return _node_settings(_File.model_validate(values))
+    except ValidationError as err:
+        faults = "; ".join(_fault(dict(error)) for error in err.errors())
+        raise SettingsError(faults, step="settings.check", peer=str(path)) from err
+
+
+def _fault(error: dict[str, Any]) -> str:
+    key = ".".join(str(part) for part in error["loc"])
+    return f"{key}: {error['msg']}"
+
+
+def _node_settings(file: _File) -> NodeSettings:
+    bounds = file.bounds
+    return NodeSettings(
+        entry_id=EntryId(file.node_name),
+        data_centre=DataCentreId(file.zone),
+        ip=file.ip,
+        caller_address=file.bind_addresses.frontend,
+        ready_address=file.bind_addresses.ready,
+        peer_port_first=file.port_range[0],
+        peer_port_last=file.port_range[1],
+        seed_addresses=tuple(file.seed_nodes),
+        store_address=file.platform.address,
+        vm_list_address=file.cloud_api.address,
+        advice_address=file.recommendation,
+        memory_bytes_max=int(file.limits.memory_mb * 1_000_000),
+        heartbeat_s=file.heartbeat_ms / 1000,
+        grace_s=bounds.grace_s,
+        lease_s_max=bounds.hold_max_ms / 1000,
+        kill_timeout_s=bounds.kill_timeout_ms / 1000,
+        gang_timeout_s=bounds.gang_timeout_ms / 1000,
+        visible_s=bounds.visible_ms / 1000,
+        status_kept_s=bounds.status_s,
+        start_early_s_max=bounds.early_ms / 1000,
+        holder_lease_s=bounds.lease_ms / 1000,
+        unavailable_notice_s=bounds.notice_ms / 1000,
+        vm_maintenance_s=bounds.maintenance_s,
+        vm_move_s=bounds.migrate_s,
+        tail_harm_s=bounds.impact_ms / 1000,
+        pace_delay_s=bounds.rate_window_ms / 1000,
+        vm_orders_per_s=file.cloud_api.duty_per_s,
+    )
--- /dev/null
+++ b/toucandoor/platform/store.py
@@ -0,0 +1,209 @@
+"""The platform's metadata store, as the product's `RecordStore`."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import logging
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+
+from toucandoor.core.records import (
+    Changes,
+    HistoryLostError,
+    LeaseEndedError,
+    Record,
+    RecordStore,
+    Snapshot,
+    StoreLease,
+    Transaction,
+    TransactionConflictError,
+)
+from toucandoor.exceptions import StoreAnswerLostError, StoreUnavailableError
+from toucandoor.ids import StoreLeaseId
+from toucandoor.platform.http import (
+    Answer,
+    AnswerUnreadableError,
+    CallNotSentError,
+    CallUnansweredError,
+    PlatformHttp,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+_LOGGER = logging.getLogger(__name__)
+
+WATCH_ANSWER_SLACK_S: Final = 0.8
+"""What a watch's answer may take beyond its waiting time before its connection counts as dead."""
+
+
+class _Item(msgspec.Struct, frozen=True):
+    key: str
+    revision: int
+    value: str = ""
+    created: int = 0
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct, frozen=True):
+    items: list[_Item]
+    at: int
+    has_more: bool = False
+
+
+class _Watch(msgspec.Struct, frozen=True):
+    events: list[_Item]
+    at: int
+
+
+class _Written(msgspec.Struct, frozen=True):
+    revision: int
+
+
+class _Conflict(msgspec.Struct, frozen=True):
+    items: list[_Item] = []
+
+
+class _Lease(msgspec.Struct, frozen=True):
+    ttl_ms: int
+    lease_id: int = 0
+
+
+class PlatformStore(RecordStore):
+    """The store over HTTP.
+
+    Args:
+        http: The client.
+        address: ``IP:port`` of the store.
+        timeout_s: Longest wait for an answer.
+    """
+
+    def __init__(self, http: PlatformHttp, address: str, timeout_s: float) -> None:
+        self._http = http
+        self._address = address
+        self._timeout_s = timeout_s
+
+    def read(self, key: str) -> Record | None:
+        """Return a record, None where it does not exist."""
+        answer = self._call("read", "GET", "/-/kv-key", query={"key": key})
+        if answer.status == 404:
+            return None
+        return _record(answer, answer.decode(_Item))
+
+    def read_prefix(self, prefix: str) -> Snapshot:
+        """Return all records below a prefix."""
+        records: list[Record] = []
+        first_revision: int | None = None
+        query = {"prefix": prefix}
+        while True:
+            answer = self._call("read_prefix", "GET", "/-/kv-range", query=query)
+            page = answer.decode(_Range)
+            records += [_record(answer, item) for item in page.items]
+            if first_revision is None:
+                first_revision = page.at
+            if not page.has_more or not page.items:
+                return Snapshot(tuple(records), first_revision)
+            query = {"prefix": prefix, "after": page.items[-1].key}
+
+    def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
+        """Wait for changes after a revision."""
+        query = {
+            "prefix": prefix,
+            "after": str(after_revision),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        timeout_s = wait_s + WATCH_ANSWER_SLACK_S
+        answer = self._call("watch", "GET", "/-/kv-watch", query=query, timeout_s=timeout_s)
+        if answer.status == 410:
+            raise HistoryLostError("history is gone", step=answer.step, peer=answer.peer)
+        seen = answer.decode(_Watch)
+        written = tuple(_record(answer, item) for item in seen.events if not item.deleted)
+        deleted = tuple(item.key for item in seen.events if item.deleted)
+        return Changes(written, deleted, seen.at)
+
+    def write(self, transaction: Transaction) -> int:
+        """Write and return the revision."""
+        lease = {} if transaction.lease_id is None else {"lease_id": transaction.lease_id}
+        body = {
+            "expected_revision": [
+                {"key": key, "revision": revision} for key, revision in transaction.expected.items()
+            ],
+            "write": [
+                {"key": key, "value": base64.b64encode(value).decode(), **lease}
+                for key, value in transaction.writes.items()
+            ],
+            "remove": list(transaction.removals),
+        }
+        answer = self._call("write", "POST", "/-/kv-txn", body=body)
+        if answer.status == 412:
+            present = tuple(
+                _record(answer, item)
+                for item in answer.decode(_Conflict).items
+                if item.revision > 0 and not item.deleted
+            )
+            raise TransactionConflictError(
+                "another revision", step=answer.step, peer=answer.peer, present=present
+            )
+        if answer.status == 404:
+            raise LeaseEndedError("no such lease", step=answer.step, peer=answer.peer)
+        return answer.decode(_Written).revision
+
+    def grant_lease(self, ttl_s: float) -> StoreLease:
+        """Return a new lease."""
+        body = {"ttl_ms": int(ttl_s * 1000)}
+        lease = self._call("grant_lease", "POST", "/-/kv-lease", body=body).decode(_Lease)
+        return StoreLease(StoreLeaseId(lease.lease_id), lease.ttl_ms / 1000)
+
+    def renew_lease(self, lease_id: StoreLeaseId) -> None:
+        """Renew a lease."""
+        answer = self._call("renew_lease", "POST", f"/-/kv-keep/{lease_id}")
+        if answer.status == 404:
+            raise LeaseEndedError("no such lease", step=answer.step, peer=answer.peer)
+
+    def end_lease(self, lease_id: StoreLeaseId) -> None:
+        """End a lease; its keys are removed."""
+        self._call("end_lease", "DELETE", f"/-/kv-lease-end/{lease_id}")
+
+    def _call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        *,
+        body: Any = None,
+        query: Mapping[str, str] | None = None,
+        timeout_s: float | None = None,
+    ) -> Answer:
+        step = f"store.{name}"
+        try:
+            answer = self._http.call(
+                method,
+                self._address,
+                path,
+                step=step,
+                timeout_s=self._timeout_s if timeout_s is None else timeout_s,
+                body=body,
+                query=query,
+            )
+        except CallNotSentError as err:
+            raise StoreUnavailableError(err.reason, step=step, peer=err.peer) from err
+        except CallUnansweredError as err:
+            raise StoreAnswerLostError(err.reason, step=step, peer=err.peer) from err
+        if answer.status in (429, 503):
+            # Both say that nothing was done: over the rate, or out of service.
+            raise StoreUnavailableError(str(answer.status), step=step, peer=answer.peer)
+        if answer.status in (200, 404, 410, 412):
+            return answer
+        text = answer.body[:100].decode(errors="replace")
+        raise StoreUnavailableError(f"{answer.status} {text}", step=step, peer=answer.peer)
+
+
+def _record(answer: Answer, item: _Item) -> Record:
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except binascii.Error as err:
+        reason = f"value of {item.key} is not base64"
+        raise AnswerUnreadableError(reason, step=answer.step, peer=answer.peer) from err
+    return Record(item.key, value, item.revision, item.created)
--- /dev/null
+++ b/toucandoor/platform/workers.py
@@ -0,0 +1,247 @@
+"""Orders to backend servers, as the platform spells them."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any, Final
+
+import msgspec
+
+from toucandoor.core.jobs.models import Resources, TaskKey
+from toucandoor.core.scheduling.workers import (
+    ActiveRun,
+    EndedRun,
+    EndReason,
+    Listing,
+    OrderRefusal,
+    OrderRefusedError,
+    OrderUnansweredError,
+    RunKey,
+    StartOrder,
+    WorkerEntry,
+    WorkerPort,
+    WorkerTarget,
+)
+from toucandoor.ids import DataCentreId, FencingToken, JobId, PoolId, WorkerId
+from toucandoor.platform.http import (
+    Answer,
+    AnswerUnreadableError,
+    CallNotSentError,
+    CallUnansweredError,
+    PlatformHttp,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+ORDER_TIMEOUT_S: Final = 1.0
+"""Longest wait for the answer to an order; a healthy server answers in milliseconds."""
+HOLD_SLACK_S: Final = 1.0
+"""What an answer to a long poll may take beyond its waiting time."""
+INSTANCE_HEADER: Final = "X-Toucandoor-Expected-Instance"
+
+_REFUSALS = {
+    "fence": OrderRefusal.FENCED,
+    "old": OrderRefusal.SUPERSEDED,
+    "late": OrderRefusal.DEADLINE_PASSED,
+    "room": OrderRefusal.NO_ROOM,
+    "ticket": OrderRefusal.TICKET_INVALID,
+}
+_END_REASONS = {
+    "done": EndReason.DONE,
+    "failed": EndReason.FAILED,
+    "stopped": EndReason.STOPPED,
+    "lapsed": EndReason.LEASE_LAPSED,
+    "broken": EndReason.GANG_BROKEN,
+    "alone": EndReason.GANG_INCOMPLETE,
+}
+
+
+class _Room(msgspec.Struct, frozen=True):
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class _Beat(msgspec.Struct, frozen=True):
+    # `service` is the pool that the server belongs to.
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Room
+    labels: list[str]
+    sequence: int
+    born: int = 0
+    remaining_ms: int | None = None
+
+
+class _Reply(msgspec.Struct, frozen=True):
+    clock_ms: int | None = None
+    reason: str = ""
+
+
+class _Lists(msgspec.Struct, frozen=True):
+    clock_ms: int
+    active: list[list[Any]] = []
+    finished: list[list[Any]] = []
+    born: int = 0
+
+
+def decode_worker(worker_id: str, value: bytes) -> WorkerEntry | None:
+    """Decode a backend server's entry in the store; None where it names none to use."""
+    try:
+        beat = msgspec.json.decode(value, type=_Beat)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as err:
+        _LOGGER.debug("workers: entry %s is not usable: %s", worker_id, err)
+        return None
+    if beat.state not in ("ready", "draining") or not beat.address or not worker_id:
+        return None
+    return WorkerEntry(
+        worker_id=WorkerId(worker_id),
+        pool=PoolId(beat.service),
+        address=beat.address,
+        data_centre=DataCentreId(beat.zone),
+        capacity=Resources(beat.capacity.cpu, beat.capacity.mem_mb, beat.capacity.gpu),
+        labels=tuple(beat.labels),
+        draining=beat.state == "draining",
+        born_unix_ms=beat.born,
+        remaining_ms=beat.remaining_ms,
+    )
+
+
+def task_name(task: TaskKey) -> str:
+    """Return a task's name on the wire."""
+    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.number}"
+
+
+def _task_key(name: str) -> TaskKey:
+    job_id, occurrence, step, index = name.split(".")
+    return TaskKey(JobId(job_id), int(occurrence), int(step), int(index))
+
+
+class PlatformWorkers(WorkerPort):
+    """Backend servers over HTTP."""
+
+    def __init__(self, http: PlatformHttp) -> None:
+        self._http = http
+
+    def start(self, target: WorkerTarget, order: StartOrder) -> int:
+        """Start a run."""
+        body = {
+            "task": task_name(order.run.task),
+            "attempt": order.run.attempt,
+            "spec": order.payload,
+            "deadline_ms": order.lease_until_ms,
+            "fencing_token": order.token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["token"] = order.ticket
+        return self._order(target, "start", "/-/run-start", body)
+
+    def stop(self, target: WorkerTarget, run: RunKey, token: FencingToken) -> int:
+        """Stop a run."""
+        body = {"task": task_name(run.task), "attempt": run.attempt, "fencing_token": token}
+        return self._order(target, "stop", "/-/run-stop", body)
+
+    def pace(self, target: WorkerTarget, run: RunKey, percent: int, token: FencingToken) -> int:
+        """Let a run work at a share of its speed."""
+        body = {
+            "task": task_name(run.task),
+            "attempt": run.attempt,
+            "percent": percent,
+            "fencing_token": token,
+        }
+        return self._order(target, "pace", "/-/pace", body)
+
+    def hold(
+        self,
+        target: WorkerTarget,
+        token: FencingToken,
+        *,
+        lease_until_ms: int | None,
+        acknowledged: int,
+        wait_s: float,
+    ) -> Listing:
+        """Extend the lease, acknowledge ends, and wait for the next end."""
+        body: dict[str, int] = {"fencing_token": token, "last_seen": acknowledged}
+        if lease_until_ms is not None:
+            body["deadline_ms"] = lease_until_ms
+        if wait_s > 0:
+            body["wait_ms"] = int(wait_s * 1000)
+        answer = self._call(target, "hold", "/-/hold", body, HOLD_SLACK_S + wait_s)
+        try:
+            return _listing(answer.decode(_Lists))
+        except (AnswerUnreadableError, ValueError, TypeError, KeyError) as err:
+            raise OrderUnansweredError(str(err), step=answer.step, peer=answer.peer) from err
+
+    def _order(self, target: WorkerTarget, name: str, path: str, body: dict[str, Any]) -> int:
+        answer = self._call(target, name, path, body, ORDER_TIMEOUT_S)
+        try:
+            reply = answer.decode(_Reply)
+        except AnswerUnreadableError as err:
+            raise OrderUnansweredError(err.reason, step=answer.step, peer=answer.peer) from err
+        return reply.clock_ms or 0
+
+    def _call(
+        self, target: WorkerTarget, name: str, path: str, body: dict[str, Any], timeout_s: float
+    ) -> Answer:
+        step = f"worker.{name}"
+        try:
+            answer = self._http.call(
+                "POST",
+                target.address,
+                path,
+                step=step,
+                timeout_s=timeout_s,
+                body=body,
+                headers={INSTANCE_HEADER: target.worker_id},
+            )
+        except (CallNotSentError, CallUnansweredError) as err:
+            raise OrderUnansweredError(err.reason, step=step, peer=target.worker_id) from err
+        if answer.status == 200:
+            return answer
+        refusal, clock_ms = _refusal(answer)
+        if refusal is OrderRefusal.REJECTED:
+            text = answer.body[:200].decode(errors="replace")
+            _LOGGER.warning("workers: %s rejected %s: %s %s", step, body, answer.status, text)
+        raise OrderRefusedError(refusal, step=step, peer=target.worker_id, clock_ms=clock_ms)
+
+
+def _refusal(answer: Answer) -> tuple[OrderRefusal, int | None]:
+    if answer.status == 421:
+        return OrderRefusal.OTHER_BOOT, None
+    if answer.status in (429, 503):
+        return OrderRefusal.UNHEALTHY, None
+    if answer.status != 409:
+        return OrderRefusal.REJECTED, None
+    try:
+        reply = answer.decode(_Reply)
+    except AnswerUnreadableError as err:
+        _LOGGER.warning("workers: unreadable refusal: %s", err)
+        return OrderRefusal.REJECTED, None
+    return _REFUSALS.get(reply.reason, OrderRefusal.REJECTED), reply.clock_ms
+
+
+def _listing(lists: _Lists) -> Listing:
+    active = tuple(
+        ActiveRun(
+            run=RunKey(_task_key(row[0]), int(row[1])),
+            checkpoint=str(row[2]),
+            percent=int(row[3]),
+            # The fifth entry is there only where tasks share what a server's room does not show.
+            recent=int(row[4]) if len(row) > 4 else 0,
+        )
+        for row in lists.active
+    )
+    ended = tuple(
+        EndedRun(
+            number=int(row[0]),
+            run=RunKey(_task_key(row[1]), int(row[2])),
+            reason=_END_REASONS[row[3]],
+            checkpoint=str(row[4]) if len(row) > 4 else "",
+        )
+        for row in lists.finished
+    )
+    return Listing(lists.clock_ms, lists.born, active, ended)
--- /dev/null
+++ b/toucandoor/programs/node.py
@@ -0,0 +1,161 @@
+"""The program of an entry VM on the users' platform: takes jobs in, and schedules them by turns."""
+
+from __future__ import annotations
+
+import logging
+import os
+import signal
+import threading
+import time
+from typing import TYPE_CHECKING, Final
+
+import typer
+
+from toucandoor.adapters.configuration_watch import ConfigurationWatch
+from toucandoor.adapters.job_callers import JobCallers
+from toucandoor.adapters.job_desk import JobDesk
+from toucandoor.adapters.logs import set_up_logs
+from toucandoor.adapters.owner_task import OwnerTask
+from toucandoor.adapters.owner_term import Surroundings
+from toucandoor.adapters.wsgi import make_server, respond
+from toucandoor.clock import BootClock
+from toucandoor.exceptions import SettingsError
+from toucandoor.platform.http import PlatformHttp
+from toucandoor.platform.machines import PlatformAdvice, PlatformVms
+from toucandoor.platform.settings import load_node_settings
+from toucandoor.platform.store import PlatformStore
+from toucandoor.platform.workers import PlatformWorkers
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cheroot import wsgi
+
+    from toucandoor.adapters.wsgi import Environ, StartResponse
+    from toucandoor.platform.settings import NodeSettings
+
+_LOGGER = logging.getLogger(__name__)
+
+PROGRAM: Final = "toucandoor-node"
+STORE_TIMEOUT_S: Final = 0.9
+"""Longest wait for the store: less than half of the ownership's lease, so that a renewal without
+an answer can be tried again; an answer sixty times slower than usual takes a quarter second."""
+CALLER_THREADS: Final = 24
+"""Calls served at once; each waits a few answers of the store."""
+READY_THREADS: Final = 2
+IDLE_TIMEOUT_S: Final = 20
+"""Above the idle time of callers' connections, so that callers close them first."""
+BODY_BYTES_MAX: Final = 1_048_576
+"""Largest body read at all; a value of the store holds no more."""
+HANDOVER_S: Final = 1.0
+"""Most that a stop waits for the ownership to be given back."""
+ROTATION_S: Final = 2.5
+"""How long a stopping node serves on: the balancer takes it out after two missed checks, a second
+apart."""
+STOP_MARGIN_S: Final = 1.5
+"""Kept back from the grace for what is still being answered."""
+
+
+class Node:
+    """All tasks of one process."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._clock = BootClock()
+        http = PlatformHttp()
+        self._store = PlatformStore(http, settings.store_address, STORE_TIMEOUT_S)
+        self._configuration = ConfigurationWatch(self._store)
+        self._desk = JobDesk(self._store, self._clock)
+        self._owner = OwnerTask(
+            Surroundings(
+                entry_id=settings.entry_id,
+                settings=settings,
+                clock=self._clock,
+                store=self._store,
+                workers=PlatformWorkers(http),
+                vms=PlatformVms(http, settings.vm_list_address),
+                advice=PlatformAdvice(http, settings.advice_address),
+                configuration=self._configuration,
+            )
+        )
+        self._stopping = threading.Event()
+        callers = JobCallers(self._desk, lambda: self._configuration.current, self._clock)
+        self._callers = make_server(
+            settings.caller_address, callers, CALLER_THREADS, IDLE_TIMEOUT_S
+        )
+        self._callers.max_request_body_size = BODY_BYTES_MAX
+        self._ready = make_server(settings.ready_address, self._ready_app, READY_THREADS)
+
+    def serve(self) -> None:
+        """Run until asked to stop."""
+        signal.signal(signal.SIGTERM, self._asked_to_stop)
+        signal.signal(signal.SIGINT, self._asked_to_stop)
+        signal.signal(signal.SIGHUP, self._asked_to_reload)
+        self._configuration.start()
+        self._owner.start()
+        for server in (self._ready, self._callers):
+            server.prepare()
+            threading.Thread(target=_serve, args=(server,), daemon=True).start()
+        _LOGGER.info(
+            "node: started",
+            extra={
+                "entry": self._settings.entry_id,
+                "data_centre": self._settings.data_centre,
+                "callers": self._settings.caller_address,
+            },
+        )
+        self._stopping.wait()
+        self._stop()
+
+    def _stop(self) -> None:
+        began_s = self._clock.monotonic_s()
+        _LOGGER.info("node: stopping")
+        self._owner.stop(HANDOVER_S)
+        left_s = began_s + ROTATION_S - self._clock.monotonic_s()
+        if left_s > 0:
+            time.sleep(left_s)
+        self._configuration.stop()
+        self._callers.shutdown_timeout = max(
+            0.1, self._settings.grace_s - ROTATION_S - STOP_MARGIN_S
+        )
+        self._callers.stop()
+        _LOGGER.info("node: stopped")
+
+    def _asked_to_stop(self, number: int, _frame: object) -> None:
+        self._stopping.set()
+
+    def _asked_to_reload(self, number: int, _frame: object) -> None:
+        try:
+            load_node_settings()
+            _LOGGER.info("node: settings read again; they take effect at the next start")
+        except SettingsError as err:
+            _LOGGER.error("node: settings not reloaded: %s", err)
+
+    def _ready_app(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        ready = not self._stopping.is_set() and self._configuration.current is not None
+        return respond(start_response, 200 if ready else 503, b"{}", "application/json")
+
+
+def _serve(server: wsgi.Server) -> None:
+    try:
+        server.serve()
+    except Exception:
+        _LOGGER.exception("node: a server broke")
+        os._exit(1)
+
+
+def main() -> None:
+    """Start the node with the settings file that the environment names."""
+    set_up_logs(PROGRAM, os.environ.get("TOUCANDOOR_LOG_LEVEL", "INFO"))
+    try:
+        settings = load_node_settings()
+    except SettingsError as err:
+        _LOGGER.error("node: %s", err)
+        raise SystemExit(2) from err
+    Node(settings).serve()
+    logging.shutdown()
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
