Carry out waves of maintenance by the schedule's owner

Excluded: a stuck stop order; the stop was refused by a closed port. Change: waves are ordered by VMs that carry least; a server whose VM was ordered down gets nothing until it has answered again; a server that does not answer gets no longer lease.

--- a/toucandoor/adapters/configuration_watch.py
+++ b/toucandoor/adapters/configuration_watch.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from toucandoor.clock import Clock
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.maintenance.job_waves import WaveOrder
     from toucandoor.core.records import Record, RecordStore
@@ -35,8 +36,9 @@
 class ConfigurationWatch:
     """Follows what operators write to the store; never goes back to an older version."""
 
-    def __init__(self, store: RecordStore) -> None:
+    def __init__(self, store: RecordStore, clock: Clock) -> None:
         self._store = store
+        self._clock = clock
         self._lock = threading.Lock()
         self._listeners: list[Callable[[JobConfiguration], None]] = []
         self._current: JobConfiguration | None = None
@@ -124,6 +126,6 @@
             if configuration is not None:
                 self.offer(configuration, "store")
         elif record.key.startswith(WAVE_PREFIX):
-            wave = decode_wave(record.value)
+            wave = decode_wave(record.value, self._clock.monotonic_s())
             if wave is not None and wave.number not in self.waves:
                 self.waves[wave.number] = wave
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -19,14 +19,37 @@
     decode_job,
     decode_progress,
 )
+from toucandoor.core.maintenance.job_waves import (
+    WAVE_PROGRESS_PREFIX,
+    ListVms,
+    MaintainVm,
+    SaveWave,
+    WaveKeeper,
+    decode_wave_record,
+    encode_wave_record,
+)
 from toucandoor.core.ownership.lease import OWNER_KEY, OWNER_TTL_S, RENEW_EVERY_S
-from toucandoor.core.records import HistoryLostError, LeaseEndedError, TransactionConflictError
+from toucandoor.core.records import (
+    HistoryLostError,
+    LeaseEndedError,
+    Transaction,
+    TransactionConflictError,
+)
 from toucandoor.core.scheduling.orders import AskAdvice, HoldWorker, PaceRun, StartRun, StopRun
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
-from toucandoor.core.scheduling.workers import OrderRefusedError, OrderUnansweredError
+from toucandoor.core.scheduling.workers import (
+    OrderRefusedError,
+    OrderUnansweredError,
+    VmRefusedError,
+)
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.ids import JobId
-from toucandoor.platform.operator_records import WORKER_PREFIX
+from toucandoor.platform.operator_records import (
+    WAVE_STATUS_PREFIX,
+    WORKER_PREFIX,
+    encode_wave_status,
+    wave_is_completed,
+)
 from toucandoor.platform.workers import decode_worker
 
 if TYPE_CHECKING:
@@ -36,7 +59,7 @@
     from toucandoor.clock import Clock
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.ownership.lease import OwnershipLease
-    from toucandoor.core.records import Changes, Record, RecordStore, StoreLease, Transaction
+    from toucandoor.core.records import Changes, Record, RecordStore, StoreLease
     from toucandoor.core.scheduling.orders import Commit, Order
     from toucandoor.core.scheduling.workers import AdvicePort, VmPort, WorkerPort
     from toucandoor.ids import EntryId, FencingToken
@@ -50,6 +73,8 @@
 """Long polls under way at once, one for each busy backend server."""
 WATCH_WAIT_S: Final = 1.0
 """How long a watch waits; bounds how long a silent connection hides what callers want."""
+HOLDER_MARGIN_S: Final = 0.5
+"""Added to the time in which two holders must not order the same VM by turns."""
 RETRY_PAUSE_S: Final = 0.1
 """Pause after a failed watch."""
 
@@ -91,6 +116,14 @@
             former_lease_s=OWNER_TTL_S + around.settings.lease_s_max * 1.02,
         )
         self._scheduler = Scheduler(settings, around.clock)
+        self._waves = WaveKeeper(
+            self._scheduler,
+            around.clock.monotonic_s,
+            begin_at_s=around.clock.monotonic_s()
+            + around.settings.holder_lease_s
+            + HOLDER_MARGIN_S,
+            maintenance_s=around.settings.vm_maintenance_s,
+        )
         self._order_pool = ThreadPoolExecutor(ORDER_THREADS, "orders")
         self._hold_pool = ThreadPoolExecutor(HOLD_THREADS, "holds")
 
@@ -134,6 +167,7 @@
                 self._carry_out(order)
             for commit in scheduler.commits():
                 self._submit(self._commit, commit)
+            self._look_after_vms()
             pending = scheduler.pending_commit()
             if pending is not None:
                 self._submit(self._write_pending, pending)
@@ -233,6 +267,58 @@
         else:
             self._post(lambda: scheduler.advice_answered(order.step, advice))
 
+    # VMs
+
+    def _look_after_vms(self) -> None:
+        for wave in list(self._around.configuration.waves.values()):
+            self._waves.ordered(wave)
+        for order in self._waves.orders():
+            if isinstance(order, MaintainVm):
+                self._submit(self._maintain, order)
+            elif isinstance(order, ListVms):
+                self._submit(self._list_vms, order)
+            elif isinstance(order, SaveWave):
+                self._submit(self._save_wave, order)
+
+    def _maintain(self, order: MaintainVm) -> None:
+        if not self._may_act():
+            return
+        holder, token = self._around.entry_id, self._scheduler.token
+        try:
+            self._around.vms.maintain(order.vm_id, order.wave, holder, token)
+        except VmRefusedError as err:
+            refusal = err.refusal
+            self._post(lambda: self._waves.maintenance_refused(order, refusal))
+        except OrderUnansweredError as err:
+            _LOGGER.info("maintenance: no answer: %s", err, extra={"vm": order.vm_id})
+            self._post(lambda: self._waves.maintenance_refused(order, None))
+        else:
+            self._post(lambda: self._waves.maintenance_begun(order))
+
+    def _list_vms(self, _order: ListVms) -> None:
+        asked_at_s = self._around.clock.monotonic_s()
+        try:
+            vms = self._around.vms.list()
+        except (VmRefusedError, OrderUnansweredError) as err:
+            _LOGGER.info("maintenance: the list of VMs cannot be read: %s", err)
+            self._post(lambda: self._waves.vms_listed(None, asked_at_s))
+        else:
+            self._post(lambda: self._waves.vms_listed(vms, asked_at_s))
+
+    def _save_wave(self, order: SaveWave) -> None:
+        owner = {OWNER_KEY: int(self._scheduler.token)}
+        writes = {
+            f"{WAVE_PROGRESS_PREFIX}{order.wave}": encode_wave_record(order.record),
+            f"{WAVE_STATUS_PREFIX}{order.wave}": encode_wave_status(completed=order.completed),
+        }
+        try:
+            self._around.store.write(Transaction(owner, writes))
+        except ToucandoorError as err:
+            _LOGGER.info("maintenance: progress not written: %s", err, extra={"wave": order.wave})
+            self._post(lambda: self._waves.saved(order, ok=False))
+        else:
+            self._post(lambda: self._waves.saved(order, ok=True))
+
     # The store
 
     def _commit(self, commit: Commit) -> None:
@@ -293,6 +379,13 @@
         for record in intake.records:
             if record.key.startswith(CANCEL_PREFIX):
                 scheduler.cancel_job(JobId(record.key.removeprefix(CANCEL_PREFIX)))
+        statuses = {
+            record.key.removeprefix(WAVE_STATUS_PREFIX): wave_is_completed(record.value)
+            for record in store.read_prefix(WAVE_STATUS_PREFIX).records
+        }
+        for record in store.read_prefix(WAVE_PROGRESS_PREFIX).records:
+            number = record.key.removeprefix(WAVE_PROGRESS_PREFIX)
+            self._load_wave(int(number), record, completed=statuses.get(number, False))
         _LOGGER.info(
             "owner: loaded",
             extra={"jobs": len(scheduler.jobs), "workers": len(scheduler.workers)},
@@ -311,6 +404,14 @@
             return
         self._scheduler.restore_job(spec, kept, progress.revision)
 
+    def _load_wave(self, number: int, record: Record, *, completed: bool) -> None:
+        try:
+            kept = decode_wave_record(record.value)
+        except msgspec.MsgspecError as err:
+            _LOGGER.error("maintenance: record %s cannot be read: %s", record.key, err)
+            return
+        self._waves.restore(number, kept, completed=completed)
+
     def _follow(self, prefix: str, revision: int) -> None:
         """Post every change below a prefix as an event, reading all of it anew where it must."""
         store = self._around.store
--- a/toucandoor/core/maintenance/job_waves.py
+++ b/toucandoor/core/maintenance/job_waves.py
@@ -1,12 +1,42 @@
-"""Waves of maintenance that operators order by name of the VMs."""
+"""Waves of maintenance that operators order by name of the VMs, carried out by the owner.
+
+Answers a wave of VMs that are due within a given time, while queues peak by turns: VMs that carry
+the least are taken first, and only as many at once as the time left asks for.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+import logging
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from toucandoor.core.scheduling.workers import VmRefusal, VmState
+from toucandoor.ids import VmId
 
 if TYPE_CHECKING:
-    from toucandoor.ids import VmId
+    from collections.abc import Callable, Iterable
+
+    from toucandoor.core.scheduling.scheduler import Scheduler
+    from toucandoor.core.scheduling.worker_view import WorkerView
+    from toucandoor.core.scheduling.workers import VmEntry
+    from toucandoor.ids import WorkerId
+
+_LOGGER = logging.getLogger(__name__)
+
+WAVE_PROGRESS_PREFIX: Final = "waves/"
+CYCLE_S: Final = 5.0
+"""Time that one VM takes: its tasks end, its maintenance of two seconds, its first answer."""
+END_MARGIN_S: Final = 4.0
+"""Kept back from a wave's time, for a change of owner on the way."""
+KILL_AFTER_S: Final = 4.0
+"""How long tasks of a VM that is due may run on; longer than nearly all tasks take."""
+RETRY_S: Final = 0.5
+"""Pause after the platform refused an order or did not answer."""
+LIST_EVERY_S: Final = 1.0
+"""Time between reads of the list of VMs while a wave is under way."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,9 +48,352 @@
         vms: VMs to maintain.
         within_s: Time in which all must have begun, from the order.
         down_max: Most of them that may be down at once.
+        seen_at_s: When this process saw the order, on the monotonic clock.
     """
 
     number: int
     vms: tuple[VmId, ...]
     within_s: float
     down_max: int
+    seen_at_s: float
+
+
+class WaveRecord(msgspec.Struct, frozen=True):
+    """VMs whose maintenance in a wave has begun."""
+
+    begun: tuple[VmId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MaintainVm:
+    """Begin a VM's maintenance."""
+
+    vm_id: VmId
+    wave: int
+
+
+@dataclass(frozen=True, slots=True)
+class ListVms:
+    """Read the platform's list of VMs."""
+
+
+@dataclass(frozen=True, slots=True)
+class SaveWave:
+    """Write a wave's progress and what operators are shown of it."""
+
+    wave: int
+    record: WaveRecord
+    completed: bool
+
+
+VmOrder = MaintainVm | ListVms | SaveWave
+
+
+@dataclass(slots=True)
+class _Wave:
+    """A wave under way.
+
+    Attributes:
+        order: What operators ordered.
+        begun: VMs whose maintenance has begun.
+        down_since_s: VMs that are down for it, or may be, and since when.
+        vacating_since_s: VMs that get nothing new because they are next, and since when.
+        ordered_on: Backend servers that ordered maintenance ends, by VM.
+        in_flight: VMs whose order awaits its answer.
+        retry_at_s: Earliest time of a VM's next order.
+        saved: What is in the store: VMs begun, and whether it says completed.
+        save_in_flight: Whether a write awaits its answer.
+    """
+
+    order: WaveOrder
+    begun: set[VmId] = field(default_factory=set)
+    down_since_s: dict[VmId, float] = field(default_factory=dict)
+    vacating_since_s: dict[VmId, float] = field(default_factory=dict)
+    ordered_on: dict[VmId, WorkerId] = field(default_factory=dict)
+    in_flight: set[VmId] = field(default_factory=set)
+    retry_at_s: dict[VmId, float] = field(default_factory=dict)
+    saved: tuple[int, bool] | None = None
+    save_in_flight: bool = False
+    save_after_s: float = 0.0
+
+
+class WaveKeeper:
+    """Carries out waves for as long as its process owns the schedule."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        now_s: Callable[[], float],
+        *,
+        begin_at_s: float,
+        maintenance_s: float,
+    ) -> None:
+        """Initialize.
+
+        Args:
+            scheduler: Whose backend servers are on the VMs.
+            now_s: The monotonic clock.
+            begin_at_s: No order is given before, so that two owners never take turns on a VM.
+            maintenance_s: Time that a VM's maintenance takes.
+        """
+        self._scheduler = scheduler
+        self._now_s = now_s
+        self._begin_at_s = begin_at_s
+        self._maintenance_s = maintenance_s
+        self._waves: dict[int, _Wave] = {}
+        self.vms: dict[VmId, VmEntry] = {}
+        self._listed_at_s: float | None = None
+        self._list_in_flight = False
+        self._list_after_s = 0.0
+
+    @property
+    def active(self) -> bool:
+        """Whether any wave is not finished."""
+        return any(not self._finished(wave) for wave in self._waves.values())
+
+    # Events
+
+    def restore(self, number: int, record: WaveRecord, *, completed: bool) -> None:
+        """Take over what a former owner has written of a wave."""
+        order = WaveOrder(number, (), 0.0, 0, self._now_s())
+        wave = self._waves.setdefault(number, _Wave(order))
+        wave.begun |= set(record.begun)
+        wave.saved = (len(wave.begun), completed)
+
+    def ordered(self, order: WaveOrder) -> None:
+        """Take an operators' order."""
+        wave = self._waves.get(order.number)
+        if wave is None:
+            self._waves[order.number] = _Wave(order)
+        elif not wave.order.vms:
+            wave.order = order
+        else:
+            return
+        _LOGGER.info(
+            "maintenance: wave %s is ordered",
+            order.number,
+            extra={
+                "vms": len(order.vms),
+                "within_s": order.within_s,
+                "down_max": order.down_max,
+                "begun": len(self._waves[order.number].begun),
+            },
+        )
+
+    def vms_listed(self, vms: Iterable[VmEntry] | None, asked_at_s: float) -> None:
+        """Take the platform's list of VMs; None where it could not be read."""
+        self._list_in_flight = False
+        now_s = self._now_s()
+        if vms is None:
+            self._list_after_s = now_s + RETRY_S
+            return
+        self._list_after_s = now_s + LIST_EVERY_S
+        self._listed_at_s = asked_at_s
+        self.vms = {vm.vm_id: vm for vm in vms}
+        for wave in self._waves.values():
+            for vm_id in wave.order.vms:
+                self._listed_in_wave(wave, vm_id, asked_at_s)
+
+    def _listed_in_wave(self, wave: _Wave, vm_id: VmId, asked_at_s: float) -> None:
+        vm = self.vms.get(vm_id)
+        down_since_s = wave.down_since_s.get(vm_id)
+        if vm is not None and vm.state is VmState.MAINTENANCE:
+            wave.down_since_s.setdefault(vm_id, asked_at_s)
+        elif (
+            down_since_s is not None
+            and vm_id not in wave.in_flight
+            and asked_at_s > down_since_s + self._maintenance_s
+        ):
+            del wave.down_since_s[vm_id]
+
+    def maintenance_begun(self, order: MaintainVm) -> None:
+        """Note that a VM's maintenance has begun, or had begun before."""
+        wave = self._waves[order.wave]
+        wave.in_flight.discard(order.vm_id)
+        wave.begun.add(order.vm_id)
+        wave.down_since_s[order.vm_id] = self._now_s()
+        wave.vacating_since_s.pop(order.vm_id, None)
+        worker_id = wave.ordered_on.pop(order.vm_id, None)
+        worker = self._scheduler.workers.get(worker_id) if worker_id is not None else None
+        if worker is not None:
+            # Its end, unless the maintenance had been done before and this is its successor.
+            self._scheduler.recheck(worker)
+        _LOGGER.info(
+            "maintenance: begun",
+            extra={"vm": order.vm_id, "wave": order.wave, "begun": len(wave.begun)},
+        )
+
+    def maintenance_refused(self, order: MaintainVm, refusal: VmRefusal | None) -> None:
+        """Note that the platform refused an order, or did not answer (None)."""
+        wave = self._waves[order.wave]
+        now_s = self._now_s()
+        wave.in_flight.discard(order.vm_id)
+        wave.retry_at_s[order.vm_id] = now_s + RETRY_S
+        if refusal is None:
+            wave.down_since_s[order.vm_id] = now_s  # it may have begun
+        else:
+            wave.down_since_s.pop(order.vm_id, None)
+        if refusal in (VmRefusal.NOT_IN_WAVE, VmRefusal.REJECTED, VmRefusal.BUSY):
+            self._list_after_s = now_s
+            wave.retry_at_s[order.vm_id] = now_s + 2 * RETRY_S
+        _LOGGER.info(
+            "maintenance: not begun",
+            extra={
+                "vm": order.vm_id,
+                "wave": order.wave,
+                "reason": refusal.value if refusal else "no answer",
+            },
+        )
+
+    def saved(self, order: SaveWave, *, ok: bool) -> None:
+        """Note whether a wave's progress is in the store."""
+        wave = self._waves[order.wave]
+        wave.save_in_flight = False
+        if ok:
+            wave.saved = (len(order.record.begun), order.completed)
+        else:
+            wave.save_after_s = self._now_s() + RETRY_S
+
+    # Decisions
+
+    def orders(self) -> list[VmOrder]:
+        """Return what is to be done now."""
+        now_s = self._now_s()
+        orders: list[VmOrder] = []
+        if not any(wave.order.vms for wave in self._waves.values()):
+            return orders
+        if self.active and not self._list_in_flight and now_s >= self._list_after_s:
+            self._list_in_flight = True
+            orders.append(ListVms())
+        for wave in self._waves.values():
+            if not wave.order.vms:
+                continue
+            if self._listed_at_s is not None and now_s >= self._begin_at_s:
+                self._advance(wave, now_s, orders)
+            self._save(wave, now_s, orders)
+        return orders
+
+    def _advance(self, wave: _Wave, now_s: float, orders: list[VmOrder]) -> None:
+        left = [vm_id for vm_id in wave.order.vms if self._stays(vm_id) and vm_id not in wave.begun]
+        workers = self._workers_by_vm()
+        self._note_returned(wave, workers)
+        for vm_id in list(wave.vacating_since_s):
+            if vm_id not in left:
+                del wave.vacating_since_s[vm_id]
+        for vm_id in self._next(wave, left, workers, now_s):
+            wave.vacating_since_s[vm_id] = now_s
+        cordoned = set()
+        for vm_id, since_s in list(wave.vacating_since_s.items()):
+            worker = workers.get(vm_id)
+            if worker is not None:
+                cordoned.add(worker.entry.worker_id)
+                overdue = now_s - since_s > KILL_AFTER_S
+                self._scheduler.vacate(worker, at_once=overdue)
+            if (worker is None or not worker.runs) and self._may_begin(wave, vm_id, now_s):
+                if worker is not None:
+                    wave.ordered_on[vm_id] = worker.entry.worker_id
+                wave.in_flight.add(vm_id)
+                wave.down_since_s[vm_id] = now_s
+                orders.append(MaintainVm(vm_id, wave.order.number))
+        for worker in workers.values():
+            worker.cordoned = worker.entry.worker_id in cordoned
+
+    def _next(
+        self, wave: _Wave, left: list[VmId], workers: dict[VmId, WorkerView], now_s: float
+    ) -> list[VmId]:
+        """Return the VMs to vacate next: those that carry least, of pools disturbed least.
+
+        VMs that carry nothing are taken at once; others only as the time left asks for.
+        """
+        idle = [vm_id for vm_id in left if vm_id not in wave.vacating_since_s]
+        time_left_s = wave.order.seen_at_s + wave.order.within_s - END_MARGIN_S - now_s
+        asked = math.ceil(len(left) * CYCLE_S / max(time_left_s, CYCLE_S))
+        busy = set(wave.vacating_since_s) | set(wave.down_since_s)
+        disturbed: dict[str, int] = {}
+        for vm_id in busy:
+            vm = self.vms.get(vm_id)
+            if vm is not None:
+                disturbed[vm.pool] = disturbed.get(vm.pool, 0) + 1
+
+        def burden(vm_id: VmId) -> tuple[int, int]:
+            worker = workers.get(vm_id)
+            runs = len(worker.runs) if worker is not None else 0
+            return (disturbed.get(self.vms[vm_id].pool, 0), runs)
+
+        chosen: list[VmId] = []
+        while idle and len(busy) + len(chosen) <= wave.order.down_max:
+            vm_id = min(idle, key=burden)
+            vacant = burden(vm_id) == (0, 0)
+            if not vacant and len(busy) + len(chosen) >= asked:
+                break
+            idle.remove(vm_id)
+            chosen.append(vm_id)
+            pool = self.vms[vm_id].pool
+            disturbed[pool] = disturbed.get(pool, 0) + 1
+        return chosen
+
+    def _may_begin(self, wave: _Wave, vm_id: VmId, now_s: float) -> bool:
+        vm = self.vms.get(vm_id)
+        return (
+            vm is not None
+            and vm.state is VmState.UP
+            and vm_id not in wave.in_flight
+            and now_s >= wave.retry_at_s.get(vm_id, 0.0)
+            and len(set(wave.down_since_s) - {vm_id}) < wave.order.down_max
+        )
+
+    def _note_returned(self, wave: _Wave, workers: dict[VmId, WorkerView]) -> None:
+        """Count a VM as up again once its new backend server has been seen."""
+        now_s = self._now_s()
+        for vm_id, since_s in list(wave.down_since_s.items()):
+            worker = workers.get(vm_id)
+            vm = self.vms.get(vm_id)
+            if vm_id in wave.in_flight or worker is None or vm is None:
+                continue
+            renewed = worker.entry.worker_id != vm.worker_id or vm_id in wave.begun
+            over = now_s - since_s > self._maintenance_s
+            if renewed and over and worker.listed and worker.held:
+                del wave.down_since_s[vm_id]
+
+    def _workers_by_vm(self) -> dict[VmId, WorkerView]:
+        found: dict[VmId, WorkerView] = {}
+        for worker in self._scheduler.workers.values():
+            vm_id = worker.entry.vm_id
+            if vm_id is None:
+                continue
+            other = found.get(vm_id)
+            if other is None or worker.entry.born_unix_ms > other.entry.born_unix_ms:
+                found[vm_id] = worker
+        return found
+
+    def _stays(self, vm_id: VmId) -> bool:
+        return vm_id in self.vms
+
+    def _finished(self, wave: _Wave) -> bool:
+        if wave.saved is not None and wave.saved[1]:
+            return True
+        if self._listed_at_s is None or not wave.order.vms:
+            return False
+        return all(vm_id in wave.begun or not self._stays(vm_id) for vm_id in wave.order.vms)
+
+    def _save(self, wave: _Wave, now_s: float, orders: list[VmOrder]) -> None:
+        state = (len(wave.begun), self._finished(wave))
+        if wave.saved == state or wave.save_in_flight or now_s < wave.save_after_s:
+            return
+        wave.save_in_flight = True
+        record = WaveRecord(tuple(sorted(wave.begun)))
+        orders.append(SaveWave(wave.order.number, record, state[1]))
+
+
+def encode_wave_record(record: WaveRecord) -> bytes:
+    """Return a record's bytes."""
+    return msgspec.json.encode(record)
+
+
+def decode_wave_record(value: bytes) -> WaveRecord:
+    """Decode a record.
+
+    Raises:
+        msgspec.MsgspecError: The bytes are no such record.
+    """
+    return msgspec.json.decode(value, type=WaveRecord)
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -96,6 +96,11 @@
         self._team_used: dict[TeamId, Resources] = {}
         self._early_cancels: set[JobId] = set()
 
+    @property
+    def token(self) -> FencingToken:
+        """Fencing token of this owner."""
+        return self._settings.token
+
     # What callers and operators want
 
     def set_configuration(self, configuration: JobConfiguration) -> None:
@@ -445,10 +450,9 @@
             return StopRun(run, token)
         if run.state is not RunState.STARTING or run.stop_wanted:
             return None
-        until_ms = worker.lease_end_ms(self._settings.lease_s, now_s)
+        until_ms = self._extend_lease(worker, now_s)
         if until_ms is None:
             return None
-        worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
         run.starts_sent += 1
         step = self._step_of(run.task)
         ticket = ""
@@ -466,10 +470,7 @@
 
     def _hold(self, worker: WorkerView, now_s: float) -> HoldWorker:
         worker.hold_in_flight = True
-        until_ms = None
-        if worker.runs:
-            until_ms = worker.lease_end_ms(self._settings.lease_s, now_s)
-            worker.lease_until_ms = max(worker.lease_until_ms, until_ms or 0)
+        until_ms = self._extend_lease(worker, now_s) if worker.runs else None
         settled = worker.held and not worker.uncommitted and worker.hold_failures == 0
         stopping = any(run.stop_acknowledged for run in worker.runs.values())
         recovered = any(run.state is RunState.RECOVERED for run in worker.runs.values())
@@ -478,6 +479,18 @@
             wait_s = min(wait_s, const.LAPSE_MARGIN_S)
         return HoldWorker(worker, self._settings.token, until_ms, worker.ends_acknowledged, wait_s)
 
+    def _extend_lease(self, worker: WorkerView, now_s: float) -> int | None:
+        """Return the lease's end to send with an order, None where the clock is not known.
+
+        A server that does not answer gets no longer lease: its runs would never count as ended.
+        """
+        if worker.hold_failures > 0:
+            return worker.lease_until_ms or None
+        until_ms = worker.lease_end_ms(self._settings.lease_s, now_s)
+        if until_ms is not None:
+            worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+        return until_ms
+
     # Ends
 
     def _run_ended(self, worker: WorkerView, ended: EndedRun) -> None:
@@ -656,7 +669,43 @@
         """Stop what can go on elsewhere before a backend server leaves."""
         for run in worker.runs.values():
             if run.task.step.long_running or run.task.step.checkpointing:
-                run.stop_wanted = True
+                self._stop(run)
+
+    def vacate(self, worker: WorkerView, *, at_once: bool) -> None:
+        """Stop what keeps a VM from a planned end, as far as promises of availability allow.
+
+        Args:
+            worker: The backend server on the VM.
+            at_once: Also stop tasks that would lose their work.
+        """
+        for run in worker.runs.values():
+            if run.stop_wanted:
+                continue
+            step = run.task.step
+            if step.long_running:
+                if self._may_be_away(run.task):
+                    self._stop(run)
+            elif at_once or step.checkpointing:
+                self._stop(run)
+
+    def recheck(self, worker: WorkerView) -> None:
+        """Give a backend server nothing new until it has answered again."""
+        worker.held = False
+        worker.next_hold_s = self._clock.monotonic_s()
+
+    def _may_be_away(self, task: Task) -> bool:
+        """Return whether stopping a task keeps what its step promises about availability."""
+        allowed = task.step.unavailable_max
+        if allowed is None:
+            return True
+        others = self._step_of(task).tasks
+        away = sum(other is not task and other.away_since_s is not None for other in others)
+        return away + 1 <= allowed
+
+    def _stop(self, run: Run) -> None:
+        run.stop_wanted = True
+        if run.task.step.long_running and run.task.away_since_s is None:
+            run.task.away_since_s = self._clock.monotonic_s()
 
     def _acknowledge(self, worker: WorkerView) -> None:
         waiting = [
--- a/toucandoor/core/scheduling/workers.py
+++ b/toucandoor/core/scheduling/workers.py
@@ -28,6 +28,7 @@
         draining: Whether it leaves and must get nothing new.
         born_unix_ms: Start of this boot; 0 where it does not say.
         remaining_ms: Least time until it leaves; None while it stays or does not say.
+        vm_id: VM that it is on; None where it does not say.
     """
 
     worker_id: WorkerId
@@ -39,6 +40,7 @@
     draining: bool
     born_unix_ms: int
     remaining_ms: int | None = None
+    vm_id: VmId | None = None
 
     @property
     def rack(self) -> str:
--- a/toucandoor/platform/operator_records.py
+++ b/toucandoor/platform/operator_records.py
@@ -115,8 +115,13 @@
     )
 
 
-def decode_wave(value: bytes) -> WaveOrder | None:
-    """Decode an operators' wave, None where it cannot be read."""
+def decode_wave(value: bytes, seen_at_s: float) -> WaveOrder | None:
+    """Decode an operators' wave, None where it cannot be read.
+
+    Args:
+        value: The record's bytes.
+        seen_at_s: When it was seen, on the monotonic clock.
+    """
     try:
         wave = msgspec.json.decode(value, type=_Wave)
     except (msgspec.MsgspecError, UnicodeDecodeError) as err:
@@ -127,6 +132,7 @@
         vms=tuple(VmId(machine) for machine in wave.machines),
         within_s=wave.deadline_s,
         down_max=wave.upper_bound,
+        seen_at_s=seen_at_s,
     )
 
 
--- a/toucandoor/platform/workers.py
+++ b/toucandoor/platform/workers.py
@@ -22,7 +22,7 @@
     WorkerPort,
     WorkerTarget,
 )
-from toucandoor.ids import DataCentreId, FencingToken, JobId, PoolId, WorkerId
+from toucandoor.ids import DataCentreId, FencingToken, JobId, PoolId, VmId, WorkerId
 from toucandoor.platform.http import (
     Answer,
     AnswerUnreadableError,
@@ -73,6 +73,7 @@
     sequence: int
     born: int = 0
     remaining_ms: int | None = None
+    machine: str = ""
 
 
 class _Reply(msgspec.Struct, frozen=True):
@@ -106,6 +107,7 @@
         draining=beat.state == "draining",
         born_unix_ms=beat.born,
         remaining_ms=beat.remaining_ms,
+        vm_id=VmId(beat.machine) if beat.machine else None,
     )
 
 
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -64,7 +64,7 @@
         self._clock = BootClock()
         http = PlatformHttp()
         self._store = PlatformStore(http, settings.store_address, STORE_TIMEOUT_S)
-        self._configuration = ConfigurationWatch(self._store)
+        self._configuration = ConfigurationWatch(self._store, self._clock)
         self._desk = JobDesk(self._store, self._clock)
         self._owner = OwnerTask(
             Surroundings(
