Count a task on a silent server as away

Excluded: two stops at once; the other task had been lost 3 s before. Change: a task is at work only where its server answers and says so.

--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -29,7 +29,6 @@
         runs: Runs that may exist; one but for copies.
         avoid: Backend servers on which it failed.
         not_before_s: Earliest time of its next start.
-        away_since_s: For a long-running task, since when it is not fully at work; None while it is.
     """
 
     key: TaskKey
@@ -41,7 +40,6 @@
     runs: list[Run] = field(default_factory=list)
     avoid: set[WorkerId] = field(default_factory=set)
     not_before_s: float = 0.0
-    away_since_s: float | None = 0.0
 
     @property
     def waiting(self) -> bool:
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -52,6 +52,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 _MS: Final = 1000
+FULL_SPEED_PERCENT: Final = 100
+"""What a backend server says of a run that is fully at work."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -613,12 +615,6 @@
             run.task.checkpoint = checkpoint
         run.percent = percent
         run.recent = recent
-        if run.task.step.long_running:
-            at_work = percent == 100 and not run.stop_wanted
-            if at_work:
-                run.task.away_since_s = None
-            elif run.task.away_since_s is None:
-                run.task.away_since_s = now_s
 
     def _unknown_active(
         self, worker: WorkerView, key: RunKey, checkpoint: str, now_s: float
@@ -669,7 +665,7 @@
         """Stop what can go on elsewhere before a backend server leaves."""
         for run in worker.runs.values():
             if run.task.step.long_running or run.task.step.checkpointing:
-                self._stop(run)
+                run.stop_wanted = True
 
     def vacate(self, worker: WorkerView, *, at_once: bool) -> None:
         """Stop what keeps a VM from a planned end, as far as promises of availability allow.
@@ -684,9 +680,9 @@
             step = run.task.step
             if step.long_running:
                 if self._may_be_away(run.task):
-                    self._stop(run)
+                    run.stop_wanted = True
             elif at_once or step.checkpointing:
-                self._stop(run)
+                run.stop_wanted = True
 
     def recheck(self, worker: WorkerView) -> None:
         """Give a backend server nothing new until it has answered again."""
@@ -699,14 +695,9 @@
         if allowed is None:
             return True
         others = self._step_of(task).tasks
-        away = sum(other is not task and other.away_since_s is not None for other in others)
+        away = sum(other is not task and not _at_work(other) for other in others)
         return away + 1 <= allowed
 
-    def _stop(self, run: Run) -> None:
-        run.stop_wanted = True
-        if run.task.step.long_running and run.task.away_since_s is None:
-            run.task.away_since_s = self._clock.monotonic_s()
-
     def _acknowledge(self, worker: WorkerView) -> None:
         waiting = [
             (job_id, version)
@@ -891,8 +882,6 @@
             return
         run.worker.remove(run)
         run.task.runs.remove(run)
-        if run.task.step.long_running and run.task.away_since_s is None:
-            run.task.away_since_s = self._clock.monotonic_s()
         team = self.jobs[run.task.key.job_id].spec.team
         self._team_used[team] = self._team_used[team] - run.task.step.needs
 
@@ -958,6 +947,18 @@
     return WorkerEntry(worker_id, PoolId(""), "", DataCentreId(""), NOTHING, (), True, born_unix_ms)
 
 
+def _at_work(task: Task) -> bool:
+    """Return whether a long-running task is surely fully at work."""
+    return any(
+        run.state is RunState.RUNNING
+        and run.percent == FULL_SPEED_PERCENT
+        and not run.stop_wanted
+        and run.worker.held
+        and run.worker.hold_failures == 0
+        for run in task.runs
+    )
+
+
 def _find_task(job: JobProgress, key: TaskKey) -> Task | None:
     if key.step >= len(job.spec.steps) or key.occurrence >= job.spec.occurrences:
         return None
