Test the scheduler on a virtual fleet, with a state machine of faults; log the load of pools

A virtual store and virtual backend servers keep to the protocol and note doubled runs; hypothesis plays changes of owner, cuts, late orders and lost answers together. Before: no test of jobs.

--- /dev/null
+++ b/tests/core/scheduling/common.py
@@ -0,0 +1,81 @@
+"""Small jobs and fleets for tests of the scheduler."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from toucandoor.core.jobs.configuration import JobConfiguration, JobPool, JobQueue, JobTeam
+from toucandoor.core.jobs.models import NOTHING, JobSpec, Resources, Step
+from toucandoor.core.scheduling.workers import EndReason
+from toucandoor.fakes.virtual_fleet import VirtualFleet
+from toucandoor.fakes.virtual_platform import TaskBehaviour
+from toucandoor.ids import ConfigVersion, JobId, PoolId, QueueId, TeamId, WorkerId
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from toucandoor.core.jobs.models import TaskKey
+
+QUEUE = QueueId("north")
+POOL = PoolId("pool")
+TEAM = TeamId("team")
+NEEDS = Resources(2000, 1000, 0)
+CAPACITY = Resources(8000, 16000, 0)
+
+
+def configuration(
+    *, attempts_max: int = 2, ceiling: Resources = NOTHING, version: int = 1
+) -> JobConfiguration:
+    """Return a configuration with one queue, one pool and one team."""
+    queue = JobQueue(QUEUE, "north.example", "/n/", POOL, False, 0, attempts_max, 1.6, 0.6)
+    return JobConfiguration(
+        ConfigVersion(version),
+        {QUEUE: queue},
+        {POOL: JobPool(POOL, True, False)},
+        {TEAM: JobTeam(TEAM, frozenset({"key"}), 10.0, ceiling)},
+    )
+
+
+def job(number: int, *steps: Step, occurrences: int = 1, first_due_unix_ms: int = 0) -> JobSpec:
+    """Return a job of the queue; one step of three tasks unless steps are given."""
+    terms = configuration().queues[QUEUE].terms
+    return JobSpec(
+        JobId(f"{number:016x}"),
+        QUEUE,
+        TEAM,
+        "payload",
+        steps or (Step(3, NEEDS, estimate_ms=1000),),
+        terms,
+        first_due_unix_ms,
+        1000,
+        occurrences,
+        number,
+    )
+
+
+def fleet(
+    workers: int = 3,
+    behaviour: Callable[[TaskKey, WorkerId], TaskBehaviour] | None = None,
+    **options: int,
+) -> VirtualFleet:
+    """Return a fleet of one pool with an owner."""
+    made = VirtualFleet(configuration(**options), behaviour or one_second)
+    for number in range(workers):
+        made.boot(f"w{number}", POOL, CAPACITY)
+    made.take_over()
+    return made
+
+
+def one_second(_task: TaskKey, _worker: WorkerId) -> TaskBehaviour:
+    """Let every task end as done after a second."""
+    return TaskBehaviour(NEEDS, 1.0)
+
+
+def lasting(_task: TaskKey, _worker: WorkerId) -> TaskBehaviour:
+    """Let every task last."""
+    return TaskBehaviour(NEEDS, float("inf"))
+
+
+def failing(_task: TaskKey, _worker: WorkerId) -> TaskBehaviour:
+    """Let every task fail after half a second."""
+    return TaskBehaviour(NEEDS, 0.5, EndReason.FAILED)
--- /dev/null
+++ b/tests/core/scheduling/test_machine.py
@@ -0,0 +1,140 @@
+"""State machine: changes of owner, late orders and lost answers, together and in any order.
+
+``TOUCANDOOR_LONG_RUN=1 script/test tests.core.scheduling.test_machine`` plays many more examples,
+with fresh seeds.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job
+from toucandoor.core.jobs.models import JobState, Step, TaskKey
+from toucandoor.core.scheduling.workers import EndReason
+from toucandoor.fakes.virtual_fleet import CallFate, VirtualFleet
+from toucandoor.fakes.virtual_platform import TaskBehaviour
+from toucandoor.ids import JobId, WorkerId
+
+LONG_RUN = bool(os.environ.get("TOUCANDOOR_LONG_RUN"))
+WORKERS = 3
+ATTEMPTS_MAX = 3
+
+
+class SchedulerMachine(RuleBasedStateMachine):
+    """A small fleet to which faults happen."""
+
+    @initialize(seed=st.integers(0, 2**32))
+    def begin(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.bad: set[str] = set()
+        self.fleet = VirtualFleet(configuration(attempts_max=ATTEMPTS_MAX), self.behave)
+        self.trouble: dict[str, float] = {}
+        self.fleet.fate = self.choose_fate
+        self.fleet.late_s = lambda: self.random.uniform(2.0, 12.0)
+        for number in range(WORKERS):
+            rate = self.random.choice([0.98, 1.0])
+            self.fleet.boot(f"w{number}", POOL, CAPACITY, clock_rate=rate)
+        self.fleet.take_over()
+        self.jobs: list[JobId] = []
+
+    def behave(self, _task: TaskKey, worker: WorkerId) -> TaskBehaviour:
+        failed = worker in self.bad
+        reason = EndReason.FAILED if failed else EndReason.DONE
+        return TaskBehaviour(NEEDS, self.random.choice([0.3, 1.0, 4.0]), reason)
+
+    def choose_fate(self, kind: str) -> CallFate:
+        if self.random.random() >= self.trouble.get(kind, 0.0):
+            return CallFate.ANSWERED
+        return self.random.choice([CallFate.ANSWER_LOST, CallFate.LATE, CallFate.NOT_SENT])
+
+    @rule(tasks=st.integers(1, 4), steps=st.integers(1, 2))
+    def submit(self, tasks: int, steps: int) -> None:
+        made = [
+            Step(tasks, NEEDS, after=(number - 1,) if number else ()) for number in range(steps)
+        ]
+        spec = job(len(self.jobs) + 1, *made)
+        self.fleet.submit(spec)
+        self.jobs.append(spec.job_id)
+
+    @rule(which=st.integers(0, 20))
+    def cancel(self, which: int) -> None:
+        if self.jobs:
+            self.fleet.cancel(self.jobs[which % len(self.jobs)])
+
+    @rule(tenths=st.integers(1, 60))
+    def wait(self, tenths: int) -> None:
+        self.fleet.run(tenths / 10)
+
+    @rule(
+        kind=st.sampled_from(["start", "stop", "hold", "write"]), share=st.sampled_from([0, 0.3, 1])
+    )
+    def trouble_with(self, kind: str, share: float) -> None:
+        self.trouble[kind] = share
+
+    @rule(dies=st.booleans(), pause_s=st.sampled_from([0.0, 1.0, 5.0]))
+    def change_owner(self, dies: bool, pause_s: float) -> None:
+        owner = self.fleet.owner
+        assert owner is not None
+        owner.alive = not dies
+        owner.paused_until_s = self.fleet.clock.monotonic_s() + pause_s
+        self.fleet.run(2.0 if dies else 0.1)
+        self.fleet.take_over()
+
+    @rule(number=st.integers(0, WORKERS - 1))
+    def cut_or_heal(self, number: int) -> None:
+        worker = self.fleet.workers[WorkerId(f"w{number}")]
+        worker.reachable = not worker.reachable
+
+    @rule(number=st.integers(0, WORKERS - 1), same_id=st.booleans())
+    def crash(self, number: int, same_id: bool) -> None:
+        name = f"w{number}"
+        self.fleet.crash(name)
+        if same_id:
+            self.fleet.run(0.5)
+        else:
+            self.fleet.run(5.0)
+        self.fleet.boot(name, POOL, CAPACITY)
+
+    @rule(number=st.integers(0, WORKERS - 1))
+    def fail_everything_there(self, number: int) -> None:
+        self.bad ^= {f"w{number}"}
+
+    @invariant()
+    def promises_hold(self) -> None:
+        for boot in self.fleet.seen.boots:
+            boot.settle()
+        assert self.fleet.seen.broken == []
+        for task, attempts in self.fleet.seen.failed.items():
+            assert len(attempts) <= ATTEMPTS_MAX, (task, attempts)
+
+    def teardown(self) -> None:
+        """Without further faults every job must reach an end."""
+        self.trouble.clear()
+        self.bad.clear()
+        for worker in self.fleet.workers.values():
+            worker.reachable = True
+        self.fleet.run(60.0)
+        self.promises_hold()
+        for job_id in self.jobs:
+            state = self.fleet.state(job_id)
+            assert state.final, (job_id, state)
+            if state is JobState.COMPLETED:
+                continue
+        assert not any(self.fleet.seen.running.values())
+
+
+SchedulerMachineTest = SchedulerMachine.TestCase
+SchedulerMachineTest.settings = settings(
+    max_examples=3000 if LONG_RUN else 120,
+    stateful_step_count=30,
+    derandomize=not LONG_RUN,
+    deadline=None,
+    database=None,
+    report_multiple_bugs=False,
+    suppress_health_check=list(HealthCheck),
+)
--- /dev/null
+++ b/tests/core/scheduling/test_scheduler.py
@@ -0,0 +1,210 @@
+"""Sessions of the scheduler on a virtual fleet: what a job goes through, and each fault alone."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.core.scheduling.common import (
+    CAPACITY,
+    NEEDS,
+    POOL,
+    failing,
+    fleet,
+    job,
+    lasting,
+    one_second,
+)
+from toucandoor.core.jobs.models import JobState, Resources, Step
+from toucandoor.core.scheduling.workers import EndReason
+from toucandoor.fakes.virtual_fleet import CallFate
+from toucandoor.fakes.virtual_platform import TaskBehaviour
+
+
+class CalmTest(unittest.TestCase):
+    """A fleet without faults."""
+
+    def test_job_completes_step_after_step(self) -> None:
+        virtual = fleet()
+        spec = job(1, Step(2, NEEDS), Step(2, NEEDS, after=(0,)))
+        virtual.submit(spec)
+        virtual.run(1.5)
+        self.assertEqual(virtual.state(spec.job_id), JobState.RUNNING)
+        self.assertEqual(virtual.seen.starts, 4)
+        virtual.run(1.0)
+        self.assertEqual(virtual.state(spec.job_id), JobState.COMPLETED)
+        self.assertEqual(virtual.seen.broken, [])
+
+    def test_room_of_servers_is_never_exceeded(self) -> None:
+        virtual = fleet(workers=1)
+        for number in range(6):
+            virtual.submit(job(number + 1))
+        for _ in range(60):
+            virtual.run(0.1)
+            used = virtual.workers[next(iter(virtual.workers))].used()
+            self.assertTrue(used.fits_in(CAPACITY))
+        virtual.run(4.0)
+        self.assertEqual(virtual.seen.starts, 18)
+
+    def test_job_fails_after_exactly_its_attempts(self) -> None:
+        virtual = fleet(behaviour=failing, attempts_max=2)
+        spec = job(1, Step(1, NEEDS))
+        virtual.submit(spec)
+        virtual.run(5.0)
+        self.assertEqual(virtual.state(spec.job_id), JobState.FAILED)
+        self.assertEqual(virtual.seen.starts, 2)
+
+    def test_cancelled_job_stops(self) -> None:
+        virtual = fleet(behaviour=lasting)
+        spec = job(1, Step(3, NEEDS, long_running=True))
+        virtual.submit(spec)
+        virtual.run(2.0)
+        virtual.cancel(spec.job_id)
+        virtual.run(1.0)
+        self.assertEqual(virtual.state(spec.job_id), JobState.CANCELLED)
+        self.assertFalse(any(virtual.seen.running.values()))
+
+    def test_long_running_task_is_restarted(self) -> None:
+        virtual = fleet(behaviour=failing)
+        spec = job(1, Step(1, NEEDS, long_running=True))
+        virtual.submit(spec)
+        virtual.run(4.0)
+        self.assertEqual(virtual.state(spec.job_id), JobState.RUNNING)
+        self.assertGreater(virtual.seen.starts, 3)
+
+    def test_occurrences_start_on_time(self) -> None:
+        virtual = fleet(behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 0.2))
+        due_ms = int(virtual.clock.now().timestamp() * 1000) + 2000
+        spec = job(1, Step(1, NEEDS), occurrences=3, first_due_unix_ms=due_ms)
+        virtual.submit(spec)
+        virtual.run(1.99)
+        self.assertEqual(virtual.seen.starts, 0)
+        virtual.run(0.4)
+        self.assertEqual(virtual.seen.starts, 1)
+        virtual.run(2.5)
+        self.assertEqual(virtual.state(spec.job_id), JobState.COMPLETED)
+
+    def test_ceiling_of_a_team_holds(self) -> None:
+        virtual = fleet(ceiling=Resources(4000, 0, 0))
+        virtual.submit(job(1, Step(8, NEEDS)))
+        for _ in range(30):
+            virtual.run(0.1)
+            running = sum(len(where) for where in virtual.seen.running.values())
+            self.assertLessEqual(running, 2)
+
+    def test_gang_runs_whole_or_not_at_all(self) -> None:
+        virtual = fleet(workers=1)
+        virtual.submit(job(1, Step(5, NEEDS, gang=True)))
+        virtual.run(2.0)
+        self.assertEqual(virtual.seen.starts, 0)
+        virtual.boot("late", POOL, CAPACITY)
+        virtual.run(0.5)
+        self.assertEqual(virtual.seen.starts, 5)
+
+    def test_tasks_per_server_are_bounded(self) -> None:
+        virtual = fleet(behaviour=lasting)
+        virtual.submit(job(1, Step(3, NEEDS, per_worker_max=1)))
+        virtual.run(1.0)
+        self.assertEqual([len(worker.runs) for worker in virtual.workers.values()], [1, 1, 1])
+
+
+class FaultTest(unittest.TestCase):
+    """One fault at a time."""
+
+    def test_start_without_answer_is_not_doubled(self) -> None:
+        virtual = fleet()
+        fates = iter([CallFate.ANSWER_LOST, CallFate.LATE, CallFate.LATE, CallFate.LATE])
+        virtual.fate = lambda kind: (
+            next(fates, CallFate.ANSWERED) if kind == "start" else CallFate.ANSWERED
+        )
+        virtual.submit(job(1))
+        virtual.run(12.0)
+        self.assertEqual(virtual.state(job(1).job_id), JobState.COMPLETED)
+        self.assertEqual(virtual.seen.broken, [])
+
+    def test_lost_answer_of_the_store_is_read_back(self) -> None:
+        virtual = fleet()
+        fates = iter([CallFate.ANSWER_LOST, CallFate.LATE, CallFate.ANSWER_LOST])
+        virtual.fate = lambda kind: (
+            next(fates, CallFate.ANSWERED) if kind == "write" else CallFate.ANSWERED
+        )
+        virtual.submit(job(1))
+        virtual.run(12.0)
+        self.assertEqual(virtual.state(job(1).job_id), JobState.COMPLETED)
+        self.assertEqual(virtual.seen.broken, [])
+        self.assertEqual(virtual.seen.starts, 3)
+
+    def test_new_owner_takes_over_what_runs(self) -> None:
+        virtual = fleet()
+        virtual.submit(job(1))
+        virtual.run(0.5)
+        assert virtual.owner is not None
+        virtual.owner.alive = False
+        virtual.run(2.0)
+        virtual.take_over()
+        virtual.run(1.0)
+        self.assertEqual(virtual.state(job(1).job_id), JobState.COMPLETED)
+        self.assertEqual(virtual.seen.starts, 3)
+
+    def test_run_out_of_reach_waits_for_the_lapse(self) -> None:
+        virtual = fleet(behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 20.0))
+        virtual.submit(job(1, Step(1, NEEDS)))
+        virtual.run(0.5)
+        place = next(iter(next(iter(virtual.seen.running.values()))))
+        virtual.workers[place].reachable = False
+        virtual.run(5.0)
+        self.assertEqual(virtual.seen.starts, 1)
+        virtual.run(5.0)
+        self.assertEqual(virtual.seen.starts, 2)
+        virtual.workers[place].settle()
+        self.assertEqual(virtual.seen.broken, [])
+
+    def test_new_owner_waits_for_leases_that_it_does_not_know(self) -> None:
+        virtual = fleet(behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 20.0))
+        virtual.submit(job(1, Step(1, NEEDS)))
+        virtual.run(0.5)
+        place = next(iter(next(iter(virtual.seen.running.values()))))
+        virtual.workers[place].reachable = False
+        virtual.take_over()
+        virtual.run(5.0)
+        self.assertEqual(virtual.seen.starts, 1)
+        virtual.run(6.0)
+        self.assertEqual(virtual.seen.starts, 2)
+        virtual.workers[place].settle()
+        self.assertEqual(virtual.seen.broken, [])
+
+    def test_restart_in_place_is_seen_by_its_later_birth(self) -> None:
+        virtual = fleet(workers=1)
+        virtual.submit(job(1))
+        virtual.run(0.5)
+        virtual.workers[next(iter(virtual.workers))].crash()
+        virtual.boot("w0", POOL, CAPACITY)
+        virtual.run(2.5)
+        self.assertEqual(virtual.state(job(1).job_id), JobState.COMPLETED)
+        self.assertEqual(virtual.seen.starts, 6)
+
+    def test_server_that_fails_everything_costs_no_job(self) -> None:
+        def behaviour(_task: object, worker: str) -> TaskBehaviour:
+            bad = worker == "w0"
+            return TaskBehaviour(NEEDS, 0.2, EndReason.FAILED if bad else EndReason.DONE)
+
+        virtual = fleet(behaviour=behaviour, attempts_max=2)
+        for number in range(8):
+            virtual.submit(job(number + 1, Step(2, NEEDS)))
+        virtual.run(6.0)
+        states = {virtual.state(job(number + 1).job_id) for number in range(8)}
+        self.assertEqual(states, {JobState.COMPLETED})
+
+    def test_writes_over_the_bound_of_a_store_are_never_made(self) -> None:
+        virtual = fleet(workers=12, behaviour=one_second)
+        sizes: list[int] = []
+        write = virtual.records.write
+
+        def counted(transaction):  # type: ignore[no-untyped-def]
+            sizes.append(len(transaction.expected) + len(transaction.writes))
+            return write(transaction)
+
+        virtual.records.write = counted  # type: ignore[method-assign]
+        for number in range(60):
+            virtual.submit(job(number + 1, Step(1, Resources(10, 10, 0))))
+        virtual.run(3.0)
+        self.assertLessEqual(max(sizes), 32)
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -75,6 +75,8 @@
 """How long a watch waits; bounds how long a silent connection hides what callers want."""
 HOLDER_MARGIN_S: Final = 0.5
 """Added to the time in which two holders must not order the same VM by turns."""
+LOAD_LOG_EVERY_S: Final = 2.0
+"""Time between two log lines of a pool's load; a queue's turn lasts several seconds."""
 RETRY_PAUSE_S: Final = 0.1
 """Pause after a failed watch."""
 
@@ -116,6 +118,7 @@
             former_lease_s=OWNER_TTL_S + around.settings.lease_s_max * 1.02,
         )
         self._scheduler = Scheduler(settings, around.clock)
+        self._next_load_log_s = 0.0
         self._waves = WaveKeeper(
             self._scheduler,
             around.clock.monotonic_s,
@@ -168,6 +171,7 @@
             for commit in scheduler.commits():
                 self._submit(self._commit, commit)
             self._look_after_vms()
+            self._log_load()
             pending = scheduler.pending_commit()
             if pending is not None:
                 self._submit(self._write_pending, pending)
@@ -267,6 +271,14 @@
         else:
             self._post(lambda: scheduler.advice_answered(order.step, advice))
 
+    def _log_load(self) -> None:
+        now_s = self._around.clock.monotonic_s()
+        if now_s < self._next_load_log_s:
+            return
+        self._next_load_log_s = now_s + LOAD_LOG_EVERY_S
+        for load in self._scheduler.loads().values():
+            _LOGGER.info("schedule: load", extra=load.log_fields())
+
     # VMs
 
     def _look_after_vms(self) -> None:
--- /dev/null
+++ b/toucandoor/core/scheduling/pool_load.py
@@ -0,0 +1,60 @@
+"""How full each pool is and what waits for room in it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from toucandoor.core.jobs.models import NOTHING, Resources
+
+if TYPE_CHECKING:
+    from toucandoor.core.scheduling.worker_view import WorkerView
+    from toucandoor.ids import PoolId
+
+
+@dataclass(slots=True)
+class PoolLoad:
+    """Load of a pool.
+
+    Attributes:
+        pool: Its name.
+        servers: Backend servers that may get tasks.
+        capacity: Their room.
+        lasting: Room that long-running tasks take.
+        ending: Room that other tasks take.
+        waiting: Room that tasks ask for which could run now.
+        waiting_lasting: The part of it that long-running tasks ask for.
+    """
+
+    pool: PoolId
+    servers: int = 0
+    capacity: Resources = NOTHING
+    lasting: Resources = NOTHING
+    ending: Resources = NOTHING
+    waiting: Resources = NOTHING
+    waiting_lasting: Resources = NOTHING
+
+    def add_server(self, worker: WorkerView) -> None:
+        """Count a backend server and its runs."""
+        self.servers += 1
+        self.capacity = self.capacity + worker.entry.capacity
+        for run in worker.runs.values():
+            if run.task.step.long_running:
+                self.lasting = self.lasting + run.task.step.room
+            else:
+                self.ending = self.ending + run.task.step.room
+
+    def log_fields(self) -> dict[str, object]:
+        """Return the fields of a log line."""
+        return {
+            "pool": self.pool,
+            "servers": self.servers,
+            "capacity_cpu": self.capacity.cpu_millicores,
+            "lasting_cpu": self.lasting.cpu_millicores,
+            "ending_cpu": self.ending.cpu_millicores,
+            "waiting_cpu": self.waiting.cpu_millicores,
+            "capacity_mb": self.capacity.memory_mb,
+            "lasting_mb": self.lasting.memory_mb,
+            "ending_mb": self.ending.memory_mb,
+            "waiting_mb": self.waiting.memory_mb,
+        }
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -25,6 +25,7 @@
     StopRun,
 )
 from toucandoor.core.scheduling.placement import allowed_workers, choose_worker
+from toucandoor.core.scheduling.pool_load import PoolLoad
 from toucandoor.core.scheduling.progress import JobProgress, StepProgress, Task
 from toucandoor.core.scheduling.queue_order import step_rank
 from toucandoor.core.scheduling.worker_view import Run, RunState, WorkerView
@@ -711,6 +712,28 @@
 
     # Placement
 
+    def loads(self) -> dict[PoolId, PoolLoad]:
+        """Return the load of each pool."""
+        now_s = self._clock.monotonic_s()
+        loads: dict[PoolId, PoolLoad] = {}
+        for worker in self.workers.values():
+            pool = worker.entry.pool
+            if worker.usable(now_s):
+                loads.setdefault(pool, PoolLoad(pool)).add_server(worker)
+        for job_id in self._open:
+            job = self.jobs[job_id]
+            if job.state.final:
+                continue
+            load = loads.setdefault(self._pool_of(job), PoolLoad(self._pool_of(job)))
+            for step in job.steps.values():
+                if step.undone and job.runnable(step):
+                    count = sum(task.waiting for task in step.tasks)
+                    load.waiting = load.waiting + step.step.room.times(count)
+                    if step.step.long_running:
+                        lasting = step.step.room.times(count)
+                        load.waiting_lasting = load.waiting_lasting + lasting
+        return loads
+
     def _open_occurrences(self) -> None:
         now_ms = self._clock.now().timestamp() * _MS
         for job_id in list(self._open):
--- /dev/null
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -0,0 +1,420 @@
+"""Runs schedulers against the virtual platform, in virtual time and with faults at will."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from enum import Enum
+from functools import partial
+from typing import TYPE_CHECKING
+
+from toucandoor.clock import ManualClock
+from toucandoor.core.jobs.models import JobState
+from toucandoor.core.jobs.records import (
+    CANCEL_PREFIX,
+    JOB_PREFIX,
+    PROGRESS_PREFIX,
+    CancelRecord,
+    cancel_key,
+    decode_job,
+    decode_progress,
+    encode,
+    job_key,
+    progress_key,
+)
+from toucandoor.core.ownership.lease import OWNER_KEY
+from toucandoor.core.records import Transaction, TransactionConflictError
+from toucandoor.core.scheduling.orders import (
+    AskAdvice,
+    Commit,
+    HoldWorker,
+    PaceRun,
+    StartRun,
+    StopRun,
+)
+from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
+from toucandoor.core.scheduling.workers import OrderRefusedError, WorkerEntry
+from toucandoor.fakes.virtual_platform import (
+    Observations,
+    TaskBehaviour,
+    VirtualRecords,
+    VirtualWorker,
+)
+from toucandoor.ids import DataCentreId, FencingToken, JobId, PoolId, WorkerId
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from toucandoor.core.jobs.configuration import JobConfiguration
+    from toucandoor.core.jobs.models import JobSpec, Resources, TaskKey
+    from toucandoor.core.records import Record
+    from toucandoor.core.scheduling.orders import Order
+    from toucandoor.core.scheduling.worker_view import WorkerView
+
+CALL_S = 0.002
+"""Time of a call to a backend server."""
+STORE_CALL_S = 0.006
+"""Time of a call to the store."""
+LEASE_S = 6.0
+OWNER_TTL_S = 2.0
+
+
+class CallFate(Enum):
+    """What happens to a call."""
+
+    ANSWERED = "answered"
+    ANSWER_LOST = "answer_lost"
+    LATE = "late"
+    """Not answered, and carried out seconds later."""
+    NOT_SENT = "not_sent"
+
+
+@dataclass(slots=True)
+class Owner:
+    """One term of ownership.
+
+    Attributes:
+        scheduler: Its scheduler.
+        alive: Whether its process runs.
+        paused_until_s: It stands still until then.
+        valid_until_s: Until when it believes to own the schedule.
+    """
+
+    scheduler: Scheduler
+    alive: bool = True
+    paused_until_s: float = 0.0
+    valid_until_s: float = float("inf")
+
+
+class VirtualFleet:
+    """A fleet in virtual time.
+
+    Attributes:
+        clock: The virtual clock.
+        seen: What the stand-ins have seen.
+        records: The store.
+        workers: Present boots of backend servers.
+        owner: The present owner; None while there is none.
+        fate: Chooses what happens to each call, by kind: ``start``, ``stop``, ``hold``, ``write``.
+        late_s: Chooses how much later a late call is carried out.
+    """
+
+    def __init__(
+        self,
+        configuration: JobConfiguration,
+        behaviour: Callable[[TaskKey, WorkerId], TaskBehaviour],
+    ) -> None:
+        self.clock = ManualClock(datetime(2026, 1, 5, 18, 0, tzinfo=UTC))
+        self.clock.advance(100.0)
+        self.seen = Observations()
+        self.records = VirtualRecords()
+        self.workers: dict[WorkerId, VirtualWorker] = {}
+        self.owner: Owner | None = None
+        self.former: list[Owner] = []
+        self.fate: Callable[[str], CallFate] = lambda kind: CallFate.ANSWERED
+        self.late_s: Callable[[], float] = lambda: 4.0
+        self.configuration = configuration
+        self._behaviour = behaviour
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self.records.on_change = self._changed
+
+    # Time
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Do something later, in seconds of virtual time."""
+        due_s = self.clock.monotonic_s() + delay_s
+        heapq.heappush(self._queue, (due_s, next(self._order), action))
+
+    def run(self, for_s: float) -> None:
+        """Let virtual time pass."""
+        until_s = self.clock.monotonic_s() + for_s
+        while self._queue and self._queue[0][0] <= until_s:
+            due_s, _, action = heapq.heappop(self._queue)
+            self.clock.advance_to(due_s)
+            action()
+        self.clock.advance_to(until_s)
+
+    # The fleet
+
+    def boot(
+        self,
+        worker_id: str,
+        pool: str,
+        capacity: Resources,
+        *,
+        labels: tuple[str, ...] = ("a", "r1"),
+        clock_rate: float = 1.0,
+    ) -> VirtualWorker:
+        """Start a backend server, or start it again under the same id."""
+        born = int(self.clock.now().timestamp() * 1000)
+        entry = WorkerEntry(
+            WorkerId(worker_id),
+            PoolId(pool),
+            f"{worker_id}:1",
+            DataCentreId("dc"),
+            capacity,
+            labels,
+            False,
+            born,
+        )
+        worker = VirtualWorker(entry, self.clock, self.seen, self._behaviour, clock_rate=clock_rate)
+        self.workers[entry.worker_id] = worker
+        if self.owner is not None:
+            self.owner.scheduler.worker_listed(entry)
+        return worker
+
+    def crash(self, worker_id: str) -> None:
+        """End a backend server at once; the list drops it after a while."""
+        worker = self.workers[WorkerId(worker_id)]
+        worker.crash()
+        self.after(4.5, partial(self._unlist, worker))
+
+    def _unlist(self, worker: VirtualWorker) -> None:
+        present = self.workers.get(worker.entry.worker_id)
+        if present is worker and self.owner is not None:
+            self.owner.scheduler.worker_unlisted(worker.entry.worker_id)
+
+    def submit(self, spec: JobSpec) -> None:
+        """Hand a job in."""
+        self.records.write(
+            Transaction({job_key(spec.job_id): 0}, {job_key(spec.job_id): encode(spec)})
+        )
+
+    def cancel(self, job_id: JobId) -> None:
+        """Cancel a job."""
+        key = cancel_key(job_id)
+        self.records.write(Transaction({}, {key: encode(CancelRecord(0))}))
+
+    def state(self, job_id: JobId) -> JobState:
+        """Return a job's state as callers are shown it."""
+        record = self.records.records.get(progress_key(job_id))
+        return JobState.QUEUED if record is None else decode_progress(record.value).state
+
+    # Owners
+
+    def take_over(self) -> Owner:
+        """Let another VM claim the schedule, as after the end of the former owner's lease."""
+        if self.owner is not None:
+            self.former.append(self.owner)
+            self.owner.valid_until_s = min(self.owner.valid_until_s, self.clock.monotonic_s())
+        self.records.remove(OWNER_KEY)
+        token = FencingToken(self.records.write(Transaction({OWNER_KEY: 0}, {OWNER_KEY: b"{}"})))
+        settings = SchedulerSettings(
+            owner_key=OWNER_KEY,
+            owner_revision=token,
+            token=token,
+            lease_s=LEASE_S,
+            former_lease_s=OWNER_TTL_S + LEASE_S * 1.02,
+        )
+        owner = Owner(Scheduler(settings, self.clock))
+        owner.scheduler.set_configuration(self.configuration)
+        self.owner = owner
+        for worker in self.workers.values():
+            if worker.alive:
+                owner.scheduler.worker_listed(worker.entry)
+        for record in self.records.below(JOB_PREFIX):
+            spec = decode_job(record.value)
+            kept = self.records.records.get(progress_key(spec.job_id))
+            if kept is None:
+                owner.scheduler.add_job(spec)
+            else:
+                owner.scheduler.restore_job(spec, decode_progress(kept.value), kept.revision)
+        for record in self.records.below(CANCEL_PREFIX):
+            owner.scheduler.cancel_job(JobId(record.key.removeprefix(CANCEL_PREFIX)))
+        self._tick(owner)
+        return owner
+
+    def _changed(self, key: str, record: Record | None) -> None:
+        owner = self.owner
+        if owner is None or record is None or key.startswith(PROGRESS_PREFIX):
+            return
+        if key.startswith(JOB_PREFIX):
+            spec = decode_job(record.value)
+            self._event(owner, STORE_CALL_S, lambda: owner.scheduler.add_job(spec))
+        elif key.startswith(CANCEL_PREFIX):
+            job_id = JobId(key.removeprefix(CANCEL_PREFIX))
+            self._event(owner, STORE_CALL_S, lambda: owner.scheduler.cancel_job(job_id))
+
+    def _acts(self, owner: Owner) -> bool:
+        return (
+            owner.alive
+            and not owner.scheduler.deposed
+            and self.clock.monotonic_s() < owner.valid_until_s
+        )
+
+    def _tick(self, owner: Owner) -> None:
+        if not self._acts(owner):
+            return
+        self._pump(owner)
+        self.after(owner.scheduler.next_wake_s(), lambda: self._tick(owner))
+
+    def _event(self, owner: Owner, delay_s: float, event: Callable[[], None]) -> None:
+        def happen() -> None:
+            wait_s = owner.paused_until_s - self.clock.monotonic_s()
+            if wait_s > 0:
+                self.after(wait_s, happen)
+                return
+            if not owner.alive:
+                return
+            event()
+            if self._acts(owner):
+                self._pump(owner)
+
+        self.after(delay_s, happen)
+
+    def _pump(self, owner: Owner) -> None:
+        if self.clock.monotonic_s() < owner.paused_until_s:
+            return
+        for order in owner.scheduler.orders():
+            self._send(owner, order)
+        for commit in owner.scheduler.commits():
+            self._write(owner, commit)
+
+    # Calls
+
+    def _write(self, owner: Owner, commit: Commit) -> None:
+        scheduler = owner.scheduler
+        fate = self.fate("write")
+        if fate is CallFate.NOT_SENT:
+            self._event(owner, 0.1, lambda: scheduler.commit_failed(commit, None))
+            return
+        if fate is CallFate.LATE:
+            self.after(self.late_s(), partial(self._try_write, commit.transaction))
+            self._event(owner, 0.9, lambda: scheduler.commit_failed(commit, None))
+            return
+
+        def arrive() -> None:
+            try:
+                revision = self.records.write(commit.transaction)
+            except TransactionConflictError as err:
+                present = err.present
+                self._event(
+                    owner, STORE_CALL_S / 2, lambda: scheduler.commit_failed(commit, present)
+                )
+                return
+            if fate is CallFate.ANSWER_LOST:
+                self._event(owner, 0.9, lambda: scheduler.commit_failed(commit, None))
+            else:
+                self._event(
+                    owner, STORE_CALL_S / 2, lambda: scheduler.commit_done(commit, revision)
+                )
+
+        self.after(STORE_CALL_S / 2, arrive)
+
+    def _try_write(self, transaction: Transaction) -> None:
+        try:
+            self.records.write(transaction)
+        except TransactionConflictError:
+            return  # its condition no longer holds
+
+    def _send(self, owner: Owner, order: Order) -> None:
+        if isinstance(order, HoldWorker):
+            sent_s = self.clock.monotonic_s()
+            fate = self.fate("hold")
+            self.after(CALL_S / 2, lambda: self._hold_arrives(owner, order, sent_s, fate, sent_s))
+        elif isinstance(order, StartRun):
+            self._order_out(
+                owner,
+                "start",
+                order.run.worker,
+                lambda worker: worker.start(order.order),
+                lambda clock_ms: owner.scheduler.start_answered(order.run, clock_ms),
+                lambda err: owner.scheduler.start_refused(order.run, err.refusal),
+                lambda: owner.scheduler.start_unanswered(order.run),
+            )
+        elif isinstance(order, StopRun):
+            self._order_out(
+                owner,
+                "stop",
+                order.run.worker,
+                lambda worker: worker.stop(order.run.key, order.token),
+                lambda _: owner.scheduler.stop_answered(order.run),
+                lambda err: owner.scheduler.stop_failed(order.run, err.refusal),
+                lambda: owner.scheduler.stop_failed(order.run, None),
+            )
+        elif isinstance(order, AskAdvice | PaceRun):
+            raise NotImplementedError(type(order).__name__)
+
+    def _boot_of(self, view: WorkerView) -> VirtualWorker | None:
+        worker = self.workers.get(view.entry.worker_id)
+        return worker if worker is not None and worker.alive and worker.reachable else None
+
+    def _order_out(
+        self,
+        owner: Owner,
+        kind: str,
+        view: WorkerView,
+        act: Callable[[VirtualWorker], int],
+        answered: Callable[[int], None],
+        refused: Callable[[OrderRefusedError], None],
+        unanswered: Callable[[], None],
+    ) -> None:
+        fate = self.fate(kind)
+
+        def arrive() -> None:
+            worker = self._boot_of(view)
+            if worker is None or fate is CallFate.NOT_SENT:
+                self._event(owner, 0.5, unanswered)
+                return
+            if fate is CallFate.LATE:
+                self.after(self.late_s(), lambda: self._act_late(view, act))
+                self._event(owner, 1.0, unanswered)
+                return
+            try:
+                clock_ms = act(worker)
+            except OrderRefusedError as err:
+                refusal = err
+                self._event(owner, CALL_S / 2, lambda: refused(refusal))
+                return
+            if fate is CallFate.ANSWER_LOST:
+                self._event(owner, 1.0, unanswered)
+            else:
+                self._event(owner, CALL_S / 2, lambda: answered(clock_ms))
+
+        self.after(CALL_S / 2, arrive)
+
+    def _act_late(self, view: WorkerView, act: Callable[[VirtualWorker], int]) -> None:
+        worker = self._boot_of(view)
+        if worker is None:
+            return
+        try:
+            act(worker)
+        except OrderRefusedError:
+            return  # a newer order has ruled it out
+
+    def _hold_arrives(
+        self, owner: Owner, order: HoldWorker, sent_s: float, fate: CallFate, arrived_s: float
+    ) -> None:
+        """Carry a long poll out: it answers at the first end, or when its waiting time is over."""
+        scheduler = owner.scheduler
+        worker = self._boot_of(order.worker)
+        if worker is None or fate is not CallFate.ANSWERED:
+            if worker is not None and fate is CallFate.LATE:
+                late = partial(
+                    self._act_late,
+                    order.worker,
+                    lambda each: each.hold(
+                        order.token, order.lease_until_ms, order.acknowledged
+                    ).clock_ms,
+                )
+                self.after(self.late_s(), late)
+            self._event(owner, 1.0, lambda: scheduler.hold_failed(order.worker, None))
+            return
+        try:
+            listing = worker.hold(order.token, order.lease_until_ms, order.acknowledged)
+        except OrderRefusedError as err:
+            refusal = err.refusal
+            self._event(owner, CALL_S / 2, lambda: scheduler.hold_failed(order.worker, refusal))
+            return
+        waited_s = self.clock.monotonic_s() - arrived_s
+        if listing.ended or waited_s >= order.wait_s:
+            self._event(
+                owner,
+                CALL_S / 2,
+                lambda: scheduler.hold_answered(order.worker, listing, sent_s),
+            )
+            return
+        self.after(0.02, lambda: self._hold_arrives(owner, order, sent_s, fate, arrived_s))
