Lend VMs to the pool whose turn it is; withdraw orders that were given up

Change: a pool that cannot hold what waits or arrives borrows VMs of the spare pool, then empty ones of others; a pool that stands empty gives VMs back. Tasks are packed, so that VMs stand empty.

--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -21,14 +21,15 @@
 )
 from toucandoor.core.maintenance.job_waves import (
     WAVE_PROGRESS_PREFIX,
-    ListVms,
     MaintainVm,
     SaveWave,
     WaveKeeper,
     decode_wave_record,
     encode_wave_record,
 )
+from toucandoor.core.maintenance.vm_list import VmList
 from toucandoor.core.ownership.lease import OWNER_KEY, OWNER_TTL_S, RENEW_EVERY_S
+from toucandoor.core.pools.vm_lender import VmLender
 from toucandoor.core.records import (
     HistoryLostError,
     LeaseEndedError,
@@ -59,9 +60,10 @@
     from toucandoor.clock import Clock
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.ownership.lease import OwnershipLease
+    from toucandoor.core.pools.lending import Move
     from toucandoor.core.records import Changes, Record, RecordStore, StoreLease
     from toucandoor.core.scheduling.orders import Commit, Order
-    from toucandoor.core.scheduling.workers import AdvicePort, VmPort, WorkerPort
+    from toucandoor.core.scheduling.workers import AdvicePort, VmEntry, VmPort, WorkerPort
     from toucandoor.ids import EntryId, FencingToken
     from toucandoor.platform.settings import NodeSettings
 
@@ -119,14 +121,23 @@
         )
         self._scheduler = Scheduler(settings, around.clock)
         self._next_load_log_s = 0.0
+        now_s = around.clock.monotonic_s
+        orders_from_s = now_s() + around.settings.holder_lease_s + HOLDER_MARGIN_S
+        self._vm_list = VmList(now_s)
         self._waves = WaveKeeper(
             self._scheduler,
-            around.clock.monotonic_s,
-            begin_at_s=around.clock.monotonic_s()
-            + around.settings.holder_lease_s
-            + HOLDER_MARGIN_S,
+            self._vm_list,
+            now_s,
+            begin_at_s=orders_from_s,
             maintenance_s=around.settings.vm_maintenance_s,
         )
+        self._lender = VmLender(
+            self._scheduler,
+            self._vm_list,
+            now_s,
+            begin_at_s=orders_from_s,
+            move_s=around.settings.vm_move_s,
+        )
         self._order_pool = ThreadPoolExecutor(ORDER_THREADS, "orders")
         self._hold_pool = ThreadPoolExecutor(HOLD_THREADS, "holds")
 
@@ -284,13 +295,30 @@
     def _look_after_vms(self) -> None:
         for wave in list(self._around.configuration.waves.values()):
             self._waves.ordered(wave)
+        if self._vm_list.due(active=self._waves.active or self._lender.active):
+            self._order_pool.submit(_logged, lambda _: self._list_vms(), None)
         for order in self._waves.orders():
             if isinstance(order, MaintainVm):
                 self._submit(self._maintain, order)
-            elif isinstance(order, ListVms):
-                self._submit(self._list_vms, order)
             elif isinstance(order, SaveWave):
                 self._submit(self._save_wave, order)
+        for move in self._lender.orders(self._waves.busy):
+            self._submit(self._move, move)
+
+    def _move(self, move: Move) -> None:
+        if not self._may_act():
+            return
+        holder, token = self._around.entry_id, self._scheduler.token
+        try:
+            self._around.vms.move(move.vm_id, move.pool, holder, token)
+        except VmRefusedError as err:
+            refusal = err.refusal
+            self._post(lambda: self._lender.refused(move, refusal))
+        except OrderUnansweredError as err:
+            _LOGGER.info("pools: no answer: %s", err, extra={"vm": move.vm_id})
+            self._post(lambda: self._lender.refused(move, None))
+        else:
+            self._post(lambda: self._lender.done(move))
 
     def _maintain(self, order: MaintainVm) -> None:
         if not self._may_act():
@@ -307,15 +335,21 @@
         else:
             self._post(lambda: self._waves.maintenance_begun(order))
 
-    def _list_vms(self, _order: ListVms) -> None:
+    def _list_vms(self) -> None:
         asked_at_s = self._around.clock.monotonic_s()
+
+        def listed(vms: tuple[VmEntry, ...] | None) -> None:
+            self._vm_list.answered(vms, asked_at_s)
+            if vms is not None:
+                self._waves.vms_listed(asked_at_s)
+
         try:
             vms = self._around.vms.list()
         except (VmRefusedError, OrderUnansweredError) as err:
             _LOGGER.info("maintenance: the list of VMs cannot be read: %s", err)
-            self._post(lambda: self._waves.vms_listed(None, asked_at_s))
+            self._post(lambda: listed(None))
         else:
-            self._post(lambda: self._waves.vms_listed(vms, asked_at_s))
+            self._post(lambda: listed(vms))
 
     def _save_wave(self, order: SaveWave) -> None:
         owner = {OWNER_KEY: int(self._scheduler.token)}
--- a/toucandoor/core/maintenance/job_waves.py
+++ b/toucandoor/core/maintenance/job_waves.py
@@ -17,11 +17,11 @@
 from toucandoor.ids import VmId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
+    from toucandoor.core.maintenance.vm_list import VmList
     from toucandoor.core.scheduling.scheduler import Scheduler
     from toucandoor.core.scheduling.worker_view import WorkerView
-    from toucandoor.core.scheduling.workers import VmEntry
     from toucandoor.ids import WorkerId
 
 _LOGGER = logging.getLogger(__name__)
@@ -35,8 +35,6 @@
 """How long tasks of a VM that is due may run on; longer than nearly all tasks take."""
 RETRY_S: Final = 0.5
 """Pause after the platform refused an order or did not answer."""
-LIST_EVERY_S: Final = 1.0
-"""Time between reads of the list of VMs while a wave is under way."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,11 +70,6 @@
     wave: int
 
 
-@dataclass(frozen=True, slots=True)
-class ListVms:
-    """Read the platform's list of VMs."""
-
-
 @dataclass(frozen=True, slots=True)
 class SaveWave:
     """Write a wave's progress and what operators are shown of it."""
@@ -86,7 +79,7 @@
     completed: bool
 
 
-VmOrder = MaintainVm | ListVms | SaveWave
+WaveAct = MaintainVm | SaveWave
 
 
 @dataclass(slots=True)
@@ -123,6 +116,7 @@
     def __init__(
         self,
         scheduler: Scheduler,
+        vm_list: VmList,
         now_s: Callable[[], float],
         *,
         begin_at_s: float,
@@ -132,6 +126,7 @@
 
         Args:
             scheduler: Whose backend servers are on the VMs.
+            vm_list: The list of VMs.
             now_s: The monotonic clock.
             begin_at_s: No order is given before, so that two owners never take turns on a VM.
             maintenance_s: Time that a VM's maintenance takes.
@@ -141,10 +136,7 @@
         self._begin_at_s = begin_at_s
         self._maintenance_s = maintenance_s
         self._waves: dict[int, _Wave] = {}
-        self.vms: dict[VmId, VmEntry] = {}
-        self._listed_at_s: float | None = None
-        self._list_in_flight = False
-        self._list_after_s = 0.0
+        self._list = vm_list
 
     @property
     def active(self) -> bool:
@@ -180,22 +172,22 @@
             },
         )
 
-    def vms_listed(self, vms: Iterable[VmEntry] | None, asked_at_s: float) -> None:
-        """Take the platform's list of VMs; None where it could not be read."""
-        self._list_in_flight = False
-        now_s = self._now_s()
-        if vms is None:
-            self._list_after_s = now_s + RETRY_S
-            return
-        self._list_after_s = now_s + LIST_EVERY_S
-        self._listed_at_s = asked_at_s
-        self.vms = {vm.vm_id: vm for vm in vms}
+    @property
+    def busy(self) -> set[VmId]:
+        """VMs that are vacated or down for a wave."""
+        found: set[VmId] = set()
+        for wave in self._waves.values():
+            found |= set(wave.vacating_since_s) | set(wave.down_since_s)
+        return found
+
+    def vms_listed(self, asked_at_s: float) -> None:
+        """Note that the list of VMs has been read."""
         for wave in self._waves.values():
             for vm_id in wave.order.vms:
                 self._listed_in_wave(wave, vm_id, asked_at_s)
 
     def _listed_in_wave(self, wave: _Wave, vm_id: VmId, asked_at_s: float) -> None:
-        vm = self.vms.get(vm_id)
+        vm = self._list.vms.get(vm_id)
         down_since_s = wave.down_since_s.get(vm_id)
         if vm is not None and vm.state is VmState.MAINTENANCE:
             wave.down_since_s.setdefault(vm_id, asked_at_s)
@@ -234,7 +226,7 @@
         else:
             wave.down_since_s.pop(order.vm_id, None)
         if refusal in (VmRefusal.NOT_IN_WAVE, VmRefusal.REJECTED, VmRefusal.BUSY):
-            self._list_after_s = now_s
+            self._list.read_again()
             wave.retry_at_s[order.vm_id] = now_s + 2 * RETRY_S
         _LOGGER.info(
             "maintenance: not begun",
@@ -256,26 +248,23 @@
 
     # Decisions
 
-    def orders(self) -> list[VmOrder]:
+    def orders(self) -> list[WaveAct]:
         """Return what is to be done now."""
         now_s = self._now_s()
-        orders: list[VmOrder] = []
+        orders: list[WaveAct] = []
         if not any(wave.order.vms for wave in self._waves.values()):
             return orders
-        if self.active and not self._list_in_flight and now_s >= self._list_after_s:
-            self._list_in_flight = True
-            orders.append(ListVms())
         for wave in self._waves.values():
             if not wave.order.vms:
                 continue
-            if self._listed_at_s is not None and now_s >= self._begin_at_s:
+            if self._list.read_at_s is not None and now_s >= self._begin_at_s:
                 self._advance(wave, now_s, orders)
             self._save(wave, now_s, orders)
         return orders
 
-    def _advance(self, wave: _Wave, now_s: float, orders: list[VmOrder]) -> None:
+    def _advance(self, wave: _Wave, now_s: float, orders: list[WaveAct]) -> None:
         left = [vm_id for vm_id in wave.order.vms if self._stays(vm_id) and vm_id not in wave.begun]
-        workers = self._workers_by_vm()
+        workers = self._scheduler.workers_by_vm()
         self._note_returned(wave, workers)
         for vm_id in list(wave.vacating_since_s):
             if vm_id not in left:
@@ -311,14 +300,14 @@
         busy = set(wave.vacating_since_s) | set(wave.down_since_s)
         disturbed: dict[str, int] = {}
         for vm_id in busy:
-            vm = self.vms.get(vm_id)
+            vm = self._list.vms.get(vm_id)
             if vm is not None:
                 disturbed[vm.pool] = disturbed.get(vm.pool, 0) + 1
 
         def burden(vm_id: VmId) -> tuple[int, int]:
             worker = workers.get(vm_id)
             runs = len(worker.runs) if worker is not None else 0
-            return (disturbed.get(self.vms[vm_id].pool, 0), runs)
+            return (disturbed.get(self._list.vms[vm_id].pool, 0), runs)
 
         chosen: list[VmId] = []
         while idle and len(busy) + len(chosen) <= wave.order.down_max:
@@ -328,12 +317,12 @@
                 break
             idle.remove(vm_id)
             chosen.append(vm_id)
-            pool = self.vms[vm_id].pool
+            pool = self._list.vms[vm_id].pool
             disturbed[pool] = disturbed.get(pool, 0) + 1
         return chosen
 
     def _may_begin(self, wave: _Wave, vm_id: VmId, now_s: float) -> bool:
-        vm = self.vms.get(vm_id)
+        vm = self._list.vms.get(vm_id)
         return (
             vm is not None
             and vm.state is VmState.UP
@@ -347,7 +336,7 @@
         now_s = self._now_s()
         for vm_id, since_s in list(wave.down_since_s.items()):
             worker = workers.get(vm_id)
-            vm = self.vms.get(vm_id)
+            vm = self._list.vms.get(vm_id)
             if vm_id in wave.in_flight or worker is None or vm is None:
                 continue
             renewed = worker.entry.worker_id != vm.worker_id or vm_id in wave.begun
@@ -355,28 +344,17 @@
             if renewed and over and worker.listed and worker.held:
                 del wave.down_since_s[vm_id]
 
-    def _workers_by_vm(self) -> dict[VmId, WorkerView]:
-        found: dict[VmId, WorkerView] = {}
-        for worker in self._scheduler.workers.values():
-            vm_id = worker.entry.vm_id
-            if vm_id is None:
-                continue
-            other = found.get(vm_id)
-            if other is None or worker.entry.born_unix_ms > other.entry.born_unix_ms:
-                found[vm_id] = worker
-        return found
-
     def _stays(self, vm_id: VmId) -> bool:
-        return vm_id in self.vms
+        return vm_id in self._list.vms
 
     def _finished(self, wave: _Wave) -> bool:
         if wave.saved is not None and wave.saved[1]:
             return True
-        if self._listed_at_s is None or not wave.order.vms:
+        if self._list.read_at_s is None or not wave.order.vms:
             return False
         return all(vm_id in wave.begun or not self._stays(vm_id) for vm_id in wave.order.vms)
 
-    def _save(self, wave: _Wave, now_s: float, orders: list[VmOrder]) -> None:
+    def _save(self, wave: _Wave, now_s: float, orders: list[WaveAct]) -> None:
         state = (len(wave.begun), self._finished(wave))
         if wave.saved == state or wave.save_in_flight or now_s < wave.save_after_s:
             return
--- /dev/null
+++ b/toucandoor/core/pools/vm_lender.py
@@ -0,0 +1,153 @@
+"""Carries out the moves of the lending policy for as long as its process owns the schedule."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+from toucandoor.core.pools.lending import LendableVm, Lending, Move
+from toucandoor.core.scheduling.workers import VmState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
+    from toucandoor.core.maintenance.vm_list import VmList
+    from toucandoor.core.scheduling.scheduler import Scheduler
+    from toucandoor.core.scheduling.worker_view import WorkerView
+    from toucandoor.core.scheduling.workers import VmEntry, VmRefusal
+    from toucandoor.ids import PoolId, VmId, WorkerId
+
+_LOGGER = logging.getLogger(__name__)
+
+PLAN_EVERY_S: Final = 0.2
+"""Time between two plans; a turn of demand lasts some seconds, a move takes one and a half."""
+RETRY_S: Final = 1.0
+"""Pause for a VM whose move was refused or got no answer."""
+SETTLE_S: Final = 2.0
+"""How long after a move was ordered its VM may be missing before it counts as not there."""
+
+
+class VmLender:
+    """Moves VMs between pools.
+
+    Args:
+        scheduler: Whose backend servers are on the VMs.
+        vm_list: The list of VMs.
+        now_s: The monotonic clock.
+        begin_at_s: No order is given before, so that two owners never take turns on a VM.
+        move_s: Time that a move takes.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        vm_list: VmList,
+        now_s: Callable[[], float],
+        *,
+        begin_at_s: float,
+        move_s: float,
+    ) -> None:
+        self._scheduler = scheduler
+        self._list = vm_list
+        self._now_s = now_s
+        self._begin_at_s = begin_at_s
+        self._move_s = move_s
+        self._policy = Lending()
+        self._next_plan_s = 0.0
+        self._in_flight: dict[VmId, WorkerId | None] = {}
+        self._arriving_until_s: dict[VmId, float] = {}
+        self._retry_at_s: dict[VmId, float] = {}
+
+    @property
+    def active(self) -> bool:
+        """Whether moves are under way."""
+        return bool(self._in_flight or self._arriving_until_s)
+
+    def done(self, move: Move) -> None:
+        """Note that a move has begun, or had been done before."""
+        now_s = self._now_s()
+        self._recheck(move)
+        self._arriving_until_s[move.vm_id] = now_s + self._move_s + SETTLE_S
+        self._list.moved(move.vm_id, move.pool)
+        _LOGGER.info("pools: VM %s moves", move.vm_id, extra={"vm": move.vm_id, "pool": move.pool})
+
+    def refused(self, move: Move, refusal: VmRefusal | None) -> None:
+        """Note that the platform refused a move, or did not answer (None)."""
+        self._recheck(move)
+        self._retry_at_s[move.vm_id] = self._now_s() + RETRY_S
+        self._list.read_again()
+        _LOGGER.info(
+            "pools: VM %s does not move",
+            move.vm_id,
+            extra={"vm": move.vm_id, "reason": refusal.value if refusal else "no answer"},
+        )
+
+    def _recheck(self, move: Move) -> None:
+        worker_id = self._in_flight.pop(move.vm_id, None)
+        worker = self._scheduler.workers.get(worker_id) if worker_id is not None else None
+        if worker is not None:
+            worker.leaving = False
+            # It has ended, unless the move was not made.
+            self._scheduler.recheck(worker)
+
+    def orders(self, busy: Collection[VmId]) -> list[Move]:
+        """Return the moves to order now.
+
+        Args:
+            busy: VMs that maintenance has in hand.
+        """
+        now_s = self._now_s()
+        configuration = self._scheduler.configuration
+        if configuration is None or now_s < self._begin_at_s or now_s < self._next_plan_s:
+            return []
+        if self._list.read_at_s is None:
+            return []
+        self._next_plan_s = now_s + PLAN_EVERY_S
+        workers = self._scheduler.workers_by_vm()
+        self._note_arrived(workers, now_s)
+        spare = frozenset(pool.name for pool in configuration.pools.values() if pool.spare)
+        vms = [
+            lendable
+            for vm in self._list.vms.values()
+            if vm.vm_id not in busy
+            and (lendable := self._lendable(vm, workers.get(vm.vm_id), spare, now_s)) is not None
+        ]
+        if not vms:
+            return []
+        moves = self._policy.plan(self._scheduler.loads(), vms, spare, now_s)
+        for move in moves:
+            worker = workers.get(move.vm_id)
+            self._in_flight[move.vm_id] = worker.entry.worker_id if worker is not None else None
+            if worker is not None:
+                worker.leaving = True
+        return moves
+
+    def _lendable(
+        self, vm: VmEntry, worker: WorkerView | None, spare: frozenset[PoolId], now_s: float
+    ) -> LendableVm | None:
+        """Return a VM as the policy sees it, None for one that takes no part now."""
+        if vm.vm_id in self._in_flight:
+            return None
+        if vm.vm_id in self._arriving_until_s or vm.state is VmState.MOVING:
+            return LendableVm(vm.vm_id, vm.pool, False, True, vm.capacity)
+        if vm.state is not VmState.UP or now_s < self._retry_at_s.get(vm.vm_id, 0.0):
+            return None
+        if vm.pool in spare:
+            return LendableVm(vm.vm_id, vm.pool, True, False, vm.capacity)
+        if worker is None or not worker.usable(now_s):
+            return None
+        empty = not worker.runs and not worker.uncommitted
+        return LendableVm(vm.vm_id, vm.pool, empty, False, vm.capacity)
+
+    def _note_arrived(self, workers: dict[VmId, WorkerView], now_s: float) -> None:
+        for vm_id, until_s in list(self._arriving_until_s.items()):
+            vm = self._list.vms.get(vm_id)
+            worker = workers.get(vm_id)
+            here = (
+                vm is not None
+                and worker is not None
+                and worker.entry.pool == vm.pool
+                and worker.usable(now_s)
+            )
+            if here or vm is None or now_s > until_s:
+                del self._arriving_until_s[vm_id]
--- a/toucandoor/core/scheduling/const.py
+++ b/toucandoor/core/scheduling/const.py
@@ -34,6 +34,9 @@
 """How long after its due time an occurrence starts; clocks of VMs differ a little."""
 PENDING_EVERY_S: Final = 0.7
 """Least time between two counts of waiting jobs; callers may be shown one of two seconds ago."""
+ARRIVAL_WINDOW_S: Final = 1.0
+"""Over how long the rate of arriving work is taken: several jobs at a queue's turn, and short
+beside the time that a VM's move takes."""
 FAILURE_WINDOW_S: Final = 6.0
 """How long a failed run speaks against its backend server."""
 FAILURES_TO_SUSPECT: Final = 2
--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -60,9 +60,8 @@
     """Order servers: where the task has not failed, near its data, then the best fit."""
     failed_there = worker.entry.worker_id in task.avoid
     far = bool(step.data_rack) and step.data_rack not in worker.entry.labels
-    spread = step.long_running and not step.uses_leftovers
-    used = _used_ratio(worker.used, worker.entry.capacity)
-    return (failed_there, far, used if spread else -used)
+    # The fullest server first, so that others stand empty and their VMs can be lent.
+    return (failed_there, far, -_used_ratio(worker.used, worker.entry.capacity))
 
 
 def _used_ratio(used: Resources, capacity: Resources) -> float:
--- a/toucandoor/core/scheduling/pool_load.py
+++ b/toucandoor/core/scheduling/pool_load.py
@@ -23,7 +23,8 @@
         lasting: Room that long-running tasks take.
         ending: Room that other tasks take.
         waiting: Room that tasks ask for which could run now.
-        waiting_lasting: The part of it that long-running tasks ask for.
+        arriving_cpu_millicores: Processor that arriving work keeps busy, at its present rate.
+        spread_min: Backend servers needed because tasks of one step must run apart.
     """
 
     pool: PoolId
@@ -32,7 +33,8 @@
     lasting: Resources = NOTHING
     ending: Resources = NOTHING
     waiting: Resources = NOTHING
-    waiting_lasting: Resources = NOTHING
+    arriving_cpu_millicores: float = 0.0
+    spread_min: int = 0
 
     def add_server(self, worker: WorkerView) -> None:
         """Count a backend server and its runs."""
@@ -53,6 +55,7 @@
             "lasting_cpu": self.lasting.cpu_millicores,
             "ending_cpu": self.ending.cpu_millicores,
             "waiting_cpu": self.waiting.cpu_millicores,
+            "arriving_cpu": round(self.arriving_cpu_millicores),
             "capacity_mb": self.capacity.memory_mb,
             "lasting_mb": self.lasting.memory_mb,
             "ending_mb": self.ending.memory_mb,
--- a/toucandoor/core/scheduling/queue_order.py
+++ b/toucandoor/core/scheduling/queue_order.py
@@ -49,6 +49,13 @@
     return total
 
 
+def work_core_ms(spec: JobSpec) -> float:
+    """Return the estimated processor time of a job, in thousandths of a core-second."""
+    return sum(
+        step.count * step.needs.cpu_millicores * step.estimate_ms / _MS for step in spec.steps
+    )
+
+
 def step_rank(job: JobProgress, step: StepProgress, now_unix_ms: float) -> tuple[float, ...]:
     """Return the sort key of a waiting step; lower comes first.
 
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import logging
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -27,7 +28,7 @@
 from toucandoor.core.scheduling.placement import allowed_workers, choose_worker
 from toucandoor.core.scheduling.pool_load import PoolLoad
 from toucandoor.core.scheduling.progress import JobProgress, StepProgress, Task
-from toucandoor.core.scheduling.queue_order import step_rank
+from toucandoor.core.scheduling.queue_order import step_rank, work_core_ms
 from toucandoor.core.scheduling.worker_view import Run, RunState, WorkerView
 from toucandoor.core.scheduling.workers import (
     EndedRun,
@@ -49,7 +50,7 @@
     from toucandoor.core.jobs.records import ProgressRecord
     from toucandoor.core.records import Record
     from toucandoor.core.scheduling.workers import Advice
-    from toucandoor.ids import FencingToken, JobId, QueueId, TeamId, WorkerId
+    from toucandoor.ids import FencingToken, JobId, QueueId, TeamId, VmId, WorkerId
 
 _LOGGER = logging.getLogger(__name__)
 _MS: Final = 1000
@@ -98,6 +99,7 @@
         self._pending_in_flight = False
         self._team_used: dict[TeamId, Resources] = {}
         self._early_cancels: set[JobId] = set()
+        self._arrivals: deque[tuple[float, PoolId, float]] = deque()
 
     @property
     def token(self) -> FencingToken:
@@ -118,6 +120,8 @@
         self.jobs[spec.job_id] = job
         self._open.add(spec.job_id)
         self._touch(job)
+        if not spec.timed and not spec.long_running:
+            self._arrivals.append((job.arrived_s, self._pool_of(job), work_core_ms(spec)))
         if spec.job_id in self._early_cancels:
             self.cancel_job(spec.job_id)
 
@@ -685,6 +689,18 @@
             elif at_once or step.checkpointing:
                 run.stop_wanted = True
 
+    def workers_by_vm(self) -> dict[VmId, WorkerView]:
+        """Return the latest backend server on each VM."""
+        found: dict[VmId, WorkerView] = {}
+        for worker in self.workers.values():
+            vm_id = worker.entry.vm_id
+            if vm_id is None:
+                continue
+            other = found.get(vm_id)
+            if other is None or worker.entry.born_unix_ms > other.entry.born_unix_ms:
+                found[vm_id] = worker
+        return found
+
     def recheck(self, worker: WorkerView) -> None:
         """Give a backend server nothing new until it has answered again."""
         worker.held = False
@@ -724,14 +740,20 @@
             job = self.jobs[job_id]
             if job.state.final:
                 continue
-            load = loads.setdefault(self._pool_of(job), PoolLoad(self._pool_of(job)))
+            pool = self._pool_of(job)
+            load = loads.setdefault(pool, PoolLoad(pool))
             for step in job.steps.values():
                 if step.undone and job.runnable(step):
                     count = sum(task.waiting for task in step.tasks)
                     load.waiting = load.waiting + step.step.room.times(count)
-                    if step.step.long_running:
-                        lasting = step.step.room.times(count)
-                        load.waiting_lasting = load.waiting_lasting + lasting
+                    if step.step.per_worker_max:
+                        apart = -(-step.undone // step.step.per_worker_max)
+                        load.spread_min = max(load.spread_min, apart)
+        while self._arrivals and self._arrivals[0][0] < now_s - const.ARRIVAL_WINDOW_S:
+            self._arrivals.popleft()
+        for _, pool, core_ms in self._arrivals:
+            load = loads.setdefault(pool, PoolLoad(pool))
+            load.arriving_cpu_millicores += core_ms / const.ARRIVAL_WINDOW_S
         return loads
 
     def _open_occurrences(self) -> None:
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -95,6 +95,7 @@
         failures: Time and job of runs that failed lately.
         probing: Whether one task is to show that it works again.
         cordoned: Whether maintenance keeps new tasks away.
+        leaving: Whether its VM is being moved to another pool.
         hold_failures: Holds in a row without an answer.
     """
 
@@ -116,6 +117,7 @@
     failures: list[tuple[float, JobId]] = field(default_factory=list)
     probing: bool = False
     cordoned: bool = False
+    leaving: bool = False
     hold_failures: int = 0
 
     @property
@@ -168,6 +170,7 @@
             and self.held
             and not self.entry.draining
             and not self.cordoned
+            and not self.leaving
             and self.hold_failures == 0
             and now_s >= self.paused_until_s
         )
--- a/toucandoor/platform/http.py
+++ b/toucandoor/platform/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
@@ -29,6 +30,9 @@
 """Connections kept to one address; orders, the long poll and reads go on at the same time."""
 
 _NO_DELAY = HTTPConnection.default_socket_options
+# Closing resets the connection and drops what is still unsent: an order given up during a partition
+# must not arrive when the partition heals, after the orders of a new owner.
+_RESET_ON_CLOSE = [(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))]
 _KEEP_ALIVE = [
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
@@ -80,7 +84,7 @@
             num_pools=2048,
             maxsize=IDLE_CONNECTIONS_MAX,
             retries=False,
-            socket_options=[*_NO_DELAY, *_KEEP_ALIVE],
+            socket_options=[*_NO_DELAY, *_KEEP_ALIVE, *_RESET_ON_CLOSE],
         )
 
     def call(
