Ask peers where the store turns a node away

Excluded: the store's rates; no call was over them. A node that the store turns away hands submissions, cancellations and questions to peers, takes a newer configuration from them, and is not ready for new channels. A write in doubt is never called not stored.

--- a/toucandoor/adapters/configuration_watch.py
+++ b/toucandoor/adapters/configuration_watch.py
@@ -29,6 +29,8 @@
 WATCH_WAIT_S: Final = 1.0
 """How long a watch waits; a silent connection then shows within the two seconds in which a
 configuration must be in force."""
+STORE_ANSWERS_WITHIN_S: Final = 2.5
+"""Silence of the store after which it counts as away from this node: a watch and its retry."""
 RETRY_PAUSE_S: Final = 0.2
 """Pause after a failed read of the store."""
 
@@ -36,13 +38,25 @@
 class ConfigurationWatch:
     """Follows what operators write to the store; never goes back to an older version."""
 
-    def __init__(self, store: RecordStore, clock: Clock) -> None:
+    def __init__(
+        self, store: RecordStore, clock: Clock, ask_peers: Callable[[int], bytes] | None = None
+    ) -> None:
+        """Initialize.
+
+        Args:
+            store: The platform's store.
+            clock: The clock.
+            ask_peers: Returns a peer's configuration that is newer than a version, empty for none;
+                asked while the store does not answer.
+        """
         self._store = store
         self._clock = clock
         self._lock = threading.Lock()
         self._listeners: list[Callable[[JobConfiguration], None]] = []
         self._current: JobConfiguration | None = None
         self.waves: dict[int, WaveOrder] = {}
+        self._ask_peers = ask_peers
+        self._answered_s = -STORE_ANSWERS_WITHIN_S
         self._stop = threading.Event()
 
     @property
@@ -50,6 +64,11 @@
         """The newest configuration, None before the first."""
         return self._current
 
+    @property
+    def store_answers(self) -> bool:
+        """Whether the store has answered this node lately."""
+        return self._clock.monotonic_s() - self._answered_s < STORE_ANSWERS_WITHIN_S
+
     def start(self) -> None:
         """Follow the store in a thread of its own."""
         threading.Thread(target=self._run, name="configuration", daemon=True).start()
@@ -101,6 +120,7 @@
                 for record in changes.written:
                     self._take(record)
                 revision = changes.revision
+                self._answered_s = self._clock.monotonic_s()
                 if lost:
                     _LOGGER.info("configuration: the store is back")
                 lost = False
@@ -112,8 +132,17 @@
                     _LOGGER.warning("configuration: the store does not answer: %s", err)
                 lost = True
                 revision = None
+                self._take_from_peer()
                 self._stop.wait(RETRY_PAUSE_S)
 
+    def _take_from_peer(self) -> None:
+        if self._ask_peers is None:
+            return
+        source = self._ask_peers(self._current.version if self._current is not None else 0)
+        configuration = decode_configuration(source) if source else None
+        if configuration is not None:
+            self.offer(configuration, "peer")
+
     def _read_all(self) -> int:
         snapshot = self._store.read_prefix(OPERATOR_PREFIX)
         for record in snapshot.records:
--- a/toucandoor/adapters/job_desk.py
+++ b/toucandoor/adapters/job_desk.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING, Final
@@ -63,15 +64,10 @@
     state: JobState
 
 
-class JobDesk:
+class JobDesk(ABC):
     """Jobs as callers deal with them. Calls block."""
 
-    def __init__(self, store: RecordStore, clock: Clock) -> None:
-        self._store = store
-        self._clock = clock
-        self._pending: dict[QueueId, int] = {}
-        self._pending_until_s = 0.0
-
+    @abstractmethod
     def submit(self, spec: JobSpec, until_s: float) -> WriteOutcome:
         """Store a job; one that is there already is stored.
 
@@ -79,6 +75,39 @@
             spec: The job.
             until_s: When the caller stops waiting, on the monotonic clock.
         """
+
+    @abstractmethod
+    def cancel(self, job_id: JobId, until_s: float) -> WriteOutcome:
+        """Store the cancellation of a job."""
+
+    @abstractmethod
+    def status(self, job_id: JobId) -> JobStatus | None:
+        """Return what is known of a job, None where there is none.
+
+        Raises:
+            ToucandoorError: Nobody who knows answers.
+        """
+
+    @abstractmethod
+    def pending(self, queue: QueueId) -> int:
+        """Return how many jobs of a queue have no started task.
+
+        Raises:
+            ToucandoorError: Nobody who knows answers.
+        """
+
+
+class StoreDesk(JobDesk):
+    """Jobs by records in the platform's store."""
+
+    def __init__(self, store: RecordStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._pending: dict[QueueId, int] = {}
+        self._pending_until_s = 0.0
+
+    def submit(self, spec: JobSpec, until_s: float) -> WriteOutcome:
+        """Store a job; one that is there already is stored."""
         key = job_key(spec.job_id)
         return self._create(Transaction({key: 0}, {key: encode(spec)}), key, until_s)
 
@@ -89,11 +118,7 @@
         return self._create(Transaction({key: 0}, {key: value}), key, until_s)
 
     def status(self, job_id: JobId) -> JobStatus | None:
-        """Return what is known of a job, None where there is none.
-
-        Raises:
-            StoreError: The store does not answer.
-        """
+        """Return what is known of a job, None where there is none."""
         progress = self._store.read(progress_key(job_id))
         if progress is not None:
             record = decode_progress(progress.value)
@@ -105,11 +130,7 @@
         return JobStatus(spec.queue, spec.team, JobState.QUEUED)
 
     def pending(self, queue: QueueId) -> int:
-        """Return how many jobs of a queue have no started task.
-
-        Raises:
-            StoreError: The store does not answer.
-        """
+        """Return how many jobs of a queue have no started task."""
         now_s = self._clock.monotonic_s()
         if now_s >= self._pending_until_s:
             record = self._store.read(PENDING_KEY)
--- /dev/null
+++ b/toucandoor/adapters/relay_desk.py
@@ -0,0 +1,188 @@
+"""Has peers do at the store what this node cannot, because the store turns it away."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+from toucandoor.adapters.job_desk import JobDesk, JobStatus, WriteOutcome
+from toucandoor.adapters.peers import PeerError, PeerNotReachedError, ask_peer
+from toucandoor.core.jobs.models import JobState
+from toucandoor.core.jobs.records import decode_job, encode
+from toucandoor.exceptions import MessageError, ToucandoorError
+from toucandoor.ids import QueueId, TeamId
+from toucandoor.node_messages import (
+    AskConfiguration,
+    AskPending,
+    AskStatus,
+    CancelJob,
+    Configuration,
+    Failed,
+    NodeMessage,
+    Outcome,
+    Pending,
+    Status,
+    SubmitJob,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from toucandoor.adapters.peers import Peer, PeerDirectory
+    from toucandoor.clock import Clock
+    from toucandoor.core.jobs.configuration import JobConfiguration
+    from toucandoor.core.jobs.models import JobSpec
+    from toucandoor.ids import JobId
+
+_LOGGER = logging.getLogger(__name__)
+
+PEERS_ASKED_MAX: Final = 3
+"""Peers asked for one call; with a third of the nodes turned away, three are hardly all of them."""
+PEER_WAIT_S: Final = 1.0
+"""Longest wait for one peer's answer."""
+OWN_FIRST_AGAIN_S: Final = 1.0
+"""After a failure of its own a node asks peers first for this long."""
+
+
+class RelayDesk(JobDesk):
+    """Deals with jobs by this node's own access to the store, else by that of a peer."""
+
+    def __init__(self, own: JobDesk, peers: PeerDirectory, clock: Clock) -> None:
+        self._own = own
+        self._peers = peers
+        self._clock = clock
+        self._peers_first_until_s = 0.0
+
+    def submit(self, spec: JobSpec, until_s: float) -> WriteOutcome:
+        """Store a job; one that is there already is stored."""
+        return self._write(
+            lambda until: self._own.submit(spec, until),
+            lambda wait_s: SubmitJob(encode(spec), wait_s),
+            until_s,
+        )
+
+    def cancel(self, job_id: JobId, until_s: float) -> WriteOutcome:
+        """Store the cancellation of a job."""
+        return self._write(
+            lambda until: self._own.cancel(job_id, until),
+            lambda wait_s: CancelJob(job_id, wait_s),
+            until_s,
+        )
+
+    def status(self, job_id: JobId) -> JobStatus | None:
+        """Return what is known of a job, None where there is none."""
+        try:
+            return self._own.status(job_id)
+        except ToucandoorError as err:
+            answer = self._ask(AskStatus(job_id), err)
+        if not isinstance(answer, Status):
+            raise MessageError("not a status", step="peers.status")
+        if not answer.state:
+            return None
+        return JobStatus(answer.queue, answer.team, JobState(answer.state))
+
+    def pending(self, queue: QueueId) -> int:
+        """Return how many jobs of a queue have no started task."""
+        try:
+            return self._own.pending(queue)
+        except ToucandoorError as err:
+            answer = self._ask(AskPending(queue), err)
+        if not isinstance(answer, Pending):
+            raise MessageError("not a count", step="peers.pending")
+        return answer.count
+
+    def _write(
+        self,
+        own: Callable[[float], WriteOutcome],
+        message: Callable[[float], NodeMessage],
+        until_s: float,
+    ) -> WriteOutcome:
+        """Write once for sure: both ways create the same record, which exists once at most."""
+        peers_first = self._clock.monotonic_s() < self._peers_first_until_s
+        in_doubt = False
+        if not peers_first:
+            outcome = own(until_s - PEER_WAIT_S)
+            if outcome is WriteOutcome.STORED:
+                return outcome
+            in_doubt = outcome is WriteOutcome.UNKNOWN
+            self._peers_first_until_s = self._clock.monotonic_s() + OWN_FIRST_AGAIN_S
+        for peer in self._peers.near_first()[:PEERS_ASKED_MAX]:
+            left_s = until_s - self._clock.monotonic_s()
+            if left_s <= 0:
+                break
+            outcome = self._write_at(peer, message(min(left_s, PEER_WAIT_S)), left_s)
+            if outcome is WriteOutcome.STORED:
+                return outcome
+            in_doubt = in_doubt or outcome is WriteOutcome.UNKNOWN
+        if peers_first:
+            outcome = own(until_s)
+            if outcome is not WriteOutcome.NOT_STORED:
+                return outcome
+        return WriteOutcome.UNKNOWN if in_doubt else WriteOutcome.NOT_STORED
+
+    def _write_at(self, peer: Peer, message: NodeMessage, left_s: float) -> WriteOutcome:
+        try:
+            answer = ask_peer(peer, message, min(left_s, PEER_WAIT_S))
+        except PeerNotReachedError as err:
+            _LOGGER.info("peers: not reached: %s", err)
+            return WriteOutcome.NOT_STORED
+        except PeerError as err:
+            _LOGGER.info("peers: no answer: %s", err)
+            return WriteOutcome.UNKNOWN
+        if isinstance(answer, Outcome):
+            return WriteOutcome(answer.outcome)
+        _LOGGER.info("peers: %s could not: %s", peer.entry_id, answer)
+        return WriteOutcome.NOT_STORED if isinstance(answer, Failed) else WriteOutcome.UNKNOWN
+
+    def _ask(self, message: NodeMessage, cause: ToucandoorError) -> NodeMessage:
+        """Return the first peer's answer to a question."""
+        for peer in self._peers.near_first()[:PEERS_ASKED_MAX]:
+            try:
+                answer = ask_peer(peer, message, PEER_WAIT_S)
+            except PeerError as err:
+                _LOGGER.info("peers: not answered: %s", err)
+                continue
+            if not isinstance(answer, Failed):
+                return answer
+        raise cause
+
+
+class PeerAnswers:
+    """Answers the messages of other nodes from this node's own access to the store."""
+
+    def __init__(
+        self,
+        own: JobDesk,
+        configuration: Callable[[], JobConfiguration | None],
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._configuration = configuration
+        self._clock = clock
+
+    def answer(self, message: NodeMessage) -> NodeMessage:
+        """Return the answer to a message.
+
+        Raises:
+            ToucandoorError: The store does not answer.
+        """
+        now_s = self._clock.monotonic_s()
+        if isinstance(message, SubmitJob):
+            return Outcome(self._own.submit(decode_job(message.spec), now_s + message.wait_s).value)
+        if isinstance(message, CancelJob):
+            return Outcome(self._own.cancel(message.job_id, now_s + message.wait_s).value)
+        if isinstance(message, AskStatus):
+            status = self._own.status(message.job_id)
+            if status is None:
+                return _NO_STATUS
+            return Status(status.queue, status.team, status.state.value)
+        if isinstance(message, AskPending):
+            return Pending(self._own.pending(message.queue))
+        if isinstance(message, AskConfiguration):
+            present = self._configuration()
+            newer = present is not None and present.version > message.newer_than
+            return Configuration(present.source if present is not None and newer else b"")
+        return Failed("not a question")
+
+
+_NO_STATUS = Status(QueueId(""), TeamId(""), "")
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -13,13 +13,23 @@
 
 from toucandoor.adapters.configuration_watch import ConfigurationWatch
 from toucandoor.adapters.job_callers import JobCallers
-from toucandoor.adapters.job_desk import JobDesk
+from toucandoor.adapters.job_desk import StoreDesk
 from toucandoor.adapters.logs import set_up_logs
 from toucandoor.adapters.owner_task import OwnerTask
 from toucandoor.adapters.owner_term import Surroundings
+from toucandoor.adapters.peers import (
+    PEER_CONNECT_TIMEOUT_S,
+    Peer,
+    PeerDirectory,
+    PeerError,
+    PeerServer,
+    ask_peer,
+)
+from toucandoor.adapters.relay_desk import PEERS_ASKED_MAX, PeerAnswers, RelayDesk
 from toucandoor.adapters.wsgi import make_server, respond
 from toucandoor.clock import BootClock
 from toucandoor.exceptions import SettingsError
+from toucandoor.node_messages import AskConfiguration, Configuration
 from toucandoor.platform.http import PlatformHttp
 from toucandoor.platform.machines import PlatformAdvice, PlatformVms
 from toucandoor.platform.settings import load_node_settings
@@ -64,8 +74,16 @@
         self._clock = BootClock()
         http = PlatformHttp()
         self._store = PlatformStore(http, settings.store_address, STORE_TIMEOUT_S)
-        self._configuration = ConfigurationWatch(self._store, self._clock)
-        self._desk = JobDesk(self._store, self._clock)
+        peer_address = f"{settings.ip}:{settings.peer_port_first}"
+        me = Peer(settings.entry_id, peer_address, settings.data_centre)
+        self._peers = PeerDirectory(self._store, me)
+        self._configuration = ConfigurationWatch(
+            self._store, self._clock, self._configuration_of_a_peer
+        )
+        own_desk = StoreDesk(self._store, self._clock)
+        answers = PeerAnswers(own_desk, lambda: self._configuration.current, self._clock)
+        self._peer_server = PeerServer(peer_address, answers.answer)
+        self._desk = RelayDesk(own_desk, self._peers, self._clock)
         self._owner = OwnerTask(
             Surroundings(
                 entry_id=settings.entry_id,
@@ -91,6 +109,8 @@
         signal.signal(signal.SIGTERM, self._asked_to_stop)
         signal.signal(signal.SIGINT, self._asked_to_stop)
         signal.signal(signal.SIGHUP, self._asked_to_reload)
+        self._peer_server.start()
+        self._peers.start()
         self._configuration.start()
         self._owner.start()
         for server in (self._ready, self._callers):
@@ -111,6 +131,7 @@
         began_s = self._clock.monotonic_s()
         _LOGGER.info("node: stopping")
         self._owner.stop(HANDOVER_S)
+        self._peers.stop()
         left_s = began_s + ROTATION_S - self._clock.monotonic_s()
         if left_s > 0:
             time.sleep(left_s)
@@ -121,6 +142,18 @@
         self._callers.stop()
         _LOGGER.info("node: stopped")
 
+    def _configuration_of_a_peer(self, newer_than: int) -> bytes:
+        """Return a newer configuration that a peer has, empty where none has one."""
+        for peer in self._peers.near_first()[:PEERS_ASKED_MAX]:
+            try:
+                answer = ask_peer(peer, AskConfiguration(newer_than), PEER_CONNECT_TIMEOUT_S)
+            except PeerError as err:
+                _LOGGER.info("peers: configuration not answered: %s", err)
+                continue
+            if isinstance(answer, Configuration) and answer.source:
+                return answer.source
+        return b""
+
     def _asked_to_stop(self, number: int, _frame: object) -> None:
         self._stopping.set()
 
@@ -132,7 +165,11 @@
             _LOGGER.error("node: settings not reloaded: %s", err)
 
     def _ready_app(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
-        ready = not self._stopping.is_set() and self._configuration.current is not None
+        ready = (
+            not self._stopping.is_set()
+            and self._configuration.current is not None
+            and self._configuration.store_answers
+        )
         return respond(start_response, 200 if ready else 503, b"{}", "application/json")
 
 
