Order VMs at once after a change of owner; restore pools that have lost all VMs

With the store 60 times slower a take-over read seven answers in a row. Servers that had gone dark were taken for sound for up to 2.5 s. Excluded: the platform's refusal of moves; none was asked for.

--- a/toucandoor/adapters/owner_task.py
+++ b/toucandoor/adapters/owner_task.py
@@ -34,8 +34,12 @@
 store delays a take-over by less than that."""
 RETRY_PAUSE_S: Final = 0.2
 """Pause after the store did not answer."""
-CLAIM_JITTER_S: Final = 0.04
-"""Claims are spread over this long, ten answers of the store, so that few of them conflict."""
+CLAIM_JITTER_S: Final = 0.02
+"""Claims are spread over this long, five answers of the store, so that few of them conflict."""
+CLAIM_DELAY_S_MAX: Final = 0.2
+"""Longest that a claim is left to younger processes; a tenth of the ownership's lease."""
+CLAIM_DELAY_HALF_AGE_S: Final = 10.0
+"""Age of a process at which half of that applies; nodes are restarted seconds apart."""
 
 
 class OwnerTask:
@@ -46,6 +50,7 @@
         self._stop = threading.Event()
         self._term: OwnerTerm | None = None
         self._revision: int | None = None
+        self._started_s = surroundings.clock.monotonic_s()
         self._thread = threading.Thread(target=self._run, name="owner", daemon=True)
 
     def start(self) -> None:
@@ -70,7 +75,7 @@
             try:
                 if self._vacant() and not self._stop.is_set():
                     self._revision = None
-                    self._stop.wait(random.uniform(0, CLAIM_JITTER_S))
+                    self._stop.wait(self._claim_delay_s())
                     self._claim_and_serve()
             except HistoryLostError:
                 self._revision = None
@@ -84,6 +89,15 @@
                 self._revision = None
                 self._stop.wait(RETRY_PAUSE_S)
 
+    def _claim_delay_s(self) -> float:
+        """Return how long to leave the claim to others: longer, the longer this process runs.
+
+        Where nodes are restarted in turn, the owner's place goes to one that has been.
+        """
+        age_s = self._around.clock.monotonic_s() - self._started_s
+        waits = CLAIM_DELAY_S_MAX * age_s / (age_s + CLAIM_DELAY_HALF_AGE_S)
+        return waits + random.uniform(0, CLAIM_JITTER_S)
+
     def _vacant(self) -> bool:
         """Wait for a change of the ownership where one is known; return whether nobody has it."""
         store = self._around.store
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -28,6 +28,13 @@
     encode_wave_record,
 )
 from toucandoor.core.maintenance.vm_list import VmList
+from toucandoor.core.maintenance.vm_orders import (
+    VM_ORDERS_KEY,
+    VmOrderLog,
+    VmOrdersRecord,
+    decode_vm_orders,
+    encode_vm_orders,
+)
 from toucandoor.core.ownership.lease import OWNER_KEY, OWNER_TTL_S, RENEW_EVERY_S
 from toucandoor.core.pools.vm_lender import VmLender
 from toucandoor.core.records import (
@@ -41,6 +48,7 @@
 from toucandoor.core.scheduling.workers import (
     OrderRefusedError,
     OrderUnansweredError,
+    VmRefusal,
     VmRefusedError,
 )
 from toucandoor.exceptions import ToucandoorError
@@ -79,6 +87,9 @@
 """Added to the time in which two holders must not order the same VM by turns."""
 LOAD_LOG_EVERY_S: Final = 2.0
 """Time between two log lines of a pool's load; a queue's turn lasts several seconds."""
+WORKER_GATHER_S: Final = 0.25
+"""Pause between two watches of the backend servers' entries; well within the time in which a
+draining server must get nothing new."""
 RETRY_PAUSE_S: Final = 0.1
 """Pause after a failed watch."""
 
@@ -122,20 +133,20 @@
         self._scheduler = Scheduler(settings, around.clock)
         self._next_load_log_s = 0.0
         now_s = around.clock.monotonic_s
-        orders_from_s = now_s() + around.settings.holder_lease_s + HOLDER_MARGIN_S
+        self._vm_orders = VmOrderLog(now_s, around.settings.holder_lease_s + HOLDER_MARGIN_S)
         self._vm_list = VmList(now_s)
         self._waves = WaveKeeper(
             self._scheduler,
             self._vm_list,
             now_s,
-            begin_at_s=orders_from_s,
+            order_log=self._vm_orders,
             maintenance_s=around.settings.vm_maintenance_s,
         )
         self._lender = VmLender(
             self._scheduler,
             self._vm_list,
             now_s,
-            begin_at_s=orders_from_s,
+            order_log=self._vm_orders,
             move_s=around.settings.vm_move_s,
         )
         self._order_pool = ThreadPoolExecutor(ORDER_THREADS, "orders")
@@ -297,41 +308,66 @@
             self._waves.ordered(wave)
         if self._vm_list.due(active=self._waves.active or self._lender.active):
             self._order_pool.submit(_logged, lambda _: self._list_vms(), None)
+        vm_orders: list[MaintainVm | Move] = []
         for order in self._waves.orders():
             if isinstance(order, MaintainVm):
-                self._submit(self._maintain, order)
-            elif isinstance(order, SaveWave):
+                vm_orders.append(order)
+            else:
                 self._submit(self._save_wave, order)
-        for move in self._lender.orders(self._waves.busy):
-            self._submit(self._move, move)
+        vm_orders += self._lender.orders(self._waves.busy)
+        if vm_orders:
+            record = self._vm_orders.ordering(order.vm_id for order in vm_orders)
+            self._submit(lambda orders: self._order_vms(orders, record), vm_orders)
+
+    def _order_vms(self, orders: list[MaintainVm | Move], record: VmOrdersRecord) -> None:
+        """Write down which VMs are ordered, then order them."""
+        owner = {OWNER_KEY: int(self._scheduler.token)}
+        try:
+            self._around.store.write(Transaction(owner, {VM_ORDERS_KEY: encode_vm_orders(record)}))
+        except ToucandoorError as err:
+            _LOGGER.info("machines: orders not written: %s", err, extra={"orders": len(orders)})
+            for order in orders:
+                self._vm_order_refused(order, VmRefusal.UNAVAILABLE)
+            return
+        for order in orders:
+            if isinstance(order, MaintainVm):
+                self._submit(self._maintain, order)
+            else:
+                self._submit(self._move, order)
+
+    def _vm_order_refused(self, order: MaintainVm | Move, refusal: VmRefusal | None) -> None:
+        if isinstance(order, MaintainVm):
+            self._post(lambda: self._waves.maintenance_refused(order, refusal))
+        else:
+            self._post(lambda: self._lender.refused(order, refusal))
 
     def _move(self, move: Move) -> None:
         if not self._may_act():
+            self._vm_order_refused(move, VmRefusal.UNAVAILABLE)
             return
         holder, token = self._around.entry_id, self._scheduler.token
         try:
             self._around.vms.move(move.vm_id, move.pool, holder, token)
         except VmRefusedError as err:
-            refusal = err.refusal
-            self._post(lambda: self._lender.refused(move, refusal))
+            self._vm_order_refused(move, err.refusal)
         except OrderUnansweredError as err:
             _LOGGER.info("pools: no answer: %s", err, extra={"vm": move.vm_id})
-            self._post(lambda: self._lender.refused(move, None))
+            self._vm_order_refused(move, None)
         else:
             self._post(lambda: self._lender.done(move))
 
     def _maintain(self, order: MaintainVm) -> None:
         if not self._may_act():
+            self._vm_order_refused(order, VmRefusal.UNAVAILABLE)
             return
         holder, token = self._around.entry_id, self._scheduler.token
         try:
             self._around.vms.maintain(order.vm_id, order.wave, holder, token)
         except VmRefusedError as err:
-            refusal = err.refusal
-            self._post(lambda: self._waves.maintenance_refused(order, refusal))
+            self._vm_order_refused(order, err.refusal)
         except OrderUnansweredError as err:
             _LOGGER.info("maintenance: no answer: %s", err, extra={"vm": order.vm_id})
-            self._post(lambda: self._waves.maintenance_refused(order, None))
+            self._vm_order_refused(order, None)
         else:
             self._post(lambda: self._waves.maintenance_begun(order))
 
@@ -409,14 +445,22 @@
 
     def _load(self) -> tuple[int, int]:
         """Read all that the scheduler must know; return where the two watches begin."""
-        store, scheduler = self._around.store, self._scheduler
-        workers = store.read_prefix(WORKER_PREFIX)
+        scheduler = self._scheduler
+        # Read at the same time: a slow store is slow for each call, and the fleet waits.
+        prefixes = (
+            WORKER_PREFIX,
+            INTAKE_PREFIX,
+            PROGRESS_PREFIX,
+            WAVE_STATUS_PREFIX,
+            WAVE_PROGRESS_PREFIX,
+            VM_ORDERS_KEY,
+        )
+        snapshots = list(self._order_pool.map(self._around.store.read_prefix, prefixes))
+        workers, intake, kept_progress, wave_statuses, waves, vm_orders = snapshots
         for record in workers.records:
             self._worker_written(record)
-        intake = store.read_prefix(INTAKE_PREFIX)
         progress = {
-            record.key.removeprefix(PROGRESS_PREFIX): record
-            for record in store.read_prefix(PROGRESS_PREFIX).records
+            record.key.removeprefix(PROGRESS_PREFIX): record for record in kept_progress.records
         }
         for record in intake.records:
             if record.key.startswith(JOB_PREFIX):
@@ -427,9 +471,11 @@
                 scheduler.cancel_job(JobId(record.key.removeprefix(CANCEL_PREFIX)))
         statuses = {
             record.key.removeprefix(WAVE_STATUS_PREFIX): wave_is_completed(record.value)
-            for record in store.read_prefix(WAVE_STATUS_PREFIX).records
+            for record in wave_statuses.records
         }
-        for record in store.read_prefix(WAVE_PROGRESS_PREFIX).records:
+        for record in vm_orders.records:
+            self._load_vm_orders(record)
+        for record in waves.records:
             number = record.key.removeprefix(WAVE_PROGRESS_PREFIX)
             self._load_wave(int(number), record, completed=statuses.get(number, False))
         _LOGGER.info(
@@ -450,6 +496,12 @@
             return
         self._scheduler.restore_job(spec, kept, progress.revision)
 
+    def _load_vm_orders(self, record: Record) -> None:
+        try:
+            self._vm_orders.restore(decode_vm_orders(record.value))
+        except msgspec.MsgspecError as err:
+            _LOGGER.error("maintenance: record %s cannot be read: %s", record.key, err)
+
     def _load_wave(self, number: int, record: Record, *, completed: bool) -> None:
         try:
             kept = decode_wave_record(record.value)
@@ -470,6 +522,9 @@
                 known = changes.revision
                 if changes.written or changes.deleted:
                     self._post(lambda seen=changes: self._changed(prefix, seen))  # type: ignore[misc]
+                if prefix == WORKER_PREFIX:
+                    # Entries change all the time; a pause gathers several in one call.
+                    self._ended.wait(WORKER_GATHER_S)
             except HistoryLostError:
                 known = None
             except ToucandoorError as err:
--- a/toucandoor/core/maintenance/job_waves.py
+++ b/toucandoor/core/maintenance/job_waves.py
@@ -20,6 +20,7 @@
     from collections.abc import Callable
 
     from toucandoor.core.maintenance.vm_list import VmList
+    from toucandoor.core.maintenance.vm_orders import VmOrderLog
     from toucandoor.core.scheduling.scheduler import Scheduler
     from toucandoor.core.scheduling.worker_view import WorkerView
     from toucandoor.ids import WorkerId
@@ -119,7 +120,7 @@
         vm_list: VmList,
         now_s: Callable[[], float],
         *,
-        begin_at_s: float,
+        order_log: VmOrderLog,
         maintenance_s: float,
     ) -> None:
         """Initialize.
@@ -128,12 +129,12 @@
             scheduler: Whose backend servers are on the VMs.
             vm_list: The list of VMs.
             now_s: The monotonic clock.
-            begin_at_s: No order is given before, so that two owners never take turns on a VM.
+            order_log: Tells which VMs a former owner has ordered lately.
             maintenance_s: Time that a VM's maintenance takes.
         """
         self._scheduler = scheduler
         self._now_s = now_s
-        self._begin_at_s = begin_at_s
+        self._order_log = order_log
         self._maintenance_s = maintenance_s
         self._waves: dict[int, _Wave] = {}
         self._list = vm_list
@@ -257,7 +258,7 @@
         for wave in self._waves.values():
             if not wave.order.vms:
                 continue
-            if self._list.read_at_s is not None and now_s >= self._begin_at_s:
+            if self._list.read_at_s is not None:
                 self._advance(wave, now_s, orders)
             self._save(wave, now_s, orders)
         return orders
@@ -327,6 +328,7 @@
             vm is not None
             and vm.state is VmState.UP
             and vm_id not in wave.in_flight
+            and self._order_log.free(vm_id)
             and now_s >= wave.retry_at_s.get(vm_id, 0.0)
             and len(set(wave.down_since_s) - {vm_id}) < wave.order.down_max
         )
--- a/toucandoor/core/pools/lending.py
+++ b/toucandoor/core/pools/lending.py
@@ -23,9 +23,10 @@
 """Part of a VM's room that tasks fill in practice; the rest is lost between their sizes."""
 KEEP_MIN: Final = 2
 """VMs that a pool keeps while it stands empty: what a turn's first seconds run on, until borrowed
-VMs have come."""
-RETURN_AFTER_S: Final = 1.0
-"""How long a pool must have had too many VMs before it gives one back; most tasks are shorter."""
+VMs have come, and one of them may fail."""
+RETURN_AFTER_S: Final = 0.5
+"""How long a pool must have had too many VMs before it gives one back; a move there and back costs
+as much as two seconds of a VM."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +66,7 @@
         self,
         loads: Mapping[PoolId, PoolLoad],
         vms: Sequence[LendableVm],
+        pools: Sequence[PoolId],
         spare_pools: frozenset[PoolId],
         now_s: float,
     ) -> list[Move]:
@@ -73,18 +75,18 @@
         Args:
             loads: Load of each pool that has servers or waiting tasks.
             vms: All VMs that could be moved or are on their way.
+            pools: Pools that serve queues, also those that have lost all their VMs.
             spare_pools: Pools whose VMs are off.
             now_s: The monotonic clock.
         """
-        size: dict[PoolId, int] = {}
+        size: dict[PoolId, int] = dict.fromkeys(pools, 0)
         empty: dict[PoolId, list[LendableVm]] = {}
         for vm in vms:
             size[vm.pool] = size.get(vm.pool, 0) + 1
             if vm.empty:
                 empty.setdefault(vm.pool, []).append(vm)
-        pools = [pool for pool in size if pool not in spare_pools]
         per_vm = _mean_capacity(vms)
-        wanted = {pool: wanted_vms(loads.get(pool), per_vm) for pool in pools}
+        wanted = {pool: max(wanted_vms(loads.get(pool), per_vm), KEEP_MIN) for pool in pools}
         moves = self._borrow(pools, size, empty, wanted, spare_pools)
         moves += self._give_back(pools, size, empty, wanted, spare_pools, now_s)
         return moves
@@ -105,11 +107,7 @@
             needy = max(short, key=lambda pool: wanted[pool] - size[pool])
             lenders = [pool for pool in spare_pools if empty.get(pool)]
             lenders += sorted(
-                (
-                    pool
-                    for pool in pools
-                    if empty.get(pool) and size[pool] > max(wanted[pool], KEEP_MIN)
-                ),
+                (pool for pool in pools if empty.get(pool) and size[pool] > wanted[pool]),
                 key=lambda pool: wanted[pool] - size[pool],
             )
             if not lenders:
@@ -130,13 +128,13 @@
     ) -> list[Move]:
         moves: list[Move] = []
         for pool in pools:
-            if size[pool] <= max(wanted[pool], KEEP_MIN) or not empty.get(pool):
+            if size[pool] <= wanted[pool] or not empty.get(pool):
                 self._surplus_since_s.pop(pool, None)
                 continue
             since_s = self._surplus_since_s.setdefault(pool, now_s)
             if not spare_pools or now_s - since_s < RETURN_AFTER_S:
                 continue
-            while empty[pool] and size[pool] > max(wanted[pool], KEEP_MIN):
+            while empty[pool] and size[pool] > wanted[pool]:
                 vm = empty[pool].pop()
                 size[pool] -= 1
                 moves.append(Move(vm.vm_id, min(spare_pools)))
--- a/toucandoor/core/pools/vm_lender.py
+++ b/toucandoor/core/pools/vm_lender.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable, Collection
 
     from toucandoor.core.maintenance.vm_list import VmList
+    from toucandoor.core.maintenance.vm_orders import VmOrderLog
     from toucandoor.core.scheduling.scheduler import Scheduler
     from toucandoor.core.scheduling.worker_view import WorkerView
     from toucandoor.core.scheduling.workers import VmEntry, VmRefusal
@@ -34,7 +35,7 @@
         scheduler: Whose backend servers are on the VMs.
         vm_list: The list of VMs.
         now_s: The monotonic clock.
-        begin_at_s: No order is given before, so that two owners never take turns on a VM.
+        order_log: Tells which VMs a former owner has ordered lately.
         move_s: Time that a move takes.
     """
 
@@ -44,13 +45,13 @@
         vm_list: VmList,
         now_s: Callable[[], float],
         *,
-        begin_at_s: float,
+        order_log: VmOrderLog,
         move_s: float,
     ) -> None:
         self._scheduler = scheduler
         self._list = vm_list
         self._now_s = now_s
-        self._begin_at_s = begin_at_s
+        self._order_log = order_log
         self._move_s = move_s
         self._policy = Lending()
         self._next_plan_s = 0.0
@@ -98,14 +99,13 @@
         """
         now_s = self._now_s()
         configuration = self._scheduler.configuration
-        if configuration is None or now_s < self._begin_at_s or now_s < self._next_plan_s:
-            return []
-        if self._list.read_at_s is None:
+        if configuration is None or now_s < self._next_plan_s or self._list.read_at_s is None:
             return []
         self._next_plan_s = now_s + PLAN_EVERY_S
         workers = self._scheduler.workers_by_vm()
         self._note_arrived(workers, now_s)
         spare = frozenset(pool.name for pool in configuration.pools.values() if pool.spare)
+        serving = {queue.pool for queue in configuration.queues.values()} - spare
         vms = [
             lendable
             for vm in self._list.vms.values()
@@ -114,7 +114,7 @@
         ]
         if not vms:
             return []
-        moves = self._policy.plan(self._scheduler.loads(), vms, spare, now_s)
+        moves = self._policy.plan(self._scheduler.loads(), vms, sorted(serving), spare, now_s)
         for move in moves:
             worker = workers.get(move.vm_id)
             self._in_flight[move.vm_id] = worker.entry.worker_id if worker is not None else None
@@ -130,6 +130,8 @@
             return None
         if vm.vm_id in self._arriving_until_s or vm.state is VmState.MOVING:
             return LendableVm(vm.vm_id, vm.pool, False, True, vm.capacity)
+        if not self._order_log.free(vm.vm_id):
+            return LendableVm(vm.vm_id, vm.pool, False, False, vm.capacity)
         if vm.state is not VmState.UP or now_s < self._retry_at_s.get(vm.vm_id, 0.0):
             return None
         if vm.pool in spare:
--- a/toucandoor/core/scheduling/const.py
+++ b/toucandoor/core/scheduling/const.py
@@ -8,15 +8,17 @@
 """A backend server's steady clock may be this much slow, by the platform's protocol."""
 LAPSE_MARGIN_S: Final = 0.3
 """Added to a lease's computed end: the longest time that a kill takes, and rounding."""
-HOLD_WAIT_S: Final = 1.5
-"""How long a backend server may keep a long poll; a quarter of the longest lease, so that three
-renewals in a row can fail."""
+HOLD_WAIT_S: Final = 1.0
+"""How long a backend server may keep a long poll; a sixth of the longest lease, and bounds how long
+a server that has gone dark is taken for sound."""
 HOLD_RETRY_S: Final = 0.3
 """Pause after a hold without an answer."""
 HOLD_UNCOMMITTED_S: Final = 1.0
 """Pause between holds while ends wait for the store; a listing would only repeat them."""
 START_RETRY_S: Final = 0.25
 """Pause before a start without an answer is sent again under the same attempt."""
+UNANSWERED_PAUSE_S: Final = 0.5
+"""Pause for a backend server that did not answer a start: its next hold tells whether it lives."""
 START_RETRIES_MAX: Final = 3
 """Starts without an answer after which the run is stopped and planned elsewhere."""
 STOP_RETRY_S: Final = 0.5
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -163,8 +163,11 @@
 
     def start_unanswered(self, run: Run) -> None:
         """Note that a start got no answer: the run may exist, now or later."""
+        now_s = self._state.now_s
         run.order_in_flight = False
-        run.next_order_s = self._state.now_s + const.START_RETRY_S
+        run.next_order_s = now_s + const.START_RETRY_S
+        worker = run.worker
+        worker.paused_until_s = max(worker.paused_until_s, now_s + const.UNANSWERED_PAUSE_S)
         if run.starts_sent >= const.START_RETRIES_MAX:
             self._state.want_stop(run)
 
