Bound the logs, serve metrics, pace what fills the leftovers; test the platform's clients

Cause: logs went to standard error without a bound, there were no metrics, and tasks in the leftovers were never slowed though other deployments send them; the clients for the platform had no tests. Change: lines go to standard output through a bounded queue and a budget for each kind; histograms by queue, team and class, by step and outcome; what fills is slowed, then stopped, within a second and a half of a tail over its target; a stand-in over sockets for the store, servers and settings.

--- /dev/null
+++ b/tests/adapters/test_bounded_logs.py
@@ -0,0 +1,64 @@
+"""Logs that never hold the process up."""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+import threading
+import time
+import unittest
+
+from toucandoor.adapters.bounded_logs import LineBudget, QueuedLines
+
+
+class BlockedStream(io.StringIO):
+    """A stream whose reader stalls until it is told to go on."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go_on = threading.Event()
+        self.lines: list[str] = []
+
+    def write(self, text: str) -> int:
+        self.go_on.wait(10)
+        self.lines += text.splitlines()
+        return len(text)
+
+
+def record(message: str) -> logging.LogRecord:
+    return logging.LogRecord("x", logging.INFO, "", 0, message, None, None)
+
+
+class BlockedReaderTest(unittest.TestCase):
+    """A reader that stalls costs lines, not service."""
+
+    def test_lines_are_left_out_and_counted(self) -> None:
+        stream = BlockedStream()
+        handler = QueuedLines(stream, lines_max=10)
+        handler.setFormatter(logging.Formatter('{"message": "%(message)s"}'))
+        began_s = time.monotonic()
+        for number in range(1000):
+            handler.emit(record(str(number)))
+        self.assertLess(time.monotonic() - began_s, 1.0)
+        stream.go_on.set()
+        handler.flush_for(5)
+        lines = [json.loads(line) for line in stream.lines]
+        written = [line for line in lines if "left_out" not in line]
+        left_out = sum(line.get("left_out", 0) for line in lines)
+        self.assertLessEqual(len(written), 12)
+        self.assertEqual(len(written) + left_out, 1000)
+
+
+class LineBudgetTest(unittest.TestCase):
+    """Each kind of line has its own budget."""
+
+    def test_a_frequent_kind_does_not_cost_a_rare_one(self) -> None:
+        budget = LineBudget(lines_per_s=5)
+        passed = sum(budget.filter(record("frequent")) for _ in range(100))
+        self.assertLessEqual(passed, 10)  # two seconds' worth, where the clock turns over meanwhile
+        self.assertTrue(budget.filter(record("rare")))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_operator_records.py
@@ -0,0 +1,73 @@
+"""What operators write to the store, as the project's types."""
+
+from __future__ import annotations
+
+import unittest
+
+from toucandoor.core.jobs.models import Resources
+from toucandoor.ids import PoolId, QueueId, TeamId
+from toucandoor.platform.operator_records import (
+    decode_configuration,
+    decode_wave,
+    encode_wave_status,
+    wave_is_completed,
+)
+
+CONFIGURATION = b"""{"version":7,"routes":[
+{"name":"r1","host":"h.example","prefix":"/a/","kind":"non_idempotent","timeout_ms":3000,
+ "target_duration_ms":600,"priority":1,"service":"s1","max_attempts":2,"slack_factor":1.6,
+ "public":false},
+{"name":"r2","host":"h.example","prefix":"/a/b/","service":"s2","public":true,
+ "recommendation":{"decision_ms":20,"period_ms":5,"validity_ms":3000}}],
+"services":[{"name":"s1","admission_check":true,"standby":false},{"name":"s2","standby":true}],
+"limits":{"max_body_bytes":1000},
+"tenants":[{"name":"t","api_keys":["k1","k2"],"weight":25,
+ "upper_bound":{"cpu":1000,"mem_mb":2000,"gpu":0}}]}"""
+
+
+class ConfigurationTest(unittest.TestCase):
+    """The operators' configuration."""
+
+    def test_queues_pools_and_teams(self) -> None:
+        found = decode_configuration(CONFIGURATION)
+        assert found is not None
+        queue = found.queues[QueueId("r1")]
+        self.assertEqual((queue.attempts_max, queue.target_duration_s), (2, 0.6))
+        advice = found.queues[QueueId("r2")].advice
+        assert advice is not None
+        self.assertEqual(advice.per_worker_s, 0.005)
+        self.assertTrue(found.pools[PoolId("s2")].spare)
+        self.assertEqual(found.team_of("k2"), TeamId("t"))
+        self.assertEqual(found.teams[TeamId("t")].ceiling, Resources(1000, 2000, 0))
+
+    def test_longest_prefix_wins(self) -> None:
+        found = decode_configuration(CONFIGURATION)
+        assert found is not None
+        for path, name in (("/a/x", "r1"), ("/a/b/x", "r2")):
+            queue = found.queue_for("h.example", path)
+            assert queue is not None
+            self.assertEqual(queue.name, name)
+        self.assertIsNone(found.queue_for("other.example", "/a/x"))
+
+    def test_unreadable_configuration_is_none(self) -> None:
+        self.assertIsNone(decode_configuration(b'{"version":"x"}'))
+
+
+class WaveTest(unittest.TestCase):
+    """Waves and their status."""
+
+    def test_wave(self) -> None:
+        value = b'{"rollout_wave":1,"machines":["m1","m2"],"deadline_s":20,"upper_bound":1}'
+        wave = decode_wave(value, 5.0)
+        assert wave is not None
+        self.assertEqual((wave.vms, wave.within_s, wave.down_max), (("m1", "m2"), 20, 1))
+        self.assertIsNone(decode_wave(b"{}", 5.0))
+
+    def test_status(self) -> None:
+        self.assertTrue(wave_is_completed(encode_wave_status(completed=True)))
+        self.assertFalse(wave_is_completed(encode_wave_status(completed=False)))
+        self.assertFalse(wave_is_completed(b"?"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,65 @@
+"""The platform's settings file: read, and refused with every fault named."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from toucandoor.exceptions import SettingsError
+from toucandoor.platform.settings import load_node_settings
+
+GOOD = """
+node_name = "edge-1"
+zone = "z1"
+ip = "10.1.0.23"
+port_range = [7000, 7015]
+seed_nodes = ["10.1.0.23:8345"]
+heartbeat_ms = 1500
+recommendation = "10.200.1.9:8344"
+a_field_of_tomorrow = 3
+[bind_addresses]
+frontend = "10.1.0.23:8340"
+ready = "10.1.0.23:8343"
+[limits]
+memory_mb = 300
+[bounds]
+grace_s = 6
+hold_max_ms = 6000
+early_ms = 250
+[platform]
+address = "10.200.1.7:8344"
+[cloud_api]
+address = "10.200.0.82:8344"
+duty_per_s = 64.0
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """Good and bad files."""
+
+    def load(self, text: str) -> object:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            path.write_text(text)
+            return load_node_settings(path)
+
+    def test_good_file(self) -> None:
+        settings = self.load(GOOD)
+        self.assertEqual(settings.lease_s_max, 6.0)  # type: ignore[attr-defined]
+        self.assertEqual(settings.peer_port_last, 7015)  # type: ignore[attr-defined]
+
+    def test_every_fault_is_named(self) -> None:
+        bad = GOOD.replace('ip = "10.1.0.23"\n', "").replace('"10.1.0.23:8343"', '"nowhere"')
+        with self.assertRaises(SettingsError) as raised:
+            self.load(bad)
+        self.assertIn("ip:", str(raised.exception))
+        self.assertIn("bind_addresses.ready:", str(raised.exception))
+
+    def test_unreadable_file(self) -> None:
+        with self.assertRaises(SettingsError):
+            self.load("= broken")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,112 @@
+"""The store's client, against a stand-in that answers as the platform's protocol says."""
+
+from __future__ import annotations
+
+import base64
+import unittest
+from typing import Any
+
+from tests.platform.http_stand_in import Answer, StandIn
+from toucandoor.core.records import (
+    HistoryLostError,
+    LeaseEndedError,
+    Transaction,
+    TransactionConflictError,
+)
+from toucandoor.exceptions import StoreAnswerLostError, StoreUnavailableError
+from toucandoor.ids import StoreLeaseId
+from toucandoor.platform.http import PlatformHttp
+from toucandoor.platform.store import PlatformStore
+
+
+def item(key: str, value: bytes, revision: int) -> dict[str, Any]:
+    text = base64.b64encode(value).decode()
+    return {"key": key, "value": text, "revision": revision, "created": 1, "lease_id": 0}
+
+
+class StoreTest(unittest.TestCase):
+    """Each call, and each way in which it is refused."""
+
+    def setUp(self) -> None:
+        self.calls: list[tuple[str, str, dict[str, str], Any]] = []
+        self.answers: list[Answer] = []
+        self.stand_in = StandIn(self.answer)
+        self.addCleanup(self.stand_in.stop)
+        self.store = PlatformStore(PlatformHttp(), self.stand_in.address, 0.5)
+
+    def answer(
+        self, method: str, path: str, query: dict[str, str], body: Any, _headers: dict[str, str]
+    ) -> Answer:
+        self.calls.append((method, path, query, body))
+        return self.answers.pop(0)
+
+    def test_read(self) -> None:
+        self.answers = [(200, item("a", b"x", 5)), (404, {})]
+        record = self.store.read("a")
+        assert record is not None
+        self.assertEqual((record.value, record.revision), (b"x", 5))
+        self.assertIsNone(self.store.read("b"))
+        self.assertEqual(self.calls[0][:3], ("GET", "/-/kv-key", {"key": "a"}))
+
+    def test_prefix_is_read_page_after_page(self) -> None:
+        self.answers = [
+            (200, {"items": [item("p/1", b"", 2)], "has_more": True, "at": 7}),
+            (200, {"items": [item("p/2", b"", 3)], "has_more": False, "at": 9}),
+        ]
+        snapshot = self.store.read_prefix("p/")
+        self.assertEqual([record.key for record in snapshot.records], ["p/1", "p/2"])
+        self.assertEqual(snapshot.revision, 7)
+        self.assertEqual(self.calls[1][2], {"prefix": "p/", "after": "p/1"})
+
+    def test_watch_tells_writes_from_removals(self) -> None:
+        gone = {"key": "p/2", "revision": 9, "deleted": True}
+        self.answers = [(200, {"events": [item("p/1", b"v", 8), gone], "at": 9}), (410, {})]
+        changes = self.store.watch("p/", 7, 0.1)
+        self.assertEqual([record.key for record in changes.written], ["p/1"])
+        self.assertEqual((changes.deleted, changes.revision), (("p/2",), 9))
+        with self.assertRaises(HistoryLostError):
+            self.store.watch("p/", 1, 0.1)
+
+    def test_write_and_its_refusals(self) -> None:
+        self.answers = [
+            (200, {"revision": 12}),
+            (412, {"items": [item("a", b"other", 11)]}),
+            (404, {}),
+            (503, {}),
+            (429, {}),
+        ]
+        transaction = Transaction({"a": 3}, {"a": b"v"}, ("b",), StoreLeaseId(4))
+        self.assertEqual(self.store.write(transaction), 12)
+        self.assertEqual(
+            self.calls[0][3],
+            {
+                "expected_revision": [{"key": "a", "revision": 3}],
+                "write": [{"key": "a", "value": "dg==", "lease_id": 4}],
+                "remove": ["b"],
+            },
+        )
+        with self.assertRaises(TransactionConflictError) as conflict:
+            self.store.write(transaction)
+        self.assertEqual(conflict.exception.present[0].value, b"other")
+        with self.assertRaises(LeaseEndedError):
+            self.store.write(transaction)
+        for _ in range(2):
+            with self.assertRaises(StoreUnavailableError):
+                self.store.write(transaction)
+
+    def test_leases(self) -> None:
+        self.answers = [(200, {"lease_id": 7, "ttl_ms": 3000}), (200, {"ttl_ms": 3000}), (404, {})]
+        lease = self.store.grant_lease(3.0)
+        self.assertEqual((lease.lease_id, lease.ttl_s), (7, 3.0))
+        self.store.renew_lease(lease.lease_id)
+        with self.assertRaises(LeaseEndedError):
+            self.store.renew_lease(lease.lease_id)
+
+    def test_no_store_means_nothing_was_done(self) -> None:
+        self.stand_in.stop()
+        with self.assertRaises((StoreUnavailableError, StoreAnswerLostError)):
+            self.store.read("a")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/toucandoor/adapters/bounded_logs.py
@@ -0,0 +1,125 @@
+"""Structured logs to standard output that never hold the process up and are bounded under load."""
+
+from __future__ import annotations
+
+import json
+import logging
+import queue
+import sys
+import threading
+import time
+from typing import TYPE_CHECKING, Final
+
+from pythonjsonlogger.json import JsonFormatter
+
+from toucandoor.adapters.logs import ErrorFieldsFilter
+
+if TYPE_CHECKING:
+    from typing import TextIO
+
+LINES_PER_S: Final = 200
+"""Lines of one kind a second; a busy owner ends about a hundred runs a second."""
+QUEUE_LINES_MAX: Final = 5_000
+"""Lines that wait for a slow reader, a few megabytes at most; further ones are left out."""
+LOGGER_LEVELS: Final = {"websockets": logging.WARNING, "urllib3": logging.ERROR}
+"""Libraries that log each connection below these levels."""
+
+
+class LineBudget(logging.Filter):
+    """Lets a number of lines of each kind through a second, and says how many it left out.
+
+    A line's kind is its message without the arguments.
+    """
+
+    def __init__(self, lines_per_s: int = LINES_PER_S) -> None:
+        super().__init__()
+        self._lines_per_s = lines_per_s
+        self._lock = threading.Lock()
+        self._second = 0
+        self._seen: dict[str, int] = {}
+        self._left_out: dict[str, int] = {}
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether a line is within its budget; marks the first one after others were not."""
+        kind = str(record.msg)
+        with self._lock:
+            second = int(time.monotonic())
+            if second != self._second:
+                self._second = second
+                self._seen.clear()
+            seen = self._seen.get(kind, 0)
+            if seen >= self._lines_per_s:
+                self._left_out[kind] = self._left_out.get(kind, 0) + 1
+                return False
+            self._seen[kind] = seen + 1
+            left_out = self._left_out.pop(kind, 0)
+        if left_out:
+            record.left_out = left_out
+        return True
+
+
+class QueuedLines(logging.Handler):
+    """Hands lines to a thread that writes them; a full queue costs lines, not service."""
+
+    def __init__(self, stream: TextIO, lines_max: int = QUEUE_LINES_MAX) -> None:
+        super().__init__()
+        self._stream = stream
+        self._queue: queue.Queue[str | None] = queue.Queue(lines_max)
+        self.left_out = 0
+        self._thread = threading.Thread(target=self._write, name="logs", daemon=True)
+        self._thread.start()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue a line, or count it as left out."""
+        try:
+            self._queue.put_nowait(self.format(record))
+        except queue.Full:
+            self.left_out += 1
+
+    def flush_for(self, timeout_s: float) -> None:
+        """Write what waits, for at most this long."""
+        try:
+            self._queue.put(None, timeout=timeout_s)
+        except queue.Full:
+            return  # nobody reads
+        self._thread.join(timeout_s)
+
+    def _write(self) -> None:
+        while True:
+            line = self._queue.get()
+            if line is None:
+                return
+            left_out, self.left_out = self.left_out, 0
+            if left_out:
+                fields = {"level": "WARNING", "message": "logs: lines left out"}
+                line += "\n" + json.dumps(fields | {"left_out": left_out})
+            try:
+                self._stream.write(line + "\n")
+                self._stream.flush()
+            except (OSError, ValueError):
+                self.left_out += 1  # nobody reads any more
+
+
+def set_up_bounded_logs(program: str, level: str) -> QueuedLines:
+    """Send all logs of this process to standard output as JSON lines.
+
+    Args:
+        program: Name of the program, a field of every line.
+        level: Lowest level that is written, such as ``INFO``.
+    """
+    handler = QueuedLines(sys.stdout)
+    handler.addFilter(ErrorFieldsFilter())
+    handler.addFilter(LineBudget())
+    handler.setFormatter(
+        JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
+            static_fields={"program": program},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    for name, lowest in LOGGER_LEVELS.items():
+        logging.getLogger(name).setLevel(lowest)
+    return handler
--- a/toucandoor/adapters/job_callers.py
+++ b/toucandoor/adapters/job_callers.py
@@ -24,6 +24,7 @@
     from collections.abc import Callable, Iterable
 
     from toucandoor.adapters.job_desk import JobDesk
+    from toucandoor.adapters.node_metrics import NodeMetrics
     from toucandoor.adapters.wsgi import Environ, StartResponse
     from toucandoor.clock import Clock
     from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
@@ -52,6 +53,13 @@
         self.retry_after_s = retry_after_s
 
 
+class _Call:
+    """What is known of a call so far, for its metrics; empty until it is known."""
+
+    queue: str = ""
+    team: str = ""
+
+
 class JobCallers:
     """WSGI application: jobs handed in, asked about and cancelled."""
 
@@ -60,25 +68,35 @@
         desk: JobDesk,
         configuration: Callable[[], JobConfiguration | None],
         clock: Clock,
+        metrics: NodeMetrics,
     ) -> None:
+        self._metrics = metrics
         self._desk = desk
         self._configuration = configuration
         self._clock = clock
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Answer one call."""
+        began_s = self._clock.monotonic_s()
+        call = _Call()
+        status = 200
         try:
-            body = self._answer(environ)
+            body = self._answer(environ, call)
         except _Refused as refused:
+            status = refused.status
             fields = _log_fields(environ) | {"status": refused.status, "reason": refused.reason}
             _LOGGER.info("callers: refused", extra=fields)
             headers = []
             if refused.retry_after_s is not None:
                 headers.append(("Retry-After", str(refused.retry_after_s)))
             return respond_json(start_response, refused.status, {"error": refused.reason}, headers)
+        finally:
+            seconds = self._clock.monotonic_s() - began_s
+            method = str(environ.get("REQUEST_METHOD", ""))
+            self._metrics.caller_answered(call.queue, call.team, method, status, seconds)
         return respond(start_response, 200, body, "application/json")
 
-    def _answer(self, environ: Environ) -> bytes:
+    def _answer(self, environ: Environ, call: _Call) -> bytes:
         configuration = self._configuration()
         if configuration is None:
             raise _Refused(503, "no configuration yet", RETRY_AFTER_S)
@@ -87,7 +105,8 @@
         queue = configuration.queue_for(host, path)
         if queue is None:
             raise _Refused(404, "no such queue")
-        team = self._team(environ, configuration, queue)
+        call.queue = queue.name
+        team = call.team = self._team(environ, configuration, queue)
         method = str(environ["REQUEST_METHOD"])
         rest = path.removeprefix(queue.path_prefix)
         if not rest and method == "GET":
@@ -135,6 +154,7 @@
             "callers: job %s",
             outcome.value,
             extra={
+                "request": str(environ.get("HTTP_REQUEST_ID", "")),
                 "job": job_id,
                 "queue": queue.name,
                 "team": team,
--- a/toucandoor/adapters/logs.py
+++ b/toucandoor/adapters/logs.py
@@ -10,10 +10,11 @@
 from toucandoor.exceptions import ToucandoorError
 
 
-class _ErrorFieldsFilter(logging.Filter):
+class ErrorFieldsFilter(logging.Filter):
     """Adds step and peer of a logged error as fields of their own."""
 
     def filter(self, record: logging.LogRecord) -> bool:
+        """Add the fields; every line passes."""
         error = record.exc_info[1] if record.exc_info else None
         if isinstance(error, ToucandoorError):
             record.step = error.step
@@ -29,7 +30,7 @@
         level: Lowest level that is written, such as ``INFO``.
     """
     handler = logging.StreamHandler(sys.stderr)
-    handler.addFilter(_ErrorFieldsFilter())
+    handler.addFilter(ErrorFieldsFilter())
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s",
--- /dev/null
+++ b/toucandoor/adapters/node_metrics.py
@@ -0,0 +1,85 @@
+"""Metrics of the node program, for Prometheus."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from aioprometheus import REGISTRY, Gauge, Histogram, render
+
+from toucandoor.adapters.wsgi import respond
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from toucandoor.adapters.wsgi import Environ, StartResponse
+    from toucandoor.core.scheduling.pool_load import PoolLoad
+
+_CALL_BUCKETS_S: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0]
+_JOB_BUCKETS_S: Final = [0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 8.0, 15.0, 60.0]
+
+
+class NodeMetrics:
+    """Counters and histograms of one process; label sets are those of the configuration."""
+
+    def __init__(self) -> None:
+        self._callers_s = Histogram(
+            "toucandoor_caller_seconds",
+            "Time of a caller's call by queue, team, method and status",
+            buckets=_CALL_BUCKETS_S,
+        )
+        self._platform_s = Histogram(
+            "toucandoor_platform_call_seconds",
+            "Time of a call to the platform by step and outcome",
+            buckets=_CALL_BUCKETS_S,
+        )
+        self._jobs_s = Histogram(
+            "toucandoor_job_seconds",
+            "Time from a job's arrival at the owner to its end by queue, team, class and state",
+            buckets=_JOB_BUCKETS_S,
+        )
+        self._owner = Gauge("toucandoor_owner", "1 while this process owns the schedule")
+        self._version = Gauge("toucandoor_configuration_version", "Configuration in force")
+        self._room = Gauge("toucandoor_pool_cpu_millicores", "Processor of a pool by use")
+        self._servers = Gauge("toucandoor_pool_servers", "Backend servers that may get tasks")
+
+    def caller_answered(
+        self, queue: str, team: str, method: str, status: int, seconds: float
+    ) -> None:
+        """Note the answer to a caller."""
+        labels = {"queue": queue, "team": team, "method": method, "status": str(status)}
+        self._callers_s.observe(labels, seconds)
+
+    def platform_answered(self, step: str, outcome: str, seconds: float) -> None:
+        """Note a call to the platform."""
+        self._platform_s.observe({"step": step, "outcome": outcome}, seconds)
+
+    def job_ended(self, queue: str, team: str, job_class: str, state: str, seconds: float) -> None:
+        """Note the end of a job."""
+        labels = {"queue": queue, "team": team, "class": job_class, "state": state}
+        self._jobs_s.observe(labels, seconds)
+
+    def owns(self, owner: bool) -> None:
+        """Note whether this process owns the schedule."""
+        self._owner.set({}, int(owner))
+
+    def configured(self, version: int) -> None:
+        """Note the configuration in force."""
+        self._version.set({}, version)
+
+    def pool(self, load: PoolLoad) -> None:
+        """Note the load of a pool."""
+        for use, room in (
+            ("capacity", load.capacity),
+            ("lasting", load.lasting),
+            ("ending", load.ending),
+            ("waiting", load.waiting),
+        ):
+            self._room.set({"pool": load.pool, "use": use}, room.cpu_millicores)
+        self._servers.set({"pool": load.pool}, load.servers)
+
+
+def metrics_app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    """WSGI application that serves the metrics at any path."""
+    content, headers = render(REGISTRY, [environ.get("HTTP_ACCEPT", "text/plain")])
+    kind = headers.get("Content-Type", "text/plain")
+    return respond(start_response, 200, content, kind)
--- a/toucandoor/adapters/owner_task.py
+++ b/toucandoor/adapters/owner_task.py
@@ -126,11 +126,13 @@
         validity = OwnershipLease(clock, asked_at_s, lease.ttl_s)
         term = OwnerTerm(self._around, token, lease, validity)
         self._term = term
+        self._around.metrics.owns(True)
         try:
             if not self._stop.is_set():
                 term.serve()
         finally:
             self._term = None
+            self._around.metrics.owns(False)
             self._release(lease)
 
     def _claim(self, claim: OwnerRecord, lease: StoreLease) -> FencingToken | None:
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -65,6 +65,7 @@
     from collections.abc import Callable
 
     from toucandoor.adapters.configuration_watch import ConfigurationWatch
+    from toucandoor.adapters.node_metrics import NodeMetrics
     from toucandoor.clock import Clock
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.ownership.lease import OwnershipLease
@@ -106,6 +107,7 @@
     vms: VmPort
     advice: AdvicePort
     configuration: ConfigurationWatch
+    metrics: NodeMetrics
 
 
 class OwnerTerm:
@@ -193,7 +195,7 @@
             for commit in scheduler.commits():
                 self._submit(self._commit, commit)
             self._look_after_vms()
-            self._log_load()
+            self._tell_load()
             pending = scheduler.pending_commit()
             if pending is not None:
                 self._submit(self._write_pending, pending)
@@ -282,6 +284,8 @@
             self._around.workers.pace(run.worker.target, run.key, order.percent, order.token)
         except (OrderRefusedError, OrderUnansweredError) as err:
             _LOGGER.info("runs: pace failed: %s", err, extra={"job": run.task.key.job_id})
+        else:
+            self._post(lambda: self._scheduler.pace_answered(run, order.percent))
 
     def _ask_advice(self, order: AskAdvice) -> None:
         scheduler = self._scheduler
@@ -293,12 +297,19 @@
         else:
             self._post(lambda: scheduler.advice_answered(order.step, advice))
 
-    def _log_load(self) -> None:
+    def _tell_load(self) -> None:
+        for job in self._scheduler.take_finished():
+            spec = job.spec
+            job_class = "patient" if spec.long_running else "urgent"
+            age_s = self._around.clock.monotonic_s() - job.arrived_s
+            metrics = self._around.metrics
+            metrics.job_ended(spec.queue, spec.team, job_class, job.state.value, age_s)
         now_s = self._around.clock.monotonic_s()
         if now_s < self._next_load_log_s:
             return
         self._next_load_log_s = now_s + LOAD_LOG_EVERY_S
         for load in self._scheduler.loads().values():
+            self._around.metrics.pool(load)
             _LOGGER.info("schedule: load", extra=load.log_fields())
 
     # VMs
--- a/toucandoor/core/scheduling/const.py
+++ b/toucandoor/core/scheduling/const.py
@@ -11,6 +11,9 @@
 HOLD_WAIT_S: Final = 1.0
 """How long a backend server may keep a long poll; a sixth of the longest lease, and bounds how long
 a server that has gone dark is taken for sound."""
+CLOSE_LOOK_S: Final = 0.5
+"""Wait of a hold where tasks in the leftovers may disturb others; the tails listed are of the last
+half second."""
 HOLD_RETRY_S: Final = 0.3
 """Pause after a hold without an answer."""
 HOLD_UNCOMMITTED_S: Final = 1.0
--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from toucandoor.core.scheduling.pacing import serving_runs
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
@@ -56,12 +58,13 @@
     return min(fitting, key=lambda worker: _cost(worker, step.step, task))
 
 
-def _cost(worker: WorkerView, step: Step, task: Task) -> tuple[bool, bool, float]:
-    """Order servers: where the task has not failed, near its data, then the best fit."""
+def _cost(worker: WorkerView, step: Step, task: Task) -> tuple[bool, bool, int, float]:
+    """Order servers: where the task has not failed, near its data, few it disturbs, best fit."""
     failed_there = worker.entry.worker_id in task.avoid
     far = bool(step.data_rack) and step.data_rack not in worker.entry.labels
+    disturbs = len(serving_runs(worker)) if step.uses_leftovers else 0
     # The fullest server first, so that others stand empty and their VMs can be lent.
-    return (failed_there, far, -_used_ratio(worker.used, worker.entry.capacity))
+    return (failed_there, far, disturbs, -_used_ratio(worker.used, worker.entry.capacity))
 
 
 def _used_ratio(used: Resources, capacity: Resources) -> float:
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -10,7 +10,7 @@
 from toucandoor.core.scheduling.orders import AskAdvice, Order
 from toucandoor.core.scheduling.placement import allowed_workers, choose_worker
 from toucandoor.core.scheduling.queue_order import step_rank
-from toucandoor.core.scheduling.state import MS_PER_S
+from toucandoor.core.scheduling.state import MS_PER_S, run_fields
 from toucandoor.core.scheduling.worker_view import Run, RunState, WorkerView
 from toucandoor.core.scheduling.workers import RunKey
 
@@ -169,6 +169,17 @@
             job.started = True
             job.state = JobState.RUNNING
         state.touch(job)
+        _LOGGER.info(
+            "runs: planned",
+            extra=run_fields(run)
+            | {
+                "queue": job.spec.queue,
+                "pool": worker.entry.pool,
+                "free_cpu": worker.free.cpu_millicores,
+                "listing_age_s": round(now_s - worker.clock_read_s, 3),
+                "job_age_s": round(now_s - job.arrived_s, 3),
+            },
+        )
         return run
 
     def _unplan(self, run: Run) -> None:
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.core.scheduling import const
-from toucandoor.core.scheduling.orders import HoldWorker, Order, StartRun, StopRun
+from toucandoor.core.scheduling.orders import HoldWorker, Order, PaceRun, StartRun, StopRun
+from toucandoor.core.scheduling.pacing import needs_close_look, plan_paces
 from toucandoor.core.scheduling.state import run_fields
 from toucandoor.core.scheduling.worker_view import Run, RunState, WorkerView
 from toucandoor.core.scheduling.workers import OrderRefusal, StartOrder
@@ -24,12 +25,14 @@
     def __init__(self, state: ScheduleState, book: WorkerBook) -> None:
         self._state = state
         self._book = book
+        self._paces: list[Order] = []
 
     def due(self) -> list[Order]:
         """Return the orders to send now."""
         state = self._state
         now_s = state.now_s
-        orders: list[Order] = []
+        orders = self._paces
+        self._paces = []
         for run in list(state.orderly_runs):
             if run.key not in run.worker.runs:
                 del state.orderly_runs[run]
@@ -80,6 +83,8 @@
         worker.hold_in_flight = True
         until_ms = self._extend_lease(worker, now_s) if worker.runs else None
         settled = worker.held and not worker.uncommitted and worker.hold_failures == 0
+        if needs_close_look(worker):
+            return self._short_hold(worker, until_ms)
         recovered = any(run.state is RunState.RECOVERED for run in worker.runs.values())
         wait_s = const.HOLD_WAIT_S if settled and worker.runs and not recovered else 0.0
         if any(run.stop_acknowledged for run in worker.runs.values()):
@@ -87,6 +92,11 @@
         token = self._state.settings.token
         return HoldWorker(worker, token, until_ms, worker.ends_acknowledged, wait_s)
 
+    def _short_hold(self, worker: WorkerView, until_ms: int | None) -> HoldWorker:
+        token = self._state.settings.token
+        wait_s = 0.0 if worker.uncommitted else const.CLOSE_LOOK_S
+        return HoldWorker(worker, token, until_ms, worker.ends_acknowledged, wait_s)
+
     def _extend_lease(self, worker: WorkerView, now_s: float) -> int | None:
         """Return the lease's end to send with an order, None where the clock is not known.
 
@@ -101,6 +111,21 @@
 
     # Answers to holds
 
+    def looked_at(self, worker: WorkerView) -> None:
+        """Change speeds after a listing, where what fills disturbs what serves."""
+        now_s = self._state.now_s
+        for run, percent in plan_paces(worker, now_s).items():
+            worker.paced_s = now_s
+            self._paces.append(PaceRun(run, percent, self._state.settings.token))
+            _LOGGER.info(
+                "runs: paced",
+                extra=run_fields(run) | {"percent": percent, "before": run.pace_percent},
+            )
+
+    def pace_answered(self, run: Run, percent: int) -> None:
+        """Note the speed at which a run works now."""
+        run.pace_percent = percent
+
     def hold_failed(self, worker: WorkerView, refusal: OrderRefusal | None) -> None:
         """Note that a hold was refused, or got no answer (None)."""
         worker.hold_in_flight = False
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -175,6 +175,7 @@
             state.stale_pools.add(worker.entry.pool)
         worker.next_hold_s = state.now_s
         self._ends.take(worker, listing, sent_s)
+        self._orders.looked_at(worker)
         if worker.uncommitted:
             worker.next_hold_s = state.now_s + const.HOLD_UNCOMMITTED_S
         self._acknowledge(worker)
@@ -203,6 +204,10 @@
         """Note that a stop was refused, or got no answer (None)."""
         self._orders.stop_failed(run, refusal)
 
+    def pace_answered(self, run: Run, percent: int) -> None:
+        """Note the speed at which a run works now."""
+        self._orders.pace_answered(run, percent)
+
     def advice_answered(self, key: StepKey, advice: Advice | None) -> None:
         """Note what an adviser said; None where it did not answer."""
         job = self._state.jobs.get(key.job_id)
@@ -266,6 +271,11 @@
         until_s = self._orders.next_hold_s() - self._state.now_s
         return min(max(until_s, WAKE_S_MIN), WAKE_S_MAX)
 
+    def take_finished(self) -> list[JobProgress]:
+        """Return the jobs that have ended since the last call."""
+        finished, self._state.finished = self._state.finished, []
+        return finished
+
     def loads(self) -> dict[PoolId, PoolLoad]:
         """Return the load of each pool."""
         state = self._state
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -60,6 +60,7 @@
         orderly_runs: Runs that need a start or a stop.
         dirty: Jobs whose record is behind, in order.
         planned: Runs by job whose record is not in the store yet.
+        finished: Jobs that have ended since they were last asked for.
     """
 
     def __init__(self, settings: SchedulerSettings, clock: Clock) -> None:
@@ -77,6 +78,7 @@
         self.orderly_runs: dict[Run, None] = {}
         self.dirty: dict[JobId, None] = {}
         self.planned: dict[JobId, list[Run]] = {}
+        self.finished: list[JobProgress] = []
         self._team_used: dict[TeamId, Resources] = {}
 
     @property
@@ -119,6 +121,7 @@
                 "age_s": round(self.now_s - job.arrived_s, 3),
             },
         )
+        self.finished.append(job)
         self.touch(job)
 
     def step_of(self, task: Task) -> StepProgress:
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -97,6 +97,7 @@
         cordoned: Whether maintenance keeps new tasks away.
         leaving: Whether its VM is being moved to another pool.
         hold_failures: Holds in a row without an answer.
+        paced_s: When speeds on it were changed last.
     """
 
     entry: WorkerEntry
@@ -119,6 +120,7 @@
     cordoned: bool = False
     leaving: bool = False
     hold_failures: int = 0
+    paced_s: float = 0.0
 
     @property
     def target(self) -> WorkerTarget:
--- a/toucandoor/platform/caller_routes.py
+++ b/toucandoor/platform/caller_routes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from typing import Final
 
 import msgspec
@@ -69,11 +68,12 @@
     pending: int
 
 
-@dataclass(frozen=True, slots=True)
 class JobFault(Exception):
     """A body that is no job; says why."""
 
-    reason: str
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
 
 
 def is_job_id(text: str) -> bool:
--- a/toucandoor/platform/http.py
+++ b/toucandoor/platform/http.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
@@ -21,7 +22,7 @@
 from toucandoor.exceptions import ToucandoorError
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
 CONNECT_TIMEOUT_S: Final = 1.0
 """Longest wait for a connection: several times the way between data centres, so that a cut shows
@@ -77,9 +78,14 @@
 
 
 class PlatformHttp:
-    """Calls by HTTP and JSON over kept connections; repeats nothing by itself."""
+    """Calls by HTTP and JSON over kept connections; repeats nothing by itself.
 
-    def __init__(self) -> None:
+    Args:
+        observe: Called after each call with its step, outcome and time in seconds.
+    """
+
+    def __init__(self, observe: Callable[[str, str, float], None] | None = None) -> None:
+        self._observe = observe
         self._pool = urllib3.PoolManager(
             num_pools=2048,
             maxsize=IDLE_CONNECTIONS_MAX,
@@ -115,7 +121,32 @@
             CallNotSentError: No connection was made.
             CallUnansweredError: No whole answer came.
         """
-        sent = dict(headers or {})
+        began_s = time.monotonic()
+        outcome = "unanswered"
+        try:
+            answer = self._call(
+                method, address, path, step, timeout_s, body, query, dict(headers or {})
+            )
+            outcome = str(answer.status)
+            return answer
+        except CallNotSentError:
+            outcome = "not_sent"
+            raise
+        finally:
+            if self._observe is not None:
+                self._observe(step, outcome, time.monotonic() - began_s)
+
+    def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        step: str,
+        timeout_s: float,
+        body: Any,
+        query: Mapping[str, str] | None,
+        sent: dict[str, str],
+    ) -> Answer:
         data = None
         if body is not None:
             data = msgspec.json.encode(body)
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -11,10 +11,11 @@
 
 import typer
 
+from toucandoor.adapters.bounded_logs import set_up_bounded_logs
 from toucandoor.adapters.configuration_watch import ConfigurationWatch
 from toucandoor.adapters.job_callers import JobCallers
 from toucandoor.adapters.job_desk import StoreDesk
-from toucandoor.adapters.logs import set_up_logs
+from toucandoor.adapters.node_metrics import NodeMetrics, metrics_app
 from toucandoor.adapters.owner_task import OwnerTask
 from toucandoor.adapters.owner_term import Surroundings
 from toucandoor.adapters.peers import (
@@ -53,6 +54,7 @@
 CALLER_THREADS: Final = 24
 """Calls served at once; each waits a few answers of the store."""
 READY_THREADS: Final = 2
+METRICS_THREADS: Final = 1
 IDLE_TIMEOUT_S: Final = 20
 """Above the idle time of callers' connections, so that callers close them first."""
 BODY_BYTES_MAX: Final = 1_048_576
@@ -62,6 +64,8 @@
 ROTATION_S: Final = 2.5
 """How long a stopping node serves on: the balancer takes it out after two missed checks, a second
 apart."""
+LOG_FLUSH_S: Final = 0.3
+"""Most that a stop waits for its last log lines."""
 STOP_MARGIN_S: Final = 1.5
 """Kept back from the grace for what is still being answered."""
 
@@ -72,7 +76,8 @@
     def __init__(self, settings: NodeSettings) -> None:
         self._settings = settings
         self._clock = BootClock()
-        http = PlatformHttp()
+        self._metrics = NodeMetrics()
+        http = PlatformHttp(self._metrics.platform_answered)
         self._store = PlatformStore(http, settings.store_address, STORE_TIMEOUT_S)
         peer_address = f"{settings.ip}:{settings.peer_port_first}"
         me = Peer(settings.entry_id, peer_address, settings.data_centre)
@@ -94,15 +99,21 @@
                 vms=PlatformVms(http, settings.vm_list_address),
                 advice=PlatformAdvice(http, settings.advice_address),
                 configuration=self._configuration,
+                metrics=self._metrics,
             )
         )
         self._stopping = threading.Event()
-        callers = JobCallers(self._desk, lambda: self._configuration.current, self._clock)
+        callers = JobCallers(
+            self._desk, lambda: self._configuration.current, self._clock, self._metrics
+        )
+        self._configuration.listen(lambda present: self._metrics.configured(present.version))
         self._callers = make_server(
             settings.caller_address, callers, CALLER_THREADS, IDLE_TIMEOUT_S
         )
         self._callers.max_request_body_size = BODY_BYTES_MAX
         self._ready = make_server(settings.ready_address, self._ready_app, READY_THREADS)
+        self._metrics_address = f"{settings.ip}:{settings.peer_port_last}"
+        self._metrics_server = make_server(self._metrics_address, metrics_app, METRICS_THREADS)
 
     def serve(self) -> None:
         """Run until asked to stop."""
@@ -113,7 +124,7 @@
         self._peers.start()
         self._configuration.start()
         self._owner.start()
-        for server in (self._ready, self._callers):
+        for server in (self._ready, self._callers, self._metrics_server):
             server.prepare()
             threading.Thread(target=_serve, args=(server,), daemon=True).start()
         _LOGGER.info(
@@ -122,6 +133,7 @@
                 "entry": self._settings.entry_id,
                 "data_centre": self._settings.data_centre,
                 "callers": self._settings.caller_address,
+                "metrics": self._metrics_address,
             },
         )
         self._stopping.wait()
@@ -183,14 +195,15 @@
 
 def main() -> None:
     """Start the node with the settings file that the environment names."""
-    set_up_logs(PROGRAM, os.environ.get("TOUCANDOOR_LOG_LEVEL", "INFO"))
+    logs = set_up_bounded_logs(PROGRAM, os.environ.get("TOUCANDOOR_LOG_LEVEL", "INFO"))
     try:
         settings = load_node_settings()
     except SettingsError as err:
         _LOGGER.error("node: %s", err)
+        logs.flush_for(LOG_FLUSH_S)
         raise SystemExit(2) from err
     Node(settings).serve()
-    logging.shutdown()
+    logs.flush_for(LOG_FLUSH_S)
     os._exit(0)
 
 
