Keep the ownership through an outage of the store; free VMs that were ordered long ago

Excluded: the list of VMs, which was read at once; the adviser, which is not asked. Change: an owner whose renewal comes late stands still and goes on when the store still takes it, for then nobody has had the ownership meanwhile; the record of orders holds their times.

--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -111,7 +111,7 @@
 
 
 class OwnerTerm:
-    """Runs a scheduler for as long as the ownership is valid."""
+    """Runs a scheduler until the ownership has ended; stands still while it is not valid."""
 
     def __init__(
         self,
@@ -135,7 +135,7 @@
         self._scheduler = Scheduler(settings, around.clock)
         self._next_load_log_s = 0.0
         now_s = around.clock.monotonic_s
-        self._vm_orders = VmOrderLog(now_s, around.settings.holder_lease_s + HOLDER_MARGIN_S)
+        self._vm_orders = VmOrderLog(around.clock, around.settings.holder_lease_s + HOLDER_MARGIN_S)
         self._vm_list = VmList(now_s)
         self._waves = WaveKeeper(
             self._scheduler,
@@ -180,7 +180,7 @@
 
     def _loop(self) -> None:
         scheduler = self._scheduler
-        while self._may_act():
+        while not self._ended.is_set() and not scheduler.deposed:
             try:
                 event = self._events.get(timeout=scheduler.next_wake_s())
                 event()
@@ -189,7 +189,9 @@
             except queue.Empty:
                 pass  # nothing more has happened
             if not self._may_act():
-                return
+                # The store may be away: a renewal that it still takes makes the ownership valid
+                # again, and nobody else has had it meanwhile.
+                continue
             for order in scheduler.orders():
                 self._carry_out(order)
             for commit in scheduler.commits():
@@ -450,8 +452,12 @@
                 self.stop()
                 return
             except ToucandoorError as err:
-                _LOGGER.info("owner: renewal failed: %s", err)
+                _LOGGER.info(
+                    "owner: renewal failed: %s", err, extra={"valid": self._validity.valid}
+                )
             else:
+                if not self._validity.valid:
+                    _LOGGER.info("owner: the ownership is valid again")
                 self._validity.renewed(sent_s)
 
     def _load(self) -> tuple[int, int]:
--- a/toucandoor/core/maintenance/vm_orders.py
+++ b/toucandoor/core/maintenance/vm_orders.py
@@ -13,52 +13,58 @@
 from toucandoor.ids import VmId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
+
+    from toucandoor.clock import Clock
 
 VM_ORDERS_KEY: Final = "vm-orders"
-KEPT_S: Final = 10.0
-"""How long an order stays in the record: the time in which two holders count as taking turns, and
-the longest delay of an order, several times over."""
+KEPT_S: Final = 12.0
+"""How long an order stays in the record; longer than any time for which it is looked at."""
+CLOCK_SKEW_S: Final = 3.0
+"""How far the clocks of two VMs may be apart, a step of two seconds on one of them included."""
 
 
 class VmOrdersRecord(msgspec.Struct, frozen=True):
-    """VMs that the owner has ordered lately."""
+    """VMs that owners have ordered lately, with the wall-clock time of the order."""
 
-    vms: tuple[VmId, ...]
+    ordered_unix_ms: dict[VmId, int]
 
 
 class VmOrderLog:
     """Remembers which VMs were ordered lately, by this owner and by the former one.
 
     Args:
-        now_s: The monotonic clock.
+        clock: The clock.
         holder_gap_s: Time for which a VM that the former owner ordered is left alone.
     """
 
-    def __init__(self, now_s: Callable[[], float], holder_gap_s: float) -> None:
-        self._now_s = now_s
-        self._free_at_s = now_s() + holder_gap_s
-        self._former: frozenset[VmId] = frozenset()
-        self._ordered_at_s: dict[VmId, float] = {}
+    def __init__(self, clock: Clock, holder_gap_s: float) -> None:
+        self._clock = clock
+        self._holder_gap_s = holder_gap_s
+        self._free_at_s = clock.monotonic_s() + holder_gap_s
+        self._former: set[VmId] = set()
+        self._ordered_unix_ms: dict[VmId, int] = {}
 
     def restore(self, record: VmOrdersRecord) -> None:
-        """Take over what the former owner ordered lately."""
-        self._former = frozenset(record.vms)
+        """Take over what former owners ordered lately."""
+        self._ordered_unix_ms = dict(record.ordered_unix_ms)
+        recent_ms = self._unix_ms() - (self._holder_gap_s + CLOCK_SKEW_S) * 1000
+        self._former = {vm_id for vm_id, at in self._ordered_unix_ms.items() if at > recent_ms}
 
     def free(self, vm_id: VmId) -> bool:
         """Return whether a VM may be ordered now."""
-        return vm_id not in self._former or self._now_s() >= self._free_at_s
+        return vm_id not in self._former or self._clock.monotonic_s() >= self._free_at_s
 
     def ordering(self, vm_ids: Iterable[VmId]) -> VmOrdersRecord:
         """Note orders that are about to be sent; return the record to write before."""
-        now_s = self._now_s()
-        for vm_id in vm_ids:
-            self._ordered_at_s[vm_id] = now_s
-        for vm_id, at_s in list(self._ordered_at_s.items()):
-            if now_s - at_s > KEPT_S:
-                del self._ordered_at_s[vm_id]
-        former = self._former if now_s < self._free_at_s else frozenset()
-        return VmOrdersRecord(tuple(sorted(former | set(self._ordered_at_s))))
+        now_ms = self._unix_ms()
+        kept_ms = now_ms - int(KEPT_S * 1000)
+        kept = {vm_id: at for vm_id, at in self._ordered_unix_ms.items() if at > kept_ms}
+        self._ordered_unix_ms = kept | dict.fromkeys(vm_ids, now_ms)
+        return VmOrdersRecord(dict(self._ordered_unix_ms))
+
+    def _unix_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
 
 
 def encode_vm_orders(record: VmOrdersRecord) -> bytes:
--- a/toucandoor/core/ownership/lease.py
+++ b/toucandoor/core/ownership/lease.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
+from toucandoor.ids import EntryId
+
 if TYPE_CHECKING:
     from toucandoor.clock import Clock
-    from toucandoor.ids import EntryId
 
 OWNER_KEY: Final = "owner"
 OWNER_TTL_S: Final = 2.0
