--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -133,6 +133,24 @@
         self.assertEqual(virtual.seen.broken, [])
         self.assertEqual(virtual.seen.starts, 3)
 
+    def test_nothing_starts_before_its_record_is_in_the_store(self) -> None:
+        virtual = fleet()
+        virtual.fate = lambda kind: CallFate.NOT_SENT if kind == "write" else CallFate.ANSWERED
+        virtual.submit(job(1))
+        virtual.run(3.0)
+        self.assertEqual(virtual.seen.starts, 0)
+
+    def test_no_end_is_acknowledged_before_it_is_in_the_store(self) -> None:
+        virtual = fleet()
+        virtual.submit(job(1))
+        virtual.run(0.5)
+        virtual.fate = lambda kind: CallFate.NOT_SENT if kind == "write" else CallFate.ANSWERED
+        virtual.run(4.0)
+        self.assertEqual(virtual.seen.acknowledged, set())
+        virtual.fate = lambda _kind: CallFate.ANSWERED
+        virtual.run(3.0)
+        self.assertEqual(len(virtual.seen.acknowledged), 3)
+
     def test_new_owner_takes_over_what_runs(self) -> None:
         virtual = fleet()
         virtual.submit(job(1))
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -42,9 +42,8 @@
                     run.order_in_flight = True
                     orders.append(order)
         for worker in [*state.workers.values(), *state.gone]:
-            wanted = worker.runs or worker.uncommitted or (worker.listed and not worker.held)
             free = not worker.hold_in_flight and now_s >= worker.next_hold_s
-            if wanted and free and worker.entry.address:
+            if worker.wants_hold and free and worker.entry.address:
                 orders.append(self._hold(worker, now_s))
         return orders
 
@@ -54,7 +53,7 @@
             (
                 worker.next_hold_s
                 for worker in self._state.workers.values()
-                if (worker.runs or not worker.held) and not worker.hold_in_flight
+                if worker.wants_hold and not worker.hold_in_flight
             ),
             default=float("inf"),
         )
@@ -81,6 +80,7 @@
 
     def _hold(self, worker: WorkerView, now_s: float) -> HoldWorker:
         worker.hold_in_flight = True
+        worker.acknowledging = worker.ends_acknowledged
         until_ms = self._extend_lease(worker, now_s) if worker.runs else None
         settled = worker.held and not worker.uncommitted and worker.hold_failures == 0
         if needs_close_look(worker):
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -87,6 +87,8 @@
         unknown_lease_until_s: Time by which a former owner's lease has surely ended.
         ends_seen: Highest number of an end that was processed.
         ends_acknowledged: Highest number of an end that may be forgotten.
+        acknowledging: Acknowledgement in the hold that awaits its answer.
+        acknowledgement_sent: Highest acknowledgement that the server has answered.
         uncommitted: Jobs, with the version of their progress, whose write the next
             acknowledgement waits for.
         hold_in_flight: Whether a hold awaits its answer.
@@ -111,6 +113,8 @@
     unknown_lease_until_s: float = 0.0
     ends_seen: int = 0
     ends_acknowledged: int = 0
+    acknowledging: int = 0
+    acknowledgement_sent: int = 0
     uncommitted: list[tuple[JobId, int]] = field(default_factory=list)
     hold_in_flight: bool = False
     next_hold_s: float = 0.0
@@ -165,6 +169,13 @@
         reached_ms = self.clock_ms + slowest * 1000
         return reached_ms > self.lease_until_ms + const.LAPSE_MARGIN_S * 1000
 
+    @property
+    def wants_hold(self) -> bool:
+        """Whether there is anything to extend, to learn or to acknowledge."""
+        owed = self.ends_acknowledged > self.acknowledgement_sent
+        unknown = self.listed and not self.held
+        return bool(self.runs or self.uncommitted or owed or unknown)
+
     def usable(self, now_s: float) -> bool:
         """Return whether it may get new tasks."""
         return (
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -42,7 +42,7 @@
     VirtualRecords,
     VirtualWorker,
 )
-from toucandoor.ids import DataCentreId, FencingToken, JobId, PoolId, WorkerId
+from toucandoor.ids import DataCentreId, FencingToken, JobId, PoolId, VmId, WorkerId
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -147,6 +147,7 @@
         *,
         labels: tuple[str, ...] = ("a", "r1"),
         clock_rate: float = 1.0,
+        vm_id: str | None = None,
     ) -> VirtualWorker:
         """Start a backend server, or start it again under the same id."""
         born = int(self.clock.now().timestamp() * 1000)
@@ -159,6 +160,7 @@
             labels,
             False,
             born,
+            vm_id=VmId(vm_id) if vm_id is not None else None,
         )
         worker = VirtualWorker(entry, self.clock, self.seen, self._behaviour, clock_rate=clock_rate)
         self.workers[entry.worker_id] = worker
