--- a/toucandoor/adapters/configuration_watch.py
+++ b/toucandoor/adapters/configuration_watch.py
@@ -29,7 +29,7 @@
 WATCH_WAIT_S: Final = 1.0
 """How long a watch waits; a silent connection then shows within the two seconds in which a
 configuration must be in force."""
-STORE_ANSWERS_WITHIN_S: Final = 2.5
+STORE_ANSWERS_WITHIN_S: Final = 2.0
 """Silence of the store after which it counts as away from this node: a watch and its retry."""
 RETRY_PAUSE_S: Final = 0.2
 """Pause after a failed read of the store."""
@@ -126,6 +126,7 @@
                 lost = False
             except HistoryLostError:
                 _LOGGER.info("configuration: history is gone; reading anew")
+                self._answered_s = self._clock.monotonic_s()
                 revision = None
             except ToucandoorError as err:
                 if not lost:
--- a/toucandoor/adapters/peers.py
+++ b/toucandoor/adapters/peers.py
@@ -165,7 +165,7 @@
         except MessageError as err:
             _LOGGER.warning("peers: a message cannot be read: %s", err)
             return Failed(str(err))
-        except ToucandoorError as err:
+        except (ToucandoorError, msgspec.MsgspecError) as err:
             return Failed(str(err))
 
 
--- a/toucandoor/adapters/relay_desk.py
+++ b/toucandoor/adapters/relay_desk.py
@@ -9,7 +9,7 @@
 from toucandoor.adapters.peers import PeerError, PeerNotReachedError, ask_peer
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.jobs.records import decode_job, encode
-from toucandoor.exceptions import MessageError, ToucandoorError
+from toucandoor.exceptions import MessageError, StoreError, StoreUnavailableError, ToucandoorError
 from toucandoor.ids import QueueId, TeamId
 from toucandoor.node_messages import (
     AskConfiguration,
@@ -47,7 +47,23 @@
 class RelayDesk(JobDesk):
     """Deals with jobs by this node's own access to the store, else by that of a peer."""
 
-    def __init__(self, own: JobDesk, peers: PeerDirectory, clock: Clock) -> None:
+    def __init__(
+        self,
+        own: JobDesk,
+        peers: PeerDirectory,
+        clock: Clock,
+        store_answers: Callable[[], bool],
+    ) -> None:
+        """Initialize.
+
+        Args:
+            own: Jobs by this node's own access.
+            peers: The other nodes.
+            clock: The clock.
+            store_answers: Whether the store has answered this node lately. While it has not,
+                nothing is sent to it, so that a refusal is true and comes at once.
+        """
+        self._store_answers = store_answers
         self._own = own
         self._peers = peers
         self._clock = clock
@@ -72,8 +88,10 @@
     def status(self, job_id: JobId) -> JobStatus | None:
         """Return what is known of a job, None where there is none."""
         try:
-            return self._own.status(job_id)
-        except ToucandoorError as err:
+            if self._store_answers():
+                return self._own.status(job_id)
+            answer = self._ask(AskStatus(job_id), _STORE_AWAY)
+        except StoreError as err:
             answer = self._ask(AskStatus(job_id), err)
         if not isinstance(answer, Status):
             raise MessageError("not a status", step="peers.status")
@@ -84,8 +102,10 @@
     def pending(self, queue: QueueId) -> int:
         """Return how many jobs of a queue have no started task."""
         try:
-            return self._own.pending(queue)
-        except ToucandoorError as err:
+            if self._store_answers():
+                return self._own.pending(queue)
+            answer = self._ask(AskPending(queue), _STORE_AWAY)
+        except StoreError as err:
             answer = self._ask(AskPending(queue), err)
         if not isinstance(answer, Pending):
             raise MessageError("not a count", step="peers.pending")
@@ -100,7 +120,8 @@
         """Write once for sure: both ways create the same record, which exists once at most."""
         peers_first = self._clock.monotonic_s() < self._peers_first_until_s
         in_doubt = False
-        if not peers_first:
+        own_works = self._store_answers()
+        if own_works and not peers_first:
             outcome = own(until_s - PEER_WAIT_S)
             if outcome is WriteOutcome.STORED:
                 return outcome
@@ -114,7 +135,7 @@
             if outcome is WriteOutcome.STORED:
                 return outcome
             in_doubt = in_doubt or outcome is WriteOutcome.UNKNOWN
-        if peers_first:
+        if own_works and peers_first:
             outcome = own(until_s)
             if outcome is not WriteOutcome.NOT_STORED:
                 return outcome
@@ -155,7 +176,9 @@
         own: JobDesk,
         configuration: Callable[[], JobConfiguration | None],
         clock: Clock,
+        store_answers: Callable[[], bool],
     ) -> None:
+        self._store_answers = store_answers
         self._own = own
         self._configuration = configuration
         self._clock = clock
@@ -166,6 +189,12 @@
         Raises:
             ToucandoorError: The store does not answer.
         """
+        if isinstance(message, AskConfiguration):
+            present = self._configuration()
+            newer = present is not None and present.version > message.newer_than
+            return Configuration(present.source if present is not None and newer else b"")
+        if not self._store_answers():
+            return Failed(_STORE_AWAY.reason)
         now_s = self._clock.monotonic_s()
         if isinstance(message, SubmitJob):
             return Outcome(self._own.submit(decode_job(message.spec), now_s + message.wait_s).value)
@@ -178,11 +207,8 @@
             return Status(status.queue, status.team, status.state.value)
         if isinstance(message, AskPending):
             return Pending(self._own.pending(message.queue))
-        if isinstance(message, AskConfiguration):
-            present = self._configuration()
-            newer = present is not None and present.version > message.newer_than
-            return Configuration(present.source if present is not None and newer else b"")
         return Failed("not a question")
 
 
+_STORE_AWAY = StoreUnavailableError("the store does not answer", step="store")
 _NO_STATUS = Status(QueueId(""), TeamId(""), "")
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -86,9 +86,16 @@
             self._store, self._clock, self._configuration_of_a_peer
         )
         own_desk = StoreDesk(self._store, self._clock)
-        answers = PeerAnswers(own_desk, lambda: self._configuration.current, self._clock)
+        answers = PeerAnswers(
+            own_desk,
+            lambda: self._configuration.current,
+            self._clock,
+            lambda: self._configuration.store_answers,
+        )
         self._peer_server = PeerServer(peer_address, answers.answer)
-        self._desk = RelayDesk(own_desk, self._peers, self._clock)
+        self._desk = RelayDesk(
+            own_desk, self._peers, self._clock, lambda: self._configuration.store_answers
+        )
         self._owner = OwnerTask(
             Surroundings(
                 entry_id=settings.entry_id,
