--- /dev/null
+++ b/toucandoor/core/log_story.py
@@ -0,0 +1,58 @@
+"""Tells the story of a job, a backend server or a VM from the nodes' log lines."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+SUBJECT_FIELDS: Final = {"job": ("job",), "server": ("worker",), "machine": ("vm",)}
+"""Fields that name the subject of a line, by kind of subject."""
+_PLUMBING: Final = {"time", "level", "logger", "program", "message"}
+
+
+def story(lines: Iterable[str], kind: str, name: str) -> Iterator[str]:
+    """Yield one sentence for each log line about a subject, in the order of their times.
+
+    Args:
+        lines: Log lines of any number of nodes; text before the JSON object is taken as the
+            node's, and lines without one are left out.
+        kind: A key of `SUBJECT_FIELDS`.
+        name: The subject's id.
+    """
+    found: list[tuple[str, str]] = []
+    for line in lines:
+        node, record = _parse(line)
+        if record is None or not _is_about(record, kind, name):
+            continue
+        fields = " ".join(
+            f"{key}={value}"
+            for key, value in record.items()
+            if key not in _PLUMBING and value not in ("", name)
+        )
+        when = str(record.get("time", ""))
+        found.append((when, f"{when} {node} {record.get('message', '')}  {fields}".rstrip()))
+    for _, sentence in sorted(found):
+        yield sentence
+
+
+def _parse(line: str) -> tuple[str, dict[str, Any] | None]:
+    begin = line.find("{")
+    if begin < 0:
+        return "", None
+    try:
+        record = json.loads(line[begin:])
+    except ValueError:
+        return "", None  # a line of another program, or a torn one
+    before = line[:begin].split()
+    return (before[-1] if before else ""), record if isinstance(record, dict) else None
+
+
+def _is_about(record: dict[str, Any], kind: str, name: str) -> bool:
+    if any(record.get(field) == name for field in SUBJECT_FIELDS[kind]):
+        return True
+    return kind == "job" and (
+        name in str(record.get("path", "")) or f"/{name} " in f"{record.get('message', '')} "
+    )
--- a/toucandoor/programs/cli.py
+++ b/toucandoor/programs/cli.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+import sys
 import uuid
 from enum import IntEnum
 from pathlib import Path
@@ -21,6 +22,7 @@
 from toucandoor.adapters.settings import OperatorSettings
 from toucandoor.core.configuration.diff import differences
 from toucandoor.core.configuration.models import Configuration
+from toucandoor.core.log_story import story
 from toucandoor.exceptions import MessageError, PeerAuthenticationError, SettingsError
 
 app = typer.Typer(
@@ -221,6 +223,43 @@
     _show(body, "\n".join(body["lines"]), as_json)
 
 
+@explain_app.command("job")
+def explain_job(job: str) -> None:
+    """Tell a job's story from the nodes' logs on standard input.
+
+    Example: cat node-*.log | toucandoor explain job 7ab4fbbd5169893e
+    """
+    _tell("job", job)
+
+
+@explain_app.command("server")
+def explain_server(server: str) -> None:
+    """Tell a backend server's story from the nodes' logs on standard input.
+
+    Example: cat node-*.log | toucandoor explain server i-f6252f88fb
+    """
+    _tell("server", server)
+
+
+@explain_app.command("machine")
+def explain_machine(machine: str) -> None:
+    """Tell the story of a VM of the users' platform from the nodes' logs on standard input.
+
+    Example: cat node-*.log | toucandoor explain machine m-1f7dc
+    """
+    _tell("machine", machine)
+
+
+def _tell(kind: str, name: str) -> None:
+    found = False
+    for sentence in story(sys.stdin, kind, name):
+        found = True
+        typer.echo(sentence)
+    if not found:
+        typer.echo(f"no line names {kind} {name}", err=True)
+        raise typer.Exit(ExitCode.NO)
+
+
 @entry_app.command("remove")
 def entry_remove(entry: str, as_json: JsonOption = False, settings: SettingsOption = None) -> None:
     """Take an entry VM that does not come back out of the fleet's majorities.
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -7,7 +7,7 @@
 import signal
 import threading
 import time
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Annotated, Final
 
 import typer
 
@@ -200,8 +200,21 @@
         os._exit(1)
 
 
-def main() -> None:
-    """Start the node with the settings file that the environment names."""
+def serve(
+    check: Annotated[bool, typer.Option(help="Check the settings file and end.")] = False,
+) -> None:
+    """Start the node with the settings file that the environment names.
+
+    Exit codes: 0 done; 2 the settings hold faults, all of which are named.
+    """
+    if check:
+        try:
+            settings = load_node_settings()
+        except SettingsError as err:
+            typer.echo(str(err), err=True)
+            raise typer.Exit(2) from err
+        typer.echo(f"{settings.entry_id}: settings are good")
+        return
     logs = set_up_bounded_logs(PROGRAM, os.environ.get("TOUCANDOOR_LOG_LEVEL", "INFO"))
     try:
         settings = load_node_settings()
@@ -214,5 +227,10 @@
     os._exit(0)
 
 
+def main() -> None:
+    """Run the program."""
+    typer.run(serve)
+
+
 if __name__ == "__main__":
-    typer.run(main)
+    main()
