--- /dev/null
+++ b/tests/adapters/test_job_callers.py
@@ -0,0 +1,117 @@
+"""What callers are answered, for good calls and bad ones."""
+
+from __future__ import annotations
+
+import io
+import json
+import unittest
+from typing import Any
+from unittest import mock
+
+from tests.core.scheduling.common import QUEUE, TEAM, configuration
+from toucandoor.adapters.job_callers import JobCallers
+from toucandoor.adapters.job_desk import JobStatus, WriteOutcome
+from toucandoor.clock import ManualClock
+from toucandoor.core.jobs.models import JobState
+from toucandoor.exceptions import StoreUnavailableError
+from toucandoor.ids import QueueId
+
+JOB = "5c0e7a21d94b36f8"
+BODY = b'{"spec":"x","phases":[{"count":1,"cpu":5}]}'
+
+
+class CallersTest(unittest.TestCase):
+    """Calls against a desk with set outcomes."""
+
+    def setUp(self) -> None:
+        self.desk = mock.Mock()
+        self.desk.submit.return_value = WriteOutcome.STORED
+        self.desk.cancel.return_value = WriteOutcome.STORED
+        self.desk.status.return_value = JobStatus(QUEUE, TEAM, JobState.RUNNING)
+        self.desk.pending.return_value = 4
+        self.configuration: Any = configuration()
+        self.store_answers = True
+        self.app = JobCallers(
+            self.desk,
+            lambda: self.configuration,
+            ManualClock(),
+            mock.Mock(),
+            lambda: self.store_answers,
+        )
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        key: str = "key",
+        host: str = "north.example:80",
+    ) -> tuple[int, dict[str, str], Any]:
+        answered: dict[str, Any] = {}
+
+        def start_response(status: str, headers: list[tuple[str, str]]) -> None:
+            answered["status"] = int(status[:3])
+            answered["headers"] = dict(headers)
+
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "HTTP_HOST": host,
+            "HTTP_AUTHORIZATION": f"Bearer {key}",
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+        }
+        data = b"".join(self.app(environ, start_response))
+        return answered["status"], answered["headers"], json.loads(data)
+
+    def test_good_calls(self) -> None:
+        self.assertEqual(self.call("POST", f"/n/{JOB}", BODY)[0], 200)
+        self.assertEqual(self.call("GET", f"/n/{JOB}")[2], {"state": "in_progress"})
+        self.assertEqual(self.call("GET", "/n/")[2], {"pending": 4})
+        self.assertEqual(self.call("DELETE", f"/n/{JOB}")[0], 200)
+
+    def test_bad_calls_start_nothing(self) -> None:
+        cases = [
+            (404, ("POST", f"/other/{JOB}", BODY), {}),
+            (404, ("POST", f"/n/{JOB}", BODY), {"host": "other.example"}),
+            (401, ("POST", f"/n/{JOB}", BODY), {"key": "withdrawn"}),
+            (400, ("POST", "/n/not-an-id", BODY), {}),
+            (400, ("POST", f"/n/{JOB}", b"{"), {}),
+            (413, ("POST", f"/n/{JOB}", b"x" * 300_000), {}),
+            (405, ("PUT", f"/n/{JOB}", BODY), {}),
+        ]
+        for status, call, options in cases:
+            with self.subTest(status=status, call=call[:2]):
+                self.assertEqual(self.call(*call, **options)[0], status)
+        self.desk.submit.assert_not_called()
+
+    def test_unknown_jobs_and_jobs_of_other_queues(self) -> None:
+        for status in (None, JobStatus(QueueId("other"), TEAM, JobState.RUNNING)):
+            self.desk.status.return_value = status
+            self.assertEqual(self.call("GET", f"/n/{JOB}")[0], 410)
+            self.assertEqual(self.call("DELETE", f"/n/{JOB}")[0], 410)
+        self.desk.cancel.assert_not_called()
+
+    def test_not_stored_and_unknown_are_told_apart(self) -> None:
+        self.desk.submit.return_value = WriteOutcome.NOT_STORED
+        status, headers, _ = self.call("POST", f"/n/{JOB}", BODY)
+        self.assertEqual((status, headers["Retry-After"]), (503, "1"))
+        self.store_answers = False
+        self.assertEqual(self.call("POST", f"/n/{JOB}", BODY)[1]["Retry-After"], "2")
+        self.desk.submit.return_value = WriteOutcome.UNKNOWN
+        status, headers, _ = self.call("POST", f"/n/{JOB}", BODY)
+        self.assertEqual(status, 504)
+        self.assertNotIn("Retry-After", headers)
+
+    def test_questions_while_the_store_is_away(self) -> None:
+        self.desk.status.side_effect = StoreUnavailableError("away", step="store")
+        self.assertEqual(self.call("GET", f"/n/{JOB}")[0], 503)
+
+    def test_without_a_configuration(self) -> None:
+        self.configuration = None
+        self.assertEqual(self.call("POST", f"/n/{JOB}", BODY)[0], 503)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucandoor/adapters/job_callers.py
+++ b/toucandoor/adapters/job_callers.py
@@ -41,6 +41,9 @@
 RETRY_AFTER_S: Final = 1
 """When to come back after the store did not take a job: other entry VMs may reach it, and a retry
 goes to another one."""
+RETRY_AFTER_OUTAGE_S: Final = 2
+"""When to come back while the store is known to be away: outages last some seconds, and a caller
+has few retries."""
 
 
 class _Refused(Exception):  # noqa: N818
@@ -69,7 +72,9 @@
         configuration: Callable[[], JobConfiguration | None],
         clock: Clock,
         metrics: NodeMetrics,
+        store_answers: Callable[[], bool],
     ) -> None:
+        self._store_answers = store_answers
         self._metrics = metrics
         self._desk = desk
         self._configuration = configuration
@@ -163,7 +168,7 @@
                 "tasks": sum(step.count for step in spec.steps),
             },
         )
-        _check_outcome(outcome)
+        self._check_outcome(outcome)
         return b"{}"
 
     def _state(self, queue: JobQueue, job_id: JobId) -> bytes:
@@ -180,21 +185,25 @@
         _LOGGER.info(
             "callers: cancel %s", outcome.value, extra={"job": job_id, "queue": queue.name}
         )
-        _check_outcome(outcome)
+        self._check_outcome(outcome)
         return b"{}"
 
     def _read(self, action: Callable[[], _T]) -> _T:
         try:
             return action()
         except (ToucandoorError, msgspec.MsgspecError) as err:
-            raise _Refused(503, f"the store does not answer: {err}", RETRY_AFTER_S) from err
-
-
-def _check_outcome(outcome: WriteOutcome) -> None:
-    if outcome is WriteOutcome.NOT_STORED:
-        raise _Refused(503, "the store does not take it; it has not run", RETRY_AFTER_S)
-    if outcome is WriteOutcome.UNKNOWN:
-        raise _Refused(504, "whether it is stored is unknown")
+            reason = f"the store does not answer: {err}"
+            raise _Refused(503, reason, self._retry_after_s()) from err
+
+    def _check_outcome(self, outcome: WriteOutcome) -> None:
+        if outcome is WriteOutcome.NOT_STORED:
+            reason = "the store does not take it; it has not run"
+            raise _Refused(503, reason, self._retry_after_s())
+        if outcome is WriteOutcome.UNKNOWN:
+            raise _Refused(504, "whether it is stored is unknown")
+
+    def _retry_after_s(self) -> int:
+        return RETRY_AFTER_S if self._store_answers() else RETRY_AFTER_OUTAGE_S
 
 
 def _wait_s(environ: Environ) -> float:
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -111,7 +111,11 @@
         )
         self._stopping = threading.Event()
         callers = JobCallers(
-            self._desk, lambda: self._configuration.current, self._clock, self._metrics
+            self._desk,
+            lambda: self._configuration.current,
+            self._clock,
+            self._metrics,
+            lambda: self._configuration.store_answers,
         )
         self._configuration.listen(lambda present: self._metrics.configured(present.version))
         self._callers = make_server(
