Remove the records of jobs that ended long ago

Cause: nothing was ever removed, so the store and the time of a take-over grew with every job. Change: the owner removes a job's records when its state need not be known any more, ten jobs a write. Excluded: a lease on each record, which would need renewals for as long as a job runs.

--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -63,6 +63,20 @@
         self.assertEqual(virtual.state(spec.job_id), JobState.CANCELLED)
         self.assertFalse(any(virtual.seen.running.values()))
 
+    def test_records_of_finished_jobs_go_after_their_time(self) -> None:
+        virtual = fleet()
+        done, running = job(1), job(2, Step(1, NEEDS, long_running=True))
+        virtual.submit(done)
+        virtual.submit(running)
+        virtual.run(125.0)
+        self.assertEqual(virtual.state(done.job_id), JobState.COMPLETED)
+        virtual.run(90.0)
+        left = {key.split("/")[-1] for key in virtual.records.records if "/" in key}
+        self.assertEqual(left, {running.job_id})
+        virtual.take_over()
+        virtual.run(1.0)
+        self.assertEqual(virtual.state(running.job_id), JobState.RUNNING)
+
     def test_long_running_task_is_restarted(self) -> None:
         virtual = fleet(behaviour=failing)
         spec = job(1, Step(1, NEEDS, long_running=True))
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -48,6 +48,7 @@
     Transaction,
     TransactionConflictError,
 )
+from toucandoor.core.scheduling.const import LAPSE_MARGIN_S, WORKER_CLOCK_DRIFT_RATIO
 from toucandoor.core.scheduling.orders import AskAdvice, HoldWorker, PaceRun, StartRun, StopRun
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
 from toucandoor.core.scheduling.workers import (
@@ -135,7 +136,10 @@
             owner_revision=token,
             token=token,
             lease_s=around.settings.lease_s_max,
-            former_lease_s=OWNER_TTL_S + around.settings.lease_s_max * 1.02,
+            former_lease_s=OWNER_TTL_S
+            + around.settings.lease_s_max * (1 + WORKER_CLOCK_DRIFT_RATIO)
+            + LAPSE_MARGIN_S,
+            status_kept_s=around.settings.status_kept_s,
         )
         self._scheduler = Scheduler(settings, around.clock)
         self._next_load_log_s = 0.0
@@ -206,6 +210,9 @@
             pending = scheduler.pending_commit()
             if pending is not None:
                 self._submit(self._write_pending, pending)
+            removal = scheduler.removal()
+            if removal is not None:
+                self._submit(self._remove, removal)
 
     def _may_act(self) -> bool:
         return not self._ended.is_set() and self._validity.valid and not self._scheduler.deposed
@@ -445,6 +452,16 @@
         else:
             self._post(lambda: scheduler.pending_written(ok=True))
 
+    def _remove(self, transaction: Transaction) -> None:
+        scheduler = self._scheduler
+        try:
+            self._around.store.write(transaction)
+        except ToucandoorError as err:
+            _LOGGER.info("jobs: records not removed: %s", err)
+            self._post(lambda: scheduler.removed(ok=False))
+        else:
+            self._post(lambda: scheduler.removed(ok=True))
+
     def _renew(self) -> None:
         """Renew the ownership until it is lost."""
         around = self._around
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -18,6 +18,7 @@
 from toucandoor.core.scheduling.progress import JobProgress
 from toucandoor.core.scheduling.progress_writer import ProgressWriter
 from toucandoor.core.scheduling.queue_order import work_core_ms
+from toucandoor.core.scheduling.retention import Retention
 from toucandoor.core.scheduling.run_ends import RunEnds
 from toucandoor.core.scheduling.run_orders import RunOrders
 from toucandoor.core.scheduling.state import SchedulerSettings, ScheduleState
@@ -55,6 +56,7 @@
         self._ends = RunEnds(self._state)
         self._placer = Placer(self._state)
         self._writer = ProgressWriter(self._state)
+        self._retention = Retention(self._state, settings.status_kept_s)
         self._early_cancels: set[JobId] = set()
         self._arrivals: deque[tuple[float, PoolId, float]] = deque()
 
@@ -247,6 +249,14 @@
         """Note whether the count of waiting jobs is in the store."""
         self._writer.pending_written(ok=ok)
 
+    def removal(self) -> Transaction | None:
+        """Return the removal of records that nobody may ask for any more, None for none."""
+        return self._retention.removal()
+
+    def removed(self, *, ok: bool) -> None:
+        """Note whether the removal has been made."""
+        self._retention.removed(ok=ok)
+
     def _acknowledge(self, worker: WorkerView) -> None:
         """Let a backend server forget its ends once all that follows from them is in the store."""
         state = self._state
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -34,6 +34,7 @@
         token: Fencing token of this owner.
         lease_s: Lease of a backend server from each renewal.
         former_lease_s: Longest time for which a former owner's leases may still hold.
+        status_kept_s: Time for which a finished job's state can be asked for.
     """
 
     owner_key: str
@@ -41,6 +42,7 @@
     token: FencingToken
     lease_s: float
     former_lease_s: float
+    status_kept_s: float = 120.0
 
 
 class ScheduleState:
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -274,6 +274,10 @@
             self._send(owner, order)
         for commit in owner.scheduler.commits():
             self._write(owner, commit)
+        removal = owner.scheduler.removal()
+        if removal is not None:
+            self.records.write(removal)
+            owner.scheduler.removed(ok=True)
 
     # Calls
 
