Split the owner's term into its parts; name things by the field's usual terms

Cause: read as a newcomer, the term's module had 620 lines for orders, VMs and records together, the room on the wire was decoded by three equal types, and some names were our own (desk, book, keeper, story). Change: term_orders, term_vms, term_intake share a context; one WireRoom; JobService, WorkerRegistry, WaveCoordinator, PeerRequestHandler, runs_awaiting_orders, former_boots, explain. Excluded: any change of what is decided; the tests are unchanged but for names.

--- a/tests/adapters/test_job_callers.py
+++ b/tests/adapters/test_job_callers.py
@@ -10,7 +10,7 @@
 
 from tests.core.scheduling.common import QUEUE, TEAM, configuration
 from toucandoor.adapters.job_callers import JobCallers
-from toucandoor.adapters.job_desk import JobStatus, WriteOutcome
+from toucandoor.adapters.job_service import JobStatus, WriteOutcome
 from toucandoor.clock import ManualClock
 from toucandoor.core.jobs.models import JobState
 from toucandoor.exceptions import StoreUnavailableError
@@ -21,18 +21,18 @@
 
 
 class CallersTest(unittest.TestCase):
-    """Calls against a desk with set outcomes."""
+    """Calls against a service with set outcomes."""
 
     def setUp(self) -> None:
-        self.desk = mock.Mock()
-        self.desk.submit.return_value = WriteOutcome.STORED
-        self.desk.cancel.return_value = WriteOutcome.STORED
-        self.desk.status.return_value = JobStatus(QUEUE, TEAM, JobState.RUNNING)
-        self.desk.pending.return_value = 4
+        self.service = mock.Mock()
+        self.service.submit.return_value = WriteOutcome.STORED
+        self.service.cancel.return_value = WriteOutcome.STORED
+        self.service.status.return_value = JobStatus(QUEUE, TEAM, JobState.RUNNING)
+        self.service.pending.return_value = 4
         self.configuration: Any = configuration()
         self.store_answers = True
         self.app = JobCallers(
-            self.desk,
+            self.service,
             lambda: self.configuration,
             ManualClock(),
             mock.Mock(),
@@ -84,28 +84,28 @@
         for status, call, options in cases:
             with self.subTest(status=status, call=call[:2]):
                 self.assertEqual(self.call(*call, **options)[0], status)
-        self.desk.submit.assert_not_called()
+        self.service.submit.assert_not_called()
 
     def test_unknown_jobs_and_jobs_of_other_queues(self) -> None:
         for status in (None, JobStatus(QueueId("other"), TEAM, JobState.RUNNING)):
-            self.desk.status.return_value = status
+            self.service.status.return_value = status
             self.assertEqual(self.call("GET", f"/n/{JOB}")[0], 410)
             self.assertEqual(self.call("DELETE", f"/n/{JOB}")[0], 410)
-        self.desk.cancel.assert_not_called()
+        self.service.cancel.assert_not_called()
 
     def test_not_stored_and_unknown_are_told_apart(self) -> None:
-        self.desk.submit.return_value = WriteOutcome.NOT_STORED
+        self.service.submit.return_value = WriteOutcome.NOT_STORED
         status, headers, _ = self.call("POST", f"/n/{JOB}", BODY)
         self.assertEqual((status, headers["Retry-After"]), (503, "1"))
         self.store_answers = False
         self.assertEqual(self.call("POST", f"/n/{JOB}", BODY)[1]["Retry-After"], "2")
-        self.desk.submit.return_value = WriteOutcome.UNKNOWN
+        self.service.submit.return_value = WriteOutcome.UNKNOWN
         status, headers, _ = self.call("POST", f"/n/{JOB}", BODY)
         self.assertEqual(status, 504)
         self.assertNotIn("Retry-After", headers)
 
     def test_questions_while_the_store_is_away(self) -> None:
-        self.desk.status.side_effect = StoreUnavailableError("away", step="store")
+        self.service.status.side_effect = StoreUnavailableError("away", step="store")
         self.assertEqual(self.call("GET", f"/n/{JOB}")[0], 503)
 
     def test_without_a_configuration(self) -> None:
--- a/tests/adapters/test_relay_desk.py
+++ b/tests/adapters/test_relay_service.py
@@ -6,9 +6,9 @@
 from unittest import mock
 
 from tests.core.scheduling.common import QUEUE, TEAM, job
-from toucandoor.adapters.job_desk import JobDesk, JobStatus, StoreDesk, WriteOutcome
+from toucandoor.adapters.job_service import JobService, JobStatus, StoreJobService, WriteOutcome
 from toucandoor.adapters.peers import Peer, PeerError, PeerNotReachedError
-from toucandoor.adapters.relay_desk import PeerAnswers, RelayDesk
+from toucandoor.adapters.relay_service import PeerRequestHandler, RelayJobService
 from toucandoor.clock import ManualClock
 from toucandoor.core.jobs.models import JobSpec, JobState
 from toucandoor.core.records import Transaction
@@ -33,8 +33,8 @@
 AWAY = StoreUnavailableError("away", step="store")
 
 
-class FixedDesk(JobDesk):
-    """A desk with one outcome for every write."""
+class FixedJobService(JobService):
+    """A service with one outcome for every write."""
 
     def __init__(self, outcome: WriteOutcome, error: StoreError | None = None) -> None:
         self.outcome = outcome
@@ -59,100 +59,103 @@
         return 3
 
 
-class RelayDeskTest(unittest.TestCase):
+class RelayJobServiceTest(unittest.TestCase):
     """What is made of this node's and its peers' outcomes."""
 
     def setUp(self) -> None:
         self.clock = ManualClock()
-        self.answers: list[JobDesk | ToucandoorError] = []
+        self.answers: list[JobService | ToucandoorError] = []
         self.asked: list[Peer] = []
-        patcher = mock.patch("toucandoor.adapters.relay_desk.ask_peer", self.ask_peer)
+        patcher = mock.patch("toucandoor.adapters.relay_service.ask_peer", self.ask_peer)
         patcher.start()
         self.addCleanup(patcher.stop)
 
     def ask_peer(self, peer: Peer, message: NodeMessage, _timeout_s: float) -> NodeMessage:
         """Take a message over the wire's encoding to a peer with the next outcome."""
         self.asked.append(peer)
-        desk = self.answers.pop(0)
-        if isinstance(desk, ToucandoorError):
-            raise desk
+        service = self.answers.pop(0)
+        if isinstance(service, ToucandoorError):
+            raise service
         received = decode_message(encode_message(message), "test")
-        answers = PeerAnswers(desk, lambda: None, self.clock, lambda: True)
+        answers = PeerRequestHandler(service, lambda: None, self.clock, lambda: True)
         return decode_message(encode_message(answers.answer(received)), "test")
 
-    def relay(self, own: JobDesk, *, store_answers: bool = True) -> RelayDesk:
+    def relay(self, own: JobService, *, store_answers: bool = True) -> RelayJobService:
         directory = mock.Mock()
         directory.near_first.return_value = PEERS
-        return RelayDesk(own, directory, self.clock, lambda: store_answers)
+        return RelayJobService(own, directory, self.clock, lambda: store_answers)
 
-    def submit(self, desk: RelayDesk) -> WriteOutcome:
-        return desk.submit(job(1), self.clock.monotonic_s() + 3.0)
+    def submit(self, service: RelayJobService) -> WriteOutcome:
+        return service.submit(job(1), self.clock.monotonic_s() + 3.0)
 
     def test_own_access_is_enough(self) -> None:
         self.assertEqual(
-            self.submit(self.relay(FixedDesk(WriteOutcome.STORED))), WriteOutcome.STORED
+            self.submit(self.relay(FixedJobService(WriteOutcome.STORED))), WriteOutcome.STORED
         )
         self.assertEqual(self.asked, [])
 
     def test_a_peer_stores_what_this_node_cannot(self) -> None:
-        self.answers = [FixedDesk(WriteOutcome.STORED)]
-        outcome = self.submit(self.relay(FixedDesk(WriteOutcome.NOT_STORED)))
+        self.answers = [FixedJobService(WriteOutcome.STORED)]
+        outcome = self.submit(self.relay(FixedJobService(WriteOutcome.NOT_STORED)))
         self.assertEqual(outcome, WriteOutcome.STORED)
 
     def test_not_stored_only_where_nobody_may_have_stored_it(self) -> None:
         unreached = PeerNotReachedError("no", step="t")
         self.answers = [unreached, unreached]
-        outcome = self.submit(self.relay(FixedDesk(WriteOutcome.NOT_STORED)))
+        outcome = self.submit(self.relay(FixedJobService(WriteOutcome.NOT_STORED)))
         self.assertEqual(outcome, WriteOutcome.NOT_STORED)
 
     def test_a_peer_without_an_answer_leaves_it_unknown(self) -> None:
-        self.answers = [PeerError("no answer", step="t"), FixedDesk(WriteOutcome.NOT_STORED)]
-        outcome = self.submit(self.relay(FixedDesk(WriteOutcome.NOT_STORED)))
+        self.answers = [PeerError("no answer", step="t"), FixedJobService(WriteOutcome.NOT_STORED)]
+        outcome = self.submit(self.relay(FixedJobService(WriteOutcome.NOT_STORED)))
         self.assertEqual(outcome, WriteOutcome.UNKNOWN)
 
     def test_own_doubt_stays_unless_a_peer_finds_it_stored(self) -> None:
-        self.answers = [FixedDesk(WriteOutcome.NOT_STORED), FixedDesk(WriteOutcome.NOT_STORED)]
+        self.answers = [
+            FixedJobService(WriteOutcome.NOT_STORED),
+            FixedJobService(WriteOutcome.NOT_STORED),
+        ]
         self.assertEqual(
-            self.submit(self.relay(FixedDesk(WriteOutcome.UNKNOWN))), WriteOutcome.UNKNOWN
+            self.submit(self.relay(FixedJobService(WriteOutcome.UNKNOWN))), WriteOutcome.UNKNOWN
         )
 
     def test_nothing_is_sent_to_a_store_that_is_away(self) -> None:
-        own = FixedDesk(WriteOutcome.UNKNOWN)
+        own = FixedJobService(WriteOutcome.UNKNOWN)
         unreached = PeerNotReachedError("no", step="t")
         self.answers = [unreached, unreached]
         outcome = self.submit(self.relay(own, store_answers=False))
         self.assertEqual((outcome, own.calls), (WriteOutcome.NOT_STORED, 0))
 
     def test_questions_go_to_peers(self) -> None:
-        self.answers = [FixedDesk(WriteOutcome.STORED), FixedDesk(WriteOutcome.STORED)]
-        desk = self.relay(FixedDesk(WriteOutcome.STORED, AWAY))
-        status = desk.status(job(1).job_id)
+        self.answers = [FixedJobService(WriteOutcome.STORED), FixedJobService(WriteOutcome.STORED)]
+        service = self.relay(FixedJobService(WriteOutcome.STORED, AWAY))
+        status = service.status(job(1).job_id)
         assert status is not None
         self.assertEqual(status.state, JobState.RUNNING)
-        self.assertEqual(desk.pending(QUEUE), 3)
+        self.assertEqual(service.pending(QUEUE), 3)
 
     def test_a_peer_whose_store_is_away_says_so_at_once(self) -> None:
-        answers = PeerAnswers(
-            FixedDesk(WriteOutcome.STORED), lambda: None, self.clock, lambda: False
+        answers = PeerRequestHandler(
+            FixedJobService(WriteOutcome.STORED), lambda: None, self.clock, lambda: False
         )
         self.assertIsInstance(answers.answer(SubmitJob(b"", 1.0)), Failed)
         self.assertNotIsInstance(answers.answer(AskConfiguration(0)), Failed)
 
 
-class StoreDeskTest(unittest.TestCase):
+class StoreJobServiceTest(unittest.TestCase):
     """Writes whose answers are lost."""
 
     def setUp(self) -> None:
         self.records = VirtualRecords()
         self.clock = ManualClock()
         self.store = mock.Mock()
-        self.desk = StoreDesk(self.store, self.clock)
-        patcher = mock.patch("toucandoor.adapters.job_desk.time.sleep", self.clock.advance)
+        self.service = StoreJobService(self.store, self.clock)
+        patcher = mock.patch("toucandoor.adapters.job_service.time.sleep", self.clock.advance)
         patcher.start()
         self.addCleanup(patcher.stop)
 
     def submit(self) -> WriteOutcome:
-        return self.desk.submit(job(1), self.clock.monotonic_s() + 2.0)
+        return self.service.submit(job(1), self.clock.monotonic_s() + 2.0)
 
     def test_a_lost_answer_is_settled_by_repeating_the_write(self) -> None:
         def write(transaction: Transaction) -> int:
--- a/tests/core/maintenance/test_job_waves.py
+++ b/tests/core/maintenance/test_job_waves.py
@@ -6,7 +6,7 @@
 
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, fleet, job, lasting
 from toucandoor.core.jobs.models import Step
-from toucandoor.core.maintenance.job_waves import MaintainVm, SaveWave, WaveKeeper, WaveOrder
+from toucandoor.core.maintenance.job_waves import MaintainVm, SaveWave, WaveCoordinator, WaveOrder
 from toucandoor.core.maintenance.vm_list import VmList
 from toucandoor.core.maintenance.vm_orders import VmOrderLog
 from toucandoor.core.scheduling.workers import VmEntry, VmRefusal, VmState
@@ -28,7 +28,7 @@
         clock = self.fleet.clock
         self.vm_list = VmList(clock.monotonic_s)
         self.states = {VmId(f"m{number}"): VmState.UP for number in range(4)}
-        self.keeper = WaveKeeper(
+        self.keeper = WaveCoordinator(
             self.scheduler,
             self.vm_list,
             clock.monotonic_s,
--- a/tests/core/test_log_story.py
+++ b/tests/core/test_explain.py
@@ -1,11 +1,11 @@
-"""Stories from log lines."""
+"""What log lines say of a subject."""
 
 from __future__ import annotations
 
 import json
 import unittest
 
-from toucandoor.core.log_story import story
+from toucandoor.core.explain import explain
 
 JOB = "7ab4fbbd5169893e"
 
@@ -14,7 +14,7 @@
     return json.dumps({"time": time, "level": "INFO", "logger": "x", "message": message} | fields)
 
 
-class StoryTest(unittest.TestCase):
+class ExplainTest(unittest.TestCase):
     """One job among other lines."""
 
     def test_lines_of_the_job_in_order_of_time(self) -> None:
@@ -23,10 +23,10 @@
             "not a line",
             line("10:00:03", "runs: ended", job="another", reason="done"),
             "  10.6 edge-1 " + line("10:00:01", "callers: job stored", job=JOB, queue="q"),
-            line("10:00:00", f"desk: whether work/job/{JOB} is stored is unknown"),
+            line("10:00:00", f"submissions: whether work/job/{JOB} is stored is unknown"),
             line("10:00:04", "callers: refused", path=f"/a/{JOB}", status=410),
         ]
-        told = list(story(lines, "job", JOB))
+        told = list(explain(lines, "job", JOB))
         self.assertEqual(len(told), 4)
         self.assertIn("is stored is unknown", told[0])
         self.assertEqual(told[1], "10:00:01 edge-1 callers: job stored  queue=q")
@@ -35,7 +35,7 @@
 
     def test_a_machine_is_found_by_its_own_field(self) -> None:
         lines = [line("1", "pools: VM m-1 moves", vm="m-1", pool="p"), line("2", "x", vm="m-2")]
-        self.assertEqual(len(list(story(lines, "machine", "m-1"))), 1)
+        self.assertEqual(len(list(explain(lines, "machine", "m-1"))), 1)
 
 
 if __name__ == "__main__":
--- a/toucandoor/adapters/job_callers.py
+++ b/toucandoor/adapters/job_callers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from toucandoor.adapters.job_desk import WriteOutcome
+from toucandoor.adapters.job_service import WriteOutcome
 from toucandoor.adapters.wsgi import respond, respond_json
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.ids import JobId, TeamId
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from toucandoor.adapters.job_desk import JobDesk
+    from toucandoor.adapters.job_service import JobService
     from toucandoor.adapters.node_metrics import NodeMetrics
     from toucandoor.adapters.wsgi import Environ, StartResponse
     from toucandoor.clock import Clock
@@ -68,7 +68,7 @@
 
     def __init__(
         self,
-        desk: JobDesk,
+        jobs: JobService,
         configuration: Callable[[], JobConfiguration | None],
         clock: Clock,
         metrics: NodeMetrics,
@@ -76,7 +76,7 @@
     ) -> None:
         self._store_answers = store_answers
         self._metrics = metrics
-        self._desk = desk
+        self._jobs = jobs
         self._configuration = configuration
         self._clock = clock
 
@@ -115,7 +115,7 @@
         method = str(environ["REQUEST_METHOD"])
         rest = path.removeprefix(queue.path_prefix)
         if not rest and method == "GET":
-            return encode_pending(self._read(lambda: self._desk.pending(queue.name)))
+            return encode_pending(self._read(lambda: self._jobs.pending(queue.name)))
         if not is_job_id(rest):
             raise _Refused(400, "the path ends in no job id")
         job_id = JobId(rest)
@@ -154,7 +154,7 @@
             spec = decode_job_body(body, job_id, queue, team, accepted_unix_ms)
         except JobFault as fault:
             raise _Refused(400, fault.reason) from fault
-        outcome = self._desk.submit(spec, until_s)
+        outcome = self._jobs.submit(spec, until_s)
         _LOGGER.info(
             "callers: job %s",
             outcome.value,
@@ -172,16 +172,16 @@
         return b"{}"
 
     def _state(self, queue: JobQueue, job_id: JobId) -> bytes:
-        status = self._read(lambda: self._desk.status(job_id))
+        status = self._read(lambda: self._jobs.status(job_id))
         if status is None or status.queue != queue.name:
             raise _Refused(410, "no such job")
         return encode_state(status.state)
 
     def _cancel(self, queue: JobQueue, job_id: JobId, until_s: float) -> bytes:
-        status = self._read(lambda: self._desk.status(job_id))
+        status = self._read(lambda: self._jobs.status(job_id))
         if status is None or status.queue != queue.name:
             raise _Refused(410, "no such job")
-        outcome = self._desk.cancel(job_id, until_s)
+        outcome = self._jobs.cancel(job_id, until_s)
         _LOGGER.info(
             "callers: cancel %s", outcome.value, extra={"job": job_id, "queue": queue.name}
         )
--- a/toucandoor/adapters/job_desk.py
+++ b/toucandoor/adapters/job_service.py
@@ -64,7 +64,7 @@
     state: JobState
 
 
-class JobDesk(ABC):
+class JobService(ABC):
     """Jobs as callers deal with them. Calls block."""
 
     @abstractmethod
@@ -97,7 +97,7 @@
         """
 
 
-class StoreDesk(JobDesk):
+class StoreJobService(JobService):
     """Jobs by records in the platform's store."""
 
     def __init__(self, store: RecordStore, clock: Clock) -> None:
@@ -149,13 +149,13 @@
                 return WriteOutcome.STORED  # the record exists
             except StoreUnavailableError as err:
                 if not in_doubt:
-                    _LOGGER.warning("desk: %s was not stored: %s", key, err)
+                    _LOGGER.warning("submissions: %s was not stored: %s", key, err)
                     return WriteOutcome.NOT_STORED
             except StoreAnswerLostError as err:
                 in_doubt = True
-                _LOGGER.warning("desk: whether %s is stored is unknown: %s", key, err)
+                _LOGGER.warning("submissions: whether %s is stored is unknown: %s", key, err)
             except StoreError as err:
-                _LOGGER.warning("desk: %s failed: %s", key, err)
+                _LOGGER.warning("submissions: %s failed: %s", key, err)
                 return WriteOutcome.UNKNOWN
             if self._clock.monotonic_s() + RETRY_PAUSE_S >= until_s:
                 return WriteOutcome.UNKNOWN
@@ -168,5 +168,5 @@
     try:
         return decode_pending(record.value).by_queue
     except msgspec.MsgspecError as err:
-        _LOGGER.error("desk: the count of waiting jobs cannot be read: %s", err)
+        _LOGGER.error("submissions: the count of waiting jobs cannot be read: %s", err)
         return {}
--- a/toucandoor/adapters/owner_task.py
+++ b/toucandoor/adapters/owner_task.py
@@ -24,7 +24,7 @@
 from toucandoor.ids import FencingToken
 
 if TYPE_CHECKING:
-    from toucandoor.adapters.owner_term import Surroundings
+    from toucandoor.adapters.term_context import Surroundings
     from toucandoor.core.records import Record, StoreLease
 
 _LOGGER = logging.getLogger(__name__)
--- a/toucandoor/adapters/relay_desk.py
+++ b/toucandoor/adapters/relay_service.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from toucandoor.adapters.job_desk import JobDesk, JobStatus, WriteOutcome
+from toucandoor.adapters.job_service import JobService, JobStatus, WriteOutcome
 from toucandoor.adapters.peers import PeerError, PeerNotReachedError, ask_peer
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.jobs.records import decode_job, encode
@@ -44,12 +44,12 @@
 """After a failure of its own a node asks peers first for this long."""
 
 
-class RelayDesk(JobDesk):
+class RelayJobService(JobService):
     """Deals with jobs by this node's own access to the store, else by that of a peer."""
 
     def __init__(
         self,
-        own: JobDesk,
+        own: JobService,
         peers: PeerDirectory,
         clock: Clock,
         store_answers: Callable[[], bool],
@@ -168,12 +168,12 @@
         raise cause
 
 
-class PeerAnswers:
+class PeerRequestHandler:
     """Answers the messages of other nodes from this node's own access to the store."""
 
     def __init__(
         self,
-        own: JobDesk,
+        own: JobService,
         configuration: Callable[[], JobConfiguration | None],
         clock: Clock,
         store_answers: Callable[[], bool],
--- /dev/null
+++ b/toucandoor/adapters/term_vms.py
@@ -0,0 +1,199 @@
+"""Carries out waves of maintenance and moves of VMs for the owner of the schedule."""
+
+from __future__ import annotations
+
+import logging
+from functools import partial
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from toucandoor.core.maintenance.job_waves import (
+    WAVE_PROGRESS_PREFIX,
+    MaintainVm,
+    SaveWave,
+    WaveCoordinator,
+    decode_wave_record,
+    encode_wave_record,
+)
+from toucandoor.core.maintenance.vm_list import VmList
+from toucandoor.core.maintenance.vm_orders import (
+    VM_ORDERS_KEY,
+    VmOrderLog,
+    VmOrdersRecord,
+    decode_vm_orders,
+    encode_vm_orders,
+)
+from toucandoor.core.ownership.lease import OWNER_KEY
+from toucandoor.core.pools.vm_lender import VmLender
+from toucandoor.core.records import Transaction
+from toucandoor.core.scheduling.workers import OrderUnansweredError, VmRefusal, VmRefusedError
+from toucandoor.exceptions import ToucandoorError
+from toucandoor.platform.operator_records import (
+    WAVE_STATUS_PREFIX,
+    encode_wave_status,
+    wave_is_completed,
+)
+
+if TYPE_CHECKING:
+    from toucandoor.adapters.term_context import TermContext
+    from toucandoor.core.pools.lending import Move
+    from toucandoor.core.records import Record, Snapshot
+    from toucandoor.core.scheduling.workers import VmEntry
+
+_LOGGER = logging.getLogger(__name__)
+
+HOLDER_MARGIN_S: Final = 0.5
+"""Added to the time in which two holders must not order the same VM by turns."""
+
+
+class TermVms:
+    """Orders on VMs, each in a thread of a pool."""
+
+    def __init__(self, term: TermContext) -> None:
+        self._term = term
+        settings, clock = term.around.settings, term.around.clock
+        now_s = clock.monotonic_s
+        self._vm_orders = VmOrderLog(clock, settings.holder_lease_s + HOLDER_MARGIN_S)
+        self._vm_list = VmList(now_s)
+        self._waves = WaveCoordinator(
+            term.scheduler,
+            self._vm_list,
+            now_s,
+            order_log=self._vm_orders,
+            maintenance_s=settings.vm_maintenance_s,
+        )
+        self._lender = VmLender(
+            term.scheduler,
+            self._vm_list,
+            now_s,
+            order_log=self._vm_orders,
+            move_s=settings.vm_move_s,
+        )
+
+    def restore(self, waves: Snapshot, statuses: Snapshot, vm_orders: Snapshot) -> None:
+        """Take over the records of the former owner."""
+        completed = {
+            record.key.removeprefix(WAVE_STATUS_PREFIX): wave_is_completed(record.value)
+            for record in statuses.records
+        }
+        for record in vm_orders.records:
+            self._restore_orders(record)
+        for record in waves.records:
+            number = record.key.removeprefix(WAVE_PROGRESS_PREFIX)
+            self._restore_wave(int(number), record, completed=completed.get(number, False))
+
+    def _restore_orders(self, record: Record) -> None:
+        try:
+            self._vm_orders.restore(decode_vm_orders(record.value))
+        except msgspec.MsgspecError as err:
+            _LOGGER.error("maintenance: record %s cannot be read: %s", record.key, err)
+
+    def _restore_wave(self, number: int, record: Record, *, completed: bool) -> None:
+        try:
+            kept = decode_wave_record(record.value)
+        except msgspec.MsgspecError as err:
+            _LOGGER.error("maintenance: record %s cannot be read: %s", record.key, err)
+            return
+        self._waves.restore(number, kept, completed=completed)
+
+    def look_after_vms(self) -> None:
+        """Have threads carry out what waves and lending ask for now."""
+        for wave in list(self._term.around.configuration.waves.values()):
+            self._waves.ordered(wave)
+        if self._vm_list.due(active=self._waves.active or self._lender.active):
+            self._term.submit(self._list_vms)
+        vm_orders: list[MaintainVm | Move] = []
+        for order in self._waves.orders():
+            if isinstance(order, MaintainVm):
+                vm_orders.append(order)
+            else:
+                self._term.submit(partial(self._save_wave, order))
+        vm_orders += self._lender.orders(self._waves.busy)
+        if vm_orders:
+            record = self._vm_orders.ordering(order.vm_id for order in vm_orders)
+            self._term.submit(partial(self._order_vms, vm_orders, record))
+
+    def _order_vms(self, orders: list[MaintainVm | Move], record: VmOrdersRecord) -> None:
+        """Write down which VMs are ordered, then order them."""
+        owner = {OWNER_KEY: int(self._term.scheduler.token)}
+        try:
+            self._term.around.store.write(
+                Transaction(owner, {VM_ORDERS_KEY: encode_vm_orders(record)})
+            )
+        except ToucandoorError as err:
+            _LOGGER.info("machines: orders not written: %s", err, extra={"orders": len(orders)})
+            for order in orders:
+                self._vm_order_refused(order, VmRefusal.UNAVAILABLE)
+            return
+        for order in orders:
+            if isinstance(order, MaintainVm):
+                self._term.submit(partial(self._maintain, order))
+            else:
+                self._term.submit(partial(self._move, order))
+
+    def _vm_order_refused(self, order: MaintainVm | Move, refusal: VmRefusal | None) -> None:
+        if isinstance(order, MaintainVm):
+            self._term.post(lambda: self._waves.maintenance_refused(order, refusal))
+        else:
+            self._term.post(lambda: self._lender.refused(order, refusal))
+
+    def _move(self, move: Move) -> None:
+        if not self._term.may_act():
+            self._vm_order_refused(move, VmRefusal.UNAVAILABLE)
+            return
+        holder, token = self._term.around.entry_id, self._term.scheduler.token
+        try:
+            self._term.around.vms.move(move.vm_id, move.pool, holder, token)
+        except VmRefusedError as err:
+            self._vm_order_refused(move, err.refusal)
+        except OrderUnansweredError as err:
+            _LOGGER.info("pools: no answer: %s", err, extra={"vm": move.vm_id})
+            self._vm_order_refused(move, None)
+        else:
+            self._term.post(lambda: self._lender.done(move))
+
+    def _maintain(self, order: MaintainVm) -> None:
+        if not self._term.may_act():
+            self._vm_order_refused(order, VmRefusal.UNAVAILABLE)
+            return
+        holder, token = self._term.around.entry_id, self._term.scheduler.token
+        try:
+            self._term.around.vms.maintain(order.vm_id, order.wave, holder, token)
+        except VmRefusedError as err:
+            self._vm_order_refused(order, err.refusal)
+        except OrderUnansweredError as err:
+            _LOGGER.info("maintenance: no answer: %s", err, extra={"vm": order.vm_id})
+            self._vm_order_refused(order, None)
+        else:
+            self._term.post(lambda: self._waves.maintenance_begun(order))
+
+    def _list_vms(self) -> None:
+        asked_at_s = self._term.around.clock.monotonic_s()
+
+        def listed(vms: tuple[VmEntry, ...] | None) -> None:
+            self._vm_list.answered(vms, asked_at_s)
+            if vms is not None:
+                self._waves.vms_listed(asked_at_s)
+
+        try:
+            vms = self._term.around.vms.list()
+        except (VmRefusedError, OrderUnansweredError) as err:
+            _LOGGER.info("maintenance: the list of VMs cannot be read: %s", err)
+            self._term.post(lambda: listed(None))
+        else:
+            self._term.post(lambda: listed(vms))
+
+    def _save_wave(self, order: SaveWave) -> None:
+        owner = {OWNER_KEY: int(self._term.scheduler.token)}
+        writes = {
+            f"{WAVE_PROGRESS_PREFIX}{order.wave}": encode_wave_record(order.record),
+            f"{WAVE_STATUS_PREFIX}{order.wave}": encode_wave_status(completed=order.completed),
+        }
+        try:
+            self._term.around.store.write(Transaction(owner, writes))
+        except ToucandoorError as err:
+            _LOGGER.info("maintenance: progress not written: %s", err, extra={"wave": order.wave})
+            self._term.post(lambda: self._waves.saved(order, ok=False))
+        else:
+            self._term.post(lambda: self._waves.saved(order, ok=True))
--- a/toucandoor/core/log_story.py
+++ b/toucandoor/core/explain.py
@@ -1,4 +1,4 @@
-"""Tells the story of a job, a backend server or a VM from the nodes' log lines."""
+"""Explains what happened to a job, a backend server or a VM from the nodes' log lines."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 _PLUMBING: Final = {"time", "level", "logger", "program", "message"}
 
 
-def story(lines: Iterable[str], kind: str, name: str) -> Iterator[str]:
+def explain(lines: Iterable[str], kind: str, name: str) -> Iterator[str]:
     """Yield one sentence for each log line about a subject, in the order of their times.
 
     Args:
--- a/toucandoor/core/maintenance/job_waves.py
+++ b/toucandoor/core/maintenance/job_waves.py
@@ -111,7 +111,7 @@
     save_after_s: float = 0.0
 
 
-class WaveKeeper:
+class WaveCoordinator:
     """Carries out waves for as long as its process owns the schedule."""
 
     def __init__(
--- a/toucandoor/core/scheduling/progress_writer.py
+++ b/toucandoor/core/scheduling/progress_writer.py
@@ -54,7 +54,7 @@
         for run in commit.planned:
             if run.state is RunState.PLANNED and run.key in run.worker.runs:
                 run.state = RunState.STARTING
-                state.orderly_runs[run] = None
+                state.runs_awaiting_orders[run] = None
 
     def failed(self, commit: Commit, present: Iterable[Record] | None) -> None:
         """Note that a write was not made, or may have been; its jobs are written again.
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from toucandoor.core.scheduling.state import ScheduleState
-    from toucandoor.core.scheduling.worker_book import WorkerBook
+    from toucandoor.core.scheduling.worker_registry import WorkerRegistry
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -22,9 +22,9 @@
 class RunOrders:
     """Decides on orders to backend servers and takes their answers."""
 
-    def __init__(self, state: ScheduleState, book: WorkerBook) -> None:
+    def __init__(self, state: ScheduleState, registry: WorkerRegistry) -> None:
         self._state = state
-        self._book = book
+        self._registry = registry
         self._paces: list[Order] = []
 
     def due(self) -> list[Order]:
@@ -33,16 +33,16 @@
         now_s = state.now_s
         orders = self._paces
         self._paces = []
-        for run in list(state.orderly_runs):
+        for run in list(state.runs_awaiting_orders):
             if run.key not in run.worker.runs:
-                del state.orderly_runs[run]
+                del state.runs_awaiting_orders[run]
             elif not run.order_in_flight and now_s >= run.next_order_s and run.worker.entry.address:
                 order = self._run_order(run, now_s)
                 if order is not None:
                     run.order_in_flight = True
                     run.order_sent_s = now_s
                     orders.append(order)
-        for worker in [*state.workers.values(), *state.gone]:
+        for worker in [*state.workers.values(), *state.former_boots]:
             free = not worker.hold_in_flight and now_s >= worker.next_hold_s
             if worker.wants_hold and free and worker.entry.address:
                 orders.append(self._hold(worker, now_s))
@@ -66,7 +66,7 @@
                 return None
             return StopRun(run, token)
         if run.state is not RunState.STARTING:
-            del self._state.orderly_runs[run]
+            del self._state.runs_awaiting_orders[run]
             return None
         until_ms = self._extend_lease(run.worker, now_s)
         if until_ms is None:
@@ -146,7 +146,7 @@
             self._state.deposed = True
             return True
         if refusal is OrderRefusal.OTHER_BOOT:
-            self._book.ended(worker, "was replaced at its address")
+            self._registry.ended(worker, "was replaced at its address")
             return True
         return False
 
@@ -215,7 +215,7 @@
         run.stop_acknowledged = True
         run.worker.answered_s = now_s
         run.stop_sent_s = now_s
-        self._state.orderly_runs.pop(run, None)
+        self._state.runs_awaiting_orders.pop(run, None)
         run.worker.next_hold_s = min(run.worker.next_hold_s, now_s)
 
     def stop_failed(self, run: Run, refusal: OrderRefusal | None) -> None:
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -22,7 +22,7 @@
 from toucandoor.core.scheduling.run_ends import RunEnds
 from toucandoor.core.scheduling.run_orders import RunOrders
 from toucandoor.core.scheduling.state import SchedulerSettings, ScheduleState
-from toucandoor.core.scheduling.worker_book import WorkerBook
+from toucandoor.core.scheduling.worker_registry import WorkerRegistry
 from toucandoor.core.scheduling.worker_view import Run, RunState, WorkerView
 from toucandoor.core.scheduling.workers import OrderRefusal, RunKey
 
@@ -51,8 +51,8 @@
 
     def __init__(self, settings: SchedulerSettings, clock: Clock) -> None:
         self._state = ScheduleState(settings, clock)
-        self._book = WorkerBook(self._state)
-        self._orders = RunOrders(self._state, self._book)
+        self._registry = WorkerRegistry(self._state)
+        self._orders = RunOrders(self._state, self._registry)
         self._ends = RunEnds(self._state)
         self._placer = Placer(self._state)
         self._writer = ProgressWriter(self._state)
@@ -115,7 +115,7 @@
         if not job.state.final or runs:
             state.open_jobs.add(spec.job_id)
         for task, kept in runs:
-            worker = self._book.of_run(kept.worker_id, kept.worker_born_unix_ms)
+            worker = self._registry.of_run(kept.worker_id, kept.worker_born_unix_ms)
             key = RunKey(task.key, kept.attempt)
             run = Run(key, task, worker, RunState.RECOVERED, state.now_s)
             state.attach(run)
@@ -138,23 +138,23 @@
 
     def worker_listed(self, entry: WorkerEntry) -> None:
         """Note what a backend server says of itself in the platform's list."""
-        self._book.listed(entry)
+        self._registry.listed(entry)
 
     def worker_unlisted(self, worker_id: WorkerId) -> None:
         """Note that the platform's list no longer names a backend server."""
-        self._book.unlisted(worker_id)
+        self._registry.unlisted(worker_id)
 
     def workers_by_vm(self) -> dict[VmId, WorkerView]:
         """Return the latest backend server on each VM."""
-        return self._book.by_vm()
+        return self._registry.by_vm()
 
     def vacate(self, worker: WorkerView, *, at_once: bool) -> None:
         """Stop what keeps a VM from a planned end, as far as promises of availability allow."""
-        self._book.vacate(worker, at_once=at_once)
+        self._registry.vacate(worker, at_once=at_once)
 
     def recheck(self, worker: WorkerView) -> None:
         """Give a backend server nothing new until it has answered again."""
-        self._book.recheck(worker)
+        self._registry.recheck(worker)
 
     def hold_answered(self, worker: WorkerView, listing: Listing, sent_s: float) -> None:
         """Take a backend server's own account of its runs.
@@ -233,7 +233,7 @@
     def commit_done(self, commit: Commit, revision: int) -> None:
         """Note that a write is in the store."""
         self._writer.done(commit, revision)
-        for worker in [*self._state.workers.values(), *self._state.gone]:
+        for worker in [*self._state.workers.values(), *self._state.former_boots]:
             if worker.uncommitted:
                 self._acknowledge(worker)
 
@@ -274,7 +274,7 @@
     def orders(self) -> list[Order]:
         """Place what waits and return the orders to carry out now."""
         self._placer.open_occurrences()
-        self._book.forget_lapsed()
+        self._registry.forget_lapsed()
         orders = self._placer.place()
         return orders + self._orders.due()
 
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -55,11 +55,11 @@
         jobs: All jobs.
         open_jobs: Jobs that are not final, or that have runs.
         workers: Latest boot of each backend server.
-        gone: Other boots whose runs may exist.
+        former_boots: Other boots whose runs may exist.
         deposed: Whether another owner has been met.
         waiting_steps: Steps whose occurrence is due and that may have waiting tasks.
         stale_pools: Pools in which something has changed since the last placement.
-        orderly_runs: Runs that need a start or a stop.
+        runs_awaiting_orders: Runs that need a start or a stop.
         dirty: Jobs whose record is behind, in order.
         planned: Runs by job whose record is not in the store yet.
         finished: Jobs that have ended since they were last asked for.
@@ -73,11 +73,11 @@
         self.jobs: dict[JobId, JobProgress] = {}
         self.open_jobs: set[JobId] = set()
         self.workers: dict[WorkerId, WorkerView] = {}
-        self.gone: list[WorkerView] = []
+        self.former_boots: list[WorkerView] = []
         self.deposed = False
         self.waiting_steps: dict[StepKey, StepProgress] = {}
         self.stale_pools: set[PoolId] = set()
-        self.orderly_runs: dict[Run, None] = {}
+        self.runs_awaiting_orders: dict[Run, None] = {}
         self.dirty: dict[JobId, None] = {}
         self.planned: dict[JobId, list[Run]] = {}
         self.finished: list[JobProgress] = []
@@ -161,7 +161,7 @@
             return
         run.worker.remove(run)
         run.task.runs.remove(run)
-        self.orderly_runs.pop(run, None)
+        self.runs_awaiting_orders.pop(run, None)
         job = self.jobs[run.task.key.job_id]
         self._team_used[job.spec.team] = self._team_used[job.spec.team] - run.task.step.needs
         self.stale_pools.add(run.worker.entry.pool)
@@ -181,7 +181,7 @@
     def want_stop(self, run: Run) -> None:
         """Stop a run as soon as it can be."""
         run.stop_wanted = True
-        self.orderly_runs[run] = None
+        self.runs_awaiting_orders[run] = None
 
     def lose_all(self, worker: WorkerView, why: str) -> None:
         """End all runs of a boot that has ended."""
--- a/toucandoor/core/scheduling/worker_book.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -19,7 +19,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-class WorkerBook:
+class WorkerRegistry:
     """Keeps the backend servers of a schedule."""
 
     def __init__(self, state: ScheduleState) -> None:
@@ -35,7 +35,7 @@
         if entry.born_unix_ms > known.entry.born_unix_ms > 0:
             state.lose_all(known, "restarted")
             if known.uncommitted:
-                state.gone.append(known)
+                state.former_boots.append(known)
             state.workers[entry.worker_id] = self._new_view(entry)
             return
         if entry.draining and not known.entry.draining:
@@ -66,7 +66,7 @@
         known = state.workers.get(worker_id)
         if known is not None and known.entry.born_unix_ms == born_unix_ms:
             return known
-        for gone in state.gone:
+        for gone in state.former_boots:
             if (gone.entry.worker_id, gone.entry.born_unix_ms) == (worker_id, born_unix_ms):
                 return gone
         missing = self._new_view(_unlisted_entry(worker_id, born_unix_ms))
@@ -74,7 +74,7 @@
         if known is not None and known.entry.born_unix_ms > born_unix_ms:
             # A later boot of the same server runs nothing of an earlier one.
             missing.unknown_lease_until_s = 0.0
-        state.gone.append(missing)
+        state.former_boots.append(missing)
         return missing
 
     def ended(self, worker: WorkerView, why: str) -> None:
@@ -86,11 +86,13 @@
         """End the runs of silent backend servers whose leases have surely ended."""
         state = self._state
         now_s = state.now_s
-        for worker in [*state.workers.values(), *state.gone]:
+        for worker in [*state.workers.values(), *state.former_boots]:
             silent = worker.hold_failures > 0 or not worker.held
             if worker.runs and silent and worker.lapsed(now_s):
                 state.lose_all(worker, "was out of reach until its lease lapsed")
-        state.gone = [worker for worker in state.gone if worker.runs or worker.uncommitted]
+        state.former_boots = [
+            worker for worker in state.former_boots if worker.runs or worker.uncommitted
+        ]
         for worker_id, worker in list(state.workers.items()):
             if not worker.listed and not worker.runs and not worker.uncommitted:
                 del state.workers[worker_id]
@@ -157,10 +159,10 @@
 
     def _known_boot(self, entry: WorkerEntry) -> WorkerView | None:
         """Return what is known of a boot that the list names again, or names first."""
-        for gone in self._state.gone:
+        for gone in self._state.former_boots:
             known = gone.entry
             if (known.worker_id, known.born_unix_ms) == (entry.worker_id, entry.born_unix_ms):
-                self._state.gone.remove(gone)
+                self._state.former_boots.remove(gone)
                 gone.entry = entry
                 gone.listed = True
                 return gone
--- a/toucandoor/platform/machines.py
+++ b/toucandoor/platform/machines.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from toucandoor.core.jobs.models import Resources, StepKey
+from toucandoor.core.jobs.models import StepKey
 from toucandoor.core.scheduling.workers import (
     Advice,
     AdvicePort,
@@ -26,6 +26,7 @@
     CallNotSentError,
     CallUnansweredError,
 )
+from toucandoor.platform.wire import WireRoom
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -53,19 +54,13 @@
 }
 
 
-class _Room(msgspec.Struct, frozen=True):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-
-
 class _Machine(msgspec.Struct, frozen=True):
     machine: str
     pool: str
     state: str
     zone: str = ""
     labels: list[str] = []
-    capacity: _Room = _Room()
+    capacity: WireRoom = WireRoom()
     # Id of the backend server on the machine, not of the machine.
     id: str | None = None
 
@@ -172,7 +167,7 @@
         state=_STATES.get(machine.state, VmState.DOWN),
         data_centre=DataCentreId(machine.zone),
         labels=tuple(machine.labels),
-        capacity=Resources(machine.capacity.cpu, machine.capacity.mem_mb, machine.capacity.gpu),
+        capacity=machine.capacity.resources,
         worker_id=WorkerId(machine.id) if machine.id else None,
     )
 
--- a/toucandoor/platform/operator_records.py
+++ b/toucandoor/platform/operator_records.py
@@ -15,9 +15,9 @@
     JobTeam,
     QueueAdvice,
 )
-from toucandoor.core.jobs.models import Resources
 from toucandoor.core.maintenance.job_waves import WaveOrder
 from toucandoor.ids import ConfigVersion, PoolId, QueueId, TeamId, VmId
+from toucandoor.platform.wire import WireRoom
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -59,18 +59,12 @@
     max_body_bytes: int = DEFAULT_BODY_BYTES_MAX
 
 
-class _Room(msgspec.Struct, frozen=True):
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-
-
 class _Tenant(msgspec.Struct, frozen=True):
     name: str
     api_keys: list[str] = []
     # Jobs a second that are owed to it.
     weight: float = 1.0
-    upper_bound: _Room = _Room()
+    upper_bound: WireRoom = WireRoom()
 
 
 class _Config(msgspec.Struct, frozen=True):
@@ -173,10 +167,9 @@
 
 
 def _team(tenant: _Tenant) -> JobTeam:
-    bound = tenant.upper_bound
     return JobTeam(
         name=TeamId(tenant.name),
         keys=frozenset(tenant.api_keys),
         jobs_per_s=tenant.weight,
-        ceiling=Resources(bound.cpu, bound.mem_mb, bound.gpu),
+        ceiling=tenant.upper_bound.resources,
     )
--- a/toucandoor/platform/workers.py
+++ b/toucandoor/platform/workers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from toucandoor.core.jobs.models import Resources, TaskKey
+from toucandoor.core.jobs.models import TaskKey
 from toucandoor.core.scheduling.workers import (
     ActiveRun,
     EndedRun,
@@ -30,6 +30,7 @@
     CallUnansweredError,
     PlatformHttp,
 )
+from toucandoor.platform.wire import WireRoom
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -56,19 +57,13 @@
 }
 
 
-class _Room(msgspec.Struct, frozen=True):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
-
-
 class _Beat(msgspec.Struct, frozen=True):
     # `service` is the pool that the server belongs to.
     service: str
     address: str
     zone: str
     state: str
-    capacity: _Room
+    capacity: WireRoom
     labels: list[str]
     sequence: int
     born: int = 0
@@ -102,7 +97,7 @@
         pool=PoolId(beat.service),
         address=beat.address,
         data_centre=DataCentreId(beat.zone),
-        capacity=Resources(beat.capacity.cpu, beat.capacity.mem_mb, beat.capacity.gpu),
+        capacity=beat.capacity.resources,
         labels=tuple(beat.labels),
         draining=beat.state == "draining",
         born_unix_ms=beat.born,
--- a/toucandoor/programs/cli.py
+++ b/toucandoor/programs/cli.py
@@ -22,7 +22,7 @@
 from toucandoor.adapters.settings import OperatorSettings
 from toucandoor.core.configuration.diff import differences
 from toucandoor.core.configuration.models import Configuration
-from toucandoor.core.log_story import story
+from toucandoor.core.explain import explain as explain_lines
 from toucandoor.exceptions import MessageError, PeerAuthenticationError, SettingsError
 
 app = typer.Typer(
@@ -225,7 +225,7 @@
 
 @explain_app.command("job")
 def explain_job(job: str) -> None:
-    """Tell a job's story from the nodes' logs on standard input.
+    """Say what happened to a job, from the nodes' logs on standard input.
 
     Example: cat node-*.log | toucandoor explain job 7ab4fbbd5169893e
     """
@@ -234,7 +234,7 @@
 
 @explain_app.command("server")
 def explain_server(server: str) -> None:
-    """Tell a backend server's story from the nodes' logs on standard input.
+    """Say what happened to a backend server, from the nodes' logs on standard input.
 
     Example: cat node-*.log | toucandoor explain server i-f6252f88fb
     """
@@ -243,7 +243,7 @@
 
 @explain_app.command("machine")
 def explain_machine(machine: str) -> None:
-    """Tell the story of a VM of the users' platform from the nodes' logs on standard input.
+    """Say what happened to a VM of the users' platform, from the nodes' logs on standard input.
 
     Example: cat node-*.log | toucandoor explain machine m-1f7dc
     """
@@ -252,7 +252,7 @@
 
 def _tell(kind: str, name: str) -> None:
     found = False
-    for sentence in story(sys.stdin, kind, name):
+    for sentence in explain_lines(sys.stdin, kind, name):
         found = True
         typer.echo(sentence)
     if not found:
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -14,10 +14,9 @@
 from toucandoor.adapters.bounded_logs import set_up_bounded_logs
 from toucandoor.adapters.configuration_watch import ConfigurationWatch
 from toucandoor.adapters.job_callers import JobCallers
-from toucandoor.adapters.job_desk import StoreDesk
+from toucandoor.adapters.job_service import StoreJobService
 from toucandoor.adapters.node_metrics import NodeMetrics, metrics_app
 from toucandoor.adapters.owner_task import OwnerTask
-from toucandoor.adapters.owner_term import Surroundings
 from toucandoor.adapters.peers import (
     PEER_CONNECT_TIMEOUT_S,
     Peer,
@@ -26,7 +25,8 @@
     PeerServer,
     ask_peer,
 )
-from toucandoor.adapters.relay_desk import PEERS_ASKED_MAX, PeerAnswers, RelayDesk
+from toucandoor.adapters.relay_service import PEERS_ASKED_MAX, PeerRequestHandler, RelayJobService
+from toucandoor.adapters.term_context import Surroundings
 from toucandoor.adapters.wsgi import make_server, respond
 from toucandoor.clock import BootClock
 from toucandoor.exceptions import SettingsError
@@ -85,16 +85,16 @@
         self._configuration = ConfigurationWatch(
             self._store, self._clock, self._configuration_of_a_peer
         )
-        own_desk = StoreDesk(self._store, self._clock)
-        answers = PeerAnswers(
-            own_desk,
+        own_jobs = StoreJobService(self._store, self._clock)
+        answers = PeerRequestHandler(
+            own_jobs,
             lambda: self._configuration.current,
             self._clock,
             lambda: self._configuration.store_answers,
         )
         self._peer_server = PeerServer(peer_address, answers.answer)
-        self._desk = RelayDesk(
-            own_desk, self._peers, self._clock, lambda: self._configuration.store_answers
+        self._jobs = RelayJobService(
+            own_jobs, self._peers, self._clock, lambda: self._configuration.store_answers
         )
         self._owner = OwnerTask(
             Surroundings(
@@ -111,7 +111,7 @@
         )
         self._stopping = threading.Event()
         callers = JobCallers(
-            self._desk,
+            self._jobs,
             lambda: self._configuration.current,
             self._clock,
             self._metrics,
