--- /dev/null
+++ b/tests/adapters/test_owner_task.py
@@ -0,0 +1,250 @@
+"""Two nodes' owner tasks against one store and one backend server, with real threads."""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+from unittest import mock
+
+import msgspec
+
+from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job
+from toucandoor.adapters.job_service import StoreJobService, WriteOutcome
+from toucandoor.adapters.owner_task import OwnerTask
+from toucandoor.adapters.term_context import Surroundings
+from toucandoor.clock import SystemClock
+from toucandoor.core.jobs.models import JobSpec, JobState, Step
+from toucandoor.core.ownership.lease import OWNER_KEY
+from toucandoor.core.records import (
+    Changes,
+    LeaseEndedError,
+    Record,
+    RecordStore,
+    Snapshot,
+    StoreLease,
+    Transaction,
+)
+from toucandoor.core.scheduling.workers import (
+    Listing,
+    RunKey,
+    StartOrder,
+    WorkerEntry,
+    WorkerPort,
+    WorkerTarget,
+)
+from toucandoor.exceptions import StoreUnavailableError
+from toucandoor.fakes.virtual_platform import (
+    Observations,
+    TaskBehaviour,
+    VirtualRecords,
+    VirtualWorker,
+)
+from toucandoor.ids import DataCentreId, EntryId, FencingToken, StoreLeaseId, WorkerId
+
+WITHIN_S = 20.0
+"""Far above what is needed; the test ends as soon as it holds."""
+
+
+class MemoryStore(RecordStore):
+    """A store in memory, shared by threads, that can turn a node away."""
+
+    def __init__(self, records: VirtualRecords, changed: threading.Condition) -> None:
+        self._records = records
+        self._changed = changed
+        self._leases: dict[StoreLeaseId, list[str]] = {}
+        self.away = False
+
+    def _check(self) -> None:
+        if self.away:
+            raise StoreUnavailableError("away", step="store")
+
+    def read(self, key: str) -> Record | None:
+        self._check()
+        with self._changed:
+            return self._records.records.get(key)
+
+    def read_prefix(self, prefix: str) -> Snapshot:
+        self._check()
+        with self._changed:
+            return Snapshot(tuple(self._records.below(prefix)), self._records.revision)
+
+    def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
+        self._check()
+        with self._changed:
+            self._changed.wait_for(lambda: self._records.revision > after_revision, wait_s)
+            written = tuple(
+                record for record in self._records.below(prefix) if record.revision > after_revision
+            )
+            gone = () if self._records.below(prefix) else (prefix,)
+            return Changes(written, gone, self._records.revision)
+
+    def write(self, transaction: Transaction) -> int:
+        self._check()
+        with self._changed:
+            revision = self._records.write(transaction)
+            if transaction.lease_id is not None:
+                self._leases[transaction.lease_id] += transaction.writes
+            self._changed.notify_all()
+            return revision
+
+    def grant_lease(self, ttl_s: float) -> StoreLease:
+        self._check()
+        lease_id = StoreLeaseId(len(self._leases) + 1)
+        self._leases[lease_id] = []
+        return StoreLease(lease_id, ttl_s)
+
+    def renew_lease(self, lease_id: StoreLeaseId, timeout_s: float | None = None) -> None:
+        self._check()
+        if lease_id not in self._leases:
+            raise LeaseEndedError("ended", step="renew")
+
+    def end_lease(self, lease_id: StoreLeaseId) -> None:
+        self._check()
+        self.lapse(lease_id)
+
+    def lapse(self, lease_id: StoreLeaseId) -> None:
+        with self._changed:
+            for key in self._leases.pop(lease_id, []):
+                self._records.remove(key)
+            self._changed.notify_all()
+
+
+class MemoryWorkers(WorkerPort):
+    """Orders straight to one virtual backend server."""
+
+    def __init__(self, worker: VirtualWorker) -> None:
+        self._worker = worker
+        self._lock = threading.Lock()
+
+    def start(self, target: WorkerTarget, order: StartOrder) -> int:
+        with self._lock:
+            return self._worker.start(order)
+
+    def stop(self, target: WorkerTarget, run: RunKey, token: FencingToken) -> int:
+        with self._lock:
+            return self._worker.stop(run, token)
+
+    def pace(self, target: WorkerTarget, run: RunKey, percent: int, token: FencingToken) -> int:
+        raise NotImplementedError
+
+    def hold(
+        self,
+        target: WorkerTarget,
+        token: FencingToken,
+        *,
+        lease_until_ms: int | None,
+        acknowledged: int,
+        wait_s: float,
+    ) -> Listing:
+        until_s = time.monotonic() + wait_s
+        while True:
+            with self._lock:
+                listing = self._worker.hold(token, lease_until_ms, acknowledged)
+            if listing.ended or time.monotonic() >= until_s:
+                return listing
+            time.sleep(0.01)
+
+
+def entry_value(entry: WorkerEntry) -> bytes:
+    room = {"cpu": entry.capacity.cpu_millicores, "mem_mb": entry.capacity.memory_mb, "gpu": 0}
+    return msgspec.json.encode(
+        {
+            "service": entry.pool,
+            "address": entry.address,
+            "zone": entry.data_centre,
+            "state": "ready",
+            "sequence": 1,
+            "capacity": room,
+            "labels": list(entry.labels),
+            "born": entry.born_unix_ms,
+        }
+    )
+
+
+class OwnerTaskTest(unittest.TestCase):
+    """A job runs to its end through a change of owner."""
+
+    def setUp(self) -> None:
+        clock = SystemClock()
+        self.records = VirtualRecords()
+        self.changed = threading.Condition(threading.RLock())
+        self.seen = Observations()
+        entry = WorkerEntry(
+            WorkerId("w"), POOL, "w:1", DataCentreId("d"), CAPACITY, ("a", "r"), False, 1
+        )
+        behaviour = TaskBehaviour(NEEDS, 0.6)
+        worker = VirtualWorker(entry, clock, self.seen, lambda _task, _worker: behaviour)
+        self.records.write(Transaction(writes={"servers/w": entry_value(entry)}))
+        self.stores = [MemoryStore(self.records, self.changed) for _ in range(2)]
+        workers = MemoryWorkers(worker)
+        self.tasks = [
+            OwnerTask(self.surroundings(f"e{number}", store, workers, clock))
+            for number, store in enumerate(self.stores)
+        ]
+        for task in self.tasks:
+            self.addCleanup(task.stop, 2.0)
+        self.jobs = StoreJobService(MemoryStore(self.records, self.changed), clock)
+        self.clock = clock
+
+    def surroundings(
+        self, name: str, store: MemoryStore, workers: MemoryWorkers, clock: SystemClock
+    ) -> Surroundings:
+        settings = mock.Mock(
+            lease_s_max=6.0,
+            holder_lease_s=3.0,
+            vm_maintenance_s=2.0,
+            vm_move_s=1.5,
+            status_kept_s=120.0,
+        )
+        watch = mock.Mock(waves={})
+        watch.listen.side_effect = lambda listener: listener(configuration())
+        vms = mock.Mock()
+        vms.list.return_value = ()
+        return Surroundings(
+            EntryId(name), settings, clock, store, workers, vms, mock.Mock(), watch, mock.Mock()
+        )
+
+    def wait_for(self, condition: object) -> None:
+        until_s = time.monotonic() + WITHIN_S
+        while not condition():  # type: ignore[operator]
+            self.assertLess(time.monotonic(), until_s, "it does not come to pass")
+            time.sleep(0.02)
+
+    def submit(self, spec: JobSpec) -> None:
+        outcome = self.jobs.submit(spec, self.clock.monotonic_s() + 2.0)
+        self.assertEqual(outcome, WriteOutcome.STORED)
+
+    def state(self, spec: JobSpec) -> JobState | None:
+        status = self.jobs.status(spec.job_id)
+        return status.state if status is not None else None
+
+    def test_a_job_is_finished_by_the_next_owner(self) -> None:
+        self.tasks[0].start()
+        self.wait_for(lambda: self.tasks[0].owns)
+        spec = job(1, Step(2, NEEDS), Step(2, NEEDS, after=(0,)))
+        self.submit(spec)
+        self.wait_for(lambda: self.state(spec) is JobState.RUNNING)
+        self.tasks[1].start()
+        self.tasks[0].stop(2.0)
+        self.wait_for(lambda: self.tasks[1].owns)
+        self.wait_for(lambda: self.state(spec) is JobState.COMPLETED)
+        self.assertEqual(self.seen.broken, [])
+        self.assertEqual(self.seen.starts, 4)
+
+    def test_an_owner_that_the_store_turns_away_is_followed_by_another(self) -> None:
+        self.tasks[0].start()
+        self.wait_for(lambda: self.tasks[0].owns)
+        self.stores[0].away = True
+        self.tasks[1].start()
+        self.stores[0].lapse(StoreLeaseId(1))
+        self.wait_for(lambda: self.tasks[1].owns)
+        spec = job(2)
+        self.submit(spec)
+        self.wait_for(lambda: self.state(spec) is JobState.COMPLETED)
+        self.assertEqual(self.seen.broken, [])
+        self.assertIsNotNone(self.records.records.get(OWNER_KEY))
+
+
+if __name__ == "__main__":
+    unittest.main()
