Send a start after all when the ownership becomes valid again

A start that came up while the ownership was not valid for a moment was dropped without a word to the scheduler, which took it to be under way for good once a late renewal made the ownership valid again. Excluded: the job's intake (its record is there), the count of writes under way (other jobs went on), the restored occurrences. Change: a start that is not sent is told to the scheduler, which sends it at the next occasion.

--- a/toucandoor/adapters/term_orders.py
+++ b/toucandoor/adapters/term_orders.py
@@ -59,6 +59,8 @@
     def _start(self, order: StartRun) -> None:
         scheduler, run = self._term.scheduler, order.run
         if not self._term.may_act():
+            # The ownership may become valid again, and the start must then be sent after all.
+            self._term.post(lambda: scheduler.start_not_sent(run))
             return
         try:
             clock_ms = self._term.around.workers.start(run.worker.target, order.order)
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -195,6 +195,12 @@
         else:
             self._state.drop(run)
 
+    def start_not_sent(self, run: Run) -> None:
+        """Note that a start was not sent, as the ownership was not valid at that moment."""
+        run.order_in_flight = False
+        run.starts_sent -= 1
+        run.next_order_s = self._state.now_s
+
     def start_unanswered(self, run: Run) -> None:
         """Note that a start got no answer: the run may exist, now or later."""
         now_s = self._state.now_s
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -196,6 +196,10 @@
         """Note that a backend server did not start a run."""
         self._orders.start_refused(run, refusal)
 
+    def start_not_sent(self, run: Run) -> None:
+        """Note that a start was not sent, as the ownership was not valid at that moment."""
+        self._orders.start_not_sent(run)
+
     def start_unanswered(self, run: Run) -> None:
         """Note that a start got no answer: the run may exist, now or later."""
         self._orders.start_unanswered(run)
