--- a/tests/core/configuration/test_acceptance.py
+++ b/tests/core/configuration/test_acceptance.py
@@ -6,10 +6,13 @@
 
 from toucandoor.core.configuration.acceptance import Acceptance, PendingReason
 from toucandoor.core.leases.models import LeaseTimes, PollAnswer, Slot
+from toucandoor.core.leases.node import LeaseNode
 from toucandoor.ids import ConfigVersion, DataCentreId, EntryId, IncarnationId
 
 TIMES = LeaseTimes(entry_lease_s=6.0, grace_s=120.0)
+OLD_VERSION = ConfigVersion(4)
 VERSION = ConfigVersion(5)
+POLL_INTERVAL_S = 0.25
 
 
 def slots(names: str) -> list[Slot]:
@@ -71,6 +74,32 @@
         ask(acceptance, "a1 a2", 7.0)
         self.assertTrue(acceptance.accepted(9.0))
 
+    def test_a_frozen_entry_delays_acceptance_by_its_lease_at_most(self) -> None:
+        members = slots("a1 a2 a3")
+        nodes = {}
+        for slot in members:
+            node = LeaseNode(slot.entry, IncarnationId(1), TIMES, -60.0)
+            node.set_slots(members)
+            node.set_known(OLD_VERSION)
+            node.set_in_force(OLD_VERSION)
+            node.on_store_read(OLD_VERSION, -1.0)
+            nodes[slot.entry] = node
+        frozen = nodes.pop(EntryId("a3"))
+        granted_s = [node.on_poll(frozen.poll(), 0.0).grant_s for node in nodes.values()]
+        self.assertEqual(granted_s, [TIMES.entry_lease_s] * 2)
+        for node in nodes.values():
+            node.set_known(VERSION)
+            node.set_in_force(VERSION)
+        acceptance = Acceptance(VERSION, members, TIMES)
+        now_s = 0.0
+        while not acceptance.accepted(now_s):
+            self.assertLess(now_s, TIMES.granter_entry_lease_s() + 2 * POLL_INTERVAL_S)
+            now_s += POLL_INTERVAL_S
+            asker = nodes[EntryId("a1")]
+            for node in nodes.values():
+                acceptance.on_answer(node.on_poll(asker.poll(), now_s), now_s, now_s)
+        self.assertGreaterEqual(now_s, TIMES.entry_lease_s)
+
     def test_one_that_lags_may_reckon_by_the_slots_before(self) -> None:
         now = Acceptance(VERSION, slots("a1 a2 a3 a4"), TIMES)
         both = Acceptance(VERSION, slots("a1 a2 a3 a4"), TIMES, slots("a1 a2 a3"))
