End an owner's term when one of its threads breaks

Cause: an unexpected error in the thread of an order, a write or a watch was logged and the scheduler never heard of it: the run or the commit stayed in flight for ever, or the owner went blind.

Excluded: errors of the platform, which each thread handles and posts.

Change: such an error ends the term with a log line, as an error in the loop does already. The next owner (here, or on another VM) starts from the store and from what the backend servers list.

Before: the new test fails, the job is not completed within 20 s. After: it passes, nothing runs twice.

--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -116,8 +116,12 @@
     def __init__(self, worker: VirtualWorker) -> None:
         self._worker = worker
         self._lock = threading.Lock()
+        self.break_next_start = False
 
     def start(self, target: WorkerTarget, order: StartOrder) -> int:
+        if self.break_next_start:
+            self.break_next_start = False
+            raise RuntimeError("a fault of the client")
         with self._lock:
             return self._worker.start(order)
 
@@ -177,7 +181,7 @@
         worker = VirtualWorker(entry, clock, self.seen, lambda _task, _worker: behaviour)
         self.records.write(Transaction(writes={"servers/w": entry_value(entry)}))
         self.stores = [MemoryStore(self.records, self.changed) for _ in range(2)]
-        workers = MemoryWorkers(worker)
+        self.workers = workers = MemoryWorkers(worker)
         self.tasks = [
             OwnerTask(self.surroundings(f"e{number}", store, workers, clock))
             for number, store in enumerate(self.stores)
@@ -245,6 +249,18 @@
         self.assertEqual(self.seen.broken, [])
         self.assertIsNotNone(self.records.records.get(OWNER_KEY))
 
+    def test_an_order_that_breaks_ends_the_term_and_its_run_goes_on_in_the_next(self) -> None:
+        self.tasks[0].start()
+        self.wait_for(lambda: self.tasks[0].owns)
+        self.tasks[1].start()
+        self.workers.break_next_start = True
+        spec = job(3)
+        with self.assertLogs("toucandoor.adapters.owner_term", "ERROR") as logs:
+            self.submit(spec)
+            self.wait_for(lambda: self.state(spec) is JobState.COMPLETED)
+        self.assertIn("a fault of the client", logs.output[0])
+        self.assertEqual(self.seen.broken, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -79,7 +79,7 @@
             self._scheduler,
             self._post,
             self._submit,
-            lambda action: _submit(self._hold_pool, action),
+            lambda action: self._run_in(self._hold_pool, action),
             self._may_act,
         )
         self._orders = TermOrders(context)
@@ -144,10 +144,29 @@
         self._events.put(event)
 
     def _thread(self, target: Callable[[], None], name: str) -> None:
-        threading.Thread(target=target, name=name, daemon=True).start()
+        guarded = partial(self._guarded, target)
+        threading.Thread(target=guarded, name=name, daemon=True).start()
 
     def _submit(self, action: Callable[[], None]) -> None:
-        _submit(self._order_pool, action)
+        self._run_in(self._order_pool, action)
+
+    def _run_in(self, pool: ThreadPoolExecutor, action: Callable[[], None]) -> None:
+        try:
+            pool.submit(self._guarded, action)
+        except RuntimeError:
+            _LOGGER.info("owner: an order came after the term's end")
+
+    def _guarded(self, action: Callable[[], None]) -> None:
+        """Run an action of a thread; an error that it does not handle ends the term.
+
+        The scheduler would wait for the action's outcome for ever; the next owner starts from
+        what the store and the backend servers say.
+        """
+        try:
+            action()
+        except Exception:
+            _LOGGER.exception("owner: a thread broke, the term ends")
+            self.stop()
 
     def _configured(self, configuration: JobConfiguration) -> None:
         self._post(lambda: self._scheduler.set_configuration(configuration))
@@ -222,18 +241,3 @@
                 if not self._validity.valid:
                     _LOGGER.info("owner: the ownership is valid again")
                 self._validity.renewed(sent_s)
-
-
-def _submit(pool: ThreadPoolExecutor, action: Callable[[], None]) -> None:
-    """Run an action in a pool, and log errors that nobody else would see."""
-
-    def run() -> None:
-        try:
-            action()
-        except Exception:
-            _LOGGER.exception("owner: an order broke")
-
-    try:
-        pool.submit(run)
-    except RuntimeError:
-        _LOGGER.info("owner: an order came after the term's end")
