Lend what the last turn leaves straight to the next

Lending took spare VMs first and gave surplus back after 0.5 s.

Excluded: a want of VMs (13 were spare or on their way), the wave (it held eight at most), refused orders (none).

Change: empty VMs of pools that have too many are lent before spare ones, and go back to the spare pool after 1.0 s, half the price of a move there and back.

--- a/toucandoor/core/pools/lending.py
+++ b/toucandoor/core/pools/lending.py
@@ -2,8 +2,9 @@
 
 Answers queues whose demand goes round in turns: one pool asks several times its room for some
 seconds while the others stand nearly empty, and a spare pool costs nothing while its VMs are off.
-A pool that cannot hold what waits borrows spare VMs, then empty ones of pools that have too many;
-a pool that stands empty gives VMs back to the spare pool.
+A pool that cannot hold what waits borrows empty VMs of pools that have too many, then spare ones;
+a pool that stands empty gives VMs back to the spare pool. As one turn ends while the next begins,
+VMs wait a little for the next borrower: a move to the spare pool and on would take twice as long.
 """
 
 from __future__ import annotations
@@ -24,9 +25,9 @@
 KEEP_MIN: Final = 2
 """VMs that a pool keeps while it stands empty: what a turn's first seconds run on, until borrowed
 VMs have come, and one of them may fail."""
-RETURN_AFTER_S: Final = 0.5
-"""How long a pool must have had too many VMs before it gives one back; a move there and back costs
-as much as two seconds of a VM."""
+RETURN_AFTER_S: Final = 1.0
+"""How long a pool must have had too many VMs before it gives one back: half the price of a move
+there and back, which is that of two seconds of a VM; turns follow each other within that time."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,9 +58,14 @@
 
 
 class Lending:
-    """Plans moves; remembers since when each pool has had too many VMs."""
+    """Plans moves; remembers since when each pool has had too many VMs.
 
-    def __init__(self) -> None:
+    Args:
+        return_after_s: How long a pool must have had too many VMs before it gives one back.
+    """
+
+    def __init__(self, return_after_s: float = RETURN_AFTER_S) -> None:
+        self._return_after_s = return_after_s
         self._surplus_since_s: dict[PoolId, float] = {}
 
     def plan(
@@ -105,11 +111,11 @@
             if not short:
                 return moves
             needy = max(short, key=lambda pool: wanted[pool] - size[pool])
-            lenders = [pool for pool in spare_pools if empty.get(pool)]
-            lenders += sorted(
+            lenders = sorted(
                 (pool for pool in pools if empty.get(pool) and size[pool] > wanted[pool]),
                 key=lambda pool: wanted[pool] - size[pool],
             )
+            lenders += [pool for pool in spare_pools if empty.get(pool)]
             if not lenders:
                 return moves
             vm = empty[lenders[0]].pop()
@@ -132,7 +138,7 @@
                 self._surplus_since_s.pop(pool, None)
                 continue
             since_s = self._surplus_since_s.setdefault(pool, now_s)
-            if not spare_pools or now_s - since_s < RETURN_AFTER_S:
+            if not spare_pools or now_s - since_s < self._return_after_s:
                 continue
             while empty[pool] and size[pool] > wanted[pool]:
                 vm = empty[pool].pop()
