Hand over when the leases of silent backend servers end

Change: an owner that stops as planned writes, under the condition of its ownership, in how many seconds the leases of silent servers end. The next claim expects that record as it was read and removes it, so it is used once and by the direct successor only. Boots that it does not name count as before. Nothing is written when all servers answer.

Tests: successive planned changes do not prolong the wait (fails without); what is handed over is used once; the state machine hands over in any order beside cuts, crashes and late orders.

--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -15,6 +15,7 @@
 from toucandoor.adapters.term_context import Surroundings
 from toucandoor.clock import SystemClock
 from toucandoor.core.jobs.models import JobSpec, JobState, Step
+from toucandoor.core.ownership.handover import HANDOVER_KEY
 from toucandoor.core.ownership.lease import OWNER_KEY
 from toucandoor.core.records import (
     Changes,
@@ -27,6 +28,7 @@
 )
 from toucandoor.core.scheduling.workers import (
     Listing,
+    OrderUnansweredError,
     RunKey,
     StartOrder,
     WorkerEntry,
@@ -117,6 +119,8 @@
         self._worker = worker
         self._lock = threading.Lock()
         self.break_next_start = False
+        self.silent = False
+        self.silent_holds = 0
 
     def start(self, target: WorkerTarget, order: StartOrder) -> int:
         if self.break_next_start:
@@ -143,6 +147,9 @@
     ) -> Listing:
         until_s = time.monotonic() + wait_s
         while True:
+            if self.silent:
+                self.silent_holds += 1
+                raise OrderUnansweredError("silent", step="hold")
             with self._lock:
                 listing = self._worker.hold(token, lease_until_ms, acknowledged)
             if listing.ended or time.monotonic() >= until_s:
@@ -249,6 +256,23 @@
         self.assertEqual(self.seen.broken, [])
         self.assertIsNotNone(self.records.records.get(OWNER_KEY))
 
+    def test_what_an_owner_hands_over_is_used_once(self) -> None:
+        self.tasks[0].start()
+        self.wait_for(lambda: self.tasks[0].owns)
+        spec = job(4)
+        self.submit(spec)
+        self.wait_for(lambda: self.seen.starts > 0)
+        self.workers.silent = True
+        self.wait_for(lambda: self.workers.silent_holds > 1)
+        self.tasks[0].stop(2.0)
+        self.assertIn(HANDOVER_KEY, self.records.records)
+        self.workers.silent = False
+        self.tasks[1].start()
+        self.wait_for(lambda: self.tasks[1].owns)
+        self.assertNotIn(HANDOVER_KEY, self.records.records)
+        self.wait_for(lambda: self.state(spec) is JobState.COMPLETED)
+        self.assertEqual(self.seen.broken, [])
+
     def test_an_order_that_breaks_ends_the_term_and_its_run_goes_on_in_the_next(self) -> None:
         self.tasks[0].start()
         self.wait_for(lambda: self.tasks[0].owns)
--- a/tests/core/scheduling/test_machine.py
+++ b/tests/core/scheduling/test_machine.py
@@ -86,6 +86,10 @@
         self.fleet.run(2.0 if dies else 0.1)
         self.fleet.take_over()
 
+    @rule()
+    def hand_over(self) -> None:
+        self.fleet.take_over(planned=True)
+
     @rule(number=st.integers(0, WORKERS - 1))
     def cut_or_heal(self, number: int) -> None:
         worker = self.fleet.workers[WorkerId(f"w{number}")]
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -206,6 +206,20 @@
         virtual.workers[place].settle()
         self.assertEqual(virtual.seen.broken, [])
 
+    def test_planned_changes_of_owner_do_not_prolong_the_wait_for_the_lapse(self) -> None:
+        virtual = fleet(behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 20.0))
+        virtual.submit(job(1, Step(1, NEEDS)))
+        virtual.run(0.5)
+        place = next(iter(next(iter(virtual.seen.running.values()))))
+        virtual.workers[place].reachable = False
+        virtual.run(3.0)
+        for _ in range(3):
+            virtual.take_over(planned=True)
+            virtual.run(2.0)
+        self.assertEqual(virtual.seen.starts, 2)
+        virtual.workers[place].settle()
+        self.assertEqual(virtual.seen.broken, [])
+
     def test_new_owner_waits_for_leases_that_it_does_not_know(self) -> None:
         virtual = fleet(behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 20.0))
         virtual.submit(job(1, Step(1, NEEDS)))
--- a/toucandoor/adapters/owner_task.py
+++ b/toucandoor/adapters/owner_task.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from toucandoor.adapters.owner_term import OwnerTerm
+from toucandoor.core.ownership.handover import HANDOVER_KEY, decode_handover
 from toucandoor.core.ownership.lease import (
     OWNER_KEY,
     OWNER_TTL_S,
@@ -25,6 +26,7 @@
 
 if TYPE_CHECKING:
     from toucandoor.adapters.term_context import Surroundings
+    from toucandoor.core.ownership.handover import Boot
     from toucandoor.core.records import Record, StoreLease
 
 _LOGGER = logging.getLogger(__name__)
@@ -50,6 +52,7 @@
         self._stop = threading.Event()
         self._term: OwnerTerm | None = None
         self._revision: int | None = None
+        self._handover: Record | None = None
         self._started_s = surroundings.clock.monotonic_s()
         self._thread = threading.Thread(target=self._run, name="owner", daemon=True)
 
@@ -108,7 +111,9 @@
                 return False
         snapshot = store.read_prefix(OWNER_KEY)
         self._revision = snapshot.revision
-        return all(record.key != OWNER_KEY for record in snapshot.records)
+        found = {record.key: record for record in snapshot.records}
+        self._handover = found.get(HANDOVER_KEY)
+        return OWNER_KEY not in found
 
     def _claim_and_serve(self) -> None:
         clock = self._around.clock
@@ -124,7 +129,7 @@
             extra={"token": token, "claim_s": clock.monotonic_s() - asked_at_s},
         )
         validity = OwnershipLease(clock, asked_at_s, lease.ttl_s)
-        term = OwnerTerm(self._around, token, lease, validity)
+        term = OwnerTerm(self._around, token, lease, validity, _handed_over(self._handover))
         self._term = term
         self._around.metrics.owns(True)
         try:
@@ -136,9 +141,17 @@
             self._release(lease)
 
     def _claim(self, claim: OwnerRecord, lease: StoreLease) -> FencingToken | None:
-        """Write the claim; return its token, None where another VM was first."""
-        value = encode_owner(claim)
-        transaction = Transaction({OWNER_KEY: 0}, {OWNER_KEY: value}, lease_id=lease.lease_id)
+        """Write the claim; return its token, None where another VM was first.
+
+        The claim fails where another handover has been written or used since this one was read.
+        """
+        handover = self._handover
+        transaction = Transaction(
+            {OWNER_KEY: 0, HANDOVER_KEY: handover.revision if handover is not None else 0},
+            {OWNER_KEY: encode_owner(claim)},
+            (HANDOVER_KEY,) if handover is not None else (),
+            lease_id=lease.lease_id,
+        )
         store = self._around.store
         try:
             return FencingToken(store.write(transaction))
@@ -158,6 +171,17 @@
             _LOGGER.warning("owner: the ownership ends with its lease: %s", err)
 
 
+def _handed_over(record: Record | None) -> dict[Boot, float]:
+    """Return what the former owner has said of silent boots; nothing where it has not."""
+    if record is None:
+        return {}
+    try:
+        return decode_handover(record.value)
+    except msgspec.MsgspecError as err:
+        _LOGGER.error("owner: what was handed over cannot be read: %s", err)
+        return {}
+
+
 def _is_claim(record: Record, claim: OwnerRecord) -> bool:
     try:
         return decode_owner(record.value) == claim
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -14,24 +14,26 @@
 from toucandoor.adapters.term_orders import TermOrders
 from toucandoor.adapters.term_vms import TermVms
 from toucandoor.core.jobs.records import INTAKE_PREFIX
+from toucandoor.core.ownership.handover import HANDOVER_KEY, encode_handover
 from toucandoor.core.ownership.lease import (
     OWNER_KEY,
     OWNER_TTL_S,
     RENEW_EVERY_S,
     RENEW_TIMEOUT_S,
 )
-from toucandoor.core.records import LeaseEndedError, TransactionConflictError
+from toucandoor.core.records import LeaseEndedError, Transaction, TransactionConflictError
 from toucandoor.core.scheduling.const import LAPSE_MARGIN_S, WORKER_CLOCK_DRIFT_RATIO
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.platform.operator_records import WORKER_PREFIX
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from toucandoor.core.jobs.configuration import JobConfiguration
+    from toucandoor.core.ownership.handover import Boot
     from toucandoor.core.ownership.lease import OwnershipLease
-    from toucandoor.core.records import StoreLease, Transaction
+    from toucandoor.core.records import StoreLease
     from toucandoor.core.scheduling.orders import Commit
     from toucandoor.ids import FencingToken
 
@@ -54,6 +56,7 @@
         token: FencingToken,
         lease: StoreLease,
         validity: OwnershipLease,
+        handed_over: Mapping[Boot, float],
     ) -> None:
         self._around = around
         self._lease = lease
@@ -69,6 +72,7 @@
             + around.settings.lease_s_max * (1 + WORKER_CLOCK_DRIFT_RATIO)
             + LAPSE_MARGIN_S,
             status_kept_s=around.settings.status_kept_s,
+            handed_over=handed_over,
         )
         self._scheduler = Scheduler(settings, around.clock)
         self._next_load_log_s = 0.0
@@ -101,6 +105,7 @@
             self._thread(lambda: self._intake.follow(WORKER_PREFIX, revisions[0]), "workers")
             self._thread(lambda: self._intake.follow(INTAKE_PREFIX, revisions[1]), "intake")
             self._loop()
+            self._hand_over()
         finally:
             self._ended.set()
             around.configuration.unlisten(self._configured)
@@ -108,6 +113,19 @@
             self._hold_pool.shutdown(wait=False, cancel_futures=True)
             _LOGGER.info("owner: the term has ended", extra={"deposed": self._scheduler.deposed})
 
+    def _hand_over(self) -> None:
+        """Tell the next owner when the leases of silent backend servers end."""
+        silent = self._scheduler.silent_workers()
+        if not silent or not self._validity.valid or self._scheduler.deposed:
+            return
+        owner = {OWNER_KEY: int(self._scheduler.token)}
+        try:
+            self._around.store.write(Transaction(owner, {HANDOVER_KEY: encode_handover(silent)}))
+        except ToucandoorError as err:
+            _LOGGER.info("owner: nothing handed over: %s", err, extra={"silent": len(silent)})
+        else:
+            _LOGGER.info("owner: handed over", extra={"silent": len(silent)})
+
     # The loop
 
     def _loop(self) -> None:
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -33,6 +33,7 @@
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.jobs.models import JobSpec, StepKey
     from toucandoor.core.jobs.records import ProgressRecord
+    from toucandoor.core.ownership.handover import Boot
     from toucandoor.core.records import Record, Transaction
     from toucandoor.core.scheduling.orders import Commit, Order
     from toucandoor.core.scheduling.workers import Advice, Listing, WorkerEntry
@@ -85,6 +86,10 @@
         """Latest boot of each backend server."""
         return self._state.workers
 
+    def silent_workers(self) -> dict[Boot, float]:
+        """Return when the leases of servers that do not answer end, in seconds from now."""
+        return self._registry.silent()
+
     # What callers and operators want
 
     def set_configuration(self, configuration: JobConfiguration) -> None:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from toucandoor.core.jobs.models import NOTHING, JobState, Resources, StepKey
 from toucandoor.core.scheduling.worker_view import RunState
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from toucandoor.clock import Clock
     from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
     from toucandoor.core.jobs.models import TaskKey
+    from toucandoor.core.ownership.handover import Boot
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress, Task
     from toucandoor.core.scheduling.worker_view import Run, WorkerView
     from toucandoor.ids import FencingToken, JobId, PoolId, TeamId, WorkerId
@@ -35,6 +38,8 @@
         lease_s: Lease of a backend server from each renewal.
         former_lease_s: Longest time for which a former owner's leases may still hold.
         status_kept_s: Time for which a finished job's state can be asked for.
+        handed_over: Where the former owner has said so, the longest time for which a boot's leases
+            may still hold.
     """
 
     owner_key: str
@@ -43,6 +48,7 @@
     lease_s: float
     former_lease_s: float
     status_kept_s: float = 120.0
+    handed_over: Mapping[Boot, float] = field(default_factory=dict)
 
 
 class ScheduleState:
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -6,12 +6,14 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.core.jobs.models import NOTHING
+from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.state import at_work
 from toucandoor.core.scheduling.worker_view import WorkerView
 from toucandoor.core.scheduling.workers import WorkerEntry
 from toucandoor.ids import DataCentreId, PoolId
 
 if TYPE_CHECKING:
+    from toucandoor.core.ownership.handover import Boot
     from toucandoor.core.scheduling.progress import Task
     from toucandoor.core.scheduling.state import ScheduleState
     from toucandoor.ids import VmId, WorkerId
@@ -97,6 +99,17 @@
             if not worker.listed and not worker.runs and not worker.uncommitted:
                 del state.workers[worker_id]
 
+    def silent(self) -> dict[Boot, float]:
+        """Return when the leases of boots end that do not answer, in seconds from now."""
+        now_s = self._state.now_s
+        lapses_in_s: dict[Boot, float] = {}
+        for worker in [*self._state.workers.values(), *self._state.former_boots]:
+            left_s = worker.lapses_in_s(now_s)
+            if worker.runs and worker.hold_failures > 0 and left_s is not None:
+                boot = (worker.entry.worker_id, worker.entry.born_unix_ms)
+                lapses_in_s[boot] = max(0.0, left_s) * (1 + const.WORKER_CLOCK_DRIFT_RATIO)
+        return lapses_in_s
+
     def recheck(self, worker: WorkerView) -> None:
         """Give a backend server nothing new until it has answered again."""
         worker.held = False
@@ -153,9 +166,9 @@
 
     def _new_view(self, entry: WorkerEntry) -> WorkerView:
         state = self._state
-        return WorkerView(
-            entry, unknown_lease_until_s=state.began_s + state.settings.former_lease_s
-        )
+        boot = (entry.worker_id, entry.born_unix_ms)
+        lease_s = state.settings.handed_over.get(boot, state.settings.former_lease_s)
+        return WorkerView(entry, unknown_lease_until_s=state.began_s + lease_s)
 
     def _known_boot(self, entry: WorkerEntry) -> WorkerView | None:
         """Return what is known of a boot that the list names again, or names first."""
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -163,17 +163,25 @@
             return None
         return int(self.clock_ms + (now_s - self.clock_read_s + lease_s) * 1000)
 
-    def lapsed(self, now_s: float) -> bool:
-        """Return whether every lease that it may hold has surely ended."""
-        if now_s < self.unknown_lease_until_s:
-            return False
+    def lapses_in_s(self, now_s: float) -> float | None:
+        """Return the time by which every lease that it may hold has surely ended.
+
+        None where its clock is not known; 0 or less once they have ended.
+        """
+        left_s = self.unknown_lease_until_s - now_s
         if self.lease_until_ms == 0:
-            return True
+            return left_s
         if self.clock_ms is None:
-            return False
-        slowest = (now_s - self.clock_read_s) * (1 - const.WORKER_CLOCK_DRIFT_RATIO)
-        reached_ms = self.clock_ms + slowest * 1000
-        return reached_ms > self.lease_until_ms + const.LAPSE_MARGIN_S * 1000
+            return None
+        slowest_ratio = 1 - const.WORKER_CLOCK_DRIFT_RATIO
+        reached_ms = self.clock_ms + (now_s - self.clock_read_s) * slowest_ratio * 1000
+        own_left_ms = self.lease_until_ms + const.LAPSE_MARGIN_S * 1000 - reached_ms
+        return max(left_s, own_left_ms / 1000 / slowest_ratio)
+
+    def lapsed(self, now_s: float) -> bool:
+        """Return whether every lease that it may hold has surely ended."""
+        left_s = self.lapses_in_s(now_s)
+        return left_s is not None and left_s <= 0
 
     @property
     def wants_hold(self) -> bool:
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -49,6 +49,7 @@
 
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.jobs.models import JobSpec, Resources, TaskKey
+    from toucandoor.core.ownership.handover import Boot
     from toucandoor.core.records import Record
     from toucandoor.core.scheduling.orders import Order
     from toucandoor.core.scheduling.worker_view import WorkerView
@@ -197,8 +198,15 @@
 
     # Owners
 
-    def take_over(self) -> Owner:
-        """Let another VM claim the schedule, as after the end of the former owner's lease."""
+    def take_over(self, *, planned: bool = False) -> Owner:
+        """Let another VM claim the schedule.
+
+        Args:
+            planned: Whether the former owner stops as planned; else its lease has ended.
+        """
+        handed_over: dict[Boot, float] = {}
+        if planned and self.owner is not None and self._acts(self.owner):
+            handed_over = self.owner.scheduler.silent_workers()
         if self.owner is not None:
             self.former.append(self.owner)
             self.owner.valid_until_s = min(self.owner.valid_until_s, self.clock.monotonic_s())
@@ -210,6 +218,7 @@
             token=token,
             lease_s=LEASE_S,
             former_lease_s=OWNER_TTL_S + LEASE_S * 1.02,
+            handed_over=handed_over,
         )
         owner = Owner(Scheduler(settings, self.clock))
         owner.scheduler.set_configuration(self.configuration)
