--- a/tests/adapters/test_bounded_logs.py
+++ b/tests/adapters/test_bounded_logs.py
@@ -8,8 +8,9 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
-from toucandoor.adapters.bounded_logs import LineBudget, QueuedLines
+from toucandoor.adapters.bounded_logs import LINES_PER_S, LineBudget, QueuedLines
 
 
 class BlockedStream(io.StringIO):
@@ -59,6 +60,19 @@
         self.assertLessEqual(passed, 10)  # two seconds' worth, where the clock turns over meanwhile
         self.assertTrue(budget.filter(record("rare")))
 
+    def test_a_burst_of_ten_times_the_budget_is_cut_to_it_and_counted(self) -> None:
+        budget = LineBudget()
+        passed = left_out = 0
+        with mock.patch("toucandoor.adapters.bounded_logs.time.monotonic") as clock:
+            for second in range(4):
+                clock.return_value = float(second)
+                for _ in range(10 * LINES_PER_S if second < 3 else 1):
+                    line = record("runs: planned")
+                    passed += budget.filter(line)
+                    left_out += getattr(line, "left_out", 0)
+        self.assertEqual(passed, 3 * LINES_PER_S + 1)
+        self.assertEqual(left_out, 3 * 9 * LINES_PER_S)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/adapters/test_node_metrics.py
@@ -0,0 +1,50 @@
+"""Names and labels of the node's metrics, as dashboards and alarms use them."""
+
+from __future__ import annotations
+
+import re
+import unittest
+
+from toucandoor.adapters.node_metrics import NodeMetrics, metrics_app
+from toucandoor.core.scheduling.pool_load import PoolLoad
+from toucandoor.ids import PoolId
+
+LABELS = {
+    "toucandoor_caller_seconds": {"queue", "team", "method", "status"},
+    "toucandoor_platform_call_seconds": {"step", "outcome"},
+    "toucandoor_job_seconds": {"queue", "team", "class", "state"},
+    "toucandoor_owner": set(),
+    "toucandoor_configuration_version": set(),
+    "toucandoor_pool_cpu_millicores": {"pool", "use"},
+    "toucandoor_pool_servers": {"pool"},
+}
+HISTOGRAMS = {name for name in LABELS if name.endswith("_seconds")}
+SAMPLE = re.compile(r"^(\w+?)(_bucket|_sum|_count)?(?:\{(.*)\})? \S+$")
+
+
+class MetricsTest(unittest.TestCase):
+    def test_names_and_labels(self) -> None:
+        metrics = NodeMetrics()
+        metrics.caller_answered("q", "t", "POST", 200, 0.01)
+        metrics.platform_answered("store.write", "200", 0.004)
+        metrics.job_ended("q", "t", "urgent", "completed", 1.5)
+        metrics.owns(True)
+        metrics.configured(3)
+        metrics.pool(PoolLoad(PoolId("p")))
+        seen: dict[str, set[str]] = {}
+        buckets: set[str] = set()
+        for line in b"".join(metrics_app({}, lambda *_: lambda _data: None)).decode().splitlines():
+            match = SAMPLE.match(line)
+            if match is None or line.startswith("#"):
+                continue
+            name, part, labels = match.groups()
+            found = set(re.findall(r"(\w+)=", labels or ""))
+            seen.setdefault(name, set()).update(found - {"le"})
+            if part == "_bucket":
+                buckets.add(name)
+        self.assertEqual(seen, LABELS)
+        self.assertEqual(buckets, HISTOGRAMS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_log_schema.py
@@ -0,0 +1,174 @@
+"""Fields of the node's log lines: each is listed here with its type, for readers of logs."""
+
+from __future__ import annotations
+
+import ast
+import logging
+import unittest
+from pathlib import Path
+
+from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, failing, fleet, job
+from toucandoor.core.jobs.models import Step
+from toucandoor.fakes.virtual_fleet import CallFate
+from toucandoor.ids import WorkerId
+
+FIELDS: dict[str, type | tuple[type, ...]] = {
+    "age_s": (int, float),
+    "arriving_cpu": int,
+    "attempt": int,
+    "before": int,
+    "begun": int,
+    "callers": str,
+    "capacity_cpu": int,
+    "capacity_mb": int,
+    "claim_s": float,
+    "configuration": int,
+    "data_centre": str,
+    "deposed": bool,
+    "down_max": int,
+    "ending_cpu": int,
+    "ending_mb": int,
+    "entry": str,
+    "failures": int,
+    "free_cpu": int,
+    "host": str,
+    "job": str,
+    "job_age_s": (int, float),
+    "jobs": int,
+    "known": bool,
+    "lasting_cpu": int,
+    "lasting_mb": int,
+    "listing_age_s": (int, float),
+    "method": str,
+    "metrics": str,
+    "orders": int,
+    "origin": str,
+    "path": str,
+    "pause_s": (int, float),
+    "percent": int,
+    "pool": str,
+    "queue": str,
+    "queues": int,
+    "reason": str,
+    "request": str,
+    "runs": int,
+    "servers": int,
+    "silent": int,
+    "status": int,
+    "steps": int,
+    "task": str,
+    "tasks": int,
+    "team": str,
+    "teams": int,
+    "token": int,
+    "valid": bool,
+    "vm": str,
+    "vms": int,
+    "waiting_cpu": int,
+    "waiting_mb": int,
+    "wave": int,
+    "within_s": (int, float),
+    "worker": str,
+    "workers": int,
+}
+KINDS = {
+    "runs: planned",
+    "runs: ended",
+    "jobs: %s",
+    "workers: %s %s",
+    "workers: %s is suspected",
+    "workers: %s left the list",
+}
+"""What the troubled session must have logged, so that the check of types says something."""
+PACKAGE = Path(__file__).parent.parent / "toucandoor"
+NODE_CODE = (
+    "core/scheduling",
+    "core/ownership",
+    "core/pools/vm_lender.py",
+    "core/maintenance/job_waves.py",
+    "core/maintenance/vm_list.py",
+    "core/maintenance/vm_orders.py",
+    "adapters/configuration_watch.py",
+    "adapters/job_callers.py",
+    "adapters/job_service.py",
+    "adapters/owner_task.py",
+    "adapters/owner_term.py",
+    "adapters/peers.py",
+    "adapters/relay_service.py",
+    "adapters/term_intake.py",
+    "adapters/term_orders.py",
+    "adapters/term_vms.py",
+    "platform",
+    "programs/node.py",
+)
+"""All that the node program logs from."""
+
+
+def node_modules() -> list[Path]:
+    """Return the modules that the node program logs from."""
+    found: list[Path] = []
+    for name in NODE_CODE:
+        path = PACKAGE / name
+        found += sorted(path.glob("*.py")) if path.is_dir() else [path]
+    return found
+
+
+def literal_keys(node: ast.expr) -> set[str]:
+    """Return the keys that a dict expression spells out, also in unions of dicts."""
+    return {
+        key.value
+        for each in ast.walk(node)
+        if isinstance(each, ast.Dict)
+        for key in each.keys
+        if isinstance(key, ast.Constant) and isinstance(key.value, str)
+    }
+
+
+class FieldsTest(unittest.TestCase):
+    def test_every_field_in_the_code_is_listed(self) -> None:
+        seen: dict[str, str] = {}
+        for path in node_modules():
+            for node in ast.walk(ast.parse(path.read_text())):
+                if isinstance(node, ast.keyword) and node.arg == "extra":
+                    seen |= dict.fromkeys(literal_keys(node.value), path.name)
+        unlisted = {key: where for key, where in seen.items() if key not in FIELDS}
+        self.assertEqual(unlisted, {})
+        self.assertGreater(len(seen), 20)
+
+    def test_every_field_of_a_troubled_session_has_its_type(self) -> None:
+        plain_fields = set(vars(logging.makeLogRecord({}))) | {"message"}
+        with self.assertLogs("toucandoor", "INFO") as logs:
+            self.play()
+            for load in self.last_loads:
+                logging.getLogger("toucandoor.load").info("load", extra=load.log_fields())
+        kinds = {str(record.msg) for record in logs.records}
+        self.assertLessEqual(KINDS, kinds)
+        for record in logs.records:
+            for name, value in vars(record).items():
+                if name not in plain_fields:
+                    self.assertIsInstance(value, FIELDS[name], (record.msg, name))
+
+    def play(self) -> None:
+        """Let jobs end in each way, beside lost answers, dead and cut off servers, new owners."""
+        virtual = fleet(behaviour=failing)
+        for number in range(1, 5):
+            virtual.submit(job(number, Step(3, NEEDS)))
+        virtual.submit(job(5, Step(2, NEEDS, long_running=True)))
+        virtual.run(1.0)
+        virtual.cancel(job(5).job_id)
+        trouble = iter([CallFate.LATE, CallFate.ANSWER_LOST] * 10)
+        virtual.fate = lambda kind: next(trouble, CallFate.ANSWERED)
+        virtual.run(3.0)
+        virtual.crash("w0")
+        virtual.workers[WorkerId("w1")].reachable = False
+        virtual.run(9.0)
+        virtual.boot("w0", POOL, CAPACITY)
+        virtual.submit(job(6, Step(3, NEEDS)))
+        virtual.take_over(planned=True)
+        virtual.run(9.0)
+        assert virtual.owner is not None
+        self.last_loads = list(virtual.owner.scheduler.loads().values())
+
+
+if __name__ == "__main__":
+    unittest.main()
