Send nothing to a boot that a later one of its id has replaced

The trace: ends of w0's first boot waited for the store; w0 restarted under its id; the scheduler kept the first boot for its acknowledgements and went on holding it. Those holds reached the new boot, whose ends are numbered from 1 again, and made it forget an end that nobody had read. The task was then started anew.

While writing the test a second path was found: a hold answered by a later boot that the list does not name yet ended the runs, but the old boot stayed usable and its next tasks were started on the new one, taken for lost at the next answer, and started again.

Change: a boot is marked as ended for good once the list or an answer shows that another one has its place. It gets no order, is not usable, its acknowledgements wait for nothing, and a late word of the list about it changes nothing.

--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
+from unittest import mock
 
 from tests.core.scheduling.common import (
     CAPACITY,
@@ -15,9 +17,14 @@
     one_second,
 )
 from toucandoor.core.jobs.models import JobState, Resources, Step
+from toucandoor.core.scheduling.orders import HoldWorker
 from toucandoor.core.scheduling.workers import EndReason
-from toucandoor.fakes.virtual_fleet import CallFate
+from toucandoor.fakes.virtual_fleet import CallFate, Owner
 from toucandoor.fakes.virtual_platform import TaskBehaviour
+from toucandoor.ids import WorkerId
+
+if TYPE_CHECKING:
+    from toucandoor.core.scheduling.orders import Order
 
 
 class CalmTest(unittest.TestCase):
@@ -206,6 +213,55 @@
         virtual.workers[place].settle()
         self.assertEqual(virtual.seen.broken, [])
 
+    def test_a_boot_that_was_replaced_under_its_id_gets_no_more_orders(self) -> None:
+        virtual = fleet(workers=1)
+        virtual.submit(job(1, Step(1, NEEDS)))
+        virtual.run(1.5)
+        virtual.submit(job(2, Step(1, NEEDS)))
+        virtual.run(0.5)
+        virtual.fate = lambda kind: CallFate.NOT_SENT if kind == "write" else CallFate.ANSWERED
+        virtual.run(1.0)
+        virtual.crash("w0")
+        virtual.run(0.2)
+        new = virtual.boot("w0", POOL, CAPACITY)
+        to_former_boots: list[Order] = []
+        send = virtual._send
+
+        def watch(owner: Owner, order: Order) -> None:
+            if isinstance(order, HoldWorker) and order.worker.entry != new.entry:
+                to_former_boots.append(order)
+            send(owner, order)
+
+        with mock.patch.object(virtual, "_send", watch):
+            virtual.run(0.5)
+            virtual.fate = lambda _kind: CallFate.ANSWERED
+            virtual.submit(job(3, Step(1, NEEDS)))
+            virtual.run(3.0)
+        self.assertEqual(to_former_boots, [])
+        self.assertEqual(virtual.state(job(3).job_id), JobState.COMPLETED)
+        self.assertEqual(virtual.seen.broken, [])
+
+    def test_a_boot_that_the_list_does_not_name_yet_gets_no_tasks_of_the_one_before(self) -> None:
+        virtual = fleet(workers=1)
+        virtual.submit(job(1, Step(1, NEEDS)))
+        virtual.run(0.5)
+        assert virtual.owner is not None
+        scheduler = virtual.owner.scheduler
+        old = virtual.workers[WorkerId("w0")].entry
+        virtual.crash("w0")
+        with mock.patch.object(scheduler, "worker_listed"):
+            new = virtual.boot("w0", POOL, CAPACITY)
+        virtual.run(2.0)
+        scheduler.worker_listed(old)  # a late word of the boot before
+        virtual.submit(job(2, Step(1, NEEDS)))
+        virtual.run(2.0)
+        self.assertEqual(new.runs, {})
+        self.assertEqual(virtual.seen.starts, 1)
+        scheduler.worker_listed(new.entry)
+        virtual.run(3.0)
+        self.assertEqual(virtual.state(job(2).job_id), JobState.COMPLETED)
+        self.assertEqual(virtual.seen.broken, [])
+
     def test_planned_changes_of_owner_do_not_prolong_the_wait_for_the_lapse(self) -> None:
         virtual = fleet(behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 20.0))
         virtual.submit(job(1, Step(1, NEEDS)))
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -173,8 +173,7 @@
         worker.hold_in_flight = False
         worker.hold_failures = 0
         if listing.born_unix_ms > worker.entry.born_unix_ms > 0:
-            state.lose_all(worker, "restarted")
-            worker.next_hold_s = state.now_s + const.HOLD_RETRY_S
+            self._registry.ended(worker, "restarted")
             return
         worker.answered_s = state.now_s
         worker.acknowledgement_sent = worker.acknowledging
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -35,11 +35,11 @@
             state.workers[entry.worker_id] = self._known_boot(entry) or self._new_view(entry)
             return
         if entry.born_unix_ms > known.entry.born_unix_ms > 0:
-            state.lose_all(known, "restarted")
-            if known.uncommitted:
-                state.former_boots.append(known)
+            self.ended(known, "restarted")
             state.workers[entry.worker_id] = self._new_view(entry)
             return
+        if known.ended:
+            return  # the list is behind
         if entry.draining and not known.entry.draining:
             _LOGGER.info(
                 "workers: %s drains",
@@ -80,9 +80,14 @@
         return missing
 
     def ended(self, worker: WorkerView, why: str) -> None:
-        """Note that a boot has ended, by another one's answer at its address."""
+        """Note that a boot has ended, by the list or by another one's answer at its address.
+
+        Nothing waits for its acknowledgements any more.
+        """
         self._state.lose_all(worker, why)
         worker.listed = False
+        worker.ended = True
+        worker.uncommitted.clear()
 
     def forget_lapsed(self) -> None:
         """End the runs of silent backend servers whose leases have surely ended."""
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -80,6 +80,8 @@
     Attributes:
         entry: What it last said of itself.
         listed: Whether the platform's list still names it.
+        ended: Whether something else has answered at its address, such as its own later boot. An
+            order to it would reach that one: its id is the same, and numbers of ends begin anew.
         held: Whether it has answered a hold of this owner.
         runs: Runs that it has or may have.
         used: Room that they take.
@@ -108,6 +110,7 @@
 
     entry: WorkerEntry
     listed: bool = True
+    ended: bool = False
     held: bool = False
     runs: dict[RunKey, Run] = field(default_factory=dict)
     used: Resources = NOTHING
@@ -186,6 +189,8 @@
     @property
     def wants_hold(self) -> bool:
         """Whether there is anything to extend, to learn or to acknowledge."""
+        if self.ended:
+            return False
         owed = self.ends_acknowledged > self.acknowledgement_sent
         unknown = self.listed and not self.held
         return bool(self.runs or self.uncommitted or owed or unknown)
@@ -194,6 +199,7 @@
         """Return whether it may get new tasks."""
         return (
             self.listed
+            and not self.ended
             and self.held
             and not self.entry.draining
             and not self.cordoned
