--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from unittest import mock
 
@@ -18,6 +19,7 @@
 )
 from toucandoor.core.jobs.models import JobState, Resources, Step
 from toucandoor.core.scheduling.orders import HoldWorker
+from toucandoor.core.scheduling.worker_view import WorkerView
 from toucandoor.core.scheduling.workers import EndReason
 from toucandoor.fakes.virtual_fleet import CallFate, Owner
 from toucandoor.fakes.virtual_platform import TaskBehaviour
@@ -213,6 +215,28 @@
         virtual.workers[place].settle()
         self.assertEqual(virtual.seen.broken, [])
 
+    def test_a_late_start_of_the_former_owner_is_fenced(self) -> None:
+        virtual = fleet(workers=2, behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 20.0))
+        virtual.fate = lambda kind: CallFate.LATE if kind == "start" else CallFate.ANSWERED
+        virtual.submit(job(1, Step(1, NEEDS)))
+        virtual.run(0.1)
+        assert virtual.owner is not None
+        scheduler = virtual.owner.scheduler
+        place = next(name for name, view in scheduler.workers.items() if view.runs)
+        virtual.fate = lambda _kind: CallFate.ANSWERED
+        scheduler = virtual.take_over().scheduler
+        scheduler.worker_listed(replace(virtual.workers[place].entry, draining=True))
+        virtual.run(10.0)
+        self.assertEqual(virtual.seen.broken, [])
+        self.assertEqual(virtual.seen.starts, 1)
+
+    def test_an_ended_boot_is_not_used_and_not_asked(self) -> None:
+        entry = fleet(workers=1).workers[WorkerId("w0")].entry
+        view = WorkerView(entry, held=True, ends_acknowledged=2)
+        self.assertTrue(view.usable(0.0) and view.wants_hold)
+        view.ended = True
+        self.assertFalse(view.usable(0.0) or view.wants_hold)
+
     def test_a_boot_that_was_replaced_under_its_id_gets_no_more_orders(self) -> None:
         virtual = fleet(workers=1)
         virtual.submit(job(1, Step(1, NEEDS)))
