--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -105,7 +105,10 @@
                 del state.workers[worker_id]
 
     def silent(self) -> dict[Boot, float]:
-        """Return when the leases of boots end that do not answer, in seconds from now."""
+        """Return when the leases of boots end that do not answer, in seconds from now.
+
+        Longer by the drift of clocks, as another VM will wait for them.
+        """
         now_s = self._state.now_s
         lapses_in_s: dict[Boot, float] = {}
         for worker in [*self._state.workers.values(), *self._state.former_boots]:
