--- a/toucandoor/core/ceilings/coordinator.py
+++ b/toucandoor/core/ceilings/coordinator.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import logging
-from collections import Counter, defaultdict
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from toucandoor.core.ceilings.const import (
@@ -200,7 +200,7 @@
         write = self._plan(now_s) if self._is_plan_due(now_s) else self._writes.again()
         envelopes = self._announce(now_s)
         envelopes += self._exchange.resend(now_s)
-        envelopes += self._give(self._wanted, now_s)
+        envelopes += self._exchange.give_what_is_owed(self._wanted, now_s)
         envelopes += self._exchange.show(lambda team: self._wanted.get(team, 0), now_s)
         return CoordinatorOutput(envelopes, write)
 
@@ -384,23 +384,3 @@
             self._exchange.touch(team)
         if lost:
             _LOGGER.info("%s recovered %s permits", _PREFIX, lost.total())
-
-    def _give(self, wanted: Mapping[TeamId, int], now_s: float) -> list[Envelope]:
-        given: defaultdict[Member, Counter[TeamId]] = defaultdict(Counter)
-        for team in self._exchange.take_changed():
-            self._give_team(team, wanted.get(team, 0), given, now_s)
-        return self._exchange.give(given, now_s)
-
-    def _give_team(
-        self,
-        team: TeamId,
-        wanted: int,
-        given: defaultdict[Member, Counter[TeamId]],
-        now_s: float,
-    ) -> None:
-        in_hand = max(0, self.pool(team) - wanted)
-        for member, owed in self._exchange.owed(team, wanted, now_s).items():
-            permits = min(owed, in_hand)
-            if permits > 0 and self._exchange.holding.can_give_to(member):
-                given[member][team] += permits
-                in_hand -= permits
--- a/toucandoor/core/ceilings/exchange.py
+++ b/toucandoor/core/ceilings/exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
@@ -177,6 +177,24 @@
             self._assume_taken(taker, teams)
         return envelopes
 
+    def give_what_is_owed(self, kept: Mapping[TeamId, int], now_s: float) -> list[Envelope]:
+        """Transfer what peers should get of the teams whose division has changed.
+
+        Args:
+            kept: Permits of each team that stay here whatever the peers want.
+            now_s: Monotonic time.
+        """
+        given: defaultdict[Member, Counter[TeamId]] = defaultdict(Counter)
+        for team in self.take_changed():
+            stays = kept.get(team, 0)
+            in_hand = max(0, self.holding.held[team] - stays)
+            for member, owed in self.owed(team, stays, now_s).items():
+                permits = min(owed, in_hand)
+                if permits > 0 and self.holding.can_give_to(member):
+                    given[member][team] += permits
+                    in_hand -= permits
+        return self.give(given, now_s)
+
     def _assume_taken(self, taker: Member, permits: Mapping[TeamId, int]) -> None:
         known = self._statuses.setdefault(taker, {})
         for team, count in permits.items():
