--- a/tests/adapters/test_term_orders.py
+++ b/tests/adapters/test_term_orders.py
@@ -11,7 +11,8 @@
 from toucandoor.adapters.term_orders import TermOrders
 from toucandoor.core.jobs.models import JobState, Step
 from toucandoor.core.scheduling.orders import StartRun
-from toucandoor.fakes.virtual_fleet import Owner, VirtualFleet
+from toucandoor.fakes.virtual_calls import Owner
+from toucandoor.fakes.virtual_fleet import VirtualFleet
 
 
 class ValidityTest(unittest.TestCase):
@@ -25,13 +26,13 @@
         virtual.submit(job(1, Step(1, NEEDS)))
         virtual.run(0.2)
         self.assertEqual(virtual.seen.starts, 0)
-        del virtual._send  # type: ignore[attr-defined]
+        del virtual.calls.send  # type: ignore[attr-defined]
         virtual.run(2.0)
         self.assertEqual(virtual.state(job(1).job_id), JobState.COMPLETED)
 
     def drop_starts(self, virtual: VirtualFleet, owner: Owner) -> None:
         """Carry starts out as a term does whose ownership is not valid at that moment."""
-        send = virtual._send
+        send = virtual.calls.send
 
         def post(event: Callable[[], None]) -> None:
             virtual.after(0.0, event)
@@ -52,7 +53,7 @@
             else:
                 send(sender, order)  # type: ignore[arg-type]
 
-        virtual._send = carry_out  # type: ignore[method-assign]
+        virtual.calls.send = carry_out  # type: ignore[method-assign]
 
 
 if __name__ == "__main__":
--- a/tests/core/scheduling/test_machine.py
+++ b/tests/core/scheduling/test_machine.py
@@ -17,7 +17,8 @@
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job
 from toucandoor.core.jobs.models import Step, TaskKey
 from toucandoor.core.scheduling.workers import EndReason
-from toucandoor.fakes.virtual_fleet import CallFate, VirtualFleet
+from toucandoor.fakes.virtual_calls import CallFate
+from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import JobId, WorkerId
 
@@ -35,8 +36,8 @@
         self.bad: set[str] = set()
         self.fleet = VirtualFleet(configuration(attempts_max=ATTEMPTS_MAX), self.behave)
         self.trouble: dict[str, float] = {}
-        self.fleet.fate = self.choose_fate
-        self.fleet.late_s = lambda: self.random.uniform(2.0, 12.0)
+        self.fleet.calls.fate = self.choose_fate
+        self.fleet.calls.late_s = lambda: self.random.uniform(2.0, 12.0)
         for number in range(WORKERS):
             rate = self.random.choice([0.98, 1.0])
             self.fleet.boot(f"w{number}", POOL, CAPACITY, clock_rate=rate)
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -21,7 +21,7 @@
 from toucandoor.core.scheduling.orders import HoldWorker
 from toucandoor.core.scheduling.worker_view import WorkerView
 from toucandoor.core.scheduling.workers import EndReason
-from toucandoor.fakes.virtual_fleet import CallFate, Owner
+from toucandoor.fakes.virtual_calls import CallFate, Owner
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import WorkerId
 
@@ -136,7 +136,7 @@
     def test_start_without_answer_is_not_doubled(self) -> None:
         virtual = fleet()
         fates = iter([CallFate.ANSWER_LOST, CallFate.LATE, CallFate.LATE, CallFate.LATE])
-        virtual.fate = lambda kind: (
+        virtual.calls.fate = lambda kind: (
             next(fates, CallFate.ANSWERED) if kind == "start" else CallFate.ANSWERED
         )
         virtual.submit(job(1))
@@ -148,7 +148,7 @@
         """A server that has answered another order since gets its tasks at once."""
         virtual = fleet(workers=1)
         fates = iter([CallFate.LATE])
-        virtual.fate = lambda kind: (
+        virtual.calls.fate = lambda kind: (
             next(fates, CallFate.ANSWERED) if kind == "start" else CallFate.ANSWERED
         )
         virtual.submit(job(1, Step(1, NEEDS)))
@@ -163,7 +163,7 @@
     def test_lost_answer_of_the_store_is_read_back(self) -> None:
         virtual = fleet()
         fates = iter([CallFate.ANSWER_LOST, CallFate.LATE, CallFate.ANSWER_LOST])
-        virtual.fate = lambda kind: (
+        virtual.calls.fate = lambda kind: (
             next(fates, CallFate.ANSWERED) if kind == "write" else CallFate.ANSWERED
         )
         virtual.submit(job(1))
@@ -174,7 +174,9 @@
 
     def test_nothing_starts_before_its_record_is_in_the_store(self) -> None:
         virtual = fleet()
-        virtual.fate = lambda kind: CallFate.NOT_SENT if kind == "write" else CallFate.ANSWERED
+        virtual.calls.fate = lambda kind: (
+            CallFate.NOT_SENT if kind == "write" else CallFate.ANSWERED
+        )
         virtual.submit(job(1))
         virtual.run(3.0)
         self.assertEqual(virtual.seen.starts, 0)
@@ -183,10 +185,12 @@
         virtual = fleet()
         virtual.submit(job(1))
         virtual.run(0.5)
-        virtual.fate = lambda kind: CallFate.NOT_SENT if kind == "write" else CallFate.ANSWERED
+        virtual.calls.fate = lambda kind: (
+            CallFate.NOT_SENT if kind == "write" else CallFate.ANSWERED
+        )
         virtual.run(4.0)
         self.assertEqual(virtual.seen.acknowledged, set())
-        virtual.fate = lambda _kind: CallFate.ANSWERED
+        virtual.calls.fate = lambda _kind: CallFate.ANSWERED
         virtual.run(3.0)
         self.assertEqual(len(virtual.seen.acknowledged), 3)
 
@@ -217,13 +221,13 @@
 
     def test_a_late_start_of_the_former_owner_is_fenced(self) -> None:
         virtual = fleet(workers=2, behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 20.0))
-        virtual.fate = lambda kind: CallFate.LATE if kind == "start" else CallFate.ANSWERED
+        virtual.calls.fate = lambda kind: CallFate.LATE if kind == "start" else CallFate.ANSWERED
         virtual.submit(job(1, Step(1, NEEDS)))
         virtual.run(0.1)
         assert virtual.owner is not None
         scheduler = virtual.owner.scheduler
         place = next(name for name, view in scheduler.workers.items() if view.runs)
-        virtual.fate = lambda _kind: CallFate.ANSWERED
+        virtual.calls.fate = lambda _kind: CallFate.ANSWERED
         scheduler = virtual.take_over().scheduler
         scheduler.worker_listed(replace(virtual.workers[place].entry, draining=True))
         virtual.run(10.0)
@@ -243,22 +247,24 @@
         virtual.run(1.5)
         virtual.submit(job(2, Step(1, NEEDS)))
         virtual.run(0.5)
-        virtual.fate = lambda kind: CallFate.NOT_SENT if kind == "write" else CallFate.ANSWERED
+        virtual.calls.fate = lambda kind: (
+            CallFate.NOT_SENT if kind == "write" else CallFate.ANSWERED
+        )
         virtual.run(1.0)
         virtual.crash("w0")
         virtual.run(0.2)
         new = virtual.boot("w0", POOL, CAPACITY)
         to_former_boots: list[Order] = []
-        send = virtual._send
+        send = virtual.calls.send
 
         def watch(owner: Owner, order: Order) -> None:
             if isinstance(order, HoldWorker) and order.worker.entry != new.entry:
                 to_former_boots.append(order)
             send(owner, order)
 
-        with mock.patch.object(virtual, "_send", watch):
+        with mock.patch.object(virtual.calls, "send", watch):
             virtual.run(0.5)
-            virtual.fate = lambda _kind: CallFate.ANSWERED
+            virtual.calls.fate = lambda _kind: CallFate.ANSWERED
             virtual.submit(job(3, Step(1, NEEDS)))
             virtual.run(3.0)
         self.assertEqual(to_former_boots, [])
--- a/tests/core/scheduling/test_session.py
+++ b/tests/core/scheduling/test_session.py
@@ -9,7 +9,8 @@
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job
 from toucandoor.core.jobs.models import Step, TaskKey
 from toucandoor.core.scheduling.workers import EndReason
-from toucandoor.fakes.virtual_fleet import CallFate, VirtualFleet
+from toucandoor.fakes.virtual_calls import CallFate
+from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import WorkerId
 
@@ -35,7 +36,7 @@
             lines.append({"at_s": self.at(fleet), "call": kind, "fate": fate.value})
             return fate
 
-        fleet.fate = note
+        fleet.calls.fate = note
         changed = fleet.records.on_change
 
         def record(key: str, value: Any) -> None:
--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -9,7 +9,7 @@
 
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, failing, fleet, job
 from toucandoor.core.jobs.models import Step
-from toucandoor.fakes.virtual_fleet import CallFate
+from toucandoor.fakes.virtual_calls import CallFate
 from toucandoor.ids import WorkerId
 
 FIELDS: dict[str, type | tuple[type, ...]] = {
@@ -157,7 +157,7 @@
         virtual.run(1.0)
         virtual.cancel(job(5).job_id)
         trouble = iter([CallFate.LATE, CallFate.ANSWER_LOST] * 10)
-        virtual.fate = lambda kind: next(trouble, CallFate.ANSWERED)
+        virtual.calls.fate = lambda kind: next(trouble, CallFate.ANSWERED)
         virtual.run(3.0)
         virtual.crash("w0")
         virtual.workers[WorkerId("w1")].reachable = False
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -4,9 +4,7 @@
 
 import heapq
 import itertools
-from dataclasses import dataclass
 from datetime import UTC, datetime
-from enum import Enum
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -25,17 +23,10 @@
     progress_key,
 )
 from toucandoor.core.ownership.lease import OWNER_KEY
-from toucandoor.core.records import Transaction, TransactionConflictError
-from toucandoor.core.scheduling.orders import (
-    AskAdvice,
-    Commit,
-    HoldWorker,
-    PaceRun,
-    StartRun,
-    StopRun,
-)
+from toucandoor.core.records import Transaction
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
-from toucandoor.core.scheduling.workers import OrderRefusedError, WorkerEntry
+from toucandoor.core.scheduling.workers import WorkerEntry
+from toucandoor.fakes.virtual_calls import STORE_CALL_S, Owner, VirtualCalls
 from toucandoor.fakes.virtual_platform import (
     Observations,
     TaskBehaviour,
@@ -51,44 +42,11 @@
     from toucandoor.core.jobs.models import JobSpec, Resources, TaskKey
     from toucandoor.core.ownership.handover import Boot
     from toucandoor.core.records import Record
-    from toucandoor.core.scheduling.orders import Order
-    from toucandoor.core.scheduling.worker_view import WorkerView
 
-CALL_S = 0.002
-"""Time of a call to a backend server."""
-STORE_CALL_S = 0.006
-"""Time of a call to the store."""
 LEASE_S = 6.0
 OWNER_TTL_S = 2.0
 
 
-class CallFate(Enum):
-    """What happens to a call."""
-
-    ANSWERED = "answered"
-    ANSWER_LOST = "answer_lost"
-    LATE = "late"
-    """Not answered, and carried out seconds later."""
-    NOT_SENT = "not_sent"
-
-
-@dataclass(slots=True)
-class Owner:
-    """One term of ownership.
-
-    Attributes:
-        scheduler: Its scheduler.
-        alive: Whether its process runs.
-        paused_until_s: It stands still until then.
-        valid_until_s: Until when it believes to own the schedule.
-    """
-
-    scheduler: Scheduler
-    alive: bool = True
-    paused_until_s: float = 0.0
-    valid_until_s: float = float("inf")
-
-
 class VirtualFleet:
     """A fleet in virtual time.
 
@@ -98,8 +56,7 @@
         records: The store.
         workers: Present boots of backend servers.
         owner: The present owner; None while there is none.
-        fate: Chooses what happens to each call, by kind: ``start``, ``stop``, ``hold``, ``write``.
-        late_s: Chooses how much later a late call is carried out.
+        calls: Carries out the owners' calls; faults are set there.
     """
 
     def __init__(
@@ -113,9 +70,7 @@
         self.records = VirtualRecords()
         self.workers: dict[WorkerId, VirtualWorker] = {}
         self.owner: Owner | None = None
-        self.former: list[Owner] = []
-        self.fate: Callable[[str], CallFate] = lambda kind: CallFate.ANSWERED
-        self.late_s: Callable[[], float] = lambda: 4.0
+        self.calls = VirtualCalls(self.clock, self.records, self.workers, self.after, self._event)
         self.configuration = configuration
         self._behaviour = behaviour
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -208,7 +163,6 @@
         if planned and self.owner is not None and self._acts(self.owner):
             handed_over = self.owner.scheduler.silent_workers()
         if self.owner is not None:
-            self.former.append(self.owner)
             self.owner.valid_until_s = min(self.owner.valid_until_s, self.clock.monotonic_s())
         self.records.remove(OWNER_KEY)
         token = FencingToken(self.records.write(Transaction({OWNER_KEY: 0}, {OWNER_KEY: b"{}"})))
@@ -280,156 +234,10 @@
         if self.clock.monotonic_s() < owner.paused_until_s:
             return
         for order in owner.scheduler.orders():
-            self._send(owner, order)
+            self.calls.send(owner, order)
         for commit in owner.scheduler.commits():
-            self._write(owner, commit)
+            self.calls.write(owner, commit)
         removal = owner.scheduler.removal()
         if removal is not None:
             self.records.write(removal)
             owner.scheduler.removed(ok=True)
-
-    # Calls
-
-    def _write(self, owner: Owner, commit: Commit) -> None:
-        scheduler = owner.scheduler
-        fate = self.fate("write")
-        if fate is CallFate.NOT_SENT:
-            self._event(owner, 0.1, lambda: scheduler.commit_failed(commit, None))
-            return
-        if fate is CallFate.LATE:
-            self.after(self.late_s(), partial(self._try_write, commit.transaction))
-            self._event(owner, 0.9, lambda: scheduler.commit_failed(commit, None))
-            return
-
-        def arrive() -> None:
-            try:
-                revision = self.records.write(commit.transaction)
-            except TransactionConflictError as err:
-                present = err.present
-                self._event(
-                    owner, STORE_CALL_S / 2, lambda: scheduler.commit_failed(commit, present)
-                )
-                return
-            if fate is CallFate.ANSWER_LOST:
-                self._event(owner, 0.9, lambda: scheduler.commit_failed(commit, None))
-            else:
-                self._event(
-                    owner, STORE_CALL_S / 2, lambda: scheduler.commit_done(commit, revision)
-                )
-
-        self.after(STORE_CALL_S / 2, arrive)
-
-    def _try_write(self, transaction: Transaction) -> None:
-        try:
-            self.records.write(transaction)
-        except TransactionConflictError:
-            return  # its condition no longer holds
-
-    def _send(self, owner: Owner, order: Order) -> None:
-        if isinstance(order, HoldWorker):
-            sent_s = self.clock.monotonic_s()
-            fate = self.fate("hold")
-            self.after(CALL_S / 2, lambda: self._hold_arrives(owner, order, sent_s, fate, sent_s))
-        elif isinstance(order, StartRun):
-            self._order_out(
-                owner,
-                "start",
-                order.run.worker,
-                lambda worker: worker.start(order.order),
-                lambda clock_ms: owner.scheduler.start_answered(order.run, clock_ms),
-                lambda err: owner.scheduler.start_refused(order.run, err.refusal),
-                lambda: owner.scheduler.start_unanswered(order.run),
-            )
-        elif isinstance(order, StopRun):
-            self._order_out(
-                owner,
-                "stop",
-                order.run.worker,
-                lambda worker: worker.stop(order.run.key, order.token),
-                lambda _: owner.scheduler.stop_answered(order.run),
-                lambda err: owner.scheduler.stop_failed(order.run, err.refusal),
-                lambda: owner.scheduler.stop_failed(order.run, None),
-            )
-        elif isinstance(order, AskAdvice | PaceRun):
-            raise NotImplementedError(type(order).__name__)
-
-    def _boot_of(self, view: WorkerView) -> VirtualWorker | None:
-        worker = self.workers.get(view.entry.worker_id)
-        return worker if worker is not None and worker.alive and worker.reachable else None
-
-    def _order_out(
-        self,
-        owner: Owner,
-        kind: str,
-        view: WorkerView,
-        act: Callable[[VirtualWorker], int],
-        answered: Callable[[int], None],
-        refused: Callable[[OrderRefusedError], None],
-        unanswered: Callable[[], None],
-    ) -> None:
-        fate = self.fate(kind)
-
-        def arrive() -> None:
-            worker = self._boot_of(view)
-            if worker is None or fate is CallFate.NOT_SENT:
-                self._event(owner, 0.5, unanswered)
-                return
-            if fate is CallFate.LATE:
-                self.after(self.late_s(), partial(self._act_late, worker, act))
-                self._event(owner, 1.0, unanswered)
-                return
-            try:
-                clock_ms = act(worker)
-            except OrderRefusedError as err:
-                refusal = err
-                self._event(owner, CALL_S / 2, lambda: refused(refusal))
-                return
-            if fate is CallFate.ANSWER_LOST:
-                self._event(owner, 1.0, unanswered)
-            else:
-                self._event(owner, CALL_S / 2, lambda: answered(clock_ms))
-
-        self.after(CALL_S / 2, arrive)
-
-    def _act_late(self, worker: VirtualWorker, act: Callable[[VirtualWorker], int]) -> None:
-        """Carry out what a boot has received and put off; a later boot knows nothing of it."""
-        if not worker.alive:
-            return
-        try:
-            act(worker)
-        except OrderRefusedError:
-            return  # a newer order has ruled it out
-
-    def _hold_arrives(
-        self, owner: Owner, order: HoldWorker, sent_s: float, fate: CallFate, arrived_s: float
-    ) -> None:
-        """Carry a long poll out: it answers at the first end, or when its waiting time is over."""
-        scheduler = owner.scheduler
-        worker = self._boot_of(order.worker)
-        if worker is None or fate is not CallFate.ANSWERED:
-            if worker is not None and fate is CallFate.LATE:
-                late = partial(
-                    self._act_late,
-                    worker,
-                    lambda each: each.hold(
-                        order.token, order.lease_until_ms, order.acknowledged
-                    ).clock_ms,
-                )
-                self.after(self.late_s(), late)
-            self._event(owner, 1.0, lambda: scheduler.hold_failed(order.worker, None))
-            return
-        try:
-            listing = worker.hold(order.token, order.lease_until_ms, order.acknowledged)
-        except OrderRefusedError as err:
-            refusal = err.refusal
-            self._event(owner, CALL_S / 2, lambda: scheduler.hold_failed(order.worker, refusal))
-            return
-        waited_s = self.clock.monotonic_s() - arrived_s
-        if listing.ended or waited_s >= order.wait_s:
-            self._event(
-                owner,
-                CALL_S / 2,
-                lambda: scheduler.hold_answered(order.worker, listing, sent_s),
-            )
-            return
-        self.after(0.02, lambda: self._hold_arrives(owner, order, sent_s, fate, arrived_s))
