Derive the longest former lease instead of passing it

Cause: the owner's term worked it out from the lease, and the virtual fleet from a lease of its own with another ownership's time and no margin, so the state machine checked a wait that the product does not use. Change: a property of the scheduler's settings.

--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -17,12 +17,10 @@
 from toucandoor.core.ownership.handover import HANDOVER_KEY, encode_handover
 from toucandoor.core.ownership.lease import (
     OWNER_KEY,
-    OWNER_TTL_S,
     RENEW_EVERY_S,
     RENEW_TIMEOUT_S,
 )
 from toucandoor.core.records import LeaseEndedError, Transaction, TransactionConflictError
-from toucandoor.core.scheduling.const import LAPSE_MARGIN_S, WORKER_CLOCK_DRIFT_RATIO
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.platform.operator_records import WORKER_PREFIX
@@ -68,9 +66,6 @@
             owner_revision=token,
             token=token,
             lease_s=around.settings.lease_s_max,
-            former_lease_s=OWNER_TTL_S
-            + around.settings.lease_s_max * (1 + WORKER_CLOCK_DRIFT_RATIO)
-            + LAPSE_MARGIN_S,
             status_kept_s=around.settings.status_kept_s,
             handed_over=handed_over,
         )
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING, Final
 
 from toucandoor.core.jobs.models import NOTHING, JobState, Resources, StepKey
+from toucandoor.core.ownership.lease import OWNER_TTL_S
+from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.worker_view import RunState
 
 if TYPE_CHECKING:
@@ -36,7 +38,6 @@
         owner_revision: That revision.
         token: Fencing token of this owner.
         lease_s: Lease of a backend server from each renewal.
-        former_lease_s: Longest time for which a former owner's leases may still hold.
         status_kept_s: Time for which a finished job's state can be asked for.
         handed_over: Where the former owner has said so, the longest time for which a boot's leases
             may still hold.
@@ -46,10 +47,18 @@
     owner_revision: int
     token: FencingToken
     lease_s: float
-    former_lease_s: float
     status_kept_s: float = 120.0
     handed_over: Mapping[Boot, float] = field(default_factory=dict)
 
+    @property
+    def former_lease_s(self) -> float:
+        """Longest time for which a former owner's leases may still hold.
+
+        It may have renewed them until its ownership ended, which may have been just now.
+        """
+        slowest_lease_s = self.lease_s * (1 + const.WORKER_CLOCK_DRIFT_RATIO)
+        return OWNER_TTL_S + slowest_lease_s + const.LAPSE_MARGIN_S
+
 
 class ScheduleState:
     """Jobs, backend servers and runs, with the sums that placement needs.
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -44,7 +44,6 @@
     from toucandoor.core.scheduling.workers import Boot
 
 LEASE_S = 6.0
-OWNER_TTL_S = 2.0
 
 
 class VirtualFleet:
@@ -171,7 +170,6 @@
             owner_revision=token,
             token=token,
             lease_s=LEASE_S,
-            former_lease_s=OWNER_TTL_S + LEASE_S * 1.02,
             handed_over=handed_over,
         )
         owner = Owner(Scheduler(settings, self.clock))
