Start and stop groups of processes in one way

Cause: the deployment and the pool of faulty servers each had their own entering, leaving and stopping of processes, line for line. Change: ProcessGroup and stop_processes in measures/_deployment.py; the pool's start of one server is called restart.

--- a/toucandoor/measures/_deployment.py
+++ b/toucandoor/measures/_deployment.py
@@ -9,6 +9,8 @@
 import sys
 import tempfile
 import time
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
@@ -94,7 +96,45 @@
     claims_address: str
 
 
-class LocalDeployment:
+def stop_processes(processes: Iterable[LocalProcess]) -> None:
+    """Ask all that were started to stop, then wait for each."""
+    started = [process for process in processes if hasattr(process, "process")]
+    for process in started:
+        process.send(signal.SIGCONT)
+        process.send(signal.SIGTERM)
+    for process in started:
+        process.end()
+
+
+class ProcessGroup(ABC):
+    """Context manager for processes on loopback: one that does not start whole is stopped."""
+
+    @abstractmethod
+    def start(self) -> None:
+        """Start everything and wait until it serves."""
+
+    @abstractmethod
+    def stop(self) -> None:
+        """Stop everything that was started."""
+
+    def __enter__(self) -> Self:
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.stop()
+
+
+class LocalDeployment(ProcessGroup):
     """Starts and stops the stand-ins and the entry VMs of one fleet.
 
     Args:
@@ -120,35 +160,17 @@
         self.processes: dict[str, LocalProcess] = {}
         self._make_processes()
 
-    def __enter__(self) -> Self:
-        try:
-            for process in self.processes.values():
-                process.start()
-            for vm in self.entry_vms:
-                self.wait_for(vm.controller_ops_address, "/healthz")
-                self.wait_for(vm.entry_ops_address, "/healthz")
-        except BaseException:
-            self.stop()
-            raise
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        self.stop()
+    def start(self) -> None:
+        """Start everything and wait until the entry VMs serve."""
+        for process in self.processes.values():
+            process.start()
+        for vm in self.entry_vms:
+            self.wait_for(vm.controller_ops_address, "/healthz")
+            self.wait_for(vm.entry_ops_address, "/healthz")
 
     def stop(self) -> None:
         """Stop everything: entries first, stand-ins last."""
-        for process in self.processes.values():
-            if hasattr(process, "process"):
-                process.send(signal.SIGCONT)
-                process.send(signal.SIGTERM)
-        for process in self.processes.values():
-            if hasattr(process, "process"):
-                process.end()
+        stop_processes(self.processes.values())
         self._scratch.cleanup()
 
     def log(self, name: str) -> str:
--- a/toucandoor/measures/_faulty_pool.py
+++ b/toucandoor/measures/_faulty_pool.py
@@ -11,14 +11,19 @@
 from collections import Counter
 from contextlib import suppress
 from pathlib import Path
-from types import TracebackType
-from typing import Any, Self
+from typing import Any
 
 import urllib3
 
 from toucandoor.core.keys import secret_digest
 from toucandoor.fakes.middlebox import Middlebox
-from toucandoor.measures._deployment import HTTP, LocalDeployment, LocalProcess
+from toucandoor.measures._deployment import (
+    HTTP,
+    LocalDeployment,
+    LocalProcess,
+    ProcessGroup,
+    stop_processes,
+)
 
 SECRET = "secret-of-the-pool-team"
 SLOTS = 8
@@ -26,7 +31,7 @@
 PORTS = 10_000
 
 
-class FaultyPool:
+class FaultyPool(ProcessGroup):
     """Starts backend servers and provokes faults on them.
 
     Args:
@@ -46,35 +51,18 @@
         self.middleboxes: list[Middlebox] = []
         (self.folder / "10-all.toml").write_text(self._folder_text())
 
-    def __enter__(self) -> Self:
-        try:
-            for process in self.processes:
-                process.start()
-            for address in self._direct:
-                self._wait_up(address)
-            for listen, server in zip(self.addresses, self._direct, strict=True):
-                self.middleboxes.append(Middlebox(listen, server))
-        except BaseException:
-            self.stop()
-            raise
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        self.stop()
+    def start(self) -> None:
+        """Start the backend servers, and a middlebox before each."""
+        for process in self.processes:
+            process.start()
+        for address in self._direct:
+            self._wait_up(address)
+        for listen, server in zip(self.addresses, self._direct, strict=True):
+            self.middleboxes.append(Middlebox(listen, server))
 
     def stop(self) -> None:
         """Stop the backend servers and what lies before them."""
-        started = [each for each in self.processes if hasattr(each, "process")]
-        for process in started:
-            process.send(signal.SIGCONT)
-            process.send(signal.SIGTERM)
-        for process in started:
-            process.end()
+        stop_processes(self.processes)
         for middlebox in self.middleboxes:
             middlebox.close()
         self._scratch.cleanup()
@@ -90,7 +78,7 @@
         self.processes[number].send(signal.SIGKILL)
         self.processes[number].process.wait()
 
-    def start(self, number: int) -> None:
+    def restart(self, number: int) -> None:
         """Start a new process in place of a killed backend server."""
         self.processes[number].start()
         self._wait_up(self._direct[number])
--- a/toucandoor/measures/lost_or_doubled.py
+++ b/toucandoor/measures/lost_or_doubled.py
@@ -202,7 +202,7 @@
             case "kill":
                 pool.kill(number)
                 time.sleep(0.5)
-                pool.start(number)
+                pool.restart(number)
             case "freeze":
                 pool.freeze(number)
                 time.sleep(3.0)
--- a/toucandoor/measures/recovery.py
+++ b/toucandoor/measures/recovery.py
@@ -86,7 +86,7 @@
 def _mend(pool: FaultyPool, fault: str, number: int) -> None:
     match fault:
         case "killed":
-            pool.start(number)
+            pool.restart(number)
         case "frozen":
             pool.thaw(number)
         case "failing":
