Keep a draft of the pools while lending plans its moves

Cause: borrowing and giving back took the same six arguments and each kept the sizes by hand; with several spare pools the order of a set decided who lent. Change: a draft of sizes, empty and wanted VMs that makes the moves; spare pools in order. A test that nothing moves without queues.

--- a/tests/core/pools/test_lending.py
+++ b/tests/core/pools/test_lending.py
@@ -55,6 +55,10 @@
         moves = self.plan({POOLS[0]: KEEP_MIN, SPARE: 4}, None, empty=True)
         self.assertEqual([move.pool for move in moves], [POOLS[1]] * KEEP_MIN)
 
+    def test_without_queues_nothing_moves(self) -> None:
+        vm = LendableVm(VmId("m"), SPARE, True, False, VM)
+        self.assertEqual(Lending().plan({}, [vm], [], frozenset({SPARE}), 0.0), [])
+
     def test_busy_vms_are_never_taken(self) -> None:
         load = PoolLoad(POOLS[0], waiting=VM.times(8))
         self.assertEqual(self.plan({POOLS[0]: 2, POOLS[1]: 6}, load, empty=False), [])
--- a/toucandoor/core/pools/lending.py
+++ b/toucandoor/core/pools/lending.py
@@ -57,6 +57,36 @@
     pool: PoolId
 
 
+@dataclass(slots=True)
+class _Draft:
+    """VMs of each pool as they will be after the moves planned so far.
+
+    Attributes:
+        size: VMs of each pool, those on their way included.
+        empty: Those of them that could leave now.
+        wanted: How many each pool that serves queues should have.
+    """
+
+    size: dict[PoolId, int]
+    empty: dict[PoolId, list[LendableVm]]
+    wanted: dict[PoolId, int]
+
+    def surplus(self, pool: PoolId) -> int:
+        """Return how many VMs a pool has too many; negative where it is short."""
+        return self.size[pool] - self.wanted[pool]
+
+    def can_lend(self, pool: PoolId) -> bool:
+        """Return whether a pool has too many VMs, and one that is empty."""
+        return bool(self.empty.get(pool)) and self.surplus(pool) > 0
+
+    def move(self, source: PoolId, target: PoolId) -> Move:
+        """Move an empty VM."""
+        vm = self.empty[source].pop()
+        self.size[source] -= 1
+        self.size[target] += 1
+        return Move(vm.vm_id, target)
+
+
 class Lending:
     """Plans moves; remembers since when each pool has had too many VMs.
 
@@ -85,65 +115,37 @@
             spare_pools: Pools whose VMs are off.
             now_s: The monotonic clock.
         """
-        size: dict[PoolId, int] = dict.fromkeys(pools, 0)
-        empty: dict[PoolId, list[LendableVm]] = {}
-        for vm in vms:
-            size[vm.pool] = size.get(vm.pool, 0) + 1
-            if vm.empty:
-                empty.setdefault(vm.pool, []).append(vm)
         per_vm = _mean_capacity(vms)
         wanted = {pool: max(wanted_vms(loads.get(pool), per_vm), KEEP_MIN) for pool in pools}
-        moves = self._borrow(pools, size, empty, wanted, spare_pools)
-        moves += self._give_back(pools, size, empty, wanted, spare_pools, now_s)
-        return moves
+        draft = _Draft(dict.fromkeys([*pools, *spare_pools], 0), {}, wanted)
+        for vm in vms:
+            draft.size[vm.pool] = draft.size.get(vm.pool, 0) + 1
+            if vm.empty:
+                draft.empty.setdefault(vm.pool, []).append(vm)
+        spare = sorted(spare_pools)
+        return self._borrow(draft, spare) + self._give_back(draft, spare, now_s)
 
-    def _borrow(
-        self,
-        pools: Sequence[PoolId],
-        size: dict[PoolId, int],
-        empty: dict[PoolId, list[LendableVm]],
-        wanted: Mapping[PoolId, int],
-        spare_pools: frozenset[PoolId],
-    ) -> list[Move]:
+    def _borrow(self, draft: _Draft, spare_pools: Sequence[PoolId]) -> list[Move]:
         moves: list[Move] = []
         while True:
-            short = [pool for pool in pools if wanted[pool] > size[pool]]
-            if not short:
+            short = [pool for pool in draft.wanted if draft.surplus(pool) < 0]
+            lenders = sorted(filter(draft.can_lend, draft.wanted), key=draft.surplus, reverse=True)
+            lenders += [pool for pool in spare_pools if draft.empty.get(pool)]
+            if not short or not lenders:
                 return moves
-            needy = max(short, key=lambda pool: wanted[pool] - size[pool])
-            lenders = sorted(
-                (pool for pool in pools if empty.get(pool) and size[pool] > wanted[pool]),
-                key=lambda pool: wanted[pool] - size[pool],
-            )
-            lenders += [pool for pool in spare_pools if empty.get(pool)]
-            if not lenders:
-                return moves
-            vm = empty[lenders[0]].pop()
-            size[vm.pool] -= 1
-            size[needy] += 1
-            moves.append(Move(vm.vm_id, needy))
+            moves.append(draft.move(lenders[0], min(short, key=draft.surplus)))
 
-    def _give_back(
-        self,
-        pools: Sequence[PoolId],
-        size: dict[PoolId, int],
-        empty: dict[PoolId, list[LendableVm]],
-        wanted: Mapping[PoolId, int],
-        spare_pools: frozenset[PoolId],
-        now_s: float,
-    ) -> list[Move]:
+    def _give_back(self, draft: _Draft, spare_pools: Sequence[PoolId], now_s: float) -> list[Move]:
         moves: list[Move] = []
-        for pool in pools:
-            if size[pool] <= wanted[pool] or not empty.get(pool):
+        for pool in draft.wanted:
+            if not draft.can_lend(pool):
                 self._surplus_since_s.pop(pool, None)
                 continue
             since_s = self._surplus_since_s.setdefault(pool, now_s)
             if not spare_pools or now_s - since_s < self._return_after_s:
                 continue
-            while empty[pool] and size[pool] > wanted[pool]:
-                vm = empty[pool].pop()
-                size[pool] -= 1
-                moves.append(Move(vm.vm_id, min(spare_pools)))
+            while draft.can_lend(pool):
+                moves.append(draft.move(pool, spare_pools[0]))
         return moves
 
 
