Take a server's removal from the list by its id

Cause: read again; the handler searched all servers for the one whose key had been deleted, though the scheduler passes over ids that it does not know. Change: the id is cut from the key. Excluded: any other effect; 71 tests of the adapters and the scheduler pass.

--- a/toucandoor/adapters/term_intake.py
+++ b/toucandoor/adapters/term_intake.py
@@ -20,7 +20,7 @@
 from toucandoor.core.maintenance.vm_orders import VM_ORDERS_KEY
 from toucandoor.core.records import HistoryLostError
 from toucandoor.exceptions import ToucandoorError
-from toucandoor.ids import JobId
+from toucandoor.ids import JobId, WorkerId
 from toucandoor.platform.operator_records import WAVE_STATUS_PREFIX, WORKER_PREFIX
 from toucandoor.platform.workers import decode_worker
 
@@ -131,10 +131,8 @@
                 self._written(prefix, record)
             if prefix == WORKER_PREFIX:
                 present = {record.key.removeprefix(prefix) for record in snapshot.records}
-                for worker_id in [
-                    each for each in self._term.scheduler.workers if each not in present
-                ]:
-                    self._term.scheduler.worker_unlisted(worker_id)
+                for worker_id in self._term.scheduler.workers.keys() - present:
+                    self._term.scheduler.worker_unlisted(WorkerId(worker_id))
 
         self._term.post(apply)
         return snapshot.revision
@@ -144,7 +142,7 @@
             self._written(prefix, record)
         if prefix == WORKER_PREFIX:
             for key in changes.deleted:
-                self._worker_deleted(key)
+                self._term.scheduler.worker_unlisted(WorkerId(key.removeprefix(prefix)))
 
     def _written(self, prefix: str, record: Record) -> None:
         if prefix == WORKER_PREFIX:
@@ -161,9 +159,3 @@
         entry = decode_worker(record.key.removeprefix(WORKER_PREFIX), record.value)
         if entry is not None:
             self._term.scheduler.worker_listed(entry)
-
-    def _worker_deleted(self, key: str) -> None:
-        for worker_id in [
-            each for each in self._term.scheduler.workers if WORKER_PREFIX + each == key
-        ]:
-            self._term.scheduler.worker_unlisted(worker_id)
