Show that the mark of an ended boot is needed

Change: the list's late word about the old boot also comes right after each answer, in the same turn. Without the mark the old boot is used again: three starts in place of one.

--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -20,7 +20,7 @@
 from toucandoor.core.jobs.models import JobState, Resources, Step
 from toucandoor.core.scheduling.orders import HoldWorker
 from toucandoor.core.scheduling.worker_view import WorkerView
-from toucandoor.core.scheduling.workers import EndReason
+from toucandoor.core.scheduling.workers import EndReason, Listing
 from toucandoor.fakes.virtual_calls import CallFate, Owner
 from toucandoor.fakes.virtual_platform import TaskBehaviour, VirtualWorker
 from toucandoor.ids import WorkerId
@@ -288,10 +288,17 @@
         virtual.crash("w0")
         with mock.patch.object(scheduler, "worker_listed"):
             new = virtual.boot("w0", POOL, CAPACITY)
-        virtual.run(2.0)
-        scheduler.worker_listed(old)  # a late word of the boot before
-        virtual.submit(job(2, Step(1, NEEDS)))
-        virtual.run(2.0)
+        take_answer = scheduler.hold_answered
+
+        def answer_then_late_word(worker: WorkerView, listing: Listing, sent_s: float) -> None:
+            take_answer(worker, listing, sent_s)
+            scheduler.worker_listed(old)
+
+        with mock.patch.object(scheduler, "hold_answered", answer_then_late_word):
+            virtual.run(2.0)
+            scheduler.worker_listed(old)
+            virtual.submit(job(2, Step(1, NEEDS)))
+            virtual.run(2.0)
         self.assertEqual(new.runs, {})
         self.assertEqual(virtual.seen.starts, 1)
         scheduler.worker_listed(new.entry)
