Log what a takeover reads, and what an owner does every two seconds

- "owner: read the records below PREFIX" with records, bytes and duration, and "owner: loaded" with the number of open jobs;
- "owner: the first run of the term is planned" with the time since the claim;
- "schedule: activity" with counts of runs and jobs, the busy time of the event loop and the backend servers that answer;
- "platform: bytes of bodies" by step, also as a counter;
- "jobs: ended" has the time since the acceptance: the age counts anew with each owner.

No decision changes.

--- a/tests/adapters/test_node_metrics.py
+++ b/tests/adapters/test_node_metrics.py
@@ -12,6 +12,7 @@
 LABELS = {
     "toucandoor_caller_seconds": {"queue", "team", "method", "status"},
     "toucandoor_platform_call_seconds": {"step", "outcome"},
+    "toucandoor_platform_body_bytes": {"step", "direction"},
     "toucandoor_job_seconds": {"queue", "team", "class", "state"},
     "toucandoor_owner": set(),
     "toucandoor_configuration_version": set(),
@@ -27,6 +28,7 @@
         metrics = NodeMetrics()
         metrics.record_caller_call("q", "t", "POST", 200, 0.01)
         metrics.record_platform_call("store.write", "200", 0.004)
+        metrics.record_platform_bytes("store.write", 10, 20)
         metrics.record_job("q", "t", "urgent", "completed", 1.5)
         metrics.set_owner(True)
         metrics.set_configuration_version(3)
--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -214,8 +214,10 @@
         watch.add_listener.side_effect = lambda listener: listener(configuration())
         vms = mock.Mock()
         vms.list.return_value = ()
+        metrics = mock.Mock()
+        metrics.platform_bytes.return_value = {}
         return OwnerDependencies(
-            EntryId(name), settings, clock, store, workers, vms, mock.Mock(), watch, mock.Mock()
+            EntryId(name), settings, clock, store, workers, vms, mock.Mock(), watch, metrics
         )
 
     def wait_for(self, condition: object) -> None:
--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import threading
 from typing import TYPE_CHECKING, Final
 
-from aioprometheus import REGISTRY, Gauge, Histogram, render
+from aioprometheus import REGISTRY, Counter, Gauge, Histogram, render
 
 from toucandoor.adapters.wsgi import respond
 
@@ -43,6 +44,12 @@
         self._owner = Gauge("toucandoor_owner", "1 while this process owns the schedule")
         self._version = Gauge("toucandoor_configuration_version", "Configuration in force")
         self._pool_cpu = Gauge("toucandoor_pool_cpu_millicores", "Processor of a pool by use")
+        self._platform_bytes = Counter(
+            "toucandoor_platform_body_bytes",
+            "Bytes of bodies sent to and received from the platform by step",
+        )
+        self._lock = threading.Lock()
+        self._bytes_by_step: dict[str, tuple[int, int]] = {}
         self._workers = Gauge("toucandoor_pool_servers", "Backend servers that may get tasks")
 
     def record_caller_call(
@@ -56,6 +63,19 @@
         """Record the duration and outcome of a call to the platform."""
         self._platform_s.observe({"step": step, "outcome": outcome}, seconds)
 
+    def record_platform_bytes(self, step: str, sent: int, received: int) -> None:
+        """Record the sizes of the body of a call to the platform and of its answer."""
+        with self._lock:
+            before = self._bytes_by_step.get(step, (0, 0))
+            self._bytes_by_step[step] = (before[0] + sent, before[1] + received)
+            self._platform_bytes.add({"step": step, "direction": "sent"}, sent)
+            self._platform_bytes.add({"step": step, "direction": "received"}, received)
+
+    def platform_bytes(self) -> dict[str, tuple[int, int]]:
+        """Return the bytes of bodies sent to and received from the platform so far, by step."""
+        with self._lock:
+            return dict(self._bytes_by_step)
+
     def record_job(self, queue: str, team: str, job_class: str, state: str, seconds: float) -> None:
         """Record the time from a job's arrival to its end."""
         labels = {"queue": queue, "team": team, "class": job_class, "state": state}
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -12,6 +12,7 @@
 from toucandoor.adapters.term_context import OwnerDependencies, TermContext
 from toucandoor.adapters.term_intake import TermIntake
 from toucandoor.adapters.term_orders import TermOrders
+from toucandoor.adapters.term_report import TermReport
 from toucandoor.adapters.term_vms import TermVms
 from toucandoor.core.jobs.records import INTAKE_PREFIX
 from toucandoor.core.ownership.handover import HANDOVER_KEY, encode_handover
@@ -42,9 +43,6 @@
 answer comes."""
 HEARTBEAT_THREADS: Final = 256
 """Heartbeats (long polls) in flight at once, one for each busy backend server."""
-LOAD_LOG_INTERVAL_S: Final = 2.0
-"""Interval between two log lines of a pool's load. The load of a queue changes over several
-seconds, so the log shows each change."""
 
 
 class OwnerTerm:
@@ -84,7 +82,7 @@
             handed_over_leases_s=handed_over_leases_s,
         )
         self._scheduler = Scheduler(settings, dependencies.clock)
-        self._next_load_log_s = 0.0
+        self._report = TermReport(self._scheduler, dependencies)
         self._order_pool = ThreadPoolExecutor(ORDER_THREADS, "orders")
         self._heartbeat_pool = ThreadPoolExecutor(HEARTBEAT_THREADS, "heartbeats")
         context = TermContext(
@@ -147,10 +145,12 @@
     # Event loop and threads
 
     def _run_loop(self) -> None:
-        scheduler = self._scheduler
+        scheduler, clock = self._scheduler, self._dependencies.clock
         while not self._ended.is_set() and not scheduler.superseded:
+            began_s = clock.monotonic_s()
             try:
                 event = self._events.get(timeout=scheduler.next_wake_s())
+                began_s = clock.monotonic_s()
                 event()
                 while True:
                     self._events.get_nowait()()
@@ -165,7 +165,7 @@
             for commit in scheduler.commits():
                 self._submit(partial(self._commit, commit))
             self._vms.submit_due_actions()
-            self._report_metrics()
+            self._report.on_step(clock.monotonic_s() - began_s)
             pending = scheduler.pending_commit()
             if pending is not None:
                 self._submit(partial(self._write_pending, pending))
@@ -207,21 +207,6 @@
     def _on_configuration(self, configuration: JobConfiguration) -> None:
         self._post(lambda: self._scheduler.set_configuration(configuration))
 
-    def _report_metrics(self) -> None:
-        for job in self._scheduler.pop_finished():
-            spec = job.spec
-            job_class = "patient" if spec.long_running else "urgent"
-            age_s = self._dependencies.clock.monotonic_s() - job.arrived_s
-            metrics = self._dependencies.metrics
-            metrics.record_job(spec.queue, spec.team, job_class, job.state.value, age_s)
-        now_s = self._dependencies.clock.monotonic_s()
-        if now_s < self._next_load_log_s:
-            return
-        self._next_load_log_s = now_s + LOAD_LOG_INTERVAL_S
-        for load in self._scheduler.loads().values():
-            self._dependencies.metrics.set_pool_load(load)
-            _LOGGER.info("schedule: load", extra=load.log_fields())
-
     # Writes to the store and renewal of the ownership
 
     def _commit(self, commit: Commit) -> None:
--- a/toucandoor/adapters/term_intake.py
+++ b/toucandoor/adapters/term_intake.py
@@ -29,7 +29,7 @@
 
     from toucandoor.adapters.term_context import TermContext
     from toucandoor.adapters.term_vms import TermVms
-    from toucandoor.core.records import Changes, Record
+    from toucandoor.core.records import Changes, Record, Snapshot
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -73,8 +73,11 @@
             WAVE_PROGRESS_PREFIX,
             VM_ORDERS_KEY,
         )
+        clock = self._term.dependencies.clock
+        started_s = clock.monotonic_s()
         with ThreadPoolExecutor(len(prefixes), "load") as readers:
-            snapshots = list(readers.map(self._term.dependencies.store.read_prefix, prefixes))
+            snapshots = list(readers.map(self._read_prefix, prefixes))
+        read_s = clock.monotonic_s() - started_s
         workers, intake, progress_records, wave_statuses, waves, vm_orders = snapshots
         for record in workers.records:
             self._apply_worker_entry(record)
@@ -91,10 +94,33 @@
         self._vms.restore(waves, wave_statuses, vm_orders)
         _LOGGER.info(
             "owner: loaded the records of jobs and backend servers",
-            extra={"jobs": len(scheduler.jobs), "workers": len(scheduler.workers)},
+            extra={
+                "jobs": len(scheduler.jobs),
+                "open_jobs": len(scheduler.open_jobs),
+                "workers": len(scheduler.workers),
+                "bytes": sum(snapshot.bytes_read for snapshot in snapshots),
+                "read_s": round(read_s, 3),
+                "load_s": round(clock.monotonic_s() - started_s, 3),
+            },
         )
         return workers.revision, intake.revision
 
+    def _read_prefix(self, prefix: str) -> Snapshot:
+        """Read all records below a prefix, and log how much was read in which time."""
+        clock = self._term.dependencies.clock
+        started_s = clock.monotonic_s()
+        snapshot = self._term.dependencies.store.read_prefix(prefix)
+        _LOGGER.info(
+            "owner: read the records below %s",
+            prefix,
+            extra={
+                "records": len(snapshot.records),
+                "bytes": snapshot.bytes_read,
+                "read_s": round(clock.monotonic_s() - started_s, 3),
+            },
+        )
+        return snapshot
+
     def _load_job(self, job: Record, progress: Record | None) -> None:
         try:
             spec = decode_job(job.value)
@@ -136,7 +162,7 @@
                 self._term_ended.wait(RETRY_PAUSE_S)
 
     def _reread(self, prefix: str) -> int:
-        snapshot = self._term.dependencies.store.read_prefix(prefix)
+        snapshot = self._read_prefix(prefix)
 
         def apply() -> None:
             for record in snapshot.records:
--- /dev/null
+++ b/toucandoor/adapters/term_report.py
@@ -0,0 +1,99 @@
+"""Reports of a term: metrics of jobs and pools, and log lines of load, activity and traffic."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from toucandoor.adapters.term_context import OwnerDependencies
+    from toucandoor.core.scheduling.scheduler import Scheduler
+
+_LOGGER = logging.getLogger(__name__)
+
+REPORT_INTERVAL_S: Final = 2.0
+"""Interval between two reports. The load of a queue changes over several seconds, so the log shows
+each change."""
+
+
+class TermReport:
+    """Reports what a term has done since its last report.
+
+    Args:
+        scheduler: Scheduler of the term.
+        dependencies: Clients and settings of the process.
+    """
+
+    def __init__(self, scheduler: Scheduler, dependencies: OwnerDependencies) -> None:
+        self._scheduler = scheduler
+        self._dependencies = dependencies
+        self._next_s = 0.0
+        self._reported_s = dependencies.clock.monotonic_s()
+        self._counts = scheduler.activity.counts()
+        self._bytes = dependencies.metrics.platform_bytes()
+        self._busy_s = 0.0
+        self._longest_step_s = 0.0
+
+    def on_step(self, step_s: float) -> None:
+        """Handle the end of a step of the event loop.
+
+        Args:
+            step_s: Time that the step took, in seconds, without the wait for its first event.
+        """
+        self._busy_s += step_s
+        self._longest_step_s = max(self._longest_step_s, step_s)
+        self._record_finished_jobs()
+        now_s = self._dependencies.clock.monotonic_s()
+        if now_s < self._next_s:
+            return
+        self._next_s = now_s + REPORT_INTERVAL_S
+        self._log_load()
+        self._log_activity(now_s)
+        self._log_traffic()
+
+    def _record_finished_jobs(self) -> None:
+        now_s = self._dependencies.clock.monotonic_s()
+        for job in self._scheduler.pop_finished():
+            spec = job.spec
+            job_class = "patient" if spec.long_running else "urgent"
+            self._dependencies.metrics.record_job(
+                spec.queue, spec.team, job_class, job.state.value, now_s - job.arrived_s
+            )
+
+    def _log_load(self) -> None:
+        for load in self._scheduler.loads().values():
+            self._dependencies.metrics.set_pool_load(load)
+            _LOGGER.info("schedule: load", extra=load.log_fields())
+
+    def _log_activity(self, now_s: float) -> None:
+        counts = self._scheduler.activity.counts()
+        workers = self._scheduler.workers.values()
+        _LOGGER.info(
+            "schedule: activity",
+            extra={name: count - self._counts[name] for name, count in counts.items()}
+            | {
+                "interval_s": round(now_s - self._reported_s, 3),
+                "busy_s": round(self._busy_s, 3),
+                "longest_step_s": round(self._longest_step_s, 3),
+                "workers": len(workers),
+                "answering": sum(not worker.unresponsive for worker in workers),
+            },
+        )
+        self._counts = counts
+        self._reported_s = now_s
+        self._busy_s = self._longest_step_s = 0.0
+
+    def _log_traffic(self) -> None:
+        totals = self._dependencies.metrics.platform_bytes()
+        for step, (sent, received) in totals.items():
+            before = self._bytes.get(step, (0, 0))
+            if (sent, received) != before:
+                _LOGGER.info(
+                    "platform: bytes of bodies",
+                    extra={
+                        "step": step,
+                        "sent": sent - before[0],
+                        "received": received - before[1],
+                    },
+                )
+        self._bytes = totals
--- a/toucandoor/core/records.py
+++ b/toucandoor/core/records.py
@@ -37,10 +37,12 @@
         records: The records. A large prefix is read in pages, each at its own revision, so the
             records need not be consistent with each other.
         revision: Revision as of the first page; a watch from it misses no change.
+        bytes_read: Size of the store's answers; 0 where the client does not count it.
     """
 
     records: tuple[Record, ...]
     revision: int
+    bytes_read: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/toucandoor/core/scheduling/activity.py
@@ -0,0 +1,48 @@
+"""Counts of what an owner has done in its term, for logs that are complete at any load."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Activity:
+    """Counts since the start of a term.
+
+    Lines about single runs are limited per second; these counts are not.
+
+    Attributes:
+        started_s: Start of the term's schedule, on the monotonic clock.
+        runs_planned: Runs assigned to a backend server.
+        runs_started: Starts that a backend server has confirmed.
+        runs_ended: Ends of runs that a backend server has reported.
+        jobs_ended: Jobs that have reached a final state.
+        jobs_late: Those of them that were completed after their objective.
+        first_planned_s: When the first run was planned, on the monotonic clock; None before that.
+    """
+
+    started_s: float
+    runs_planned: int = 0
+    runs_started: int = 0
+    runs_ended: int = 0
+    jobs_ended: int = 0
+    jobs_late: int = 0
+    first_planned_s: float | None = None
+
+    def record_planned(self, now_s: float) -> bool:
+        """Count a planned run, and return whether it is the first one."""
+        self.runs_planned += 1
+        if self.first_planned_s is not None:
+            return False
+        self.first_planned_s = now_s
+        return True
+
+    def counts(self) -> dict[str, int]:
+        """Return all counts by name."""
+        return {
+            "planned": self.runs_planned,
+            "started": self.runs_started,
+            "ended": self.runs_ended,
+            "jobs_ended": self.jobs_ended,
+            "jobs_late": self.jobs_late,
+        }
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -173,6 +173,11 @@
             job.started = True
             job.state = JobState.RUNNING
         state.mark_changed(job)
+        if state.activity.record_planned(now_s):
+            _LOGGER.info(
+                "owner: the first run of the term is planned",
+                extra={"after_s": round(now_s - state.started_s, 3)},
+            )
         _LOGGER.info(
             "runs: planned",
             extra=run_fields(run)
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -54,6 +54,7 @@
             self._task_failed(job, task, ended.run.attempt, worker)
         if run is not None:
             state.detach(run)
+        state.activity.runs_ended += 1
         _LOGGER.info(
             "runs: ended",
             extra={
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -166,6 +166,7 @@
         run.state = RunState.RUNNING
         if run.confirmed_s is None:
             run.confirmed_s = now_s
+            self._state.activity.runs_started += 1
 
     def start_refused(self, run: Run, refusal: OrderRefusal) -> None:
         """Process a backend server's refusal of a start."""
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -34,6 +34,7 @@
     from toucandoor.core.jobs.models import JobSpec, StepKey
     from toucandoor.core.jobs.records import ProgressRecord
     from toucandoor.core.records import Record, Transaction
+    from toucandoor.core.scheduling.activity import Activity
     from toucandoor.core.scheduling.orders import Commit, Order
     from toucandoor.core.scheduling.workers import Advice, Boot, StatusReport, WorkerEntry
     from toucandoor.ids import FencingToken, JobId, PoolId, VmId, WorkerId
@@ -80,6 +81,16 @@
         """All jobs."""
         return self._state.jobs
 
+    @property
+    def open_jobs(self) -> set[JobId]:
+        """Jobs that are not final or that still have runs."""
+        return self._state.open_jobs
+
+    @property
+    def activity(self) -> Activity:
+        """Counts of what this owner has done since its term began."""
+        return self._state.activity
+
     @property
     def workers(self) -> dict[WorkerId, WorkerView]:
         """Latest boot of each backend server."""
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -9,6 +9,8 @@
 from toucandoor.core.jobs.models import NO_RESOURCES, JobState, Resources, StepKey
 from toucandoor.core.ownership.lease import OWNER_TTL_S
 from toucandoor.core.scheduling import const
+from toucandoor.core.scheduling.activity import Activity
+from toucandoor.core.scheduling.queue_order import objective_s
 from toucandoor.core.scheduling.worker_view import RunState
 
 if TYPE_CHECKING:
@@ -80,6 +82,7 @@
         dirty: Jobs whose record in the store is outdated, in the order of the change.
         planned: Planned runs that are not in the store yet, by job.
         finished: Jobs that have ended since `Scheduler.pop_finished` was last called.
+        activity: Counts of what this owner has done.
     """
 
     def __init__(self, settings: SchedulerSettings, clock: Clock) -> None:
@@ -98,6 +101,7 @@
         self.dirty: dict[JobId, None] = {}
         self.planned: dict[JobId, list[Run]] = {}
         self.finished: list[JobProgress] = []
+        self.activity = Activity(self.started_s)
         self._team_used: dict[TeamId, Resources] = {}
 
     @property
@@ -126,6 +130,8 @@
         """Set the final state of a job and stop its runs."""
         job.state = state
         job.finished_unix_ms = int(self.now_unix_ms)
+        total_s = job.finished_unix_ms / MS_PER_S - job.spec.accepted_unix_ms / MS_PER_S
+        self._count_finished(job, total_s)
         for step in job.steps.values():
             self.waiting_steps.pop(step.key, None)
             for task in step.tasks:
@@ -138,11 +144,18 @@
                 "job": job.spec.job_id,
                 "queue": job.spec.queue,
                 "age_s": round(self.now_s - job.arrived_s, 3),
+                "total_s": round(total_s, 3),
             },
         )
         self.finished.append(job)
         self.mark_changed(job)
 
+    def _count_finished(self, job: JobProgress, total_s: float) -> None:
+        self.activity.jobs_ended += 1
+        completed = job.state is JobState.COMPLETED
+        if completed and not job.spec.timed and total_s > objective_s(job.spec):
+            self.activity.jobs_late += 1
+
     def step_of(self, task: Task) -> StepProgress:
         """Return the step of a task."""
         return self.jobs[task.key.job_id].step(task.key.occurrence, task.key.step)
--- a/toucandoor/platform/http.py
+++ b/toucandoor/platform/http.py
@@ -89,10 +89,16 @@
 
     Args:
         observe: Called after each call with its step, outcome and time in seconds.
+        count_bytes: Called with the step of each call and the bytes of its body and its answer.
     """
 
-    def __init__(self, observe: Callable[[str, str, float], None] | None = None) -> None:
+    def __init__(
+        self,
+        observe: Callable[[str, str, float], None] | None = None,
+        count_bytes: Callable[[str, int, int], None] | None = None,
+    ) -> None:
         self._observe = observe
+        self._count_bytes = count_bytes
         self._pool = urllib3.PoolManager(
             num_pools=2048,
             maxsize=IDLE_CONNECTIONS_MAX,
@@ -172,6 +178,8 @@
             raise CallNotSentError(_reason(err), step=step, peer=address) from err
         except (HTTPError, OSError) as err:
             raise CallUnansweredError(_reason(err), step=step, peer=address) from err
+        if self._count_bytes is not None:
+            self._count_bytes(step, len(data or b""), len(response.data))
         return Answer(response.status, response.data, step, address)
 
 
--- a/toucandoor/platform/store.py
+++ b/toucandoor/platform/store.py
@@ -97,15 +97,17 @@
         """Return all records below a prefix."""
         records: list[Record] = []
         first_revision: int | None = None
+        bytes_read = 0
         query = {"prefix": prefix}
         while True:
             answer = self._call("read_prefix", "GET", "/-/kv-range", query=query)
             page = answer.decode(_Range)
             records += [_record(answer, item) for item in page.items]
+            bytes_read += len(answer.body)
             if first_revision is None:
                 first_revision = page.at
             if not page.has_more or not page.items:
-                return Snapshot(tuple(records), first_revision)
+                return Snapshot(tuple(records), first_revision, bytes_read)
             query = {"prefix": prefix, "after": page.items[-1].key}
 
     def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -81,7 +81,7 @@
         self._settings = settings
         self._clock = BootClock()
         self._metrics = NodeMetrics()
-        http = PlatformHttp(self._metrics.record_platform_call)
+        http = PlatformHttp(self._metrics.record_platform_call, self._metrics.record_platform_bytes)
         self._store = PlatformStore(http, settings.store_address, STORE_TIMEOUT_S)
         peer_address = f"{settings.ip}:{settings.peer_port_first}"
         this_node = Peer(settings.entry_id, peer_address, settings.data_centre)
