--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -175,6 +175,35 @@
     )
 
 
+def dependencies(
+    name: str,
+    store: MemoryStore,
+    workers: WorkerPort,
+    clock: SystemClock,
+    *,
+    processor_cores: float = 1.0,
+    link_mbps: float = 1000.0,
+) -> OwnerDependencies:
+    settings = mock.Mock(
+        processor_cores=processor_cores,
+        link_mbps=link_mbps,
+        lease_s_max=6.0,
+        holder_lease_s=3.0,
+        vm_maintenance_s=2.0,
+        vm_move_s=1.5,
+        status_retention_s=120.0,
+    )
+    watch = mock.Mock(waves={})
+    watch.add_listener.side_effect = lambda listener: listener(configuration())
+    vms = mock.Mock()
+    vms.list.return_value = ()
+    metrics = mock.Mock()
+    metrics.platform_bytes.return_value = {}
+    return OwnerDependencies(
+        EntryId(name), settings, clock, store, workers, vms, mock.Mock(), watch, metrics
+    )
+
+
 class OwnerTaskTest(unittest.TestCase):
     """Jobs complete although the owner changes or fails."""
 
@@ -192,7 +221,7 @@
         self.stores = [MemoryStore(self.records, self.changed) for _ in range(2)]
         self.workers = workers = MemoryWorkers(worker)
         self.tasks = [
-            OwnerTask(self.dependencies(f"e{number}", store, workers, clock))
+            OwnerTask(dependencies(f"e{number}", store, workers, clock))
             for number, store in enumerate(self.stores)
         ]
         for task in self.tasks:
@@ -200,26 +229,6 @@
         self.jobs = StoreJobService(MemoryStore(self.records, self.changed), clock)
         self.clock = clock
 
-    def dependencies(
-        self, name: str, store: MemoryStore, workers: MemoryWorkers, clock: SystemClock
-    ) -> OwnerDependencies:
-        settings = mock.Mock(
-            lease_s_max=6.0,
-            holder_lease_s=3.0,
-            vm_maintenance_s=2.0,
-            vm_move_s=1.5,
-            status_retention_s=120.0,
-        )
-        watch = mock.Mock(waves={})
-        watch.add_listener.side_effect = lambda listener: listener(configuration())
-        vms = mock.Mock()
-        vms.list.return_value = ()
-        metrics = mock.Mock()
-        metrics.platform_bytes.return_value = {}
-        return OwnerDependencies(
-            EntryId(name), settings, clock, store, workers, vms, mock.Mock(), watch, metrics
-        )
-
     def wait_for(self, condition: object) -> None:
         until_s = time.monotonic() + WITHIN_S
         while not condition():  # type: ignore[operator]
@@ -290,5 +299,43 @@
         self.assertEqual(self.seen.violations, [])
 
 
+class ClaimOrderTest(unittest.TestCase):
+    """Which of the VMs that could claim the ownership claims it first."""
+
+    def setUp(self) -> None:
+        self.records = VirtualRecords()
+        self.store = MemoryStore(self.records, threading.Condition(threading.RLock()))
+
+    def node(self, name: str, processor_cores: float, link_mbps: float) -> OwnerTask:
+        """Return the owner task of a node that has announced itself to the others."""
+        record = {
+            "address": f"{name}:1",
+            "data_centre": "d",
+            "processor_cores": processor_cores,
+            "link_mbps": link_mbps,
+        }
+        self.records.write(Transaction(writes={f"nodes/{name}": msgspec.json.encode(record)}))
+        return OwnerTask(
+            dependencies(
+                name,
+                self.store,
+                mock.Mock(),
+                SystemClock(),
+                processor_cores=processor_cores,
+                link_mbps=link_mbps,
+            )
+        )
+
+    # On whistleline-grown a VM with a twentieth of the link and a quarter of the processor became
+    # the owner, as its process was younger, and started a quarter of the runs per second.
+    def test_a_weak_vm_leaves_the_claim_to_a_stronger_one(self) -> None:
+        strong = self.node("strong", 2.15, 200.0)
+        weak = self.node("weak", 0.52, 10.0)
+        hour_s = 3600.0
+        strong._started_s -= hour_s
+        claim_s = 0.1
+        self.assertGreater(weak._claim_delay_s(), strong._claim_delay_s() + claim_s)
+
+
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/adapters/test_term_intake.py
@@ -0,0 +1,129 @@
+"""Cost of a takeover: what a new owner reads from the store before it can schedule."""
+
+from __future__ import annotations
+
+import threading
+import unittest
+from typing import TYPE_CHECKING
+from unittest import mock
+
+import msgspec
+
+from tests.core.scheduling.common import NEEDS, POOL, fleet, job
+from toucandoor.adapters.term_context import TermContext
+from toucandoor.adapters.term_intake import TermIntake
+from toucandoor.core.jobs.models import JobState, Step
+from toucandoor.core.records import Record, RecordStore, Snapshot
+from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
+from toucandoor.ids import FencingToken
+
+if TYPE_CHECKING:
+    from toucandoor.core.records import Changes, StoreLease, Transaction
+    from toucandoor.fakes.virtual_platform import VirtualRecords
+    from toucandoor.ids import StoreLeaseId
+
+URGENT_START_S = 1.3
+"""Within this time urgent work starts, by the first letter; a takeover comes on top of nothing."""
+LINK_BYTES_PER_S = 5_000_000 / 8
+"""Slowest link of an entry VM of the grown deployments."""
+RETAINED_JOBS = 27 * 180
+"""Jobs that end while their records are retained: the grown deployment's jobs a second, and the
+time for which a state can be asked for with its margin."""
+ANSWER_BYTES = 150
+"""Size of an answer's HTTP headers."""
+
+
+class CountingStore(RecordStore):
+    """Store in memory that counts the bytes of the answers to reads, as the platform sends them."""
+
+    def __init__(self, records: VirtualRecords) -> None:
+        self._records = records
+        self._lock = threading.Lock()
+        self.bytes_read = 0
+
+    def _count(self, records: list[Record]) -> None:
+        items = [
+            {
+                "key": record.key,
+                "value": record.value,
+                "revision": record.revision,
+                "created": record.created_revision,
+                "lease_id": 0,
+            }
+            for record in records
+        ]
+        with self._lock:
+            self.bytes_read += ANSWER_BYTES + len(msgspec.json.encode(items))
+
+    def read(self, key: str) -> Record | None:
+        record = self._records.records.get(key)
+        self._count([record] if record is not None else [])
+        return record
+
+    def read_prefix(self, prefix: str) -> Snapshot:
+        records = self._records.below(prefix)
+        self._count(records)
+        return Snapshot(tuple(records), self._records.revision)
+
+    def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
+        raise NotImplementedError
+
+    def write(self, transaction: Transaction) -> int:
+        raise NotImplementedError
+
+    def grant_lease(self, ttl_s: float) -> StoreLease:
+        raise NotImplementedError
+
+    def renew_lease(self, lease_id: StoreLeaseId, timeout_s: float | None = None) -> None:
+        raise NotImplementedError
+
+    def end_lease(self, lease_id: StoreLeaseId) -> None:
+        raise NotImplementedError
+
+
+class TakeoverTest(unittest.TestCase):
+    """A new owner's load, from the records that a former owner has left."""
+
+    def load(self, store: CountingStore) -> Scheduler:
+        clock = self.fleet.clock
+        settings = SchedulerSettings("owner", 1, FencingToken(1), 6.0)
+        scheduler = Scheduler(settings, clock)
+        dependencies = mock.Mock(store=store, clock=clock)
+        term = TermContext(
+            dependencies, scheduler, mock.Mock(), mock.Mock(), mock.Mock(), lambda: True
+        )
+        TermIntake(term, mock.Mock(), threading.Event()).load()
+        return scheduler
+
+    def setUp(self) -> None:
+        self.fleet = fleet(workers=0)
+
+    # On whistleline-grown a new owner read 1.5 MB, three quarters of it of ended jobs, through a
+    # link of 5 Mbit/s, and nothing was started for three seconds.
+    def test_urgent_work_starts_in_time_after_a_takeover_however_many_jobs_have_ended(self) -> None:
+        made = self.fleet
+        for number in range(30):
+            made.boot(f"w{number}", POOL, NEEDS.times(8))
+        specs = [
+            msgspec.structs.replace(
+                job(number, Step(8, NEEDS, 1000), Step(8, NEEDS, 1000, after=(0,))),
+                payload="x" * 300,
+            )
+            for number in range(20)
+        ]
+        for spec in specs:
+            made.submit(spec)
+        made.run(30.0)
+        for spec in specs:
+            self.assertIs(made.state(spec.job_id), JobState.COMPLETED)
+        none_ended = CountingStore(type(made.records)())
+        self.load(none_ended)
+        store = CountingStore(made.records)
+        self.load(store)
+        bytes_per_job = (store.bytes_read - none_ended.bytes_read) / len(specs)
+        read_s = bytes_per_job * RETAINED_JOBS / LINK_BYTES_PER_S
+        self.assertLess(read_s, URGENT_START_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
