Let stronger VMs claim a vacant ownership before weaker ones

Cause: the delay of a claim depended on the age of the process alone. A VM with 0.5 cores and 10 Mbit/s, restarted 3 s before, claimed ahead of three with 2.15 cores and 200 Mbit/s. It planned its first run 3.0 s after the claim (0.17 s at those) and started 170 to 220 runs a second (770 there).

Change: each node publishes the processor and link of its VM with its record. A VM that knows of a clearly stronger one adds 0.4 s to its delay: the longest delay of a strong VM, and as much for its calls. Records of older builds have no capacity; their VMs count as neither stronger nor weaker.

--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -22,7 +22,10 @@
 frontend = "10.1.0.23:8340"
 ready = "10.1.0.23:8343"
 [limits]
+cpu_quota = 0.5
+cpu_cores = 3
 memory_mb = 300
+bandwidth_mbps = 200.0
 [bounds]
 grace_s = 6
 hold_max_ms = 6000
@@ -48,6 +51,8 @@
         settings = self.load(GOOD)
         self.assertEqual(settings.lease_s_max, 6.0)  # type: ignore[attr-defined]
         self.assertEqual(settings.peer_port_last, 7015)  # type: ignore[attr-defined]
+        self.assertEqual(settings.processor_cores, 1.5)  # type: ignore[attr-defined]
+        self.assertEqual(settings.link_mbps, 200.0)  # type: ignore[attr-defined]
 
     def test_every_invalid_value_is_named(self) -> None:
         bad = GOOD.replace('ip = "10.1.0.23"\n', "").replace('"10.1.0.23:8343"', '"nowhere"')
--- a/toucandoor/adapters/owner_task.py
+++ b/toucandoor/adapters/owner_task.py
@@ -11,6 +11,8 @@
 import msgspec
 
 from toucandoor.adapters.owner_term import OwnerTerm
+from toucandoor.adapters.peers import NODE_PREFIX, decode_peers
+from toucandoor.core.ownership.candidates import VmCapacity, claim_delay_s, stronger_exists
 from toucandoor.core.ownership.handover import HANDOVER_KEY, decode_handover
 from toucandoor.core.ownership.lease import (
     OWNER_KEY,
@@ -39,12 +41,6 @@
 CLAIM_JITTER_S: Final = 0.02
 """Longest random delay of a claim. It is about five response times of the store, so that few claims
 of several entry VMs conflict."""
-CLAIM_DELAY_S_MAX: Final = 0.2
-"""Longest delay of a claim so that younger processes can claim first. It adds to the time without
-an owner; it is a sixth of the lease of the ownership."""
-CLAIM_DELAY_HALF_AGE_S: Final = 10.0
-"""Age of a process at which it waits half of `CLAIM_DELAY_S_MAX`. In a rolling restart, entry VMs
-restart seconds apart, so that their ages give different delays."""
 
 
 class OwnerTask:
@@ -96,14 +92,22 @@
                 self._stop.wait(RETRY_PAUSE_S)
 
     def _claim_delay_s(self) -> float:
-        """Return how long to delay a claim: the longer, the longer this process has been running.
+        """Return how long to delay a claim, with a random part against conflicts."""
+        age_s = self._dependencies.clock.monotonic_s() - self._started_s
+        weaker = self._weaker_than_a_peer()
+        return claim_delay_s(age_s, weaker=weaker) + random.uniform(0, CLAIM_JITTER_S)
+
+    def _weaker_than_a_peer(self) -> bool:
+        """Return whether the store lists a stronger entry VM.
 
-        In a rolling restart, the ownership then goes to an entry VM that has been restarted
-        already, and moves less often.
+        Raises:
+            ToucandoorError: The store did not answer.
         """
-        age_s = self._dependencies.clock.monotonic_s() - self._started_s
-        delay_s = CLAIM_DELAY_S_MAX * age_s / (age_s + CLAIM_DELAY_HALF_AGE_S)
-        return delay_s + random.uniform(0, CLAIM_JITTER_S)
+        settings = self._dependencies.settings
+        own = VmCapacity(settings.processor_cores, settings.link_mbps)
+        snapshot = self._dependencies.store.read_prefix(NODE_PREFIX)
+        peers = decode_peers(snapshot.records, self._dependencies.entry_id)
+        return stronger_exists(own, (peer.capacity for peer in peers))
 
     def _wait_for_vacancy(self) -> bool:
         """Wait for a change if a revision is known; return whether the ownership is vacant."""
--- a/toucandoor/adapters/peers.py
+++ b/toucandoor/adapters/peers.py
@@ -14,17 +14,18 @@
 from websockets.sync.server import serve
 
 from toucandoor.adapters.settings import split_address
+from toucandoor.core.ownership.candidates import VmCapacity
 from toucandoor.core.records import LeaseEndedError, Transaction
 from toucandoor.exceptions import MessageError, ToucandoorError
 from toucandoor.ids import DataCentreId, EntryId
 from toucandoor.node_messages import Failed, NodeMessage, decode_message, encode_message
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from websockets.sync.server import ServerConnection
 
-    from toucandoor.core.records import RecordStore, StoreLease
+    from toucandoor.core.records import Record, RecordStore, StoreLease
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -49,10 +50,19 @@
 
 
 class NodeRecord(msgspec.Struct, frozen=True):
-    """Record of a node in the store: its address for peers, and its data centre."""
+    """Record of a node in the store.
+
+    Attributes:
+        address: ``IP:port`` for messages of peers.
+        data_centre: Data centre of its entry VM.
+        processor_cores: Processor of its entry VM; 0 if not given.
+        link_mbps: Bandwidth of its entry VM's link; 0 if not given.
+    """
 
     address: str
     data_centre: DataCentreId
+    processor_cores: float = 0.0
+    link_mbps: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,11 +73,13 @@
         entry_id: Id of its entry VM.
         address: ``IP:port`` for messages of peers.
         data_centre: Data centre of its entry VM.
+        capacity: Capacity of its entry VM.
     """
 
     entry_id: EntryId
     address: str
     data_centre: DataCentreId
+    capacity: VmCapacity = VmCapacity()
 
 
 class PeerDirectory:
@@ -125,25 +137,38 @@
             else:
                 return
         lease = self._store.grant_lease(NODE_TTL_S)
-        record = NodeRecord(self._this_node.address, self._this_node.data_centre)
+        this_node = self._this_node
+        record = NodeRecord(
+            this_node.address,
+            this_node.data_centre,
+            this_node.capacity.processor_cores,
+            this_node.capacity.link_mbps,
+        )
         key = NODE_PREFIX + self._this_node.entry_id
         writes = {key: msgspec.json.encode(record)}
         self._store.write(Transaction(writes=writes, lease_id=lease.lease_id))
         self._lease = lease
 
     def _read_peers(self) -> None:
-        peers: list[Peer] = []
-        for record in self._store.read_prefix(NODE_PREFIX).records:
-            entry_id = EntryId(record.key.removeprefix(NODE_PREFIX))
-            if entry_id == self._this_node.entry_id:
-                continue
-            try:
-                node = msgspec.json.decode(record.value, type=NodeRecord)
-            except msgspec.MsgspecError as err:
-                _LOGGER.error("peers: record %s cannot be decoded: %s", record.key, err)
-                continue
-            peers.append(Peer(entry_id, node.address, node.data_centre))
-        self._peers = tuple(peers)
+        records = self._store.read_prefix(NODE_PREFIX).records
+        self._peers = decode_peers(records, self._this_node.entry_id)
+
+
+def decode_peers(records: Iterable[Record], this_node: EntryId) -> tuple[Peer, ...]:
+    """Return the nodes other than this one; leaves out records that cannot be decoded."""
+    peers: list[Peer] = []
+    for record in records:
+        entry_id = EntryId(record.key.removeprefix(NODE_PREFIX))
+        if entry_id == this_node:
+            continue
+        try:
+            node = msgspec.json.decode(record.value, type=NodeRecord)
+        except msgspec.MsgspecError as err:
+            _LOGGER.error("peers: record %s cannot be decoded: %s", record.key, err)
+            continue
+        capacity = VmCapacity(node.processor_cores, node.link_mbps)
+        peers.append(Peer(entry_id, node.address, node.data_centre, capacity))
+    return tuple(peers)
 
 
 class PeerServer:
--- /dev/null
+++ b/toucandoor/core/ownership/candidates.py
@@ -0,0 +1,73 @@
+"""Order in which entry VMs claim a vacant ownership: stronger VMs first, then younger processes.
+
+The owner does the work of the whole schedule. On a VM with less processor or a narrower link, a
+takeover takes longer and fewer runs start per second, so a weak VM is the owner only while there
+is no stronger one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+STRONGER_RATIO: Final = 1.5
+"""Ratio of processor or link from which a VM counts as stronger. Below it, the gain is less than
+the cost of a change of owner."""
+AGE_DELAY_S_MAX: Final = 0.2
+"""Longest delay of a claim so that younger processes can claim first. It adds to the time without
+an owner; it is a sixth of the lease of the ownership."""
+AGE_DELAY_HALF_S: Final = 10.0
+"""Age of a process at which it waits half of `AGE_DELAY_S_MAX`. In a rolling restart, entry VMs
+restart seconds apart, so that their ages give different delays."""
+WEAKER_DELAY_S: Final = 0.4
+"""Additional delay of a VM that knows of a stronger one: the longest delay of that one's claim, and
+as much again for its calls to a slow store."""
+
+
+@dataclass(frozen=True, slots=True)
+class VmCapacity:
+    """Capacity of an entry VM for the work of an owner; 0 where it is not known.
+
+    Attributes:
+        processor_cores: Processor, in cores of standard speed.
+        link_mbps: Bandwidth of its network link, in Mbit/s.
+    """
+
+    processor_cores: float = 0.0
+    link_mbps: float = 0.0
+
+    def stronger_than(self, other: VmCapacity) -> bool:
+        """Return whether it has clearly more of one resource and not less of the other."""
+        if not self._known or not other._known:
+            return False
+        processor_ratio = self.processor_cores / other.processor_cores
+        link_ratio = self.link_mbps / other.link_mbps
+        return min(processor_ratio, link_ratio) >= 1 and (
+            max(processor_ratio, link_ratio) >= STRONGER_RATIO
+        )
+
+    @property
+    def _known(self) -> bool:
+        return self.processor_cores > 0 and self.link_mbps > 0
+
+
+def stronger_exists(own: VmCapacity, others: Iterable[VmCapacity]) -> bool:
+    """Return whether one of the other entry VMs is stronger than this one."""
+    return any(other.stronger_than(own) for other in others)
+
+
+def claim_delay_s(process_age_s: float, *, weaker: bool) -> float:
+    """Return how long to delay a claim of a vacant ownership, in seconds.
+
+    Among equal VMs the younger process claims first. In a rolling restart, the ownership then goes
+    to an entry VM that has been restarted already, and moves less often.
+
+    Args:
+        process_age_s: Time since the start of the process.
+        weaker: Whether a stronger VM may claim.
+    """
+    age_delay_s = AGE_DELAY_S_MAX * process_age_s / (process_age_s + AGE_DELAY_HALF_S)
+    return age_delay_s + (WEAKER_DELAY_S if weaker else 0.0)
--- a/toucandoor/platform/settings.py
+++ b/toucandoor/platform/settings.py
@@ -33,6 +33,8 @@
         store_address: Address of the platform's store.
         vm_list_address: Address of the platform's VM list; empty if there is none.
         advice_address: Address of the adviser of queues; empty if there is none.
+        processor_cores: Processor of the VM that the process may use, in cores of standard speed.
+        link_mbps: Bandwidth of the VM's network link.
         memory_bytes_max: Memory beyond which the process is killed.
         heartbeat_s: Interval at which a backend server writes its entry in the store.
         grace_s: Time from the stop signal until the process is killed.
@@ -63,6 +65,8 @@
     store_address: str
     vm_list_address: str
     advice_address: str
+    processor_cores: float
+    link_mbps: float
     memory_bytes_max: int
     heartbeat_s: float
     grace_s: float
@@ -92,6 +96,11 @@
 
 class _Limits(_Table):
     memory_mb: float = Field(gt=0)
+    # Share of the time in which the processor runs for the process.
+    cpu_quota: float = Field(default=1, gt=0)
+    # Speed of the processor against one core, not a number of cores.
+    cpu_cores: float = Field(default=1, gt=0)
+    bandwidth_mbps: float = Field(default=1000, gt=0)
 
 
 class _Bounds(_Table):
@@ -179,6 +188,8 @@
         store_address=file.platform.address,
         vm_list_address=file.cloud_api.address,
         advice_address=file.recommendation,
+        processor_cores=file.limits.cpu_quota * file.limits.cpu_cores,
+        link_mbps=file.limits.bandwidth_mbps,
         memory_bytes_max=int(file.limits.memory_mb * 1_000_000),
         heartbeat_s=file.heartbeat_ms / 1000,
         grace_s=bounds.grace_s,
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -29,6 +29,7 @@
 from toucandoor.adapters.term_context import OwnerDependencies
 from toucandoor.adapters.wsgi import make_server, respond
 from toucandoor.clock import BootClock
+from toucandoor.core.ownership.candidates import VmCapacity
 from toucandoor.exceptions import SettingsError
 from toucandoor.node_messages import AskConfiguration, Configuration
 from toucandoor.platform.http import PlatformHttp
@@ -84,7 +85,8 @@
         http = PlatformHttp(self._metrics.record_platform_call, self._metrics.record_platform_bytes)
         self._store = PlatformStore(http, settings.store_address, STORE_TIMEOUT_S)
         peer_address = f"{settings.ip}:{settings.peer_port_first}"
-        this_node = Peer(settings.entry_id, peer_address, settings.data_centre)
+        capacity = VmCapacity(settings.processor_cores, settings.link_mbps)
+        this_node = Peer(settings.entry_id, peer_address, settings.data_centre, capacity)
         self._peers = PeerDirectory(self._store, this_node)
         self._configuration = ConfigurationWatch(
             self._store, self._clock, self._fetch_peer_configuration
