Release the ownership once a stronger VM is available

A weak VM that claims while the stronger ones are down or cut off stayed the owner for as long as it ran, and the schedule stayed at its rate. An owner now reads every 4 s which entry VMs are listed, and ends its term in an orderly way when the same stronger VM was listed in two consecutive reads. It does not do so again for 30 s if that VM did not claim: that is above the lease of a node's record.

--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from typing import TYPE_CHECKING
 from unittest import mock
 
 import msgspec
@@ -44,6 +45,9 @@
 )
 from toucandoor.ids import DataCentreId, EntryId, FencingToken, StoreLeaseId, WorkerId
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 WITHIN_S = 20.0
 """Time-out of a condition; far above the time needed, and each test goes on once it holds."""
 
@@ -204,6 +208,14 @@
     )
 
 
+def wait_for(test: unittest.TestCase, condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds; fail the test if it does not in time."""
+    until_s = time.monotonic() + WITHIN_S
+    while not condition():
+        test.assertLess(time.monotonic(), until_s, "the condition did not become true in time")
+        time.sleep(0.02)
+
+
 class OwnerTaskTest(unittest.TestCase):
     """Jobs complete although the owner changes or fails."""
 
@@ -229,12 +241,6 @@
         self.jobs = StoreJobService(MemoryStore(self.records, self.changed), clock)
         self.clock = clock
 
-    def wait_for(self, condition: object) -> None:
-        until_s = time.monotonic() + WITHIN_S
-        while not condition():  # type: ignore[operator]
-            self.assertLess(time.monotonic(), until_s, "the condition did not become true in time")
-            time.sleep(0.02)
-
     def submit(self, spec: JobSpec) -> None:
         outcome = self.jobs.submit(spec, self.clock.monotonic_s() + 2.0)
         self.assertEqual(outcome, WriteOutcome.STORED)
@@ -245,56 +251,56 @@
 
     def test_a_job_is_finished_by_the_next_owner(self) -> None:
         self.tasks[0].start()
-        self.wait_for(lambda: self.tasks[0].is_owner)
+        wait_for(self, lambda: self.tasks[0].is_owner)
         spec = job(1, Step(2, NEEDS), Step(2, NEEDS, after=(0,)))
         self.submit(spec)
-        self.wait_for(lambda: self.state(spec) is JobState.RUNNING)
+        wait_for(self, lambda: self.state(spec) is JobState.RUNNING)
         self.tasks[1].start()
         self.tasks[0].stop(2.0)
-        self.wait_for(lambda: self.tasks[1].is_owner)
-        self.wait_for(lambda: self.state(spec) is JobState.COMPLETED)
+        wait_for(self, lambda: self.tasks[1].is_owner)
+        wait_for(self, lambda: self.state(spec) is JobState.COMPLETED)
         self.assertEqual(self.seen.violations, [])
         self.assertEqual(self.seen.starts, 4)
 
     def test_an_owner_without_access_to_the_store_is_replaced(self) -> None:
         self.tasks[0].start()
-        self.wait_for(lambda: self.tasks[0].is_owner)
+        wait_for(self, lambda: self.tasks[0].is_owner)
         self.stores[0].unavailable = True
         self.tasks[1].start()
         self.stores[0].expire(StoreLeaseId(1))
-        self.wait_for(lambda: self.tasks[1].is_owner)
+        wait_for(self, lambda: self.tasks[1].is_owner)
         spec = job(2)
         self.submit(spec)
-        self.wait_for(lambda: self.state(spec) is JobState.COMPLETED)
+        wait_for(self, lambda: self.state(spec) is JobState.COMPLETED)
         self.assertEqual(self.seen.violations, [])
         self.assertIsNotNone(self.records.records.get(OWNER_KEY))
 
     def test_a_handover_record_is_used_once(self) -> None:
         self.tasks[0].start()
-        self.wait_for(lambda: self.tasks[0].is_owner)
+        wait_for(self, lambda: self.tasks[0].is_owner)
         spec = job(4)
         self.submit(spec)
-        self.wait_for(lambda: self.seen.starts > 0)
+        wait_for(self, lambda: self.seen.starts > 0)
         self.workers.unresponsive = True
-        self.wait_for(lambda: self.workers.unanswered_heartbeats > 1)
+        wait_for(self, lambda: self.workers.unanswered_heartbeats > 1)
         self.tasks[0].stop(2.0)
         self.assertIn(HANDOVER_KEY, self.records.records)
         self.workers.unresponsive = False
         self.tasks[1].start()
-        self.wait_for(lambda: self.tasks[1].is_owner)
+        wait_for(self, lambda: self.tasks[1].is_owner)
         self.assertNotIn(HANDOVER_KEY, self.records.records)
-        self.wait_for(lambda: self.state(spec) is JobState.COMPLETED)
+        wait_for(self, lambda: self.state(spec) is JobState.COMPLETED)
         self.assertEqual(self.seen.violations, [])
 
     def test_an_unhandled_error_ends_the_term_and_the_next_completes_the_job(self) -> None:
         self.tasks[0].start()
-        self.wait_for(lambda: self.tasks[0].is_owner)
+        wait_for(self, lambda: self.tasks[0].is_owner)
         self.tasks[1].start()
         self.workers.fail_next_start = True
         spec = job(3)
         with self.assertLogs("toucandoor.adapters.owner_term", "ERROR") as logs:
             self.submit(spec)
-            self.wait_for(lambda: self.state(spec) is JobState.COMPLETED)
+            wait_for(self, lambda: self.state(spec) is JobState.COMPLETED)
         self.assertIn("bug in the client", logs.output[0])
         self.assertEqual(self.seen.violations, [])
 
@@ -336,6 +342,22 @@
         claim_s = 0.1
         self.assertGreater(weak._claim_delay_s(), strong._claim_delay_s() + claim_s)
 
+    # A weak VM that claimed while the strong ones were down would otherwise stay the owner.
+    def test_a_weak_owner_hands_over_to_a_stronger_vm_that_comes_back(self) -> None:
+        weak = self.node("weak", 0.52, 10.0)
+        self.addCleanup(weak.stop, 2.0)
+        reads_at_short_intervals = mock.patch(
+            "toucandoor.adapters.owner_task.CANDIDATES_READ_INTERVAL_S", 0.05
+        )
+        with reads_at_short_intervals:
+            weak.start()
+            wait_for(self, lambda: weak.is_owner)
+            strong = self.node("strong", 2.15, 200.0)
+            self.addCleanup(strong.stop, 2.0)
+            strong.start()
+            wait_for(self, lambda: strong.is_owner)
+        self.assertFalse(weak.is_owner)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/core/ownership/test_candidates.py
+++ b/tests/core/ownership/test_candidates.py
@@ -6,10 +6,13 @@
 
 from toucandoor.core.ownership.candidates import (
     AGE_DELAY_S_MAX,
+    YIELD_PAUSE_S,
     VmCapacity,
+    YieldPolicy,
     claim_delay_s,
     stronger_exists,
 )
+from toucandoor.ids import EntryId
 
 SMALL = VmCapacity(0.5, 10.0)
 LARGE = VmCapacity(2.0, 200.0)
@@ -54,5 +57,39 @@
         self.assertLessEqual(claim_delay_s(YEAR_S, weaker=False), AGE_DELAY_S_MAX)
 
 
+class YieldTest(unittest.TestCase):
+    """Release of the ownership to a stronger VM."""
+
+    def setUp(self) -> None:
+        self.policy = YieldPolicy(SMALL)
+        self.large = {EntryId("large"): LARGE, EntryId("small"): SMALL}
+
+    def test_a_stronger_vm_must_be_listed_twice_in_succession(self) -> None:
+        self.assertFalse(self.policy.should_yield(self.large, 100.0))
+        self.assertFalse(self.policy.should_yield({}, 104.0))
+        self.assertFalse(self.policy.should_yield(self.large, 108.0))
+        self.assertTrue(self.policy.should_yield(self.large, 112.0))
+
+    def test_two_stronger_vms_that_are_listed_in_turn_do_not_count(self) -> None:
+        self.assertFalse(self.policy.should_yield({EntryId("a"): LARGE}, 100.0))
+        self.assertFalse(self.policy.should_yield({EntryId("b"): LARGE}, 104.0))
+
+    def test_equal_vms_keep_the_ownership(self) -> None:
+        for now_s in (100.0, 104.0, 108.0):
+            self.assertFalse(self.policy.should_yield({EntryId("small"): SMALL}, now_s))
+
+    # A stronger VM that is listed but cannot claim would otherwise stop the schedule again and
+    # again.
+    def test_it_is_not_released_again_soon_if_the_stronger_vm_did_not_claim(self) -> None:
+        self.policy.should_yield(self.large, 100.0)
+        self.assertTrue(self.policy.should_yield(self.large, 104.0))
+        self.policy.begin_term()
+        later_s = 104.0
+        while later_s + 4.0 < 104.0 + YIELD_PAUSE_S:
+            later_s += 4.0
+            self.assertFalse(self.policy.should_yield(self.large, later_s))
+        self.assertTrue(self.policy.should_yield(self.large, 104.0 + YIELD_PAUSE_S))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/adapters/owner_task.py
+++ b/toucandoor/adapters/owner_task.py
@@ -12,7 +12,13 @@
 
 from toucandoor.adapters.owner_term import OwnerTerm
 from toucandoor.adapters.peers import NODE_PREFIX, decode_peers
-from toucandoor.core.ownership.candidates import VmCapacity, claim_delay_s, stronger_exists
+from toucandoor.core.ownership.candidates import (
+    CANDIDATES_READ_INTERVAL_S,
+    VmCapacity,
+    YieldPolicy,
+    claim_delay_s,
+    stronger_exists,
+)
 from toucandoor.core.ownership.handover import HANDOVER_KEY, decode_handover
 from toucandoor.core.ownership.lease import (
     OWNER_KEY,
@@ -24,7 +30,7 @@
 )
 from toucandoor.core.records import HistoryLostError, Transaction, TransactionConflictError
 from toucandoor.exceptions import StoreAnswerLostError, ToucandoorError
-from toucandoor.ids import FencingToken
+from toucandoor.ids import EntryId, FencingToken
 
 if TYPE_CHECKING:
     from toucandoor.adapters.term_context import OwnerDependencies
@@ -53,6 +59,9 @@
         self._revision: int | None = None
         self._handover: Record | None = None
         self._started_s = dependencies.clock.monotonic_s()
+        settings = dependencies.settings
+        self._capacity = VmCapacity(settings.processor_cores, settings.link_mbps)
+        self._yield_policy = YieldPolicy(self._capacity)
         self._thread = threading.Thread(target=self._run, name="owner", daemon=True)
 
     def start(self) -> None:
@@ -103,11 +112,25 @@
         Raises:
             ToucandoorError: The store did not answer.
         """
-        settings = self._dependencies.settings
-        own = VmCapacity(settings.processor_cores, settings.link_mbps)
+        return stronger_exists(self._capacity, self._read_peers().values())
+
+    def _read_peers(self) -> dict[EntryId, VmCapacity]:
         snapshot = self._dependencies.store.read_prefix(NODE_PREFIX)
         peers = decode_peers(snapshot.records, self._dependencies.entry_id)
-        return stronger_exists(own, (peer.capacity for peer in peers))
+        return {peer.entry_id: peer.capacity for peer in peers}
+
+    def _yield_to_a_stronger_vm(self, term: OwnerTerm, term_ended: threading.Event) -> None:
+        """End the term once a stronger VM can own the schedule; runs in a thread of the term."""
+        while not term_ended.wait(CANDIDATES_READ_INTERVAL_S):
+            try:
+                peers = self._read_peers()
+            except ToucandoorError as err:
+                _LOGGER.info("owner: reading the other entry VMs failed: %s", err)
+                continue
+            if self._yield_policy.should_yield(peers, self._dependencies.clock.monotonic_s()):
+                _LOGGER.info("owner: releasing the ownership, as a stronger VM is available")
+                term.stop()
+                return
 
     def _wait_for_vacancy(self) -> bool:
         """Wait for a change if a revision is known; return whether the ownership is vacant."""
@@ -142,10 +165,19 @@
         )
         self._term = term
         self._dependencies.metrics.set_owner(True)
+        term_ended = threading.Event()
+        self._yield_policy.begin_term()
+        threading.Thread(
+            target=self._yield_to_a_stronger_vm,
+            args=(term, term_ended),
+            name="candidates",
+            daemon=True,
+        ).start()
         try:
             if not self._stop.is_set():
                 term.serve()
         finally:
+            term_ended.set()
             self._term = None
             self._dependencies.metrics.set_owner(False)
             self._release(lease)
--- a/toucandoor/core/ownership/candidates.py
+++ b/toucandoor/core/ownership/candidates.py
@@ -11,7 +11,9 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
+
+    from toucandoor.ids import EntryId
 
 STRONGER_RATIO: Final = 1.5
 """Ratio of processor or link from which a VM counts as stronger. Below it, the gain is less than
@@ -25,6 +27,12 @@
 WEAKER_DELAY_S: Final = 0.4
 """Additional delay of a VM that knows of a stronger one: the longest delay of that one's claim, and
 as much again for its calls to a slow store."""
+CANDIDATES_READ_INTERVAL_S: Final = 4.0
+"""Interval at which an owner reads which other entry VMs there are; as often as they renew their
+records."""
+YIELD_PAUSE_S: Final = 30.0
+"""Time after a release for a stronger VM in which the same VM does not release the ownership again.
+It is above the lease of a node's record, so that a VM that cannot claim is no longer listed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,3 +79,40 @@
     """
     age_delay_s = AGE_DELAY_S_MAX * process_age_s / (process_age_s + AGE_DELAY_HALF_S)
     return age_delay_s + (WEAKER_DELAY_S if weaker else 0.0)
+
+
+class YieldPolicy:
+    """Decides when an owner releases the ownership so that a stronger VM can claim it.
+
+    The stronger VM must have been listed in two consecutive reads: one that has just started may
+    be part of a rolling restart.
+
+    Args:
+        own: Capacity of this VM.
+    """
+
+    def __init__(self, own: VmCapacity) -> None:
+        self._own = own
+        self._listed_before: frozenset[EntryId] = frozenset()
+        self._not_before_s = 0.0
+
+    def begin_term(self) -> None:
+        """Start to count reads anew for a new term."""
+        self._listed_before = frozenset()
+
+    def should_yield(self, peers: Mapping[EntryId, VmCapacity], now_s: float) -> bool:
+        """Process a read of the other entry VMs; return whether to release the ownership.
+
+        Args:
+            peers: Capacity of each other entry VM that is listed.
+            now_s: The monotonic time.
+        """
+        stronger = frozenset(
+            entry_id for entry_id, each in peers.items() if each.stronger_than(self._own)
+        )
+        listed_twice = stronger & self._listed_before
+        self._listed_before = stronger
+        if not listed_twice or now_s < self._not_before_s:
+            return False
+        self._not_before_s = now_s + YIELD_PAUSE_S
+        return True
