Read only jobs that have not ended when the ownership changes

The time grows with history and depends on the link of the VM that recovers.

Change: - The owner removes a job's specification with the write by which the job has ended and no run of it may exist. Its progress stays for status requests, and submissions now expect that neither record exists. - A takeover reads the specifications, now those of open jobs, and their progress one by one; above 400 open jobs, all progress as a whole. - Jobs that ended under a former owner are read in pages, seconds later, for the removal of their records alone. - Encoded jobs leave out default values (read by old and new builds).

What this could break, each with a test: a repeated submission at a node of a former build, which looks for the specification alone (the first write of progress conflicts with the ended one, and the job is not run again); a run of a job that the new owner no longer knows (it is stopped); status between the removal and the first progress (read again).

--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -46,7 +46,7 @@
 from toucandoor.ids import DataCentreId, EntryId, FencingToken, StoreLeaseId, WorkerId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
 WITHIN_S = 20.0
 """Time-out of a condition; far above the time needed, and each test goes on once it holds."""
@@ -70,10 +70,10 @@
         with self._changed:
             return self._records.records.get(key)
 
-    def read_prefix(self, prefix: str) -> Snapshot:
+    def read_pages(self, prefix: str) -> Iterator[Snapshot]:
         self._check()
         with self._changed:
-            return Snapshot(tuple(self._records.below(prefix)), self._records.revision)
+            yield Snapshot(tuple(self._records.below(prefix)), self._records.revision)
 
     def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
         self._check()
--- a/tests/adapters/test_term_intake.py
+++ b/tests/adapters/test_term_intake.py
@@ -18,6 +18,8 @@
 from toucandoor.ids import FencingToken
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from toucandoor.core.records import Changes, StoreLease, Transaction
     from toucandoor.fakes.virtual_platform import VirtualRecords
     from toucandoor.ids import StoreLeaseId
@@ -60,10 +62,10 @@
         self._count([record] if record is not None else [])
         return record
 
-    def read_prefix(self, prefix: str) -> Snapshot:
+    def read_pages(self, prefix: str) -> Iterator[Snapshot]:
         records = self._records.below(prefix)
         self._count(records)
-        return Snapshot(tuple(records), self._records.revision)
+        yield Snapshot(tuple(records), self._records.revision)
 
     def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
         raise NotImplementedError
--- a/tests/core/scheduling/test_machine.py
+++ b/tests/core/scheduling/test_machine.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import random
 import unittest
@@ -15,7 +16,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job
-from toucandoor.core.jobs.models import Step, TaskKey
+from toucandoor.core.jobs.models import JobSpec, Step, TaskKey
+from toucandoor.core.records import TransactionConflictError
 from toucandoor.core.scheduling.workers import EndReason
 from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.fakes.virtual_fleet import VirtualFleet
@@ -43,6 +45,7 @@
             self.fleet.boot(f"w{number}", POOL, CAPACITY, clock_rate=rate)
         self.fleet.take_over()
         self.jobs: list[JobId] = []
+        self.specs: list[JobSpec] = []
 
     def behave(self, _task: TaskKey, worker: WorkerId) -> TaskBehaviour:
         failed = worker in self.bad
@@ -62,6 +65,13 @@
         spec = job(len(self.jobs) + 1, *made)
         self.fleet.submit(spec)
         self.jobs.append(spec.job_id)
+        self.specs.append(spec)
+
+    @rule(which=st.integers(0, 20), former_build=st.booleans())
+    def repeat_submission(self, which: int, former_build: bool) -> None:
+        if self.specs:
+            with contextlib.suppress(TransactionConflictError):
+                self.fleet.submit(self.specs[which % len(self.specs)], former_build=former_build)
 
     @rule(which=st.integers(0, 20))
     def cancel(self, which: int) -> None:
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -17,13 +17,15 @@
     never_ends,
     succeeds_after_1s,
 )
-from toucandoor.core.jobs.models import JobState, Resources, Step
+from toucandoor.core.jobs.models import JobState, Resources, Step, TaskKey
+from toucandoor.core.jobs.records import JOB_PREFIX, job_key
+from toucandoor.core.records import Transaction, TransactionConflictError
 from toucandoor.core.scheduling.orders import SendHeartbeat
 from toucandoor.core.scheduling.worker_view import WorkerView
-from toucandoor.core.scheduling.workers import EndReason, StatusReport
+from toucandoor.core.scheduling.workers import EndReason, RunKey, StartOrder, StatusReport
 from toucandoor.fakes.virtual_calls import CallOutcome, OwnerTerm
 from toucandoor.fakes.virtual_platform import TaskBehaviour, VirtualWorker
-from toucandoor.ids import WorkerId
+from toucandoor.ids import JobId, WorkerId
 
 if TYPE_CHECKING:
     from toucandoor.core.scheduling.orders import Order
@@ -97,6 +99,100 @@
         virtual.run(1.0)
         self.assertEqual(virtual.state(running.job_id), JobState.RUNNING)
 
+    def test_records_of_jobs_that_ended_under_a_former_owner_are_removed_in_time(self) -> None:
+        virtual = fleet(behaviour=never_ends)
+        spec = job(1)
+        virtual.submit(spec)
+        virtual.run(1.0)
+        virtual.cancel(spec.job_id)
+        virtual.run(5.0)
+        virtual.take_over()
+        virtual.run(120.0)
+        self.assertEqual(virtual.state(spec.job_id), JobState.CANCELLED)
+        virtual.run(90.0)
+        self.assertEqual([key for key in virtual.records.records if "/" in key], [])
+
+    # A new owner reads the specifications of all jobs; with those of ended ones, the time until it
+    # schedules grew with the jobs of the last minutes.
+    def test_the_specification_of_a_job_is_removed_when_it_ends(self) -> None:
+        virtual = fleet()
+        done, running = job(1), job(2, Step(1, NEEDS, long_running=True))
+        virtual.submit(done)
+        virtual.submit(running)
+        virtual.run(5.0)
+        specs = [record.key for record in virtual.records.below(JOB_PREFIX)]
+        self.assertEqual(specs, [job_key(running.job_id)])
+        self.assertEqual(virtual.state(done.job_id), JobState.COMPLETED)
+        with self.assertRaises(TransactionConflictError):
+            virtual.submit(done)
+
+    # The next owner needs the specification to stop the runs.
+    def test_the_specification_of_a_cancelled_job_stays_while_runs_may_exist(self) -> None:
+        virtual = fleet(workers=1, behaviour=never_ends)
+        spec = job(1)
+        virtual.submit(spec)
+        virtual.run(1.0)
+        virtual.workers[WorkerId("w0")].reachable = False
+        virtual.cancel(spec.job_id)
+        virtual.run(2.0)
+        self.assertEqual(virtual.state(spec.job_id), JobState.CANCELLED)
+        self.assertIn(job_key(spec.job_id), virtual.records.records)
+        virtual.take_over()
+        virtual.workers[WorkerId("w0")].reachable = True
+        virtual.run(3.0)
+        self.assertFalse(any(virtual.observations.running.values()))
+        self.assertNotIn(job_key(spec.job_id), virtual.records.records)
+
+    # A node of a former build does not look for the progress of a job and accepts a repeated
+    # submission after the specification was removed.
+    def test_a_job_accepted_again_by_a_former_build_does_not_run_again(self) -> None:
+        for owner_changes in (False, True):
+            with self.subTest(owner_changes=owner_changes):
+                virtual = fleet()
+                spec = job(1)
+                virtual.submit(spec)
+                virtual.run(5.0)
+                starts = virtual.observations.starts
+                if owner_changes:
+                    virtual.take_over()
+                    virtual.run(1.0)
+                virtual.submit(spec, former_build=True)
+                virtual.run(10.0)
+                self.assertEqual(virtual.observations.starts, starts)
+                self.assertEqual(virtual.state(spec.job_id), JobState.COMPLETED)
+                self.assertNotIn(job_key(spec.job_id), virtual.records.records)
+                self.assertEqual(virtual.observations.violations, [])
+
+    def test_a_run_of_a_job_that_ended_under_a_former_owner_is_stopped(self) -> None:
+        virtual = fleet(workers=1, behaviour=never_ends)
+        owner = virtual.take_over()
+        virtual.run(0.5)
+        worker = virtual.workers[WorkerId("w0")]
+        key = RunKey(TaskKey(JobId("f" * 16), 0, 0, 0), 1)
+        until_ms = worker.clock_ms() + 5000
+        worker.start(StartOrder(key, "payload", until_ms, owner.scheduler.token, "", ""))
+        virtual.take_over()
+        virtual.run(1.0)
+        self.assertFalse(any(virtual.observations.running.values()))
+
+    def test_a_write_has_no_more_entries_than_the_store_accepts(self) -> None:
+        virtual = fleet(workers=20)
+        sizes: list[int] = []
+        write = virtual.records.write
+
+        def count_entries(transaction: Transaction) -> int:
+            sizes.append(
+                len(transaction.expected) + len(transaction.writes) + len(transaction.removals)
+            )
+            return write(transaction)
+
+        for number in range(60):
+            virtual.submit(job(number + 1, Step(1, NEEDS)))
+        with mock.patch.object(virtual.records, "write", count_entries):
+            virtual.run(5.0)
+        self.assertGreater(max(sizes), 20)
+        self.assertLessEqual(max(sizes), 32)
+
     def test_long_running_task_is_restarted(self) -> None:
         virtual = fleet(behaviour=always_fails)
         spec = job(1, Step(1, NEEDS, long_running=True))
--- a/toucandoor/adapters/job_service.py
+++ b/toucandoor/adapters/job_service.py
@@ -110,7 +110,9 @@
     def submit(self, spec: JobSpec, until_s: float) -> WriteOutcome:
         """Store a job; a job that exists already counts as stored."""
         key = job_key(spec.job_id)
-        return self._create(Transaction({key: 0}, {key: encode(spec)}), key, until_s)
+        # The owner removes the record of a job that has ended; its progress remains for a while.
+        expected = {key: 0, progress_key(spec.job_id): 0}
+        return self._create(Transaction(expected, {key: encode(spec)}), key, until_s)
 
     def cancel(self, job_id: JobId, until_s: float) -> WriteOutcome:
         """Store the cancellation of a job."""
@@ -120,16 +122,23 @@
 
     def status(self, job_id: JobId) -> JobStatus | None:
         """Return the status of a job; None if it does not exist."""
-        progress = self._store.read(progress_key(job_id))
-        if progress is not None:
-            record = decode_progress(progress.value)
-            return JobStatus(record.queue, record.team, record.state)
+        status = self._status_by_progress(job_id)
+        if status is not None:
+            return status
         job = self._store.read(job_key(job_id))
         if job is None:
-            return None
+            # It may have begun and ended between the two reads.
+            return self._status_by_progress(job_id)
         spec = decode_job(job.value)
         return JobStatus(spec.queue, spec.team, JobState.QUEUED)
 
+    def _status_by_progress(self, job_id: JobId) -> JobStatus | None:
+        progress = self._store.read(progress_key(job_id))
+        if progress is None:
+            return None
+        record = decode_progress(progress.value)
+        return JobStatus(record.queue, record.team, record.state)
+
     def pending(self, queue: QueueId) -> int:
         """Return how many jobs of a queue have no started task."""
         now_s = self._clock.monotonic_s()
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -111,6 +111,7 @@
             revisions = self._intake.load()
             self._start_thread(lambda: self._intake.follow(WORKER_PREFIX, revisions[0]), "workers")
             self._start_thread(lambda: self._intake.follow(INTAKE_PREFIX, revisions[1]), "intake")
+            self._start_thread(self._intake.read_ended_jobs, "ended jobs")
             self._run_loop()
             self._hand_over()
         finally:
--- a/toucandoor/adapters/term_intake.py
+++ b/toucandoor/adapters/term_intake.py
@@ -4,6 +4,7 @@
 
 import logging
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -15,6 +16,7 @@
     PROGRESS_PREFIX,
     decode_job,
     decode_progress,
+    progress_key,
 )
 from toucandoor.core.maintenance.job_waves import WAVE_PROGRESS_PREFIX
 from toucandoor.core.maintenance.vm_orders import VM_ORDERS_KEY
@@ -26,6 +28,7 @@
 
 if TYPE_CHECKING:
     import threading
+    from collections.abc import Iterable, Sequence
 
     from toucandoor.adapters.term_context import TermContext
     from toucandoor.adapters.term_vms import TermVms
@@ -41,6 +44,16 @@
 It is well below the time within which a draining server must get no new tasks."""
 RETRY_PAUSE_S: Final = 0.1
 """Pause after a failed watch."""
+READS_IN_PARALLEL: Final = 8
+"""Reads of progress records in flight at once; as many as connections to the store are kept."""
+SINGLE_READS_MAX: Final = 400
+"""Number of open jobs from which the progress of all jobs is read as a whole, that of ended ones
+included; so many single reads take longer."""
+ENDED_JOBS_DELAY_S: Final = 5.0
+"""Time from the load to the first read of ended jobs, for which backlogs of the takeover are worked
+off."""
+ENDED_JOBS_PAGE_PAUSE_S: Final = 1.0
+"""Pause between two pages of ended jobs, so that a slow link is free for orders."""
 
 
 class TermIntake:
@@ -58,36 +71,31 @@
         self._term_ended = ended
 
     def load(self) -> tuple[int, int]:
-        """Load all records.
+        """Load all records that the scheduler needs: those of jobs that have not ended.
 
         Returns:
             Revisions from which to watch the backend servers' entries and the jobs.
         """
-        scheduler = self._term.scheduler
+        clock, scheduler = self._term.dependencies.clock, self._term.scheduler
+        started_s = clock.monotonic_s()
         # Read in parallel: a slow store delays each call, and nothing is scheduled meanwhile.
         prefixes = (
             WORKER_PREFIX,
             INTAKE_PREFIX,
-            PROGRESS_PREFIX,
             WAVE_STATUS_PREFIX,
             WAVE_PROGRESS_PREFIX,
             VM_ORDERS_KEY,
         )
-        clock = self._term.dependencies.clock
-        started_s = clock.monotonic_s()
-        with ThreadPoolExecutor(len(prefixes), "load") as readers:
+        with ThreadPoolExecutor(READS_IN_PARALLEL, "load") as readers:
             snapshots = list(readers.map(self._read_prefix, prefixes))
+            workers, intake, wave_statuses, waves, vm_orders = snapshots
+            jobs = [record for record in intake.records if record.key.startswith(JOB_PREFIX)]
+            progress = self._read_progress(jobs, readers)
         read_s = clock.monotonic_s() - started_s
-        workers, intake, progress_records, wave_statuses, waves, vm_orders = snapshots
         for record in workers.records:
             self._apply_worker_entry(record)
-        progress = {
-            record.key.removeprefix(PROGRESS_PREFIX): record for record in progress_records.records
-        }
-        for record in intake.records:
-            if record.key.startswith(JOB_PREFIX):
-                job_id = record.key.removeprefix(JOB_PREFIX)
-                self._load_job(record, progress.get(job_id))
+        for record in jobs:
+            self._load_job(record, progress.get(record.key.removeprefix(JOB_PREFIX)))
         for record in intake.records:
             if record.key.startswith(CANCEL_PREFIX):
                 scheduler.cancel_job(JobId(record.key.removeprefix(CANCEL_PREFIX)))
@@ -98,13 +106,27 @@
                 "jobs": len(scheduler.jobs),
                 "open_jobs": len(scheduler.open_jobs),
                 "workers": len(scheduler.workers),
-                "bytes": sum(snapshot.bytes_read for snapshot in snapshots),
                 "read_s": round(read_s, 3),
                 "load_s": round(clock.monotonic_s() - started_s, 3),
             },
         )
         return workers.revision, intake.revision
 
+    def _read_progress(
+        self, jobs: Sequence[Record], readers: ThreadPoolExecutor
+    ) -> dict[str, Record]:
+        """Return the records of the progress of jobs, by job id; jobs without one are missing."""
+        if len(jobs) > SINGLE_READS_MAX:
+            found: Iterable[Record | None] = self._read_prefix(PROGRESS_PREFIX).records
+        else:
+            job_ids = (JobId(job.key.removeprefix(JOB_PREFIX)) for job in jobs)
+            found = readers.map(self._term.dependencies.store.read, map(progress_key, job_ids))
+        return {
+            record.key.removeprefix(PROGRESS_PREFIX): record
+            for record in found
+            if record is not None
+        }
+
     def _read_prefix(self, prefix: str) -> Snapshot:
         """Read all records below a prefix, and log how much was read in which time."""
         clock = self._term.dependencies.clock
@@ -121,6 +143,32 @@
         )
         return snapshot
 
+    def read_ended_jobs(self) -> None:
+        """Read which jobs ended under former owners, so that their records are removed in time."""
+        pause_s = ENDED_JOBS_DELAY_S
+        while not self._term_ended.wait(pause_s):
+            try:
+                for page in self._term.dependencies.store.read_pages(PROGRESS_PREFIX):
+                    self._term.post(partial(self._add_ended_jobs, page.records))
+                    if self._term_ended.wait(ENDED_JOBS_PAGE_PAUSE_S):
+                        return
+            except ToucandoorError as err:
+                _LOGGER.info("owner: reading the ended jobs failed: %s", err)
+                pause_s = ENDED_JOBS_PAGE_PAUSE_S
+            else:
+                return
+
+    def _add_ended_jobs(self, records: Iterable[Record]) -> None:
+        for record in records:
+            try:
+                progress = decode_progress(record.value)
+            except msgspec.MsgspecError as err:
+                _LOGGER.error("jobs: record %s cannot be decoded: %s", record.key, err)
+                continue
+            if progress.state.final:
+                job_id = JobId(record.key.removeprefix(PROGRESS_PREFIX))
+                self._term.scheduler.add_ended(job_id, progress.finished_unix_ms)
+
     def _load_job(self, job: Record, progress: Record | None) -> None:
         try:
             spec = decode_job(job.value)
--- a/toucandoor/core/jobs/models.py
+++ b/toucandoor/core/jobs/models.py
@@ -53,7 +53,7 @@
 NO_RESOURCES = Resources()
 
 
-class Step(msgspec.Struct, frozen=True):
+class Step(msgspec.Struct, frozen=True, omit_defaults=True):
     """Tasks of a job that have the same requirements.
 
     Attributes:
@@ -102,7 +102,7 @@
         return self.needs
 
 
-class QueueTerms(msgspec.Struct, frozen=True):
+class QueueTerms(msgspec.Struct, frozen=True, omit_defaults=True):
     """Terms of a job's queue when the job was accepted; they stay valid if the queue is removed.
 
     Attributes:
@@ -120,7 +120,7 @@
     target_duration_ms: float = 0.0
 
 
-class JobSpec(msgspec.Struct, frozen=True):
+class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """A job as its caller submitted it; it never changes.
 
     Attributes:
--- a/toucandoor/core/records.py
+++ b/toucandoor/core/records.py
@@ -9,6 +9,8 @@
 from toucandoor.exceptions import StoreConflictError, StoreError
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from toucandoor.ids import StoreLeaseId
 
 
@@ -119,8 +121,14 @@
         """Return a record, None if the key does not exist."""
 
     @abstractmethod
+    def read_pages(self, prefix: str) -> Iterator[Snapshot]:
+        """Yield the records under a prefix in pages; a page is read when it is asked for."""
+
     def read_prefix(self, prefix: str) -> Snapshot:
         """Return all records under a prefix."""
+        pages = list(self.read_pages(prefix))
+        records = tuple(record for page in pages for record in page.records)
+        return Snapshot(records, pages[0].revision, sum(page.bytes_read for page in pages))
 
     @abstractmethod
     def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
--- a/toucandoor/core/scheduling/const.py
+++ b/toucandoor/core/scheduling/const.py
@@ -34,9 +34,8 @@
 run frees capacity in less time."""
 UNHEALTHY_PAUSE_S: Final = 1.0
 """Time without new tasks for a backend server that refused an order as unhealthy."""
-COMMIT_JOBS_MAX: Final = 14
-"""Most jobs in one write. Each needs an expected revision and a value, beside the owner's own
-record, and the store accepts 32 entries."""
+TRANSACTION_ENTRIES_MAX: Final = 32
+"""Most expected revisions, values and removals in one write, by the store's protocol."""
 COMMITS_IN_FLIGHT_MAX: Final = 3
 """Most progress writes in flight at once; several, so that a slow answer does not delay other
 jobs."""
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -42,7 +42,7 @@
         for job_id in list(state.open_jobs):
             job = state.jobs[job_id]
             if job.state.final:
-                if not any(task.runs for step in job.steps.values() for task in step.tasks):
+                if not job.has_runs:
                     state.open_jobs.discard(job_id)
                 continue
             if job.opened < job.spec.occurrences:
--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -92,6 +92,7 @@
         write_in_flight: Whether a write of its record awaits its answer.
         dirty: Whether its record in the store is outdated.
         finished_unix_ms: When it reached a final state; 0 before that.
+        spec_stored: Whether the store may still have the record of its specification.
         arrived_s: When this owner first saw it, on the monotonic clock.
     """
 
@@ -107,8 +108,19 @@
     write_in_flight: bool = False
     dirty: bool = False
     finished_unix_ms: int = 0
+    spec_stored: bool = True
     arrived_s: float = 0.0
 
+    @property
+    def has_runs(self) -> bool:
+        """Whether runs of it exist or may exist."""
+        return any(task.runs for step in self.steps.values() for task in step.tasks)
+
+    @property
+    def spec_needed(self) -> bool:
+        """Whether the next owner needs its specification: tasks may start or runs may exist."""
+        return not self.state.final or self.has_runs
+
     def step(self, occurrence: int, number: int) -> StepProgress:
         """Return a step of an occurrence; create it on first use."""
         found = self.steps.get((occurrence, number))
--- a/toucandoor/core/scheduling/progress_writer.py
+++ b/toucandoor/core/scheduling/progress_writer.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
-from toucandoor.core.jobs.records import PENDING_KEY, PendingRecord, encode, progress_key
+from toucandoor.core.jobs.records import (
+    PENDING_KEY,
+    PendingRecord,
+    decode_progress,
+    encode,
+    job_key,
+    progress_key,
+)
 from toucandoor.core.records import Transaction
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.orders import Commit
@@ -19,6 +27,8 @@
     from toucandoor.core.scheduling.worker_view import Run
     from toucandoor.ids import QueueId
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class ProgressWriter:
     """Writes progress in batches; each job has at most one write in flight."""
@@ -45,8 +55,10 @@
         """Process a write that is in the store; the runs that it plans may start."""
         state = self._state
         self._in_flight -= 1
+        removed = set(commit.transaction.removals)
         for job, version in commit.jobs:
             job.write_in_flight = False
+            job.spec_stored = job.spec_stored and job_key(job.spec.job_id) not in removed
             job.revision = revision
             job.committed_version = max(job.committed_version, version)
             if job.dirty:
@@ -74,26 +86,44 @@
         for job, _ in commit.jobs:
             job.write_in_flight = False
             if found is not None:
-                record = found.get(progress_key(job.spec.job_id))
-                job.revision = record.revision if record is not None else 0
+                self._adopt_present(job, found.get(progress_key(job.spec.job_id)))
             state.mark_dirty(job)
         for run in commit.planned:
             if run.state is RunState.PLANNED and run.key in run.worker.runs:
                 state.planned.setdefault(run.task.key.job_id, []).append(run)
 
+    def _adopt_present(self, job: JobProgress, present: Record | None) -> None:
+        """Process the progress that the store has for a job, after a conflict.
+
+        A job without progress in memory may have ended under a former owner, if its submission was
+        repeated at a node of a build that only looks for the specification. It must not run again;
+        none of its planned runs has been started, as their record is not in the store.
+        """
+        was_new = job.revision == 0
+        job.revision = present.revision if present is not None else 0
+        if present is None or not was_new or job.state.final:
+            return
+        stored = decode_progress(present.value)
+        if not stored.state.final:
+            return
+        _LOGGER.warning(
+            "jobs: %s has ended before and is not run again",
+            job.spec.job_id,
+            extra={"job": job.spec.job_id, "queue": job.spec.queue},
+        )
+        self._state.drop_planned(job)
+        job.version = max(job.version, stored.version)
+        self._state.finish(job, stored.state)
+        job.finished_unix_ms = stored.finished_unix_ms
+
     def _next_commit(self) -> Commit | None:
         state = self._state
-        chosen: list[JobProgress] = []
-        for job_id in state.dirty:
-            job = state.jobs[job_id]
-            if not job.write_in_flight:
-                chosen.append(job)
-                if len(chosen) == const.COMMIT_JOBS_MAX:
-                    break
+        chosen = self._choose_jobs()
         if not chosen:
             return None
         expected = {state.settings.owner_key: state.settings.owner_revision}
         writes: dict[str, bytes] = {}
+        removals: list[str] = []
         planned: list[Run] = []
         versions: list[tuple[JobProgress, int]] = []
         for job in chosen:
@@ -103,9 +133,27 @@
             key = progress_key(job.spec.job_id)
             expected[key] = job.revision
             writes[key] = encode(job.record())
+            if _spec_removable(job):
+                removals.append(job_key(job.spec.job_id))
             versions.append((job, job.version))
             planned += state.planned.pop(job.spec.job_id, [])
-        return Commit(Transaction(expected, writes), tuple(versions), tuple(planned))
+        transaction = Transaction(expected, writes, tuple(removals))
+        return Commit(transaction, tuple(versions), tuple(planned))
+
+    def _choose_jobs(self) -> list[JobProgress]:
+        """Return changed jobs for one write, as many as the store accepts in a transaction."""
+        chosen: list[JobProgress] = []
+        entries_left = const.TRANSACTION_ENTRIES_MAX - 1  # the owner's expected revision
+        for job_id in self._state.dirty:
+            job = self._state.jobs[job_id]
+            if job.write_in_flight:
+                continue
+            # An expected revision and a value, and for some jobs a removal.
+            entries_left -= 3 if _spec_removable(job) else 2
+            if entries_left < 0:
+                break
+            chosen.append(job)
+        return chosen
 
     def pending_commit(self) -> Transaction | None:
         """Return the write of the count of waiting jobs; None while the stored count is current."""
@@ -133,3 +181,11 @@
         self._pending_in_flight = False
         if not ok:
             self._pending_written = None
+
+
+def _spec_removable(job: JobProgress) -> bool:
+    """Return whether the write of a job's progress removes the record of its specification.
+
+    The next owner then reads only the records of jobs that have not ended.
+    """
+    return job.spec_stored and not job.spec_needed
--- a/toucandoor/core/scheduling/retention.py
+++ b/toucandoor/core/scheduling/retention.py
@@ -29,13 +29,22 @@
 
 
 class Retention:
-    """Plans the removal of job records whose retention period has ended."""
+    """Plans the removal of job records whose retention period has ended.
+
+    Jobs that ended under a former owner are not in the schedule; they are passed to `add_ended`.
+    """
 
     def __init__(self, state: ScheduleState, retention_s: float) -> None:
         self._state = state
         self._retention_s = retention_s + RETENTION_MARGIN_S
         self._next_check_s = 0.0
         self._removing: list[JobId] = []
+        self._ended_before: dict[JobId, int] = {}
+
+    def add_ended(self, job_id: JobId, finished_unix_ms: int) -> None:
+        """Add a job that ended under a former owner and is not in the schedule."""
+        if job_id not in self._state.jobs:
+            self._ended_before[job_id] = finished_unix_ms
 
     def removal(self) -> Transaction | None:
         """Return the next removal; None if nothing is due or a removal is in flight."""
@@ -43,8 +52,20 @@
         now_s = state.now_s
         if self._removing or now_s < self._next_check_s:
             return None
+        due = self._due_jobs()
+        if not due:
+            self._next_check_s = now_s + CHECK_INTERVAL_S
+            return None
+        self._removing = due
+        keys = [key for job_id in due for key in self._keys(job_id)]
+        owner = {state.settings.owner_key: state.settings.owner_revision}
+        return Transaction(owner, removals=tuple(keys))
+
+    def _due_jobs(self) -> list[JobId]:
+        state = self._state
         due_ms = state.now_unix_ms - self._retention_s * MS_PER_S
-        due = [
+        due = [job_id for job_id, ended_ms in self._ended_before.items() if ended_ms < due_ms]
+        due += [
             job_id
             for job_id, job in state.jobs.items()
             if job.state.final
@@ -52,21 +73,27 @@
             and job_id not in state.open_jobs
             and job_id not in state.dirty
             and not job.write_in_flight
-        ][:REMOVED_JOBS_MAX]
-        if not due:
-            self._next_check_s = now_s + CHECK_INTERVAL_S
-            return None
-        self._removing = due
-        keys = [key(job_id) for job_id in due for key in (job_key, progress_key)]
-        keys += [cancel_key(job_id) for job_id in due if state.jobs[job_id].cancelled]
-        owner = {state.settings.owner_key: state.settings.owner_revision}
-        return Transaction(owner, removals=tuple(keys))
+        ]
+        return due[:REMOVED_JOBS_MAX]
+
+    def _keys(self, job_id: JobId) -> list[str]:
+        """Return the keys of a job's records that the store may still have."""
+        state = self._state
+        job = state.jobs.get(job_id)
+        keys = [progress_key(job_id)]
+        if job is not None and job.spec_stored:
+            keys.append(job_key(job_id))
+        if job_id in state.early_cancels or (job is not None and job.cancelled):
+            keys.append(cancel_key(job_id))
+        return keys
 
     def removed(self, *, ok: bool) -> None:
         """Process the result of the removal in flight."""
         if ok:
             for job_id in self._removing:
-                del self._state.jobs[job_id]
+                self._state.jobs.pop(job_id, None)
+                self._state.early_cancels.discard(job_id)
+                self._ended_before.pop(job_id, None)
             _LOGGER.info("jobs: records removed", extra={"jobs": len(self._removing)})
         else:
             self._next_check_s = self._state.now_s + CHECK_INTERVAL_S
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -122,6 +122,9 @@
         """Confirm the runs in a status report, and discard runs that can't exist any more."""
         now_s = self._state.now_s
         active = {each.run: each for each in report.active}
+        worker.unknown_runs = {
+            run: next_s for run, next_s in worker.unknown_runs.items() if run in active
+        }
         for run in list(worker.runs.values()):
             seen = active.pop(run.key, None)
             if seen is not None:
@@ -145,8 +148,12 @@
         """Stop a reported run that this owner has not planned; its start was carried out late."""
         state = self._state
         job = state.jobs.get(seen.run.task.job_id)
-        task = find_task(job, seen.run.task) if job is not None else None
-        if job is None or task is None:
+        if job is None:
+            # Every job that may run is in the schedule, so this one has ended.
+            worker.unknown_runs.setdefault(seen.run, now_s)
+            return
+        task = find_task(job, seen.run.task)
+        if task is None:
             return
         run = Run(seen.run, task, worker, RunState.RUNNING, now_s, confirmed_s=now_s)
         run.checkpoint = seen.checkpoint
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -5,9 +5,11 @@
 import logging
 from typing import TYPE_CHECKING
 
+from toucandoor.core.jobs.models import NO_RESOURCES, Step
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.orders import LimitSpeed, Order, SendHeartbeat, StartRun, StopRun
 from toucandoor.core.scheduling.pacing import needs_short_heartbeats, plan_speed_limits
+from toucandoor.core.scheduling.progress import Task
 from toucandoor.core.scheduling.state import run_fields
 from toucandoor.core.scheduling.worker_view import Run, RunState, WorkerView
 from toucandoor.core.scheduling.workers import OrderRefusal, StartOrder
@@ -18,6 +20,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+_UNKNOWN_STEP = Step(1, NO_RESOURCES)
+"""Stands for the step of a run whose job is not in the schedule."""
+
 
 class RunOrders:
     """Creates the orders to backend servers and processes their answers."""
@@ -46,6 +51,22 @@
             due = not worker.heartbeat_in_flight and now_s >= worker.next_heartbeat_s
             if worker.needs_heartbeat and due and worker.entry.address:
                 orders.append(self._heartbeat(worker, now_s))
+            orders += self._stop_unknown_runs(worker, now_s)
+        return orders
+
+    def _stop_unknown_runs(self, worker: WorkerView, now_s: float) -> list[Order]:
+        """Return orders to stop reported runs of jobs that are not in the schedule.
+
+        The runs are not tracked: a stop is repeated until they are no longer reported.
+        """
+        orders: list[Order] = []
+        for key, next_s in worker.unknown_runs.items():
+            if now_s < next_s or not worker.entry.address or worker.ended:
+                continue
+            worker.unknown_runs[key] = now_s + const.STOP_RETRY_S
+            run = Run(key, Task(key.task, _UNKNOWN_STEP), worker, RunState.RUNNING, now_s)
+            _LOGGER.warning("runs: stopping a run of a job that has ended", extra=run_fields(run))
+            orders.append(StopRun(run, self._state.settings.token))
         return orders
 
     def next_heartbeat_s(self) -> float:
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -58,7 +58,6 @@
         self._placer = Placer(self._state)
         self._writer = ProgressWriter(self._state)
         self._retention = Retention(self._state, settings.status_retention_s)
-        self._early_cancels: set[JobId] = set()
         self._arrivals: deque[tuple[float, PoolId, float]] = deque()
 
     @property
@@ -110,7 +109,9 @@
     def add_job(self, spec: JobSpec) -> None:
         """Add an accepted job that has no recorded progress."""
         state = self._state
-        if spec.job_id in state.jobs:
+        known = state.jobs.get(spec.job_id)
+        if known is not None:
+            self._spec_stored_again(known)
             return
         job = JobProgress(spec, arrived_s=state.now_s)
         state.jobs[spec.job_id] = job
@@ -118,9 +119,15 @@
         state.mark_changed(job)
         if not spec.timed and not spec.long_running:
             self._arrivals.append((job.arrived_s, state.pool_of(job), job_core_ms(spec)))
-        if spec.job_id in self._early_cancels:
+        if spec.job_id in self._state.early_cancels:
             self.cancel_job(spec.job_id)
 
+    def _spec_stored_again(self, job: JobProgress) -> None:
+        """Handle the record of a known job's specification, which a repeated submission wrote."""
+        job.spec_stored = True
+        if not job.spec_needed:
+            self._state.mark_changed(job)
+
     def restore_job(self, spec: JobSpec, record: ProgressRecord, revision: int) -> None:
         """Add a job with the progress that a former owner has recorded.
 
@@ -143,11 +150,20 @@
             if job.state.final or task.done:
                 state.request_stop(run)
 
+    def add_ended(self, job_id: JobId, finished_unix_ms: int) -> None:
+        """Add a job that ended under a former owner, so that its records are removed in time.
+
+        Args:
+            job_id: The job.
+            finished_unix_ms: When it reached its final state.
+        """
+        self._retention.add_ended(job_id, finished_unix_ms)
+
     def cancel_job(self, job_id: JobId) -> None:
         """Cancel a job: its runs are stopped and no task of it starts again."""
         job = self._state.jobs.get(job_id)
         if job is None:
-            self._early_cancels.add(job_id)
+            self._state.early_cancels.add(job_id)
             return
         if job.cancelled:
             return
@@ -207,6 +223,8 @@
         self._orders.adjust_speed_limits(worker)
         if worker.uncommitted:
             worker.next_heartbeat_s = state.now_s + const.UNCOMMITTED_HEARTBEAT_PAUSE_S
+        elif worker.unknown_runs and not worker.runs:
+            worker.next_heartbeat_s = state.now_s + const.STOP_RETRY_S
         self._acknowledge(worker)
 
     def heartbeat_failed(self, worker: WorkerView, refusal: OrderRefusal | None) -> None:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -75,6 +75,8 @@
         workers: Latest boot of each backend server.
         former_boots: Boots other than these on which recorded runs may exist. The platform's list
             does not contain them, so they have no address and get no orders.
+        early_cancels: Cancelled jobs that are not in the schedule: they are not known yet, or have
+            ended under a former owner.
         superseded: Whether another owner has been detected.
         waiting_steps: Steps of due occurrences that may have waiting tasks.
         changed_pools: Pools in which something has changed since the last placement.
@@ -94,6 +96,7 @@
         self.open_jobs: set[JobId] = set()
         self.workers: dict[WorkerId, WorkerView] = {}
         self.former_boots: list[WorkerView] = []
+        self.early_cancels: set[JobId] = set()
         self.superseded = False
         self.waiting_steps: dict[StepKey, StepProgress] = {}
         self.changed_pools: set[PoolId] = set()
@@ -198,6 +201,15 @@
         if not job.state.final and not run.task.done:
             self.mark_step_waiting(job, self.step_of(run.task))
 
+    def drop_planned(self, job: JobProgress) -> None:
+        """Remove the runs of a job whose record is not in the store yet."""
+        self.planned.pop(job.spec.job_id, None)
+        for step in job.steps.values():
+            for task in step.tasks:
+                for run in list(task.runs):
+                    if run.state is RunState.PLANNED:
+                        self.detach(run)
+
     def mark_step_waiting(self, job: JobProgress, step: StepProgress) -> None:
         """Mark a step as having tasks that may need a run."""
         self.waiting_steps[step.key] = step
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -86,6 +86,8 @@
         contacted: Whether it has answered a heartbeat of this owner; reset when it must answer
             another one before it gets new tasks.
         runs: Runs that exist or may exist on it.
+        unknown_runs: Runs that it has reported and whose jobs are not in the schedule, with the
+            earliest time of the next order to stop each.
         used: Capacity reserved by these runs.
         clock_ms: Its steady clock at the time `clock_read_s`; None while unknown.
         clock_read_s: When the answer with that clock arrived.
@@ -117,6 +119,7 @@
     ended: bool = False
     contacted: bool = False
     runs: dict[RunKey, Run] = field(default_factory=dict)
+    unknown_runs: dict[RunKey, float] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
     clock_ms: int | None = None
     clock_read_s: float = 0.0
@@ -205,7 +208,8 @@
             return False
         unacknowledged = self.ends_committed > self.acknowledgement_confirmed
         unknown = self.listed and not self.contacted
-        return bool(self.runs or self.uncommitted or unacknowledged or unknown)
+        tracked = self.runs or self.unknown_runs or self.uncommitted
+        return bool(tracked or unacknowledged or unknown)
 
     def usable(self, now_s: float) -> bool:
         """Return whether it may get new tasks."""
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -141,11 +141,22 @@
         if present is worker and self.owner is not None:
             self.owner.scheduler.worker_unlisted(worker.entry.worker_id)
 
-    def submit(self, spec: JobSpec) -> None:
-        """Write a job to the store, as its submission does."""
-        self.records.write(
-            Transaction({job_key(spec.job_id): 0}, {job_key(spec.job_id): encode(spec)})
-        )
+    def submit(self, spec: JobSpec, *, former_build: bool = False) -> None:
+        """Write a job to the store, as its submission does.
+
+        Args:
+            spec: The job.
+            former_build: Whether the accepting node is of a build that looks for the job's
+                specification alone.
+
+        Raises:
+            TransactionConflictError: The job exists.
+        """
+        key = job_key(spec.job_id)
+        expected = {key: 0}
+        if not former_build:
+            expected[progress_key(spec.job_id)] = 0
+        self.records.write(Transaction(expected, {key: encode(spec)}))
 
     def cancel(self, job_id: JobId) -> None:
         """Write the cancellation of a job to the store."""
@@ -194,6 +205,11 @@
                 owner.scheduler.restore_job(
                     spec, decode_progress(progress.value), progress.revision
                 )
+        for record in self.records.below(PROGRESS_PREFIX):
+            job_id = JobId(record.key.removeprefix(PROGRESS_PREFIX))
+            stored = decode_progress(record.value)
+            if stored.state.final:
+                owner.scheduler.add_ended(job_id, stored.finished_unix_ms)
         for record in self.records.below(CANCEL_PREFIX):
             owner.scheduler.cancel_job(JobId(record.key.removeprefix(CANCEL_PREFIX)))
         self._tick(owner)
--- a/toucandoor/platform/store.py
+++ b/toucandoor/platform/store.py
@@ -31,7 +31,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterator, Mapping
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -93,21 +93,16 @@
             return None
         return _record(answer, answer.decode(_Item))
 
-    def read_prefix(self, prefix: str) -> Snapshot:
-        """Return all records below a prefix."""
-        records: list[Record] = []
-        first_revision: int | None = None
-        bytes_read = 0
+    def read_pages(self, prefix: str) -> Iterator[Snapshot]:
+        """Yield the records below a prefix in pages."""
         query = {"prefix": prefix}
         while True:
             answer = self._call("read_prefix", "GET", "/-/kv-range", query=query)
             page = answer.decode(_Range)
-            records += [_record(answer, item) for item in page.items]
-            bytes_read += len(answer.body)
-            if first_revision is None:
-                first_revision = page.at
+            records = tuple(_record(answer, item) for item in page.items)
+            yield Snapshot(records, page.at, len(answer.body))
             if not page.has_more or not page.items:
-                return Snapshot(tuple(records), first_revision, bytes_read)
+                return
             query = {"prefix": prefix, "after": page.items[-1].key}
 
     def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
