--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -51,7 +51,8 @@
             due = not worker.heartbeat_in_flight and now_s >= worker.next_heartbeat_s
             if worker.needs_heartbeat and due and worker.entry.address:
                 orders.append(self._heartbeat(worker, now_s))
-            orders += self._stop_unknown_runs(worker, now_s)
+            if worker.unknown_runs:
+                orders += self._stop_unknown_runs(worker, now_s)
         return orders
 
     def _stop_unknown_runs(self, worker: WorkerView, now_s: float) -> list[Order]:
