Draw the idempotency keys of the dead entry's test from both owners

KNOWN-RED: test_a_repeat_after_its_entry_was_killed_runs_nothing_twice failed once with six times 503. Traced by a run in which all six keys are owned by the entry that is killed: the answers are the same six 503. Random keys give that in 1 of 64 runs, and the refusal is right: the owner of a key is the one that knows whether its request ran.

The test now draws three keys of each entry, and is stricter: each repeat must be answered by its key's owner, 503 at the dead one and 200 at the other; any mix with one 200 passed before.

--- a/tests/programs/test_backend_faults.py
+++ b/tests/programs/test_backend_faults.py
@@ -8,10 +8,15 @@
 import unittest
 import uuid
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+from toucandoor.core.attempts.ownership import SubmissionKey, rank_entries
+from toucandoor.ids import EntryId, QueueId, TeamId
 from toucandoor.measures._faulty_pool import SECRET, FaultyPool
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 
 def new_key() -> str:
     """Return a version 7 UUID with the current time, which is after the entries' start."""
@@ -20,6 +25,14 @@
     return str(uuid.UUID(int=value))
 
 
+def new_key_owned_by(owner: EntryId, entries: Sequence[EntryId]) -> str:
+    """Return a new idempotency key of queue ``q`` and team ``a`` that the given entry owns."""
+    while True:
+        key = new_key()
+        if rank_entries(SubmissionKey(QueueId("q"), TeamId("a"), key), entries)[0] == owner:
+            return key
+
+
 class BackendFaultsTest(unittest.TestCase):
     @classmethod
     def setUpClass(cls) -> None:
@@ -164,7 +177,9 @@
             self.assertEqual(system.run_command("apply", str(pool.folder)).returncode, 0)
             system.wait_ready()
             time.sleep(1.2)
-            keys = {f"job-{number}": new_key() for number in range(6)}
+            entries = [EntryId(vm.entry_id) for vm in system.entry_vms]
+            owners = {f"job-{number}": entries[number % 2] for number in range(6)}
+            keys = {name: new_key_owned_by(owner, entries) for name, owner in owners.items()}
 
             def send(name: str, entry: int) -> int:
                 body = json.dumps({"run_s": 1.5, "result": name}).encode()
@@ -180,7 +195,9 @@
                 time.sleep(0.8)
                 system.processes["entry-1.entry"].process.kill()
                 self.assertEqual({each.result() for each in first}, {0})
-                statuses = list(threads.map(lambda name: send(name, 1), keys))
-            self.assertLessEqual(set(statuses), {200, 503})
-            self.assertIn(200, statuses)
+                statuses = dict(
+                    zip(keys, threads.map(lambda name: send(name, 1), keys), strict=True)
+                )
+            expected = {name: 503 if owner == entries[0] else 200 for name, owner in owners.items()}
+            self.assertEqual(statuses, expected)
             self.assertEqual(max(pool.run_counts().values()), 1)
