Make no claim from a weak VM once a stronger one has claimed

Each VM that lost the race for a vacant ownership made three calls to the store (a lease, a claim that conflicts, the end of the lease). With 39 weak VMs these came while the new owner read its records. A VM that waits for a stronger one now waits on a watch of the ownership record, and goes back to waiting when the record appears. Equal VMs claim as before.

--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -340,7 +340,25 @@
         hour_s = 3600.0
         strong._started_s -= hour_s
         claim_s = 0.1
-        self.assertGreater(weak._claim_delay_s(), strong._claim_delay_s() + claim_s)
+        self.assertTrue(weak._weaker_than_a_peer())
+        self.assertFalse(strong._weaker_than_a_peer())
+        self.assertGreater(
+            weak._claim_delay_s(weaker=True), strong._claim_delay_s(weaker=False) + claim_s
+        )
+
+    # The claims of 39 weak VMs, three calls each, came while the new owner read its records.
+    def test_a_weak_vm_makes_no_claim_once_a_stronger_one_has_claimed(self) -> None:
+        weak = self.node("weak", 0.52, 10.0)
+        self.node("strong", 2.15, 200.0)
+        self.assertTrue(weak._wait_for_vacancy())
+        self.records.write(Transaction({OWNER_KEY: 0}, {OWNER_KEY: b"{}"}))
+        self.assertFalse(weak._wait_for_turn())
+
+    def test_a_weak_vm_claims_if_the_stronger_one_does_not(self) -> None:
+        weak = self.node("weak", 0.52, 10.0)
+        self.node("strong", 2.15, 200.0)
+        self.assertTrue(weak._wait_for_vacancy())
+        self.assertTrue(weak._wait_for_turn())
 
     # A weak VM that claimed while the strong ones were down would otherwise stay the owner.
     def test_a_weak_owner_hands_over_to_a_stronger_vm_that_comes_back(self) -> None:
--- a/toucandoor/adapters/owner_task.py
+++ b/toucandoor/adapters/owner_task.py
@@ -84,9 +84,8 @@
     def _run(self) -> None:
         while not self._stop.is_set():
             try:
-                if self._wait_for_vacancy() and not self._stop.is_set():
+                if self._wait_for_vacancy() and not self._stop.is_set() and self._wait_for_turn():
                     self._revision = None
-                    self._stop.wait(self._claim_delay_s())
                     self._claim_and_serve()
             except HistoryLostError:
                 self._revision = None
@@ -100,10 +99,22 @@
                 self._revision = None
                 self._stop.wait(RETRY_PAUSE_S)
 
-    def _claim_delay_s(self) -> float:
+    def _wait_for_turn(self) -> bool:
+        """Wait for the delay of a claim; return whether this VM should claim then."""
+        weaker = self._weaker_than_a_peer()
+        delay_s = self._claim_delay_s(weaker=weaker)
+        if not weaker or self._revision is None:
+            self._stop.wait(delay_s)
+            return True
+        # Most VMs may be weak. Their claims after that of a strong one would load the store while
+        # the new owner reads its records.
+        changes = self._dependencies.store.watch(OWNER_KEY, self._revision, delay_s)
+        self._revision = changes.revision
+        return all(record.key != OWNER_KEY for record in changes.written)
+
+    def _claim_delay_s(self, *, weaker: bool) -> float:
         """Return how long to delay a claim, with a random part against conflicts."""
         age_s = self._dependencies.clock.monotonic_s() - self._started_s
-        weaker = self._weaker_than_a_peer()
         return claim_delay_s(age_s, weaker=weaker) + random.uniform(0, CLAIM_JITTER_S)
 
     def _weaker_than_a_peer(self) -> bool:
