Wait for a full ceiling by the times of runs, not by samples

They now wait until as many tasks as the ceiling allows have run at once since the wait began, from the times of all runs; the time limits are as they were, and the final check still asks for the ceiling exactly.

--- a/tests/programs/test_ceilings.py
+++ b/tests/programs/test_ceilings.py
@@ -117,9 +117,14 @@
             time.sleep(0.05)
         return time.monotonic() - started_s
 
+    def wait_until_full(self, within_s: float) -> None:
+        """Wait until as many tasks as the ceiling allows have run at once since this call."""
+        since_s = time.monotonic()
+        self.wait_until(lambda: self.running_at_once_max(since_s) >= CEILING, within_s)
+
     def test_killed_and_frozen_entries(self) -> None:
         self.send(0, 20, 4.0)
-        self.wait_until(lambda: self.running() == CEILING, 10)
+        self.wait_until_full(10)
         killed = self.deployment.processes["entry-1.entry"]
         killed.send_signal(signal.SIGKILL)
         killed.process.wait()
@@ -128,20 +133,20 @@
         self.send(2, 20, 1.0)
         self.wait_until(lambda: self.running() == 0, 20)
         self.send(2, 20, 1.0)
-        self.wait_until(lambda: self.running() == CEILING, 20)
+        self.wait_until_full(20)
         frozen = self.deployment.processes["entry-3.entry"]
         frozen.send_signal(signal.SIGSTOP)
         self.send(1, 10, 0.5)
         time.sleep(TASK_LEASE_S + 2)
         frozen.send_signal(signal.SIGCONT)
         self.send(1, 20, 3.0)
-        self.wait_until(lambda: self.running() == CEILING, 20)
+        self.wait_until_full(20)
         self.assertEqual(self.running_at_once_max(), CEILING)
 
     def test_store_and_controller_fail_and_the_ceiling_comes_down(self) -> None:
         self.deployment.set_platform_faults(lose_answers=True)
         self.send(2, 12, 1.0)
-        self.wait_until(lambda: self.running() == CEILING, 20)
+        self.wait_until_full(20)
         controller = self.deployment.processes["entry-3.controller"]
         controller.send_signal(signal.SIGKILL)
         controller.process.wait()
@@ -149,11 +154,11 @@
         self.deployment.set_platform_faults(down=True)
         self.wait_until(lambda: self.running() == 0, 20)
         self.send(2, 12, 1.0)
-        self.wait_until(lambda: self.running() == CEILING, 20)
+        self.wait_until_full(20)
         self.deployment.set_platform_faults(lose_answers=True)
         self.wait_until(lambda: self.running() == 0, 20)
         self.send(0, 12, 3.0)
-        self.wait_until(lambda: self.running() == CEILING, 20)
+        self.wait_until_full(20)
         self.send(2, 6, 1.0)
         self.wait_until(lambda: self.running() == 0, 20)
         self.deployment.set_platform_faults()
