--- a/tests/adapters/test_term_intake.py
+++ b/tests/adapters/test_term_intake.py
@@ -13,6 +13,7 @@
 from toucandoor.adapters.term_context import TermContext
 from toucandoor.adapters.term_intake import TermIntake
 from toucandoor.core.jobs.models import JobState, Step
+from toucandoor.core.jobs.records import progress_key
 from toucandoor.core.records import Record, RecordStore, Snapshot
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
 from toucandoor.ids import FencingToken
@@ -86,16 +87,17 @@
 class TakeoverTest(unittest.TestCase):
     """A new owner's load, from the records that a former owner has left."""
 
-    def load(self, store: CountingStore) -> Scheduler:
+    def load(self, store: CountingStore) -> tuple[Scheduler, TermIntake]:
         clock = self.fleet.clock
         settings = SchedulerSettings("owner", 1, FencingToken(1), 6.0)
         scheduler = Scheduler(settings, clock)
         dependencies = mock.Mock(store=store, clock=clock)
         term = TermContext(
-            dependencies, scheduler, mock.Mock(), mock.Mock(), mock.Mock(), lambda: True
+            dependencies, scheduler, lambda event: event(), mock.Mock(), mock.Mock(), lambda: True
         )
-        TermIntake(term, mock.Mock(), threading.Event()).load()
-        return scheduler
+        intake = TermIntake(term, mock.Mock(), threading.Event())
+        intake.load()
+        return scheduler, intake
 
     def setUp(self) -> None:
         self.fleet = fleet(workers=0)
@@ -126,6 +128,44 @@
         read_s = bytes_per_job * RETAINED_JOBS / LINK_BYTES_PER_S
         self.assertLess(read_s, URGENT_START_S)
 
+    def test_open_jobs_are_loaded_with_their_progress_however_many_they_are(self) -> None:
+        made = self.fleet
+        for number in range(2):
+            made.boot(f"w{number}", POOL, NEEDS.times(8))
+        for number in range(12):
+            made.submit(job(number, Step(4, NEEDS, 1000)))
+        made.run(0.5)
+        for single_reads_max in (0, 400):
+            with (
+                self.subTest(single_reads_max=single_reads_max),
+                mock.patch("toucandoor.adapters.term_intake.SINGLE_READS_MAX", single_reads_max),
+            ):
+                scheduler, _ = self.load(CountingStore(made.records))
+                self.assertEqual(len(scheduler.jobs), 12)
+                running = [each for each in scheduler.jobs.values() if each.has_runs]
+                self.assertEqual(len(running), 4)
+
+    def test_ended_jobs_are_read_after_the_load_and_removed_in_time(self) -> None:
+        made = self.fleet
+        made.boot("w", POOL, NEEDS.times(8))
+        ended, running = job(1), job(2, Step(1, NEEDS, long_running=True))
+        made.submit(ended)
+        made.submit(running)
+        made.run(5.0)
+        scheduler, intake = self.load(CountingStore(made.records))
+        made.clock.advance(200.0)
+        self.assertIsNone(scheduler.removal())
+        waits = (
+            "toucandoor.adapters.term_intake.ENDED_JOBS_DELAY_S",
+            "toucandoor.adapters.term_intake.ENDED_JOBS_PAGE_PAUSE_S",
+        )
+        with mock.patch(waits[0], 0.0), mock.patch(waits[1], 0.0):
+            intake.read_ended_jobs()
+        made.clock.advance(60.0)
+        removal = scheduler.removal()
+        assert removal is not None
+        self.assertEqual(removal.removals, (progress_key(ended.job_id),))
+
 
 if __name__ == "__main__":
     unittest.main()
