Keep scheduling when the progress of a repeated job cannot be decoded

The new check for jobs that ended before decodes the progress that a first write conflicts with. Found by reading: a record that cannot be decoded raised in the event loop and ended the term, and that of each next owner. It is now logged, and the job is handled as before that check.

--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -18,7 +18,7 @@
     succeeds_after_1s,
 )
 from toucandoor.core.jobs.models import JobState, Resources, Step, TaskKey
-from toucandoor.core.jobs.records import JOB_PREFIX, job_key
+from toucandoor.core.jobs.records import JOB_PREFIX, job_key, progress_key
 from toucandoor.core.records import Transaction, TransactionConflictError
 from toucandoor.core.scheduling.orders import SendHeartbeat
 from toucandoor.core.scheduling.worker_view import WorkerView
@@ -163,6 +163,17 @@
                 self.assertNotIn(job_key(spec.job_id), virtual.records.records)
                 self.assertEqual(virtual.observations.violations, [])
 
+    # An error in the event loop would end the term of each owner in turn.
+    def test_progress_that_cannot_be_decoded_does_not_stop_the_schedule(self) -> None:
+        virtual = fleet()
+        broken, sound = job(1), job(2)
+        virtual.records.write(Transaction({}, {progress_key(broken.job_id): b"?"}))
+        virtual.submit(broken, former_build=True)
+        virtual.submit(sound)
+        with self.assertLogs("toucandoor.core.scheduling.progress_writer", "ERROR"):
+            virtual.run(5.0)
+        self.assertEqual(virtual.state(sound.job_id), JobState.COMPLETED)
+
     def test_a_run_of_a_job_that_ended_under_a_former_owner_is_stopped(self) -> None:
         virtual = fleet(workers=1, behaviour=never_ends)
         owner = virtual.take_over()
--- a/toucandoor/core/scheduling/progress_writer.py
+++ b/toucandoor/core/scheduling/progress_writer.py
@@ -5,6 +5,8 @@
 import logging
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from toucandoor.core.jobs.records import (
     PENDING_KEY,
     PendingRecord,
@@ -103,7 +105,11 @@
         job.revision = present.revision if present is not None else 0
         if present is None or not was_new or job.state.final:
             return
-        stored = decode_progress(present.value)
+        try:
+            stored = decode_progress(present.value)
+        except msgspec.MsgspecError as err:
+            _LOGGER.error("jobs: the progress of %s cannot be decoded: %s", job.spec.job_id, err)
+            return
         if not stored.state.final:
             return
         _LOGGER.warning(
