Send orders to backend servers on an event loop

Cause: the owner of the schedule was short of processor time.

No thread waits in a long poll any more. A call that got no connection in time was certainly not sent. Whether a start may still be sent is asked right before it is written, after any wait for a connection. Time-outs of orders follow the response times, from 0.1 to 0.6 s (before: 0.4 s for orders, 0.6 s beyond the wait of a long poll).

The term's loop collects the events of 5 ms for one step, since a step goes through all backend servers and open jobs; a failed renewal of the ownership is repeated after 0.05 s.

--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import threading
 import time
 import unittest
@@ -11,6 +12,7 @@
 import msgspec
 
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job
+from toucandoor.adapters.call_loop import CallLoop
 from toucandoor.adapters.job_service import StoreJobService, WriteOutcome
 from toucandoor.adapters.owner_task import OwnerTask
 from toucandoor.adapters.term_context import OwnerDependencies
@@ -29,6 +31,7 @@
 )
 from toucandoor.core.scheduling.workers import (
     OrderUnansweredError,
+    OrderWithheldError,
     RunKey,
     StartOrder,
     StatusReport,
@@ -126,23 +129,27 @@
         self.unresponsive = False
         self.unanswered_heartbeats = 0
 
-    def start(self, target: WorkerTarget, order: StartOrder) -> int:
+    async def async_start(
+        self, target: WorkerTarget, order: StartOrder, may_send: Callable[[], bool]
+    ) -> int:
         if self.fail_next_start:
             self.fail_next_start = False
             raise RuntimeError("bug in the client")
+        if not may_send():
+            raise OrderWithheldError("withheld", step="start")
         with self._lock:
             return self._worker.start(order)
 
-    def stop(self, target: WorkerTarget, run: RunKey, token: FencingToken) -> int:
+    async def async_stop(self, target: WorkerTarget, run: RunKey, token: FencingToken) -> int:
         with self._lock:
             return self._worker.stop(run, token)
 
-    def limit_speed(
+    async def async_limit_speed(
         self, target: WorkerTarget, run: RunKey, percent: int, token: FencingToken
     ) -> int:
         raise NotImplementedError
 
-    def heartbeat(
+    async def async_heartbeat(
         self,
         target: WorkerTarget,
         token: FencingToken,
@@ -160,7 +167,7 @@
                 report = self._worker.heartbeat(token, lease_until_ms, acknowledged)
             if report.ended or time.monotonic() >= until_s:
                 return report
-            time.sleep(0.01)
+            await asyncio.sleep(0.01)
 
 
 def entry_value(entry: WorkerEntry) -> bytes:
@@ -204,7 +211,16 @@
     metrics = mock.Mock()
     metrics.platform_bytes.return_value = {}
     return OwnerDependencies(
-        EntryId(name), settings, clock, store, workers, vms, mock.Mock(), watch, metrics
+        EntryId(name),
+        settings,
+        clock,
+        store,
+        workers,
+        CallLoop(),
+        vms,
+        mock.Mock(),
+        watch,
+        metrics,
     )
 
 
--- a/tests/adapters/test_term_orders.py
+++ b/tests/adapters/test_term_orders.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
 from unittest import mock
 
 from tests.core.scheduling.common import NEEDS, fleet, job
 from toucandoor.adapters.term_context import TermContext
 from toucandoor.adapters.term_orders import TermOrders
+from toucandoor.clock import ManualClock
 from toucandoor.core.jobs.models import JobState, Step
 from toucandoor.core.scheduling.orders import StartRun
 from toucandoor.fakes.virtual_calls import OwnerTerm
 from toucandoor.fakes.virtual_fleet import VirtualFleet
+from toucandoor.platform.async_http import CallWithheldError
+from toucandoor.platform.workers import PlatformWorkers
 
 
 class ValidityTest(unittest.TestCase):
@@ -37,24 +41,43 @@
         def post(event: Callable[[], None]) -> None:
             virtual.schedule(0.0, event)
 
+        def submit_calls(calls: Sequence[Callable[[], Awaitable[None]]]) -> None:
+            for call in calls:
+                asyncio.run(_async_run(call))
+
+        http = mock.Mock()
+        http.async_post.side_effect = _async_withhold
+        dependencies = mock.Mock(clock=ManualClock())
+        dependencies.workers = PlatformWorkers(http, dependencies.clock)
         term = TermContext(
-            mock.Mock(),
+            dependencies,
             owner.scheduler,
             post,
             lambda action: action(),
-            lambda action: action(),
+            submit_calls,
             lambda: False,
         )
         orders = TermOrders(term)
 
         def carry_out(sender: OwnerTerm, order: object) -> None:
             if isinstance(order, StartRun):
-                orders.carry_out(order)
+                orders.carry_out([order])
             else:
                 send(sender, order)  # type: ignore[arg-type]
 
         virtual.calls.send = carry_out  # type: ignore[method-assign]
 
 
+async def _async_run(call: Callable[[], Awaitable[None]]) -> None:
+    await call()
+
+
+async def _async_withhold(*_: object, may_send: Callable[[], bool], **__: object) -> None:
+    """Ask for the permission as the client does before it sends a call."""
+    if not may_send():
+        raise CallWithheldError("withheld", step="start")
+    raise AssertionError("sent although the ownership is not valid")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from tests.platform.stub_server import Answer, StubServer
+from toucandoor.clock import SystemClock
 from toucandoor.core.jobs.models import TaskKey
 from toucandoor.core.scheduling.workers import (
     EndReason,
@@ -17,14 +18,14 @@
     WorkerTarget,
 )
 from toucandoor.ids import FencingToken, JobId, WorkerId
-from toucandoor.platform.http import PlatformHttp
+from toucandoor.platform.async_http import AsyncPlatformHttp
 from toucandoor.platform.workers import PlatformWorkers, decode_worker
 
 RUN = RunKey(TaskKey(JobId("5c0e7a21d94b36f8"), 0, 1, 17), 2)
 TOKEN = FencingToken(7)
 
 
-class OrdersTest(unittest.TestCase):
+class OrdersTest(unittest.IsolatedAsyncioTestCase):
     """Orders to a stub server over a socket."""
 
     def setUp(self) -> None:
@@ -33,7 +34,7 @@
         server = StubServer(self.answer)
         self.addCleanup(server.stop)
         self.target = WorkerTarget(WorkerId("i-1"), server.address)
-        self.workers = PlatformWorkers(PlatformHttp())
+        self.workers = PlatformWorkers(AsyncPlatformHttp(), SystemClock())
 
     def answer(
         self, _method: str, path: str, _query: dict[str, str], body: Any, headers: dict[str, str]
@@ -41,10 +42,11 @@
         self.calls.append((path, body, headers))
         return self.answers.pop(0)
 
-    def test_start(self) -> None:
+    async def test_start(self) -> None:
         self.answers = [(200, {"clock_ms": 482113})]
         order = StartOrder(RUN, "text", 486000, TOKEN, "00aa", "ticket")
-        self.assertEqual(self.workers.start(self.target, order), 482113)
+        started = self.workers.async_start(self.target, order, lambda: True)
+        self.assertEqual(await started, 482113)
         path, body, headers = self.calls[0]
         self.assertEqual(path, "/-/run-start")
         self.assertEqual(
@@ -61,7 +63,7 @@
         )
         self.assertEqual(headers["X_TOUCANDOOR_EXPECTED_INSTANCE"], "i-1")
 
-    def test_refusals(self) -> None:
+    async def test_refusals(self) -> None:
         cases = [
             ((409, {"clock_ms": 1, "reason": "fence"}), OrderRefusal.FENCED),
             ((409, {"clock_ms": 1, "reason": "old"}), OrderRefusal.SUPERSEDED),
@@ -77,10 +79,10 @@
             with self.subTest(refusal=refusal):
                 self.answers = [answer]
                 with self.assertRaises(OrderRefusedError) as raised:
-                    self.workers.stop(self.target, RUN, TOKEN)
+                    await self.workers.async_stop(self.target, RUN, TOKEN)
                 self.assertEqual(raised.exception.refusal, refusal)
 
-    def test_heartbeat_returns_active_and_ended_runs(self) -> None:
+    async def test_heartbeat_returns_active_and_ended_runs(self) -> None:
         answer = {
             "clock_ms": 5,
             "born": 1700000000000,
@@ -88,7 +90,7 @@
             "finished": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "lapsed", ""]],
         }
         self.answers = [(200, answer)]
-        report = self.workers.heartbeat(
+        report = await self.workers.async_heartbeat(
             self.target, TOKEN, lease_until_ms=9, acknowledged=57, wait_s=0.1
         )
         self.assertEqual(report.active[0].run, RUN)
@@ -98,10 +100,10 @@
         self.assertEqual(report.ended[0].reason, EndReason.LEASE_EXPIRED)
         self.assertEqual(report.booted_unix_ms, 1700000000000)
 
-    def test_invalid_status_report_counts_as_no_answer(self) -> None:
+    async def test_invalid_status_report_counts_as_no_answer(self) -> None:
         self.answers = [(200, {"clock_ms": 5, "finished": [[1, "not a task", 1, "done", ""]]})]
         with self.assertRaises(OrderUnansweredError):
-            self.workers.heartbeat(
+            await self.workers.async_heartbeat(
                 self.target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=0
             )
 
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -5,6 +5,7 @@
 import logging
 import queue
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from typing import TYPE_CHECKING, Final
@@ -19,6 +20,7 @@
 from toucandoor.core.ownership.lease import (
     OWNER_KEY,
     RENEW_INTERVAL_S,
+    RENEW_RETRY_S,
     RENEW_TIMEOUT_S,
 )
 from toucandoor.core.records import LeaseEndedError, Transaction, TransactionConflictError
@@ -27,7 +29,7 @@
 from toucandoor.platform.operator_records import WORKER_PREFIX
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Awaitable, Callable, Mapping, Sequence
 
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.ownership.lease import OwnershipLease
@@ -38,18 +40,21 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-ORDER_THREADS: Final = 24
-"""Orders and store writes in flight at once. Each takes milliseconds, or up to a second if no
-answer comes."""
-HEARTBEAT_THREADS: Final = 256
-"""Heartbeats (long polls) in flight at once, one for each busy backend server."""
+CALL_THREADS: Final = 24
+"""Calls to the store, the VM list and the adviser in flight at once. Each takes milliseconds, or up
+to a second if no answer comes."""
+
+STEP_INTERVAL_S: Final = 0.005
+"""Shortest time between two steps; the events meanwhile are handled in one step, whose cost grows
+with the fleet. About as long as the store takes to answer."""
 
 
 class OwnerTerm:
     """Runs the scheduler until the ownership ends; pauses while the ownership is not valid.
 
-    One thread runs the event loop and is the only one to change the scheduler. Orders and writes
-    block in the threads of two pools, which post their results as events to the loop.
+    One thread runs the event loop and is the only one to change the scheduler. Orders to backend
+    servers are coroutines on another event loop, and other calls block in a pool of threads. Both
+    post their results as events to the term's loop.
 
     Args:
         dependencies: Clients and settings of the process.
@@ -73,6 +78,7 @@
         self._ownership = ownership
         self._events: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
         self._ended = threading.Event()
+        self._last_step_s = 0.0
         settings = SchedulerSettings(
             owner_key=OWNER_KEY,
             owner_revision=token,
@@ -83,14 +89,13 @@
         )
         self._scheduler = Scheduler(settings, dependencies.clock)
         self._report = TermReport(self._scheduler, dependencies)
-        self._order_pool = ThreadPoolExecutor(ORDER_THREADS, "orders")
-        self._heartbeat_pool = ThreadPoolExecutor(HEARTBEAT_THREADS, "heartbeats")
+        self._call_pool = ThreadPoolExecutor(CALL_THREADS, "calls")
         context = TermContext(
             dependencies,
             self._scheduler,
             self._post,
             self._submit,
-            lambda action: self._submit_to(self._heartbeat_pool, action),
+            self._submit_calls,
             self._may_act,
         )
         self._orders = TermOrders(context)
@@ -117,8 +122,7 @@
         finally:
             self._ended.set()
             dependencies.configuration.remove_listener(self._on_configuration)
-            self._order_pool.shutdown(wait=False, cancel_futures=True)
-            self._heartbeat_pool.shutdown(wait=False, cancel_futures=True)
+            self._call_pool.shutdown(wait=False, cancel_futures=True)
             _LOGGER.info("owner: the term has ended", extra={"deposed": self._scheduler.superseded})
 
     def _hand_over(self) -> None:
@@ -148,21 +152,14 @@
     def _run_loop(self) -> None:
         scheduler, clock = self._scheduler, self._dependencies.clock
         while not self._ended.is_set() and not scheduler.superseded:
+            first = self._wait_for_event(scheduler.next_wake_s())
             began_s = clock.monotonic_s()
-            try:
-                event = self._events.get(timeout=scheduler.next_wake_s())
-                began_s = clock.monotonic_s()
-                event()
-                while True:
-                    self._events.get_nowait()()
-            except queue.Empty:
-                pass  # no more events
+            self._handle_events(first)
             if not self._may_act():
                 # The store may be unreachable. If a later renewal succeeds, the ownership is valid
                 # again, and no other entry VM has held it in between.
                 continue
-            for order in scheduler.orders():
-                self._orders.carry_out(order)
+            self._orders.carry_out(scheduler.orders())
             for commit in scheduler.commits():
                 self._submit(partial(self._commit, commit))
             self._vms.submit_due_actions()
@@ -174,6 +171,30 @@
             if removal is not None:
                 self._submit(partial(self._remove_records, removal))
 
+    def _wait_for_event(self, timeout_s: float) -> Callable[[], None] | None:
+        """Return the next event; None if there is none in time, or a step is due anyway."""
+        clock = self._dependencies.clock
+        try:
+            event = self._events.get(timeout=timeout_s)
+        except queue.Empty:
+            return None
+        finally:
+            left_s = self._last_step_s + STEP_INTERVAL_S - clock.monotonic_s()
+            if left_s > 0:
+                time.sleep(left_s)
+            self._last_step_s = clock.monotonic_s()
+        return event
+
+    def _handle_events(self, first: Callable[[], None] | None) -> None:
+        """Handle an event and all others that are queued."""
+        if first is not None:
+            first()
+        try:
+            while True:
+                self._events.get_nowait()()
+        except queue.Empty:
+            return
+
     def _may_act(self) -> bool:
         return not self._ended.is_set() and self._ownership.valid and not self._scheduler.superseded
 
@@ -185,14 +206,23 @@
         threading.Thread(target=guarded, name=name, daemon=True).start()
 
     def _submit(self, action: Callable[[], None]) -> None:
-        self._submit_to(self._order_pool, action)
-
-    def _submit_to(self, pool: ThreadPoolExecutor, action: Callable[[], None]) -> None:
         try:
-            pool.submit(self._run_guarded, action)
+            self._call_pool.submit(self._run_guarded, action)
         except RuntimeError:
             _LOGGER.info("owner: an order or write was dropped, as the term has ended")
 
+    def _submit_calls(self, calls: Sequence[Callable[[], Awaitable[None]]]) -> None:
+        guarded = [partial(self._async_run_guarded, call) for call in calls]
+        self._dependencies.call_loop.submit(guarded)
+
+    async def _async_run_guarded(self, call: Callable[[], Awaitable[None]]) -> None:
+        """Run a call; an unhandled error ends the term, as in `_run_guarded`."""
+        try:
+            await call()
+        except Exception:
+            _LOGGER.exception("owner: unhandled error in a call; ending the term")
+            self.stop()
+
     def _run_guarded(self, action: Callable[[], None]) -> None:
         """Run an action in a thread; an unhandled error ends the term.
 
@@ -254,7 +284,9 @@
     def _renew(self) -> None:
         """Renew the lease of the ownership until it is lost or the term ends."""
         dependencies = self._dependencies
-        while not self._ended.wait(RENEW_INTERVAL_S):
+        pause_s = RENEW_INTERVAL_S
+        while not self._ended.wait(pause_s):
+            pause_s = RENEW_RETRY_S
             sent_s = dependencies.clock.monotonic_s()
             try:
                 dependencies.store.renew_lease(self._lease.lease_id, RENEW_TIMEOUT_S)
@@ -272,3 +304,4 @@
                 if not self._ownership.valid:
                     _LOGGER.info("owner: the ownership is valid again after a renewal")
                 self._ownership.record_renewal(sent_s)
+                pause_s = RENEW_INTERVAL_S
--- a/toucandoor/adapters/term_context.py
+++ b/toucandoor/adapters/term_context.py
@@ -6,8 +6,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable, Sequence
 
+    from toucandoor.adapters.call_loop import CallLoop
     from toucandoor.adapters.configuration_watch import ConfigurationWatch
     from toucandoor.adapters.node_metrics import NodeMetrics
     from toucandoor.clock import Clock
@@ -28,6 +29,7 @@
         clock: Source of monotonic and wall-clock time.
         store: Client of the platform's store.
         workers: Client of the backend servers.
+        call_loop: Event loop on which that client is called.
         vms: Client of the platform's VMs.
         advice: Client of the adviser of queues.
         configuration: Watches the configuration and the maintenance waves, and has the newest ones.
@@ -39,6 +41,7 @@
     clock: Clock
     store: RecordStore
     workers: WorkerPort
+    call_loop: CallLoop
     vms: VmPort
     advice: AdvicePort
     configuration: ConfigurationWatch
@@ -53,8 +56,8 @@
         dependencies: Clients and settings of the owner.
         scheduler: The scheduler; only posted events may change it, as it is not thread-safe.
         post: Queues an event for the term's event loop.
-        submit: Runs a function in the thread pool for orders.
-        submit_heartbeat: Runs a function in the thread pool for heartbeats.
+        submit: Runs a function in the thread pool for blocking calls.
+        submit_calls: Runs coroutines on the event loop for calls to backend servers.
         may_act: Returns whether the term is running, its ownership is valid, and no other owner has
             been detected.
     """
@@ -63,5 +66,5 @@
     scheduler: Scheduler
     post: Callable[[Callable[[], None]], None]
     submit: Callable[[Callable[[], None]], None]
-    submit_heartbeat: Callable[[Callable[[], None]], None]
+    submit_calls: Callable[[Sequence[Callable[[], Awaitable[None]]]], None]
     may_act: Callable[[], bool]
--- a/toucandoor/adapters/term_orders.py
+++ b/toucandoor/adapters/term_orders.py
@@ -13,9 +13,15 @@
     StartRun,
     StopRun,
 )
-from toucandoor.core.scheduling.workers import OrderRefusedError, OrderUnansweredError
+from toucandoor.core.scheduling.workers import (
+    OrderRefusedError,
+    OrderUnansweredError,
+    OrderWithheldError,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
     from toucandoor.adapters.term_context import TermContext
     from toucandoor.core.scheduling.orders import Order
 
@@ -23,29 +29,33 @@
 
 
 class TermOrders:
-    """Sends each order in a thread of a pool, and posts its result to the term's event loop."""
+    """Sends orders on the event loop for calls, and posts their results to the term's loop."""
 
     def __init__(self, term: TermContext) -> None:
         self._term = term
 
-    def carry_out(self, order: Order) -> None:
-        """Submit an order to the thread pool for its kind."""
-        if isinstance(order, SendHeartbeat):
-            self._term.submit_heartbeat(partial(self._send_heartbeat, order))
-        elif isinstance(order, StartRun):
-            self._term.submit(partial(self._start_run, order))
-        elif isinstance(order, StopRun):
-            self._term.submit(partial(self._stop_run, order))
-        elif isinstance(order, RequestAdvice):
-            self._term.submit(partial(self._request_advice, order))
-        elif isinstance(order, LimitSpeed):
-            self._term.submit(partial(self._limit_speed, order))
+    def carry_out(self, orders: Iterable[Order]) -> None:
+        """Send orders without waiting for their results."""
+        calls: list[Callable[[], Awaitable[None]]] = []
+        for order in orders:
+            if isinstance(order, SendHeartbeat):
+                calls.append(partial(self._async_send_heartbeat, order))
+            elif isinstance(order, StartRun):
+                calls.append(partial(self._async_start_run, order))
+            elif isinstance(order, StopRun):
+                calls.append(partial(self._async_stop_run, order))
+            elif isinstance(order, LimitSpeed):
+                calls.append(partial(self._async_limit_speed, order))
+            elif isinstance(order, RequestAdvice):
+                self._term.submit(partial(self._request_advice, order))
+        if calls:
+            self._term.submit_calls(calls)
 
-    def _send_heartbeat(self, order: SendHeartbeat) -> None:
+    async def _async_send_heartbeat(self, order: SendHeartbeat) -> None:
         scheduler, worker = self._term.scheduler, order.worker
         sent_s = self._term.dependencies.clock.monotonic_s()
         try:
-            report = self._term.dependencies.workers.heartbeat(
+            report = await self._term.dependencies.workers.async_heartbeat(
                 worker.target,
                 order.token,
                 lease_until_ms=order.lease_until_ms,
@@ -62,14 +72,15 @@
         else:
             self._term.post(lambda: scheduler.heartbeat_answered(worker, report, sent_s))
 
-    def _start_run(self, order: StartRun) -> None:
+    async def _async_start_run(self, order: StartRun) -> None:
         scheduler, run = self._term.scheduler, order.run
-        if not self._term.may_act():
+        try:
+            clock_ms = await self._term.dependencies.workers.async_start(
+                run.worker.target, order.order, self._term.may_act
+            )
+        except OrderWithheldError:
             # The ownership may become valid again; the scheduler then sends the start again.
             self._term.post(lambda: scheduler.start_not_sent(run))
-            return
-        try:
-            clock_ms = self._term.dependencies.workers.start(run.worker.target, order.order)
         except OrderRefusedError as err:
             refusal = err.refusal
             self._term.post(lambda: scheduler.start_refused(run, refusal))
@@ -81,10 +92,12 @@
         else:
             self._term.post(lambda: scheduler.start_answered(run, clock_ms))
 
-    def _stop_run(self, order: StopRun) -> None:
+    async def _async_stop_run(self, order: StopRun) -> None:
         scheduler, run = self._term.scheduler, order.run
         try:
-            self._term.dependencies.workers.stop(run.worker.target, run.key, order.token)
+            await self._term.dependencies.workers.async_stop(
+                run.worker.target, run.key, order.token
+            )
         except OrderRefusedError as err:
             refusal = err.refusal
             self._term.post(lambda: scheduler.stop_failed(run, refusal))
@@ -96,10 +109,10 @@
         else:
             self._term.post(lambda: scheduler.stop_answered(run))
 
-    def _limit_speed(self, order: LimitSpeed) -> None:
+    async def _async_limit_speed(self, order: LimitSpeed) -> None:
         run = order.run
         try:
-            self._term.dependencies.workers.limit_speed(
+            await self._term.dependencies.workers.async_limit_speed(
                 run.worker.target, run.key, order.percent, order.token
             )
         except (OrderRefusedError, OrderUnansweredError) as err:
--- a/toucandoor/core/ownership/lease.py
+++ b/toucandoor/core/ownership/lease.py
@@ -17,8 +17,10 @@
 enough to be renewed even if the store answers sixty times slower than usual, in 0.25 s."""
 RENEW_INTERVAL_S: Final = 0.3
 """Interval between renewals: a quarter of the lease, so that two consecutive renewals may fail."""
+RENEW_RETRY_S: Final = 0.05
+"""Pause after a failed renewal; short, since the ownership must not end for a few lost answers."""
 RENEW_TIMEOUT_S: Final = 0.4
-"""Time-out of a renewal: longer than a slow store needs to answer, and short enough to retry."""
+"""Longest time-out of a renewal: more than a slow store needs, and short enough to retry."""
 VALIDITY_MARGIN_S: Final = 0.2
 """Time before the end of the lease at which the holder stops acting; covers clock drift and an
 order in flight."""
--- a/toucandoor/core/scheduling/workers.py
+++ b/toucandoor/core/scheduling/workers.py
@@ -10,6 +10,8 @@
 from toucandoor.exceptions import ToucandoorError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from toucandoor.core.jobs.models import Resources, StepKey, TaskKey
     from toucandoor.ids import DataCentreId, FencingToken, PoolId, VmId, WorkerId
 
@@ -168,6 +170,10 @@
     """An order got no answer; it may have been carried out, or may still be."""
 
 
+class OrderWithheldError(ToucandoorError):
+    """An order was certainly not sent, as the permission for it had ended."""
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerTarget:
     """Id and address of the backend server that an order is sent to."""
@@ -198,25 +204,36 @@
 
 
 class WorkerPort(ABC):
-    """Client for orders to backend servers; its calls block.
+    """Client for orders to backend servers; its calls run on an event loop.
 
     Every call raises `OrderRefusedError` if the server refused the order and did nothing, and
     `OrderUnansweredError` if no answer came.
     """
 
     @abstractmethod
-    def start(self, target: WorkerTarget, order: StartOrder) -> int:
-        """Start a run and return the server's clock in ms; repeating a start is no error."""
+    async def async_start(
+        self, target: WorkerTarget, order: StartOrder, may_send: Callable[[], bool]
+    ) -> int:
+        """Start a run and return the server's clock in ms; repeating a start is no error.
+
+        Args:
+            target: The backend server.
+            order: The run to start.
+            may_send: Asked right before the order is sent, as that may be some time after the call.
+
+        Raises:
+            OrderWithheldError: `may_send` returned false.
+        """
 
     @abstractmethod
-    def stop(self, target: WorkerTarget, run: RunKey, token: FencingToken) -> int:
+    async def async_stop(self, target: WorkerTarget, run: RunKey, token: FencingToken) -> int:
         """Stop a run and return the server's clock in ms.
 
         From then on the server refuses this and all lower attempt numbers of the task.
         """
 
     @abstractmethod
-    def heartbeat(
+    async def async_heartbeat(
         self,
         target: WorkerTarget,
         token: FencingToken,
@@ -239,7 +256,7 @@
         """
 
     @abstractmethod
-    def limit_speed(
+    async def async_limit_speed(
         self, target: WorkerTarget, run: RunKey, percent: int, token: FencingToken
     ) -> int:
         """Limit a run to 0 to 100 percent of its speed and return the server's clock in ms."""
@@ -320,7 +337,10 @@
 
 
 class AdvicePort(ABC):
-    """Client for the adviser of queues; calls block and raise the same errors as `WorkerPort`."""
+    """Client for the adviser of queues.
+
+    Calls block, and raise `OrderRefusedError` or `OrderUnansweredError`.
+    """
 
     @abstractmethod
     def advise(self, step_key: StepKey, workers: tuple[WorkerId, ...]) -> Advice:
--- a/toucandoor/platform/http.py
+++ b/toucandoor/platform/http.py
@@ -30,11 +30,15 @@
 IDLE_CONNECTIONS_MAX: Final = 8
 """Idle connections kept for one address; orders, heartbeats and reads run at the same time."""
 
+SocketOption = tuple[int, int, int | bytes]
+
 _NO_DELAY = HTTPConnection.default_socket_options
 # Closing resets the connection and drops unsent data. Otherwise, an order that timed out during a
 # network partition could arrive after it, later than the orders of a new owner.
-_RESET_ON_CLOSE = [(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))]
-_KEEP_ALIVE = [
+RESET_ON_CLOSE_OPTIONS: Final[list[SocketOption]] = [
+    (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+]
+KEEP_ALIVE_OPTIONS: Final[list[SocketOption]] = [
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
@@ -103,7 +107,7 @@
             num_pools=2048,
             maxsize=IDLE_CONNECTIONS_MAX,
             retries=False,
-            socket_options=[*_NO_DELAY, *_KEEP_ALIVE, *_RESET_ON_CLOSE],
+            socket_options=[*_NO_DELAY, *KEEP_ALIVE_OPTIONS, *RESET_ON_CLOSE_OPTIONS],
         )
 
     def call(
@@ -114,6 +118,7 @@
         *,
         step: str,
         timeout_s: float,
+        connect_timeout_s: float | None = None,
         body: Any = None,
         query: Mapping[str, str] | None = None,
         headers: Mapping[str, str] | None = None,
@@ -125,7 +130,9 @@
             address: ``IP:port`` of the service.
             path: Path of the call.
             step: Name of the call in errors and metrics.
-            timeout_s: Longest wait for the connection, and for each read of the answer.
+            timeout_s: Longest wait for each read of the answer.
+            connect_timeout_s: Longest wait for the connection; None for `timeout_s`. It is at most
+                `CONNECT_TIMEOUT_S`.
             body: Sent as JSON; None for no body.
             query: Query of the URL.
             headers: Additional headers.
@@ -136,9 +143,11 @@
         """
         started_s = time.monotonic()
         outcome = "unanswered"
+        connect_s = timeout_s if connect_timeout_s is None else connect_timeout_s
+        timeout = Timeout(connect=min(connect_s, CONNECT_TIMEOUT_S), read=timeout_s)
         try:
             answer = self._call(
-                method, address, path, step, timeout_s, body, query, dict(headers or {})
+                method, address, path, step, timeout, body, query, dict(headers or {})
             )
             outcome = str(answer.status)
             return answer
@@ -155,7 +164,7 @@
         address: str,
         path: str,
         step: str,
-        timeout_s: float,
+        timeout: Timeout,
         body: Any,
         query: Mapping[str, str] | None,
         headers: dict[str, str],
@@ -172,7 +181,7 @@
                 body=data,
                 headers=headers,
                 redirect=False,
-                timeout=Timeout(connect=min(timeout_s, CONNECT_TIMEOUT_S), read=timeout_s),
+                timeout=timeout,
             )
         except (NewConnectionError, ConnectTimeoutError) as err:
             raise CallNotSentError(_reason(err), step=step, peer=address) from err
--- a/toucandoor/platform/workers.py
+++ b/toucandoor/platform/workers.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import logging
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
 
 from toucandoor.core.jobs.models import TaskKey
+from toucandoor.core.response_times import ResponseTimes
 from toucandoor.core.scheduling.workers import (
     ActiveRun,
     EndedRun,
@@ -15,6 +16,7 @@
     OrderRefusal,
     OrderRefusedError,
     OrderUnansweredError,
+    OrderWithheldError,
     RunKey,
     StartOrder,
     StatusReport,
@@ -23,21 +25,27 @@
     WorkerTarget,
 )
 from toucandoor.ids import DataCentreId, FencingToken, JobId, PoolId, VmId, WorkerId
+from toucandoor.platform.async_http import AsyncPlatformHttp, CallWithheldError
 from toucandoor.platform.http import (
     Answer,
     AnswerUnreadableError,
     CallNotSentError,
     CallUnansweredError,
-    PlatformHttp,
 )
 from toucandoor.platform.wire import WireResources
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from toucandoor.clock import Clock
+
 _LOGGER = logging.getLogger(__name__)
 
-ORDER_TIMEOUT_S: Final = 0.4
-"""Time-out of an order; a healthy backend server answers in milliseconds."""
-HEARTBEAT_ANSWER_SLACK_S: Final = 0.6
-"""Time that the answer to a heartbeat may take beyond its waiting time."""
+ORDER_TIMEOUT_S_MIN: Final = 0.1
+"""Shortest time-out of an order, and of a heartbeat beyond its waiting time; a healthy backend
+server answers in milliseconds."""
+ORDER_TIMEOUT_S_MAX: Final = 0.6
+"""Longest time-out, while answers are slow; a tenth of a backend server's lease."""
 INSTANCE_HEADER: Final = "X-Toucandoor-Expected-Instance"
 
 _REFUSALS = {
@@ -138,10 +146,14 @@
 class PlatformWorkers(WorkerPort):
     """Client for backend servers over HTTP."""
 
-    def __init__(self, http: PlatformHttp) -> None:
+    def __init__(self, http: AsyncPlatformHttp, clock: Clock) -> None:
         self._http = http
+        self._clock = clock
+        self._response_times = ResponseTimes(ORDER_TIMEOUT_S_MIN, ORDER_TIMEOUT_S_MAX)
 
-    def start(self, target: WorkerTarget, order: StartOrder) -> int:
+    async def async_start(
+        self, target: WorkerTarget, order: StartOrder, may_send: Callable[[], bool]
+    ) -> int:
         """Start a run."""
         body = {
             "task": task_name(order.run.task),
@@ -154,14 +166,14 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["token"] = order.ticket
-        return self._order(target, "start", "/-/run-start", body)
+        return await self._async_order(target, "start", "/-/run-start", body, may_send)
 
-    def stop(self, target: WorkerTarget, run: RunKey, token: FencingToken) -> int:
+    async def async_stop(self, target: WorkerTarget, run: RunKey, token: FencingToken) -> int:
         """Stop a run."""
         body = {"task": task_name(run.task), "attempt": run.attempt, "fencing_token": token}
-        return self._order(target, "stop", "/-/run-stop", body)
+        return await self._async_order(target, "stop", "/-/run-stop", body)
 
-    def limit_speed(
+    async def async_limit_speed(
         self, target: WorkerTarget, run: RunKey, percent: int, token: FencingToken
     ) -> int:
         """Limit a run to a share of its speed."""
@@ -171,9 +183,9 @@
             "percent": percent,
             "fencing_token": token,
         }
-        return self._order(target, "pace", "/-/pace", body)
+        return await self._async_order(target, "pace", "/-/pace", body)
 
-    def heartbeat(
+    async def async_heartbeat(
         self,
         target: WorkerTarget,
         token: FencingToken,
@@ -188,34 +200,57 @@
             body["deadline_ms"] = lease_until_ms
         if wait_s > 0:
             body["wait_ms"] = int(wait_s * 1000)
-        answer = self._call(target, "hold", "/-/hold", body, HEARTBEAT_ANSWER_SLACK_S + wait_s)
+        timeout_s = self._response_times.timeout_s + wait_s
+        answer = await self._async_call(target, "hold", "/-/hold", body, timeout_s)
         try:
             return _status_report(answer.decode(_HoldAnswer))
         except (AnswerUnreadableError, ValueError, TypeError, KeyError) as err:
             raise OrderUnansweredError(str(err), step=answer.step, peer=answer.peer) from err
 
-    def _order(self, target: WorkerTarget, name: str, path: str, body: dict[str, Any]) -> int:
-        answer = self._call(target, name, path, body, ORDER_TIMEOUT_S)
+    async def _async_order(
+        self,
+        target: WorkerTarget,
+        name: str,
+        path: str,
+        body: dict[str, Any],
+        may_send: Callable[[], bool] | None = None,
+    ) -> int:
+        timeout_s = self._response_times.timeout_s
+        sent_s = self._clock.monotonic_s()
+        try:
+            answer = await self._async_call(target, name, path, body, timeout_s, may_send)
+        except OrderUnansweredError:
+            self._response_times.record_unanswered()
+            raise
+        self._response_times.record(self._clock.monotonic_s() - sent_s)
         try:
             reply = answer.decode(_Reply)
         except AnswerUnreadableError as err:
             raise OrderUnansweredError(err.reason, step=answer.step, peer=answer.peer) from err
         return reply.clock_ms or 0
 
-    def _call(
-        self, target: WorkerTarget, name: str, path: str, body: dict[str, Any], timeout_s: float
+    async def _async_call(
+        self,
+        target: WorkerTarget,
+        name: str,
+        path: str,
+        body: dict[str, Any],
+        timeout_s: float,
+        may_send: Callable[[], bool] | None = None,
     ) -> Answer:
         step = f"worker.{name}"
         try:
-            answer = self._http.call(
-                "POST",
+            answer = await self._http.async_post(
                 target.address,
                 path,
                 step=step,
                 timeout_s=timeout_s,
                 body=body,
                 headers={INSTANCE_HEADER: target.worker_id},
+                may_send=may_send,
             )
+        except CallWithheldError as err:
+            raise OrderWithheldError(err.reason, step=step, peer=target.worker_id) from err
         except (CallNotSentError, CallUnansweredError) as err:
             raise OrderUnansweredError(err.reason, step=step, peer=target.worker_id) from err
         if answer.status == 200:
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -12,6 +12,7 @@
 import typer
 
 from toucandoor.adapters.bounded_logs import set_up_bounded_logs
+from toucandoor.adapters.call_loop import CallLoop
 from toucandoor.adapters.configuration_watch import ConfigurationWatch
 from toucandoor.adapters.job_callers import JobApi
 from toucandoor.adapters.job_service import StoreJobService
@@ -32,6 +33,7 @@
 from toucandoor.core.ownership.candidates import VmCapacity
 from toucandoor.exceptions import SettingsError
 from toucandoor.node_messages import AskConfiguration, Configuration
+from toucandoor.platform.async_http import AsyncPlatformHttp
 from toucandoor.platform.http import PlatformHttp
 from toucandoor.platform.machines import PlatformAdvice, PlatformVms
 from toucandoor.platform.settings import load_node_settings
@@ -83,6 +85,9 @@
         self._clock = BootClock()
         self._metrics = NodeMetrics()
         http = PlatformHttp(self._metrics.record_platform_call, self._metrics.record_platform_bytes)
+        worker_http = AsyncPlatformHttp(
+            self._metrics.record_platform_call, self._metrics.record_platform_bytes
+        )
         self._store = PlatformStore(http, settings.store_address, STORE_TIMEOUT_S)
         peer_address = f"{settings.ip}:{settings.peer_port_first}"
         capacity = VmCapacity(settings.processor_cores, settings.link_mbps)
@@ -108,7 +113,8 @@
                 settings=settings,
                 clock=self._clock,
                 store=self._store,
-                workers=PlatformWorkers(http),
+                workers=PlatformWorkers(worker_http, self._clock),
+                call_loop=CallLoop(),
                 vms=PlatformVms(http, settings.vm_list_address),
                 advice=PlatformAdvice(http, settings.advice_address),
                 configuration=self._configuration,
