Send fewer heartbeats in vain, and keep the free capacity of servers

Free capacity was computed for each backend server of a pool for each task.

Change: a move that has begun ends the boot on its VM, unless that boot is in the target pool already. Heartbeats to servers without runs that do not answer are repeated after 0.3 to 2.4 s, and at once when the server writes its entry again. Free capacity and its ratio are updated with the runs.

Both tests of the heartbeats failed before.

--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -421,6 +421,34 @@
         self.assertEqual(virtual.state(job(2).job_id), JobState.COMPLETED)
         self.assertEqual(virtual.observations.violations, [])
 
+    def test_heartbeats_to_a_listed_server_that_does_not_answer_become_rare(self) -> None:
+        """The entry of a VM that is being moved stays in the list for some seconds."""
+        virtual = fleet(workers=1)
+        virtual.run(0.5)
+        worker = virtual.workers[WorkerId("w0")]
+        worker.reachable = False
+        virtual.submit(job(1, Step(1, NEEDS)))
+        assert virtual.owner is not None
+        scheduler = virtual.owner.scheduler
+        scheduler.require_heartbeat(scheduler.workers[WorkerId("w0")])
+        with mock.patch.object(virtual.calls, "send", wraps=virtual.calls.send) as send:
+            virtual.run(20.0)
+            self.assertLessEqual(send.call_count, 8)
+            worker.reachable = True
+            virtual.run(0.01)
+            send.reset_mock()
+            # A server that lives writes its entry again at an interval.
+            scheduler.worker_listed(replace(worker.entry))
+            virtual.run(1.5)
+            send.assert_called()
+        self.assertEqual(virtual.observations.starts, 1)
+
+    def test_heartbeats_to_an_unresponsive_server_with_runs_stay_frequent(self) -> None:
+        virtual, _ = fleet_with_unreachable_run()
+        with mock.patch.object(virtual.calls, "send", wraps=virtual.calls.send) as send:
+            virtual.run(5.0)
+        self.assertGreaterEqual(send.call_count, 3)
+
     def test_planned_changes_of_owner_do_not_prolong_the_wait_for_lease_expiry(self) -> None:
         # The terms of 0.1 s are too short for any owner to notice that the server is unreachable.
         for changes, term_s in ((3, 2.0), (60, 0.1)):
--- a/toucandoor/core/pools/vm_lender.py
+++ b/toucandoor/core/pools/vm_lender.py
@@ -67,7 +67,10 @@
     def on_move_begun(self, move: PoolMove) -> None:
         """Handle the answer that a move has begun, or was done before."""
         now_s = self._now_s()
-        self._end_order(move)
+        worker = self._end_order(move)
+        if worker is not None and worker.entry.pool != move.pool:
+            # A boot in the target pool is not the one that the move has ended.
+            self._scheduler.boot_ended(worker, "was moved to another pool with its VM")
         self._arriving_until_s[move.vm_id] = now_s + self._move_s + SETTLE_S
         self._vm_list.on_move_begun(move.vm_id, move.pool)
         _LOGGER.info(
@@ -87,13 +90,15 @@
             extra={"vm": move.vm_id, "reason": refusal.value if refusal else "no answer"},
         )
 
-    def _end_order(self, move: PoolMove) -> None:
+    def _end_order(self, move: PoolMove) -> WorkerView | None:
+        """Forget an order that was answered or given up; return the boot that was on its VM."""
         worker_id = self._in_flight.pop(move.vm_id, None)
         worker = self._scheduler.workers.get(worker_id) if worker_id is not None else None
         if worker is not None:
             worker.leaving = False
             # The backend server has ended, unless the move was not made.
             self._scheduler.require_heartbeat(worker)
+        return worker
 
     def due_moves(self, busy: Collection[VmId]) -> list[PoolMove]:
         """Return the moves to order now.
--- a/toucandoor/core/scheduling/const.py
+++ b/toucandoor/core/scheduling/const.py
@@ -17,6 +17,9 @@
 tail latencies cover the last half second."""
 HEARTBEAT_RETRY_S: Final = 0.3
 """Pause after an unanswered heartbeat."""
+HEARTBEAT_RETRY_DOUBLINGS_MAX: Final = 3
+"""Failures after each of which that pause doubles, for a backend server without runs. A server that
+lives writes its entry in the platform's list before the longest pause has passed."""
 UNCOMMITTED_HEARTBEAT_PAUSE_S: Final = 1.0
 """Pause between heartbeats while the effects of reported ends of runs are not yet in the store; a
 status report would only repeat those ends."""
--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from toucandoor.core.jobs.models import Resources, Step
+    from toucandoor.core.jobs.models import Step
     from toucandoor.core.scheduling.progress import StepProgress, Task
     from toucandoor.core.scheduling.worker_view import WorkerView
     from toucandoor.ids import WorkerId
@@ -69,13 +69,4 @@
     far = bool(step.data_rack) and step.data_rack not in worker.entry.labels
     slowed = len(latency_sensitive_runs(worker)) if step.uses_leftovers else 0
     # The fullest server comes first, so that others stay empty and their VMs can be lent.
-    return (failed_there, far, slowed, -_used_ratio(worker.used, worker.entry.capacity))
-
-
-def _used_ratio(used: Resources, capacity: Resources) -> float:
-    ratios = [0.0]
-    if capacity.cpu_millicores:
-        ratios.append(used.cpu_millicores / capacity.cpu_millicores)
-    if capacity.memory_mb:
-        ratios.append(used.memory_mb / capacity.memory_mb)
-    return max(ratios)
+    return (failed_there, far, slowed, -worker.used_ratio)
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -161,7 +161,11 @@
             # It has answered another order since: only this call was lost.
             worker.next_heartbeat_s = self._state.now_s
             return
-        worker.next_heartbeat_s = self._state.now_s + const.HEARTBEAT_RETRY_S
+        pause_s = const.HEARTBEAT_RETRY_S
+        if not worker.runs:
+            doublings = min(worker.heartbeat_failures, const.HEARTBEAT_RETRY_DOUBLINGS_MAX)
+            pause_s *= 2**doublings
+        worker.next_heartbeat_s = self._state.now_s + pause_s
         worker.heartbeat_failures += 1
 
     def _handle_common_refusal(self, worker: WorkerView, refusal: OrderRefusal | None) -> bool:
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -198,6 +198,15 @@
         """Assign nothing new to a backend server until it has answered another heartbeat."""
         self._registry.require_heartbeat(worker)
 
+    def boot_ended(self, worker: WorkerView, reason: str) -> None:
+        """Mark a boot as ended, as its VM has been stopped; it gets no more orders.
+
+        Args:
+            worker: The boot.
+            reason: End of the log message; says how the boot ended.
+        """
+        self._registry.boot_ended(worker, reason)
+
     def heartbeat_answered(self, worker: WorkerView, report: StatusReport, sent_s: float) -> None:
         """Process the status report of a backend server.
 
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -45,8 +45,11 @@
                 entry.worker_id,
                 extra={"worker": entry.worker_id, "pool": entry.pool},
             )
-        known.entry = entry
+        known.update_entry(entry)
         known.listed = True
+        if known.heartbeat_failures > 0:
+            # It has just written its entry, so it may answer again.
+            known.next_heartbeat_s = min(known.next_heartbeat_s, state.now_s)
         if entry.draining:
             self._stop_movable_runs(known)
 
@@ -175,7 +178,7 @@
         for known in self._state.former_boots:
             if known.entry.boot == entry.boot:
                 self._state.former_boots.remove(known)
-                known.entry = entry
+                known.update_entry(entry)
                 known.listed = True
                 return known
         return None
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -89,6 +89,8 @@
         unknown_runs: Runs that it has reported and whose jobs are not in the schedule, with the
             earliest time of the next order to stop each.
         used: Capacity reserved by these runs.
+        free: Capacity that no run has reserved.
+        used_ratio: Largest share of any of its resources that runs have reserved.
         clock_ms: Its steady clock at the time `clock_read_s`; None while unknown.
         clock_read_s: When the answer with that clock arrived.
         lease_until_ms: End of the latest lease sent, on its clock; 0 for none.
@@ -121,6 +123,8 @@
     runs: dict[RunKey, Run] = field(default_factory=dict)
     unknown_runs: dict[RunKey, float] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
+    free: Resources = field(init=False)
+    used_ratio: float = field(init=False)
     clock_ms: int | None = None
     clock_read_s: float = 0.0
     lease_until_ms: int = 0
@@ -142,25 +146,39 @@
     answered_s: float = 0.0
     speed_limited_s: float = 0.0
 
+    def __post_init__(self) -> None:
+        """Compute the free capacity."""
+        self._update_free()
+
     @property
     def target(self) -> WorkerTarget:
         """Id and address for orders."""
         return WorkerTarget(self.entry.worker_id, self.entry.address)
 
-    @property
-    def free(self) -> Resources:
-        """Capacity that no run has reserved."""
-        return self.entry.capacity - self.used
-
     def add(self, run: Run) -> None:
         """Add a run and reserve its capacity."""
         self.runs[run.key] = run
         self.used = self.used + run.task.step.reserved
+        self._update_free()
 
     def remove(self, run: Run) -> None:
         """Remove a run and free its capacity."""
         if self.runs.pop(run.key, None) is not None:
             self.used = self.used - run.task.step.reserved
+            self._update_free()
+
+    def update_entry(self, entry: WorkerEntry) -> None:
+        """Replace the entry by a newer one of this boot."""
+        self.entry = entry
+        self._update_free()
+
+    def _update_free(self) -> None:
+        capacity, used = self.entry.capacity, self.used
+        self.free = capacity - used
+        self.used_ratio = max(
+            used.cpu_millicores / capacity.cpu_millicores if capacity.cpu_millicores else 0.0,
+            used.memory_mb / capacity.memory_mb if capacity.memory_mb else 0.0,
+        )
 
     def update_clock(self, clock_ms: int, now_s: float) -> None:
         """Store the server's clock from an answer that has just arrived."""
