Wait for the store no longer than its usual times make likely

Cause: where the answers of some writes are lost, each cost its jobs, one of three writes in flight and the renewal of the ownership the longest time-out, 0.9 and 0.4 s.

Change: the time-out of single reads, writes and renewals follows the usual times of answers, from 0.15 s; it doubles while no answer comes, so that a store that becomes sixty times slower is waited for. Connections, ranges and watches have the time-outs that they had.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,6 +5,7 @@
 import base64
 import unittest
 from typing import Any
+from unittest import mock
 
 from tests.platform.stub_server import Answer, StubServer
 from toucandoor.core.records import (
@@ -15,7 +16,8 @@
 )
 from toucandoor.exceptions import StoreAnswerLostError, StoreUnavailableError
 from toucandoor.ids import StoreLeaseId
-from toucandoor.platform.http import PlatformHttp
+from toucandoor.platform.http import Answer as HttpAnswer
+from toucandoor.platform.http import CallUnansweredError, PlatformHttp
 from toucandoor.platform.store import PlatformStore
 
 
@@ -108,5 +110,39 @@
             self.store.read("a")
 
 
+class TimeoutTest(unittest.TestCase):
+    """Time-outs given to the HTTP client."""
+
+    def setUp(self) -> None:
+        self.timeouts_s: list[float] = []
+        self.lost = False
+        http = mock.Mock()
+        http.call.side_effect = self.call
+        self.store = PlatformStore(http, "store:1", 0.9)
+
+    def call(self, *_: object, timeout_s: float, **__: object) -> HttpAnswer:
+        self.timeouts_s.append(timeout_s)
+        if self.lost:
+            raise CallUnansweredError("no answer", step="store.write")
+        return HttpAnswer(200, b'{"revision": 1}', "store.write", "store:1")
+
+    def test_a_lost_answer_is_not_waited_for_much_longer_than_answers_take(self) -> None:
+        """A lost answer of one write in three must not stop the owner for most of a second."""
+        for _ in range(20):
+            self.store.write(Transaction())
+        self.lost = True
+        for _ in range(4):
+            with self.assertRaises(StoreAnswerLostError):
+                self.store.write(Transaction())
+        self.assertEqual(self.timeouts_s[0], 0.9)
+        self.assertLess(self.timeouts_s[20], 0.3)
+        self.assertEqual(sorted(self.timeouts_s[20:]), self.timeouts_s[20:])
+        self.assertEqual(self.timeouts_s[-1], 0.9)
+
+    def test_a_renewal_is_waited_for_no_longer_than_its_own_limit(self) -> None:
+        self.store.renew_lease(StoreLeaseId(1), 0.4)
+        self.assertEqual(self.timeouts_s, [0.4])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/platform/store.py
+++ b/toucandoor/platform/store.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import logging
+import time
 from typing import TYPE_CHECKING, Any, Final
 
 import msgspec
@@ -20,6 +21,7 @@
     Transaction,
     TransactionConflictError,
 )
+from toucandoor.core.response_times import ResponseTimes
 from toucandoor.exceptions import StoreAnswerLostError, StoreUnavailableError
 from toucandoor.ids import StoreLeaseId
 from toucandoor.platform.http import (
@@ -35,6 +37,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+TIMEOUT_S_MIN: Final = 0.15
+"""Shortest time-out of a read, write or renewal; the store usually answers in milliseconds.
+Otherwise one lost answer delays all jobs of a write, or the renewal of the ownership, by the
+longest."""
 WATCH_ANSWER_SLACK_S: Final = 0.8
 """Time that the answer to a watch may take beyond its waiting time; later, its connection counts as
 dead."""
@@ -78,17 +84,19 @@
     Args:
         http: The client.
         address: ``IP:port`` of the store.
-        timeout_s: Longest wait for an answer.
+        timeout_s: Longest wait for an answer. Answers to single reads, writes and renewals are
+            waited for no longer than their usual time makes likely.
     """
 
     def __init__(self, http: PlatformHttp, address: str, timeout_s: float) -> None:
         self._http = http
         self._address = address
         self._timeout_s = timeout_s
+        self._response_times = ResponseTimes(min(TIMEOUT_S_MIN, timeout_s), timeout_s)
 
     def read(self, key: str) -> Record | None:
         """Return a record; None if it does not exist."""
-        answer = self._call("read", "GET", "/-/kv-key", query={"key": key})
+        answer = self._call_timed("read", "GET", "/-/kv-key", query={"key": key})
         if answer.status == 404:
             return None
         return _record(answer, answer.decode(_Item))
@@ -138,7 +146,7 @@
             ],
             "remove": list(transaction.removals),
         }
-        answer = self._call("write", "POST", "/-/kv-txn", body=body)
+        answer = self._call_timed("write", "POST", "/-/kv-txn", body=body)
         if answer.status == 412:
             present = tuple(
                 _record(answer, item)
@@ -164,7 +172,7 @@
     def renew_lease(self, lease_id: StoreLeaseId, timeout_s: float | None = None) -> None:
         """Renew a lease."""
         path = f"/-/kv-keep/{lease_id}"
-        answer = self._call("renew_lease", "POST", path, timeout_s=timeout_s)
+        answer = self._call_timed("renew_lease", "POST", path, timeout_s_max=timeout_s)
         if answer.status == 404:
             raise LeaseEndedError("the store has no such lease", step=answer.step, peer=answer.peer)
 
@@ -172,6 +180,29 @@
         """End a lease; its keys are removed."""
         self._call("end_lease", "DELETE", f"/-/kv-lease-end/{lease_id}")
 
+    def _call_timed(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        *,
+        body: Any = None,
+        query: Mapping[str, str] | None = None,
+        timeout_s_max: float | None = None,
+    ) -> Answer:
+        """Make a call whose time-out follows the usual times of answers."""
+        timeout_s = self._response_times.timeout_s
+        if timeout_s_max is not None:
+            timeout_s = min(timeout_s, timeout_s_max)
+        started_s = time.monotonic()
+        try:
+            answer = self._call(name, method, path, body=body, query=query, timeout_s=timeout_s)
+        except StoreAnswerLostError:
+            self._response_times.record_unanswered()
+            raise
+        self._response_times.record(time.monotonic() - started_s)
+        return answer
+
     def _call(
         self,
         name: str,
@@ -190,6 +221,7 @@
                 path,
                 step=step,
                 timeout_s=self._timeout_s if timeout_s is None else timeout_s,
+                connect_timeout_s=self._timeout_s,
                 body=body,
                 query=query,
             )
