Keep a wave's time over changes of owner, and maintain spare VMs first

And of a spare pool, whose VMs are off, only one VM was maintained at once unless the time required more, so that most of a wave fell into the peaks of demand.

Change: the record of a wave's progress has the time at which it is due. Half of a spare pool's VMs may be maintained at once.

The three new tests: two failed before (2 and 4 VMs begun instead of 4 and 5); the third shows that records of the build before are read.

--- a/tests/core/maintenance/test_job_waves.py
+++ b/tests/core/maintenance/test_job_waves.py
@@ -3,19 +3,23 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, fleet, job, never_ends
+from toucandoor.core.jobs.configuration import JobPool
 from toucandoor.core.jobs.models import Step
 from toucandoor.core.maintenance.job_waves import (
     MaintainVm,
     SaveWaveProgress,
     VmWaveOrder,
     WaveCoordinator,
+    decode_wave_record,
+    encode_wave_record,
 )
 from toucandoor.core.maintenance.vm_list import VmList
 from toucandoor.core.maintenance.vm_orders import VmOrderLog
 from toucandoor.core.scheduling.workers import VmEntry, VmRefusal, VmState
-from toucandoor.ids import DataCentreId, VmId, WorkerId
+from toucandoor.ids import ConfigVersion, DataCentreId, PoolId, VmId, WorkerId
 
 MAINTENANCE_S = 2.0
 
@@ -36,15 +40,18 @@
         self.coordinator = WaveCoordinator(
             self.scheduler,
             self.vm_list,
-            clock.monotonic_s,
+            clock,
             order_log=VmOrderLog(clock, 0.0),
             maintenance_s=MAINTENANCE_S,
         )
+        self.pools = dict.fromkeys(self.states, POOL)
         self.read_list()
 
     def read_list(self) -> None:
         vms = [
-            VmEntry(vm, POOL, state, DataCentreId("dc"), (), CAPACITY, WorkerId("w" + vm[1:]))
+            VmEntry(
+                vm, self.pools[vm], state, DataCentreId("dc"), (), CAPACITY, WorkerId("w" + vm[1:])
+            )
             for vm, state in self.states.items()
         ]
         now_s = self.fleet.clock.monotonic_s()
@@ -114,6 +121,47 @@
             self.read_list()
         return completed
 
+    def test_a_new_owner_keeps_the_time_of_the_order(self) -> None:
+        """A process that starts during a wave sees its order late, but it is due as before."""
+        self.order(down_max=4)
+        [saved] = [
+            each for each in self.coordinator.due_actions() if isinstance(each, SaveWaveProgress)
+        ]
+        self.fleet.clock.advance(13.0)
+        now_s = self.fleet.clock.monotonic_s()
+        orders = VmOrderLog(self.fleet.clock, 0.0)
+        successor = WaveCoordinator(
+            self.scheduler,
+            self.vm_list,
+            self.fleet.clock,
+            order_log=orders,
+            maintenance_s=MAINTENANCE_S,
+        )
+        successor.restore(1, decode_wave_record(encode_wave_record(saved.record)), completed=False)
+        successor.on_order(VmWaveOrder(1, tuple(self.states), 20.0, 4, now_s))
+        # Within 20 s, two VMs at once would be enough; there are 3 s left, without the margin.
+        begun = [each for each in successor.due_actions() if isinstance(each, MaintainVm)]
+        self.assertEqual(len(begun), 4)
+
+    def test_a_record_of_an_older_build_has_no_due_time(self) -> None:
+        self.coordinator.restore(1, decode_wave_record(b'{"begun":[]}'), completed=False)
+        self.order(down_max=4)
+        self.assertEqual(len(self.due_maintenance()), 2)
+
+    def test_spare_vms_are_maintained_while_they_are_off(self) -> None:
+        """Their maintenance disturbs nobody; half of them stay available for lending."""
+        spare = PoolId("spare")
+        self.states = {VmId(f"m{number}"): VmState.UP for number in range(10)}
+        self.pools = dict.fromkeys(self.states, spare)
+        pools = {POOL: JobPool(POOL, True, False), spare: JobPool(spare, True, True)}
+        known = self.scheduler.configuration
+        assert known is not None
+        newer = replace(known, pools=pools, version=ConfigVersion(2))
+        self.scheduler.set_configuration(newer)
+        self.read_list()
+        self.order(down_max=8)
+        self.assertEqual(len(self.due_maintenance()), 5)
+
     def test_completed_only_when_all_have_begun(self) -> None:
         self.order(down_max=4)
         self.assertNotIn(True, self.run_orders(refused={VmId("m3")}))
--- a/toucandoor/adapters/term_vms.py
+++ b/toucandoor/adapters/term_vms.py
@@ -60,7 +60,7 @@
         self._waves = WaveCoordinator(
             term.scheduler,
             self._vm_list,
-            now_s,
+            clock,
             order_log=self._vm_orders,
             maintenance_s=settings.vm_maintenance_s,
         )
--- a/toucandoor/core/maintenance/job_waves.py
+++ b/toucandoor/core/maintenance/job_waves.py
@@ -17,13 +17,12 @@
 from toucandoor.ids import VmId
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
+    from toucandoor.clock import Clock
     from toucandoor.core.maintenance.vm_list import VmList
     from toucandoor.core.maintenance.vm_orders import VmOrderLog
     from toucandoor.core.scheduling.scheduler import Scheduler
     from toucandoor.core.scheduling.worker_view import WorkerView
-    from toucandoor.ids import WorkerId
+    from toucandoor.ids import PoolId, WorkerId
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -34,6 +33,8 @@
 """Reserve in a wave's time for a change of owner during the wave."""
 STOP_TASKS_AFTER_S: Final = 4.0
 """Time after which tasks on a VM to be maintained are stopped; nearly all tasks are shorter."""
+SPARE_KEPT_RATIO: Final = 0.5
+"""Part of a spare pool's VMs that stays available for lending while others are maintained."""
 RETRY_S: Final = 0.5
 """Delay after the platform refused an order or did not answer."""
 
@@ -58,9 +59,15 @@
 
 
 class WaveRecord(msgspec.Struct, frozen=True):
-    """VMs whose maintenance in a wave has begun."""
+    """Progress of a wave.
+
+    Attributes:
+        begun: VMs whose maintenance has begun.
+        due_unix_ms: When the maintenance of all VMs must have begun; 0 in records of older builds.
+    """
 
     begun: tuple[VmId, ...]
+    due_unix_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +96,7 @@
 
     Attributes:
         order: What operators ordered.
+        due_s: When the maintenance of all VMs must have begun, on the monotonic clock.
         begun: VMs whose maintenance has begun.
         down_since_s: VMs that are or may be down for maintenance, and since when.
         vacating_since_s: VMs that get no new runs because they are maintained next, and since when.
@@ -101,6 +109,7 @@
     """
 
     order: VmWaveOrder
+    due_s: float
     begun: set[VmId] = field(default_factory=set)
     down_since_s: dict[VmId, float] = field(default_factory=dict)
     vacating_since_s: dict[VmId, float] = field(default_factory=dict)
@@ -119,7 +128,7 @@
         self,
         scheduler: Scheduler,
         vm_list: VmList,
-        now_s: Callable[[], float],
+        clock: Clock,
         *,
         order_log: VmOrderLog,
         maintenance_s: float,
@@ -129,12 +138,13 @@
         Args:
             scheduler: Scheduler of the backend servers on the VMs.
             vm_list: The platform's VM list.
-            now_s: The monotonic clock.
+            clock: Source of monotonic and wall-clock time.
             order_log: Recent orders on VMs, also by former owners.
             maintenance_s: Duration of a VM's maintenance.
         """
         self._scheduler = scheduler
-        self._now_s = now_s
+        self._clock = clock
+        self._now_s = clock.monotonic_s
         self._order_log = order_log
         self._maintenance_s = maintenance_s
         self._waves: dict[int, _Wave] = {}
@@ -147,18 +157,24 @@
 
     def restore(self, number: int, record: WaveRecord, *, completed: bool) -> None:
         """Take over the progress of a wave that a former owner has written."""
-        order = VmWaveOrder(number, (), 0.0, 0, self._now_s())
-        wave = self._waves.setdefault(number, _Wave(order))
+        now_s = self._now_s()
+        order = VmWaveOrder(number, (), 0.0, 0, now_s)
+        # This process may have seen the order late, after its own start.
+        left_s = record.due_unix_ms / 1000 - self._clock.now().timestamp()
+        due_s = now_s + left_s if record.due_unix_ms else math.inf
+        wave = self._waves.setdefault(number, _Wave(order, due_s))
         wave.begun |= set(record.begun)
         wave.saved = (len(wave.begun), completed)
 
     def on_order(self, order: VmWaveOrder) -> None:
         """Handle an operators' order; one that is known already changes nothing."""
         wave = self._waves.get(order.number)
+        due_s = order.seen_at_s + order.within_s
         if wave is None:
-            self._waves[order.number] = _Wave(order)
+            self._waves[order.number] = _Wave(order, due_s)
         elif not wave.order.vms:
             wave.order = order
+            wave.due_s = min(wave.due_s, due_s)
         else:
             return
         _LOGGER.info(
@@ -298,11 +314,12 @@
         """Return the VMs to vacate next, those with the fewest VMs of their pool in progress first.
 
         Among these, VMs with the fewest runs come first. A VM without runs, in a pool with no other
-        VM in progress, is vacated at once; others only as many as the remaining time requires.
+        VM in progress, is vacated at once, and so is a part of the VMs of a spare pool, which are
+        off; others only as many as the remaining time requires.
         At most one VM more than ``down_max`` is in progress; `_may_begin` bounds those down.
         """
         idle = [vm_id for vm_id in remaining if vm_id not in wave.vacating_since_s]
-        time_left_s = wave.order.seen_at_s + wave.order.within_s - END_MARGIN_S - now_s
+        time_left_s = wave.due_s - END_MARGIN_S - now_s
         required = math.ceil(len(remaining) * VM_CYCLE_S / max(time_left_s, VM_CYCLE_S))
         busy = set(wave.vacating_since_s) | set(wave.down_since_s)
         disturbed: dict[str, int] = {}
@@ -311,10 +328,14 @@
             if vm is not None:
                 disturbed[vm.pool] = disturbed.get(vm.pool, 0) + 1
 
+        dispensable = self._dispensable_spare_vms()
+
         def burden(vm_id: VmId) -> tuple[int, int]:
             worker = workers.get(vm_id)
             runs = len(worker.runs) if worker is not None else 0
-            return (disturbed.get(self._vm_list.vms[vm_id].pool, 0), runs)
+            pool = self._vm_list.vms[vm_id].pool
+            in_progress = disturbed.get(pool, 0)
+            return (in_progress if in_progress >= dispensable.get(pool, 1) else 0, runs)
 
         chosen: list[VmId] = []
         while idle and len(busy) + len(chosen) <= wave.order.down_max:
@@ -328,6 +349,16 @@
             disturbed[pool] = disturbed.get(pool, 0) + 1
         return chosen
 
+    def _dispensable_spare_vms(self) -> dict[PoolId, int]:
+        """Return how many VMs of each spare pool may be maintained at once without need."""
+        configuration = self._scheduler.configuration
+        pools = configuration.pools.values() if configuration is not None else ()
+        sizes = {pool.name: 0 for pool in pools if pool.spare}
+        for vm in self._vm_list.vms.values():
+            if vm.pool in sizes:
+                sizes[vm.pool] += 1
+        return {pool: int(size * (1 - SPARE_KEPT_RATIO)) for pool, size in sizes.items()}
+
     def _may_begin(self, wave: _Wave, vm_id: VmId, now_s: float) -> bool:
         vm = self._vm_list.vms.get(vm_id)
         return (
@@ -367,7 +398,8 @@
         if wave.saved == state or wave.save_in_flight or now_s < wave.save_after_s:
             return
         wave.save_in_flight = True
-        record = WaveRecord(tuple(sorted(wave.begun)))
+        due_unix_s = self._clock.now().timestamp() + wave.due_s - now_s
+        record = WaveRecord(tuple(sorted(wave.begun)), int(due_unix_s * 1000))
         orders.append(SaveWaveProgress(wave.order.number, record, state[1]))
 
 
