Repeat lost writes of the record of VM orders, one after the other

Cause: before a VM is moved or maintained, the owner stores that it is ordered. Besides, two threads could write the records in the wrong order, and a write that took effect seconds late could replace a newer record, so that the next owner would have ordered the same VM within the time in which it must not.

Change: the records are written one after the other, each on the revision of the one before, and a write without an answer is repeated at once.

tests.adapters.test_term_vms has lost and late writes, and records that come in the wrong order; the class is new.

--- a/toucandoor/adapters/term_vms.py
+++ b/toucandoor/adapters/term_vms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import threading
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -26,9 +27,9 @@
 )
 from toucandoor.core.ownership.lease import OWNER_KEY
 from toucandoor.core.pools.vm_lender import VmLender
-from toucandoor.core.records import Transaction
+from toucandoor.core.records import Transaction, TransactionConflictError
 from toucandoor.core.scheduling.workers import OrderUnansweredError, VmRefusal, VmRefusedError
-from toucandoor.exceptions import ToucandoorError
+from toucandoor.exceptions import StoreAnswerLostError, ToucandoorError
 from toucandoor.platform.operator_records import (
     WAVE_STATUS_PREFIX,
     encode_wave_status,
@@ -38,16 +39,78 @@
 if TYPE_CHECKING:
     from toucandoor.adapters.term_context import TermContext
     from toucandoor.core.pools.lending import PoolMove
-    from toucandoor.core.records import Record, Snapshot
+    from toucandoor.core.records import Record, RecordStore, Snapshot
     from toucandoor.core.scheduling.workers import VmEntry
+    from toucandoor.ids import FencingToken
 
 _LOGGER = logging.getLogger(__name__)
 
+ORDER_RECORD_TRIES: Final = 4
+"""Writes of a record of orders before the orders are given up; some answers may be lost."""
 HOLDER_MARGIN_S: Final = 0.5
 """Added to `holder_lease_s`, the time within which two owners must not order the same VM in turn.
 For the sum of both, a new owner sends no orders for a VM that a former one has just ordered."""
 
 
+class OrderRecordWriter:
+    """Writes the records of orders on VMs one after the other, from several threads.
+
+    Each write expects the revision of the one before: a write whose answer was lost, and that takes
+    effect late, does not replace a later record.
+
+    Args:
+        store: The platform's store.
+        token: Fencing token of the schedule's owner: the revision of the ownership record.
+
+    Attributes:
+        revision: Revision of the stored record; 0 if there is none.
+    """
+
+    def __init__(self, store: RecordStore, token: FencingToken) -> None:
+        self._store = store
+        self._token = int(token)
+        self.revision = 0
+        self._numbers = 0
+        self._stored_number = 0
+        self._lock = threading.Lock()
+
+    def next_number(self) -> int:
+        """Return the number of the next record; a record contains the orders of earlier ones."""
+        self._numbers += 1
+        return self._numbers
+
+    def write(self, record: VmOrdersRecord, number: int) -> None:
+        """Write a record unless a later one has been written; repeat the write if need be.
+
+        Raises:
+            ToucandoorError: The record was not stored, or may not have been.
+        """
+        with self._lock:
+            for tries_left in reversed(range(ORDER_RECORD_TRIES)):
+                if number <= self._stored_number:
+                    return
+                try:
+                    self._try_write(record)
+                except StoreAnswerLostError:
+                    if not tries_left:
+                        raise
+                else:
+                    self._stored_number = number
+
+    def _try_write(self, record: VmOrdersRecord) -> None:
+        expected = {OWNER_KEY: self._token, VM_ORDERS_KEY: self.revision}
+        writes = {VM_ORDERS_KEY: encode_vm_orders(record)}
+        try:
+            self.revision = self._store.write(Transaction(expected, writes))
+        except TransactionConflictError as err:
+            present = {each.key: each.revision for each in err.present}
+            if present.get(OWNER_KEY) != self._token:
+                raise
+            # An earlier write of this owner without an answer has taken effect.
+            expected[VM_ORDERS_KEY] = present.get(VM_ORDERS_KEY, 0)
+            self.revision = self._store.write(Transaction(expected, writes))
+
+
 class TermVms:
     """Runs the maintenance waves and VM lending of a term; sends its orders in a thread pool."""
 
@@ -56,6 +119,7 @@
         settings, clock = term.dependencies.settings, term.dependencies.clock
         now_s = clock.monotonic_s
         self._vm_orders = VmOrderLog(clock, settings.holder_lease_s + HOLDER_MARGIN_S)
+        self._order_records = OrderRecordWriter(term.dependencies.store, term.scheduler.token)
         self._vm_list = VmList(now_s)
         self._waves = WaveCoordinator(
             term.scheduler,
@@ -80,6 +144,7 @@
         }
         for record in vm_orders.records:
             self._restore_orders(record)
+            self._order_records.revision = record.revision
         for record in waves.records:
             number = record.key.removeprefix(WAVE_PROGRESS_PREFIX)
             self._restore_wave(int(number), record, completed=completed.get(number, False))
@@ -113,15 +178,15 @@
         vm_orders += self._lender.due_moves(self._waves.vms_in_progress)
         if vm_orders:
             record = self._vm_orders.record_orders(order.vm_id for order in vm_orders)
-            self._term.submit(partial(self._send_orders, vm_orders, record))
+            number = self._order_records.next_number()
+            self._term.submit(partial(self._send_orders, vm_orders, record, number))
 
-    def _send_orders(self, orders: list[MaintainVm | PoolMove], record: VmOrdersRecord) -> None:
+    def _send_orders(
+        self, orders: list[MaintainVm | PoolMove], record: VmOrdersRecord, number: int
+    ) -> None:
         """Store which VMs are ordered, then submit the orders."""
-        owner = {OWNER_KEY: int(self._term.scheduler.token)}
         try:
-            self._term.dependencies.store.write(
-                Transaction(owner, {VM_ORDERS_KEY: encode_vm_orders(record)})
-            )
+            self._order_records.write(record, number)
         except ToucandoorError as err:
             _LOGGER.info(
                 "vms: orders on VMs not sent, as storing them failed: %s",
