Size pools by the demand at the time when a moved VM gets tasks

Cause: a pool wanted VMs for all that ran, or for the whole work of the jobs that arrived in the last second.

Change: with a lead of the move's time and half a second, a pool wants what waits, the runs of jobs that still run then, and of arriving jobs the part that has arrived by then. Memory of arriving jobs counts too.

--- a/toucandoor/core/jobs/models.py
+++ b/toucandoor/core/jobs/models.py
@@ -37,9 +37,13 @@
             self.gpus - other.gpus,
         )
 
-    def times(self, count: int) -> Resources:
-        """Return this amount multiplied by a number of tasks."""
-        return Resources(self.cpu_millicores * count, self.memory_mb * count, self.gpus * count)
+    def times(self, factor: float) -> Resources:
+        """Return this amount multiplied by a number of tasks or seconds, rounded down."""
+        return Resources(
+            int(self.cpu_millicores * factor),
+            int(self.memory_mb * factor),
+            int(self.gpus * factor),
+        )
 
     def fits_in(self, capacity: Resources) -> bool:
         """Return whether this amount is within the given capacity in every field."""
--- a/toucandoor/core/pools/lending.py
+++ b/toucandoor/core/pools/lending.py
@@ -2,6 +2,8 @@
 
 It is made for load that peaks in one pool after another: for some seconds, one pool needs several
 times its capacity while the others are nearly idle. VMs in a spare pool are off and cost nothing.
+A pool's need is that at the time when a VM that is moved now gets tasks: tasks of jobs that have
+ended by then don't count, and jobs that arrive meanwhile do.
 A pool whose capacity is too small for its waiting tasks borrows empty VMs from pools with a
 surplus, then from the spare pools. A pool with a surplus returns empty VMs to a spare pool, but
 only after a while: the next peak often starts as the last one ends, and a move by way of the spare
@@ -157,17 +159,16 @@
 
 
 def wanted_vms(load: PoolLoad | None, per_vm: Resources) -> int:
-    """Return the number of VMs that a pool needs for its running and waiting tasks.
+    """Return the number of VMs that a pool needs once a VM that is moved now gets tasks.
 
     Args:
-        load: Load of the pool; None when it has none.
+        load: Load of the pool, with the time that a move takes as lead time; None when it has none.
         per_vm: Mean resources of a VM.
     """
     if load is None:
         return 0
-    needed = load.long_running + load.finite + load.waiting
-    arriving = load.long_running.cpu_millicores + load.arriving_cpu_millicores
-    shares = [arriving / (per_vm.cpu_millicores * FILL_RATIO) if per_vm.cpu_millicores else 0.0] + [
+    needed = load.long_running + load.later + load.arriving_later + load.waiting
+    shares = [
         used / (room * FILL_RATIO)
         for used, room in (
             (needed.cpu_millicores, per_vm.cpu_millicores),
--- a/toucandoor/core/pools/vm_lender.py
+++ b/toucandoor/core/pools/vm_lender.py
@@ -24,6 +24,8 @@
 """Time between planning runs; a load peak lasts some seconds, a move takes 1.5 s."""
 RETRY_S: Final = 1.0
 """Delay before a VM whose move was refused or not answered is moved again."""
+READY_S: Final = 0.5
+"""Time from the end of a move until the new backend server is listed and has answered."""
 SETTLE_S: Final = 2.0
 """Time beyond a move's duration for which its VM counts as arriving without being usable."""
 
@@ -53,6 +55,7 @@
         self._now_s = now_s
         self._order_log = order_log
         self._move_s = move_s
+        self._lead_s = move_s + READY_S
         self._policy = LendingPolicy()
         self._next_plan_s = 0.0
         self._in_flight: dict[VmId, WorkerId | None] = {}
@@ -123,7 +126,8 @@
         ]
         if not vms:
             return []
-        moves = self._policy.plan(self._scheduler.loads(), vms, sorted(serving), spare, now_s)
+        loads = self._scheduler.loads(self._lead_s)
+        moves = self._policy.plan(loads, vms, sorted(serving), spare, now_s)
         for move in moves:
             worker = workers.get(move.vm_id)
             self._in_flight[move.vm_id] = worker.entry.worker_id if worker is not None else None
--- a/toucandoor/core/scheduling/pool_load.py
+++ b/toucandoor/core/scheduling/pool_load.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from toucandoor.core.scheduling.progress import StepProgress
-    from toucandoor.core.scheduling.worker_view import WorkerView
+    from toucandoor.core.scheduling.worker_view import Run, WorkerView
     from toucandoor.ids import PoolId
 
 
@@ -23,8 +23,11 @@
         capacity: Total capacity of these servers.
         long_running: Capacity reserved by long-running tasks.
         finite: Capacity reserved by all other tasks.
+        later: Part of `finite` whose jobs still run after the lead time.
         waiting: Capacity needed by tasks that could run now.
         arriving_cpu_millicores: Processor needed by arriving jobs at their present rate.
+        arriving_later: Capacity that jobs which arrive at that rate during the lead time need at
+            its end.
         spread_workers_min: Backend servers needed because of limits on the tasks of one step per
             server.
     """
@@ -34,19 +37,31 @@
     capacity: Resources = NO_RESOURCES
     long_running: Resources = NO_RESOURCES
     finite: Resources = NO_RESOURCES
+    later: Resources = NO_RESOURCES
     waiting: Resources = NO_RESOURCES
     arriving_cpu_millicores: float = 0.0
+    arriving_later: Resources = NO_RESOURCES
     spread_workers_min: int = 0
 
     def add_worker(self, worker: WorkerView) -> None:
-        """Add a backend server and its runs."""
+        """Add a backend server."""
         self.workers += 1
         self.capacity = self.capacity + worker.entry.capacity
-        for run in worker.runs.values():
-            if run.task.step.long_running:
-                self.long_running = self.long_running + run.task.step.reserved
-            else:
-                self.finite = self.finite + run.task.step.reserved
+
+    def add_run(self, run: Run, *, later: bool) -> None:
+        """Add a run on one of these servers.
+
+        Args:
+            run: The run.
+            later: Whether its job still runs after the lead time.
+        """
+        reserved = run.task.step.reserved
+        if run.task.step.long_running:
+            self.long_running = self.long_running + reserved
+            return
+        self.finite = self.finite + reserved
+        if later:
+            self.later = self.later + reserved
 
     def add_waiting(self, step: StepProgress) -> None:
         """Add the waiting tasks of a step that could run now."""
--- a/toucandoor/core/scheduling/queue_order.py
+++ b/toucandoor/core/scheduling/queue_order.py
@@ -56,6 +56,11 @@
     )
 
 
+def job_memory_mb_s(spec: JobSpec) -> float:
+    """Return the estimated memory of a job's tasks times their run times, in megabyte-seconds."""
+    return sum(step.count * step.needs.memory_mb * step.estimate_ms / _MS for step in spec.steps)
+
+
 def step_rank(job: JobProgress, step: StepProgress, now_unix_ms: float) -> tuple[float, ...]:
     """Return the sort key of a waiting step; lower comes first.
 
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -13,11 +13,12 @@
 
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.scheduling import const
+from toucandoor.core.scheduling.arrivals import Arrival
 from toucandoor.core.scheduling.placer import Placer
 from toucandoor.core.scheduling.pool_load import PoolLoad
 from toucandoor.core.scheduling.progress import JobProgress
 from toucandoor.core.scheduling.progress_writer import ProgressWriter
-from toucandoor.core.scheduling.queue_order import job_core_ms
+from toucandoor.core.scheduling.queue_order import remaining_chain_s
 from toucandoor.core.scheduling.retention import Retention
 from toucandoor.core.scheduling.run_ends import RunEnds
 from toucandoor.core.scheduling.run_orders import RunOrders
@@ -58,7 +59,7 @@
         self._placer = Placer(self._state)
         self._writer = ProgressWriter(self._state)
         self._retention = Retention(self._state, settings.status_retention_s)
-        self._arrivals: deque[tuple[float, PoolId, float]] = deque()
+        self._arrivals: deque[Arrival] = deque()
 
     @property
     def token(self) -> FencingToken:
@@ -118,7 +119,7 @@
         state.open_jobs.add(spec.job_id)
         state.mark_changed(job)
         if not spec.timed and not spec.long_running:
-            self._arrivals.append((job.arrived_s, state.pool_of(job), job_core_ms(spec)))
+            self._arrivals.append(Arrival.of_job(job.arrived_s, state.pool_of(job), spec))
         if spec.job_id in self._state.early_cancels:
             self.cancel_job(spec.job_id)
 
@@ -355,18 +356,30 @@
         finished, self._state.finished = self._state.finished, []
         return finished
 
-    def loads(self) -> dict[PoolId, PoolLoad]:
-        """Return the load of each pool."""
+    def loads(self, lead_s: float = 0.0) -> dict[PoolId, PoolLoad]:
+        """Return the load of each pool.
+
+        Args:
+            lead_s: Lead time of `PoolLoad.later` and `PoolLoad.arriving_later`, in seconds.
+        """
         state = self._state
         now_s = state.now_s
         loads: dict[PoolId, PoolLoad] = {}
+        runs_later: dict[tuple[JobId, int], bool] = {}
 
         def load_of(pool: PoolId) -> PoolLoad:
             return loads.setdefault(pool, PoolLoad(pool))
 
         for worker in state.workers.values():
-            if worker.usable(now_s):
-                load_of(worker.entry.pool).add_worker(worker)
+            if not worker.usable(now_s):
+                continue
+            load = load_of(worker.entry.pool)
+            load.add_worker(worker)
+            for run in worker.runs.values():
+                key = (run.task.key.job_id, run.task.key.occurrence)
+                if key not in runs_later:
+                    runs_later[key] = remaining_chain_s(state.jobs[key[0]], key[1]) > lead_s
+                load.add_run(run, later=runs_later[key])
         for job_id in state.open_jobs:
             job = state.jobs[job_id]
             if job.state.final:
@@ -375,8 +388,12 @@
             for step in job.steps.values():
                 if step.remaining and job.runnable(step):
                     load.add_waiting(step)
-        while self._arrivals and self._arrivals[0][0] < now_s - const.ARRIVAL_WINDOW_S:
+        while self._arrivals and self._arrivals[0].arrived_s < now_s - const.ARRIVAL_WINDOW_S:
             self._arrivals.popleft()
-        for _, pool, core_ms in self._arrivals:
-            load_of(pool).arriving_cpu_millicores += core_ms / const.ARRIVAL_WINDOW_S
+        for arrival in self._arrivals:
+            load = load_of(arrival.pool)
+            load.arriving_cpu_millicores += arrival.work.cpu_millicores / const.ARRIVAL_WINDOW_S
+            load.arriving_later = load.arriving_later + arrival.needed_after(lead_s).times(
+                1 / const.ARRIVAL_WINDOW_S
+            )
         return loads
--- a/toucandoor/measures/_lending_model.py
+++ b/toucandoor/measures/_lending_model.py
@@ -93,7 +93,7 @@
             if pool != SPARE:
                 load = loads[pool] = PoolLoad(pool)
                 load.waiting = Resources(int(self.backlog[pool] * 1000), 0, 0)
-                load.arriving_cpu_millicores = arriving[pool] * 1000
+                load.arriving_later = Resources(int(arriving[pool] * 1000), 0, 0)
                 needed_millicores = int((self.backlog[pool] + arriving[pool]) * 1000)
                 busy_vms = -(-needed_millicores // VM_RESOURCES.cpu_millicores)
             for number, vm in enumerate(self._vms_in_pool(pool)):
