Forget addresses of backend servers that are no longer used

Cause: the client for orders kept an entry for each address that it had ever called. A deployment with 1,500 moves of VMs in 90 s would have lost memory to it for as long as one process owns the schedule; found by reading.

Change: each time the number of known addresses has doubled, those without an open connection or a call are forgotten.

tests.platform.test_async_http has 39 addresses that refuse connections.

--- a/tests/platform/test_async_http.py
+++ b/tests/platform/test_async_http.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from toucandoor.platform.async_http import (
     ANSWER_BYTES_MAX,
@@ -178,6 +180,25 @@
         with self.assertRaises(CallNotSentError):
             await self.post(f"{host}:{port}")
 
+    async def test_addresses_that_are_no_longer_used_are_forgotten(self) -> None:
+        """Each move of a VM brings a new address; a process runs for months."""
+        with mock.patch("toucandoor.platform.async_http.HOSTS_MAX_MIN", 4):
+            http = AsyncPlatformHttp()
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            port = unused.getsockname()[1]
+            for number in range(1, 40):
+                address = f"127.0.1.{number}:{port}"
+                with self.assertRaises(CallNotSentError):
+                    await http.async_post(
+                        address, "/", step="t", timeout_s=TIMEOUT_S, body={}, headers={}
+                    )
+        self.assertLess(len(http._hosts), 39)
+        address = await self.serve_answer(OK)
+        await self.post(address)
+        self.assertEqual((await self.post(address)).status, 200)
+        self.assertEqual(self.connections, 1)
+
     async def test_a_call_that_waits_for_a_connection_in_vain_was_not_sent(self) -> None:
         received = 0
 
--- a/toucandoor/platform/async_http.py
+++ b/toucandoor/platform/async_http.py
@@ -32,6 +32,10 @@
 ANSWER_BYTES_MAX: Final = 4 * 1024 * 1024
 """Longest body of an answer. A status report has at most 500 ended runs, of some hundred bytes."""
 
+HOSTS_MAX_MIN: Final = 256
+"""Number of known addresses from which unused ones are forgotten; VMs that are moved get new
+ones."""
+
 
 class CallWithheldError(CallNotSentError):
     """The call was not sent, as the caller withdrew it before a connection was ready."""
@@ -55,6 +59,7 @@
         self._observe = observe
         self._count_bytes = count_bytes
         self._hosts: dict[str, _Host] = {}
+        self._hosts_max = HOSTS_MAX_MIN
 
     async def async_post(
         self,
@@ -113,6 +118,7 @@
     ) -> Answer:
         host = self._hosts.get(address)
         if host is None:
+            self._forget_unused_hosts()
             host = self._hosts[address] = _Host(address)
         connection: _Connection | None = None
         sent = False
@@ -133,12 +139,17 @@
             host.calls -= 1
             if connection is not None:
                 host.release(connection)
-            if host.unused:
-                self._hosts.pop(address, None)
         if self._count_bytes is not None:
             self._count_bytes(step, len(request), len(body))
         return Answer(status, body, step, address)
 
+    def _forget_unused_hosts(self) -> None:
+        """Forget addresses without open connections, each time their number has doubled."""
+        if len(self._hosts) < self._hosts_max:
+            return
+        self._hosts = {address: host for address, host in self._hosts.items() if not host.unused}
+        self._hosts_max = max(HOSTS_MAX_MIN, 2 * len(self._hosts))
+
 
 class _Host:
     """Connections to one address.
