Keep following the store after a record that cannot be decoded

Cause: a malformed head record or part of a configuration raised an error that only errors of the store were expected beside, and ended the task that follows the configuration, and the one that renews the leases of the VM, for good; a ledger of ceilings that is not JSON did the same to the ceilings.

Change: such records are an error of the store: it is logged, what is in force stays, and the next record is read.

--- a/toucandoor/adapters/ceiling_task.py
+++ b/toucandoor/adapters/ceiling_task.py
@@ -222,7 +222,7 @@
             return
         try:
             self._on_ledger(decode_ledger(stored.value), stored.revision)
-        except msgspec.ValidationError as err:
+        except msgspec.MsgspecError as err:
             _LOGGER.error("%s cannot decode the stored ledger: %s", _PREFIX, err)
 
     def _on_ledger(self, ledger: Ledger, revision: int) -> None:
--- a/toucandoor/core/ceilings/ledger.py
+++ b/toucandoor/core/ceilings/ledger.py
@@ -30,7 +30,7 @@
     """Return the ledger of a store's value.
 
     Raises:
-        msgspec.ValidationError: The value is not a ledger.
+        msgspec.MsgspecError: The value is not a ledger.
     """
     return msgspec.json.decode(value, type=Ledger)
 
--- a/toucandoor/core/configuration/head.py
+++ b/toucandoor/core/configuration/head.py
@@ -17,7 +17,7 @@
 from toucandoor.core.configuration.const import RECENT_CHANGES_MAX, VM_BUCKETS
 from toucandoor.core.configuration.models import Configuration
 from toucandoor.core.leases.models import EntrySlot, LeaseTimes
-from toucandoor.exceptions import StoreConflictError
+from toucandoor.exceptions import StoreConflictError, StoredRecordError
 from toucandoor.ids import ConfigVersion, EntryId, OperationId
 
 if TYPE_CHECKING:
@@ -57,8 +57,15 @@
 
     @classmethod
     def from_json(cls, text: str) -> HeadRecord:
-        """Return the record from its stored JSON."""
-        return msgspec.json.decode(text, type=cls)
+        """Return the record from its stored JSON.
+
+        Raises:
+            StoredRecordError: The text is not such a record.
+        """
+        try:
+            return msgspec.json.decode(text, type=cls)
+        except msgspec.MsgspecError as err:
+            raise StoredRecordError(str(err), step="configuration.decode_head") from err
 
     def version_of(self, change_id: OperationId) -> ConfigVersion | None:
         """Return the content version that a recent change made, None if the change is unknown."""
@@ -197,7 +204,18 @@
 
 
 def join_parts(parts: Mapping[str, str]) -> Configuration:
-    """Return the configuration from its parts; the inverse of `split_parts`."""
+    """Return the configuration from its parts; the inverse of `split_parts`.
+
+    Raises:
+        StoredRecordError: The parts are not those of a configuration.
+    """
+    try:
+        return _join_parts(parts)
+    except (ValueError, TypeError) as err:
+        raise StoredRecordError(str(err), step="configuration.join_parts") from err
+
+
+def _join_parts(parts: Mapping[str, str]) -> Configuration:
     whole: dict[str, Any] = {"teams": {}, "vms": {}}
     for name, text in parts.items():
         section, _, item = name.partition("/")
--- a/toucandoor/exceptions.py
+++ b/toucandoor/exceptions.py
@@ -39,6 +39,10 @@
     """The call was sent but no answer came; the write may have taken effect."""
 
 
+class StoredRecordError(StoreError):
+    """A record of the store cannot be decoded; the present state stays in force."""
+
+
 class StoreConflictError(StoreError):
     """A key did not have the revision that a compare-and-swap expected.
 
