Want more VMs for lasting tasks that fit on no present server

Cause: a pool wanted as many VMs as the limit of tasks per server requires, whatever else they run.

Change: for a long-running step with a limit per server, the pool wants as many VMs more as its waiting tasks need beyond the room on the present ones, unless a label, the adviser, the team's ceiling or the size of the tasks is in the way.

tests.core.scheduling.test_arrivals.SpreadTest: the first test failed before (4 VMs wanted instead of 6); the second guards against a pool that takes all VMs for tasks that can't be placed.

--- a/tests/core/scheduling/test_arrivals.py
+++ b/tests/core/scheduling/test_arrivals.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from tests.core.scheduling.common import NEEDS, POOL, fleet, job
+from tests.core.scheduling.common import NEEDS, POOL, fleet, job, never_ends
 from toucandoor.core.jobs.models import Resources, Step
 from toucandoor.core.pools.lending import wanted_vms
 from toucandoor.core.scheduling.arrivals import Arrival
@@ -64,5 +64,49 @@
         self.assertEqual(load.later, Resources())
 
 
+class SpreadTest(unittest.TestCase):
+    """Tasks of a step that may not share a backend server, beside others that have filled some."""
+
+    def test_tasks_that_fit_on_no_present_server_want_more_vms(self) -> None:
+        """Guards against watchers that wait although other VMs could be had.
+
+        The servers have room for them in all, but the others were placed on the fullest ones first.
+        """
+        vm = Resources(8000, 16000, 0)
+        behaviour = TaskBehaviour(NEEDS, 60.0)
+        virtual = fleet(workers=4, behaviour=lambda _task, _worker: behaviour)
+        virtual.submit(job(1, Step(8, NEEDS, long_running=True)))
+        virtual.run(1.0)
+        virtual.submit(job(2, Step(4, NEEDS, long_running=True, per_worker_max=1)))
+        virtual.run(1.0)
+        assert virtual.owner is not None
+        load = virtual.owner.scheduler.loads(LEAD_S)[POOL]
+        self.assertEqual(load.waiting, NEEDS.times(2))
+        self.assertGreaterEqual(wanted_vms(load, vm), 4 + 2)
+
+    def test_tasks_that_more_vms_do_not_help_want_none(self) -> None:
+        """Otherwise a pool would take all VMs for tasks that can never be placed."""
+        large = Resources(9000, 1000, 0)
+        cases = {
+            "too large for a server": (Step(4, large, long_running=True, per_worker_max=1), {}),
+            "a label that no server has": (
+                Step(4, NEEDS, long_running=True, per_worker_max=1, required_label="x"),
+                {},
+            ),
+            "the team's ceiling": (
+                Step(4, NEEDS, long_running=True, per_worker_max=1),
+                {"ceiling": NEEDS},
+            ),
+        }
+        for name, (step, options) in cases.items():
+            with self.subTest(reason=name):
+                virtual = fleet(workers=2, behaviour=never_ends, **options)
+                virtual.submit(job(1, step))
+                virtual.run(1.0)
+                assert virtual.owner is not None
+                load = virtual.owner.scheduler.loads(LEAD_S)[POOL]
+                self.assertEqual(load.spread_workers_min, 4)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -30,6 +30,34 @@
     ]
 
 
+def tasks_by_worker(step: StepProgress) -> dict[WorkerId, int]:
+    """Return the number of tasks of a step that are or may be on each server."""
+    found: dict[WorkerId, int] = {}
+    for task in step.tasks:
+        for run in task.runs:
+            worker_id = run.worker.entry.worker_id
+            found[worker_id] = found.get(worker_id, 0) + 1
+    return found
+
+
+def room_for_step(allowed: Iterable[WorkerView], step: StepProgress) -> int:
+    """Return how many more tasks of a step fit on servers, with its limit per server.
+
+    Args:
+        allowed: Servers that may run the step.
+        step: The step, which has such a limit.
+    """
+    on_worker = tasks_by_worker(step)
+    reserved, limit = step.step.reserved, step.step.per_worker_max
+    room = 0
+    for worker in allowed:
+        left = limit - on_worker.get(worker.entry.worker_id, 0)
+        while left > 0 and not reserved.times(left).fits_in(worker.free):
+            left -= 1
+        room += max(0, left)
+    return room
+
+
 def choose_worker(
     allowed: Sequence[WorkerView],
     step: StepProgress,
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -8,7 +8,11 @@
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.orders import Order, RequestAdvice
-from toucandoor.core.scheduling.placement import allowed_workers, choose_worker
+from toucandoor.core.scheduling.placement import (
+    allowed_workers,
+    choose_worker,
+    tasks_by_worker,
+)
 from toucandoor.core.scheduling.queue_order import step_rank
 from toucandoor.core.scheduling.state import MS_PER_S, run_fields
 from toucandoor.core.scheduling.worker_view import Run, RunState, WorkerView
@@ -120,7 +124,7 @@
         allowed = allowed_workers(workers, step, now_s)
         if not allowed:
             return
-        on_worker = _tasks_by_worker(step)
+        on_worker = tasks_by_worker(step)
         if step.step.gang:
             self._place_gang(job, step, tasks, allowed, on_worker, now_s)
             return
@@ -218,14 +222,6 @@
         return False
 
 
-def _tasks_by_worker(step: StepProgress) -> dict[WorkerId, int]:
-    found: dict[WorkerId, int] = {}
-    for task in step.tasks:
-        for run in task.runs:
-            _count_task(found, run.worker)
-    return found
-
-
 def _count_task(on_worker: dict[WorkerId, int], worker: WorkerView) -> None:
     worker_id = worker.entry.worker_id
     on_worker[worker_id] = on_worker.get(worker_id, 0) + 1
--- a/toucandoor/core/scheduling/pool_load.py
+++ b/toucandoor/core/scheduling/pool_load.py
@@ -63,13 +63,24 @@
         if later:
             self.later = self.later + reserved
 
-    def add_waiting(self, step: StepProgress) -> None:
-        """Add the waiting tasks of a step that could run now."""
+    def add_waiting(self, step: StepProgress, *, room: int | None = None) -> None:
+        """Add the waiting tasks of a step that could run now.
+
+        Args:
+            step: The step.
+            room: How many of them fit on the present servers, for a step with a limit per server;
+                None if that is not to be considered.
+        """
         waiting = sum(task.waiting for task in step.tasks)
         self.waiting = self.waiting + step.step.reserved.times(waiting)
         if step.step.per_worker_max:
             apart = -(-step.remaining // step.step.per_worker_max)
             self.spread_workers_min = max(self.spread_workers_min, apart)
+            missing = 0 if room is None else max(0, waiting - room)
+            if missing:
+                # The capacity that is free in all may be on servers with enough tasks of the step.
+                more = -(-missing // step.step.per_worker_max)
+                self.spread_workers_min = max(self.spread_workers_min, self.workers + more)
 
     def log_fields(self) -> dict[str, object]:
         """Return the load as fields of a log line."""
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -14,9 +14,10 @@
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.arrivals import Arrival
+from toucandoor.core.scheduling.placement import allowed_workers, room_for_step
 from toucandoor.core.scheduling.placer import Placer
 from toucandoor.core.scheduling.pool_load import PoolLoad
-from toucandoor.core.scheduling.progress import JobProgress
+from toucandoor.core.scheduling.progress import JobProgress, StepProgress
 from toucandoor.core.scheduling.progress_writer import ProgressWriter
 from toucandoor.core.scheduling.queue_order import remaining_chain_s
 from toucandoor.core.scheduling.retention import Retention
@@ -356,6 +357,27 @@
         finished, self._state.finished = self._state.finished, []
         return finished
 
+    def _room_for_lasting(self, job: JobProgress, step: StepProgress, now_s: float) -> int | None:
+        """Return how many tasks of a long-running step with a limit per server still fit.
+
+        None for other steps, whose servers become free again, and where more servers might not
+        help: the team's ceiling, a label or the adviser may be in the way, or a task may be too
+        large for any server.
+        """
+        state, needs = self._state, step.step.needs
+        if not step.step.long_running or not step.step.per_worker_max or step.step.required_label:
+            return None
+        queue = state.queue_of(job)
+        if queue is None or queue.adviser is not None:
+            return None
+        waiting = sum(task.waiting for task in step.tasks)
+        if not waiting or not state.within_ceiling(job, needs.times(waiting)):
+            return None
+        workers = [each for each in state.workers.values() if each.entry.pool == queue.pool]
+        if not any(step.step.reserved.fits_in(each.entry.capacity) for each in workers):
+            return None
+        return room_for_step(allowed_workers(workers, step, now_s), step)
+
     def loads(self, lead_s: float = 0.0) -> dict[PoolId, PoolLoad]:
         """Return the load of each pool.
 
@@ -387,7 +409,7 @@
             load = load_of(state.pool_of(job))
             for step in job.steps.values():
                 if step.remaining and job.runnable(step):
-                    load.add_waiting(step)
+                    load.add_waiting(step, room=self._room_for_lasting(job, step, now_s))
         while self._arrivals and self._arrivals[0].arrived_s < now_s - const.ARRIVAL_WINDOW_S:
             self._arrivals.popleft()
         for arrival in self._arrivals:
