Treat fleet records that cannot be decoded as unreadable for now

Cause: a malformed planning lease, assignment map, budget ledger or event log raised an error that the controller's tasks do not expect, and the task that follows the maps ended for good.

Change: such a record is logged and counts as one that cannot be read now; a map that cannot be decoded is left out, and the last one stays.

tests.adapters.test_fleet_store: all of its cases failed before. toucandoor-node does not use these modules.

--- a/toucandoor/adapters/fleet_maps.py
+++ b/toucandoor/adapters/fleet_maps.py
@@ -6,6 +6,8 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from toucandoor.adapters.threads import async_call
 from toucandoor.core.pools.const import KEY_ASSIGNMENT_PREFIX
 from toucandoor.core.pools.models import assignment_key, decode_map
@@ -86,7 +88,11 @@
     async def _async_update(self, found: tuple[StoredValue, ...]) -> None:
         newer = False
         for stored in found:
-            record = decode_map(stored.value.encode())
+            try:
+                record = decode_map(stored.value.encode())
+            except msgspec.MsgspecError as err:
+                _LOGGER.error("%s the record %s cannot be decoded: %s", _PREFIX, stored.key, err)
+                continue
             if stored.revision > self._revisions.get(record.data_centre, 0):
                 self._revisions[record.data_centre] = stored.revision
                 self.maps[record.data_centre] = record
--- a/toucandoor/adapters/fleet_store.py
+++ b/toucandoor/adapters/fleet_store.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from toucandoor.core.maintenance.const import KEY_LEASE_PREFIX, LOG_SEGMENTS_KEPT
 from toucandoor.core.maintenance.event_log import (
     LogRead,
@@ -25,7 +28,12 @@
     assignment_key,
 )
 from toucandoor.core.pools.records import fleet_read
-from toucandoor.exceptions import StoreAnswerLostError, StoreConflictError, StoreError
+from toucandoor.exceptions import (
+    StoreAnswerLostError,
+    StoreConflictError,
+    StoredRecordError,
+    StoreError,
+)
 from toucandoor.ids import DataCentreId
 
 if TYPE_CHECKING:
@@ -34,6 +42,8 @@
     from toucandoor.adapters.store_client import Store, StoredValue
     from toucandoor.core.pools.models import AssignmentMap, StoreAnswer, Swap
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class FleetStore:
     """Reads and swaps the fleet's records and returns each outcome as an event.
@@ -66,7 +76,10 @@
             return StoreUnavailable(key)
         if stored is None:
             return LeaseRead(None, 0)
-        return LeaseRead(decode_lease(stored.value.encode()), stored.revision)
+        try:
+            return LeaseRead(decode_lease(stored.value.encode()), stored.revision)
+        except msgspec.MsgspecError as err:
+            return _undecodable(key, err)
 
     def read_fleet(self, data_centres: Iterable[DataCentreId]) -> FleetRead | StoreUnavailable:
         """Read all assignment maps, the budget ledger and the leases' revisions, in three calls.
@@ -81,7 +94,10 @@
             found += self._store.list(KEY_LEASE_PREFIX)
         except StoreError:
             return StoreUnavailable(KEY_ASSIGNMENT_PREFIX)
-        return _fleet_read({*data_centres, *_mapped_data_centres(found)}, found)
+        try:
+            return _fleet_read({*data_centres, *_mapped_data_centres(found)}, found)
+        except msgspec.MsgspecError as err:
+            return _undecodable(KEY_ASSIGNMENT_PREFIX, err)
 
     def read_fleet_with_maps(
         self,
@@ -102,7 +118,10 @@
             found += self._store.list(KEY_LEASE_PREFIX)
         except StoreError:
             return StoreUnavailable(KEY_LEDGER)
-        read = _fleet_read({*data_centres, *maps}, found)
+        try:
+            read = _fleet_read({*data_centres, *maps}, found)
+        except msgspec.MsgspecError as err:
+            return _undecodable(KEY_LEDGER, err)
         return replace(read, maps=read.maps | maps, revisions=read.revisions | revisions)
 
     def read_log(self, data_centre: DataCentreId) -> LogRead | StoreUnavailable:
@@ -111,9 +130,11 @@
             stored = self._store.get(summary_key(data_centre))
             summary = decode_summary(stored.value.encode() if stored else None)
             stored_segment = self._store.get(segment_key(data_centre, summary.segment))
+            segment = decode_segment(stored_segment.value.encode() if stored_segment else None)
         except StoreError:
             return StoreUnavailable(summary_key(data_centre))
-        segment = decode_segment(stored_segment.value.encode() if stored_segment else None)
+        except msgspec.MsgspecError as err:
+            return _undecodable(summary_key(data_centre), err)
         return LogRead(
             summary,
             stored.revision if stored else 0,
@@ -130,10 +151,19 @@
         stored = [
             self._store.get(segment_key(data_centre, number)) for number in range(LOG_SEGMENTS_KEPT)
         ]
-        segments = [decode_segment(value.value.encode()) for value in stored if value]
+        try:
+            segments = [decode_segment(value.value.encode()) for value in stored if value]
+        except msgspec.MsgspecError as err:
+            raise StoredRecordError(str(err), step="fleet.read_segments") from err
         return [each for each in segments if each]
 
 
+def _undecodable(key: str, err: msgspec.MsgspecError) -> StoreUnavailable:
+    """Treat a record that cannot be decoded like one that cannot be read now."""
+    _LOGGER.error("fleet: the record %s cannot be decoded: %s", key, err)
+    return StoreUnavailable(key)
+
+
 def _mapped_data_centres(found: list[StoredValue]) -> set[DataCentreId]:
     return {
         DataCentreId(each.key.removeprefix(KEY_ASSIGNMENT_PREFIX))
