Specify the work on heavy load, and define the interfaces of its parts

Cause: two new deployments have load that the scheduler decides nothing about (teams' shares, admission, wrong estimates, silent racks), and evacuation of a data centre is not served. Change: docs/design/hard-load.md with requirements, parts and failures; interfaces with today's behaviour as baseline: StepOrder, RunTimeModel, FailureDomains, SubmissionPolicy, LoadReport. No change of behaviour.

--- a/toucandoor/adapters/job_callers.py
+++ b/toucandoor/adapters/job_callers.py
@@ -9,6 +9,7 @@
 
 from toucandoor.adapters.job_service import WriteOutcome
 from toucandoor.adapters.wsgi import respond, respond_json
+from toucandoor.core.admission.submission import AcceptAll
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.ids import JobId, TeamId
 from toucandoor.platform.caller_routes import (
@@ -27,6 +28,7 @@
     from toucandoor.adapters.node_metrics import NodeMetrics
     from toucandoor.adapters.wsgi import Environ, StartResponse
     from toucandoor.clock import Clock
+    from toucandoor.core.admission.submission import SubmissionPolicy
     from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
 
 _LOGGER = logging.getLogger(__name__)
@@ -72,6 +74,7 @@
         clock: The clock.
         metrics: Metrics of the process.
         store_reachable: Whether the store has answered this node recently.
+        submissions: Decides whether a job is accepted; None to accept all.
     """
 
     def __init__(
@@ -81,7 +84,9 @@
         clock: Clock,
         metrics: NodeMetrics,
         store_reachable: Callable[[], bool],
+        submissions: SubmissionPolicy | None = None,
     ) -> None:
+        self._submissions = submissions or AcceptAll()
         self._store_reachable = store_reachable
         self._metrics = metrics
         self._jobs = jobs
@@ -164,6 +169,9 @@
             spec = decode_job_body(body, job_id, queue, team, accepted_unix_ms)
         except InvalidJobError as fault:
             raise _HttpError(400, fault.reason) from fault
+        rejection = self._submissions.rejection(spec)
+        if rejection is not None:
+            raise _HttpError(rejection.status, rejection.reason, rejection.retry_after_s)
         outcome = self._jobs.submit(spec, until_s)
         _LOGGER.info(
             "callers: submission of a job: %s",
--- /dev/null
+++ b/toucandoor/core/run_times/__init__.py
@@ -0,0 +1,1 @@
+"""How long tasks really run, beside their callers' estimates."""
--- a/toucandoor/core/scheduling/arrivals.py
+++ b/toucandoor/core/scheduling/arrivals.py
@@ -6,10 +6,12 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.core.jobs.models import Resources
+from toucandoor.core.run_times.models import CALLER_ESTIMATES
 from toucandoor.core.scheduling.queue_order import job_core_ms, job_memory_mb_s, longest_chain_s
 
 if TYPE_CHECKING:
     from toucandoor.core.jobs.models import JobSpec
+    from toucandoor.core.run_times.models import RunTimeModel
     from toucandoor.ids import PoolId
 
 
@@ -20,8 +22,8 @@
     Attributes:
         arrived_s: When it arrived, on the monotonic clock.
         pool: Pool that runs it.
-        work: Resources times seconds that all its tasks need, by the caller's estimates.
-        chain_s: Estimated run time of its longest chain of steps.
+        work: Resources times seconds that all its tasks need, by expected run times.
+        chain_s: Expected run time of its longest chain of steps.
     """
 
     arrived_s: float
@@ -30,10 +32,16 @@
     chain_s: float
 
     @classmethod
-    def of_job(cls, arrived_s: float, pool: PoolId, spec: JobSpec) -> Arrival:
+    def of_job(
+        cls,
+        arrived_s: float,
+        pool: PoolId,
+        spec: JobSpec,
+        run_times: RunTimeModel = CALLER_ESTIMATES,
+    ) -> Arrival:
         """Return the arrival of a job."""
-        work = Resources(int(job_core_ms(spec)), int(job_memory_mb_s(spec)))
-        return cls(arrived_s, pool, work, longest_chain_s(spec))
+        work = Resources(int(job_core_ms(spec, run_times)), int(job_memory_mb_s(spec, run_times)))
+        return cls(arrived_s, pool, work, longest_chain_s(spec, run_times))
 
     def needed_after(self, lead_s: float) -> Resources:
         """Return the capacity that one such job a second needs after some seconds.
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -13,8 +13,8 @@
     choose_worker,
     tasks_by_worker,
 )
-from toucandoor.core.scheduling.queue_order import step_rank
 from toucandoor.core.scheduling.state import MS_PER_S, run_fields
+from toucandoor.core.scheduling.step_order import WaitingStep
 from toucandoor.core.scheduling.worker_view import Run, RunState, WorkerView
 from toucandoor.core.scheduling.workers import RunKey
 
@@ -73,7 +73,7 @@
         if state.configuration is None:
             return orders
         now_s = state.now_s
-        waiting: dict[PoolId, list[tuple[JobProgress, StepProgress]]] = {}
+        waiting: dict[PoolId, list[WaitingStep]] = {}
         for key, step in list(state.waiting_steps.items()):
             job = state.jobs[key.job_id]
             pool = state.pool_of(job)
@@ -82,7 +82,7 @@
             if not step.remaining or not any(task.waiting for task in step.tasks):
                 del state.waiting_steps[key]
             elif job.runnable(step):
-                waiting.setdefault(pool, []).append((job, step))
+                waiting.setdefault(pool, []).append(WaitingStep(job, step))
         state.changed_pools.clear()
         if waiting:
             self._place_in_pools(waiting, now_s, orders)
@@ -93,7 +93,7 @@
 
     def _place_in_pools(
         self,
-        waiting: dict[PoolId, list[tuple[JobProgress, StepProgress]]],
+        waiting: dict[PoolId, list[WaitingStep]],
         now_s: float,
         orders: list[Order],
     ) -> None:
@@ -103,12 +103,8 @@
         now_ms = self._state.now_unix_ms
         for pool, steps in waiting.items():
             self._reviewed_s[pool] = now_s
-            ranked = sorted(
-                ((step_rank(job, step, now_ms), number) for number, (job, step) in enumerate(steps))
-            )
-            for _, number in ranked:
-                job, step = steps[number]
-                self._place_step(job, step, workers.get(pool, []), now_s, orders)
+            for each in self._state.order.ordered(pool, steps, now_s, now_ms):
+                self._place_step(each.job, each.step, workers.get(pool, []), now_s, orders)
 
     def _place_step(
         self,
--- a/toucandoor/core/scheduling/queue_order.py
+++ b/toucandoor/core/scheduling/queue_order.py
@@ -8,60 +8,78 @@
 
 from typing import TYPE_CHECKING
 
+from toucandoor.core.run_times.models import CALLER_ESTIMATES
+
 if TYPE_CHECKING:
     from toucandoor.core.jobs.models import JobSpec
+    from toucandoor.core.run_times.models import RunTimeModel
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress
 
 _MS = 1000.0
 
 
-def longest_chain_s(spec: JobSpec) -> float:
-    """Return the estimated run time of the longest chain of dependent steps."""
+def longest_chain_s(spec: JobSpec, run_times: RunTimeModel = CALLER_ESTIMATES) -> float:
+    """Return the expected run time of the longest chain of dependent steps, in seconds."""
     ends: list[float] = []
     for step in spec.steps:
         begin = max((ends[earlier] for earlier in step.after), default=0.0)
-        ends.append(begin + step.estimate_ms / _MS)
+        ends.append(begin + run_times.expected_s(step, spec.queue))
     return max(ends, default=0.0)
 
 
-def objective_s(spec: JobSpec) -> float:
+def objective_s(spec: JobSpec, run_times: RunTimeModel = CALLER_ESTIMATES) -> float:
     """Return the time after its arrival, or due time, within which a job should be done."""
     terms = spec.terms
-    return terms.slack_ratio * longest_chain_s(spec) + terms.target_duration_ms / _MS
+    return terms.slack_ratio * longest_chain_s(spec, run_times) + terms.target_duration_ms / _MS
 
 
-def remaining_chain_s(job: JobProgress, occurrence: int) -> float:
-    """Return the estimated run time of the longest chain of unfinished steps of an occurrence."""
+def remaining_chain_s(
+    job: JobProgress, occurrence: int, run_times: RunTimeModel = CALLER_ESTIMATES
+) -> float:
+    """Return the expected run time of the longest chain of unfinished steps of an occurrence."""
     ends: list[float] = []
     for number, step in enumerate(job.spec.steps):
         begin = max((ends[earlier] for earlier in step.after), default=0.0)
-        left = 0.0 if job.step(occurrence, number).done else step.estimate_ms / _MS
+        done = job.step(occurrence, number).done
+        left = 0.0 if done else run_times.expected_s(step, job.spec.queue)
         ends.append(begin + left)
     return max(ends, default=0.0)
 
 
-def remaining_core_s(job: JobProgress, occurrence: int) -> float:
-    """Return the estimated processor time that an occurrence still needs, in core-seconds."""
+def remaining_core_s(
+    job: JobProgress, occurrence: int, run_times: RunTimeModel = CALLER_ESTIMATES
+) -> float:
+    """Return the expected processor time that an occurrence still needs, in core-seconds."""
     total = 0.0
     for number, step in enumerate(job.spec.steps):
         undone = job.step(occurrence, number).remaining
-        total += undone * step.needs.cpu_millicores / _MS * step.estimate_ms / _MS
+        run_s = run_times.expected_s(step, job.spec.queue)
+        total += undone * step.needs.cpu_millicores / _MS * run_s
     return total
 
 
-def job_core_ms(spec: JobSpec) -> float:
-    """Return the estimated processor time of a job, in thousandths of a core-second."""
+def job_core_ms(spec: JobSpec, run_times: RunTimeModel = CALLER_ESTIMATES) -> float:
+    """Return the expected processor time of a job, in thousandths of a core-second."""
     return sum(
-        step.count * step.needs.cpu_millicores * step.estimate_ms / _MS for step in spec.steps
+        step.count * step.needs.cpu_millicores * run_times.expected_s(step, spec.queue)
+        for step in spec.steps
     )
 
 
-def job_memory_mb_s(spec: JobSpec) -> float:
-    """Return the estimated memory of a job's tasks times their run times, in megabyte-seconds."""
-    return sum(step.count * step.needs.memory_mb * step.estimate_ms / _MS for step in spec.steps)
+def job_memory_mb_s(spec: JobSpec, run_times: RunTimeModel = CALLER_ESTIMATES) -> float:
+    """Return the expected memory of a job's tasks times their run times, in megabyte-seconds."""
+    return sum(
+        step.count * step.needs.memory_mb * run_times.expected_s(step, spec.queue)
+        for step in spec.steps
+    )
 
 
-def step_rank(job: JobProgress, step: StepProgress, now_unix_ms: float) -> tuple[float, ...]:
+def step_rank(
+    job: JobProgress,
+    step: StepProgress,
+    now_unix_ms: float,
+    run_times: RunTimeModel = CALLER_ESTIMATES,
+) -> tuple[float, ...]:
     """Return the sort key of a waiting step; lower comes first.
 
     Long-running tasks come first, since every second of unavailability costs their callers. Then
@@ -74,8 +92,8 @@
     occurrence = step.key.occurrence
     due_ms = spec.first_due_unix_ms + occurrence * spec.interval_ms if spec.timed else 0
     begin_ms = due_ms or spec.accepted_unix_ms
-    objective_ms = begin_ms + objective_s(spec) * _MS
-    left_ms = remaining_chain_s(job, occurrence) * _MS
+    objective_ms = begin_ms + objective_s(spec, run_times) * _MS
+    left_ms = remaining_chain_s(job, occurrence, run_times) * _MS
     if now_unix_ms + left_ms > objective_ms:
         return (2.0, float(spec.terms.priority), float(begin_ms))
-    return (1.0, float(spec.terms.priority), remaining_core_s(job, occurrence))
+    return (1.0, float(spec.terms.priority), remaining_core_s(job, occurrence, run_times))
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -106,6 +106,7 @@
     def set_configuration(self, configuration: JobConfiguration) -> None:
         """Apply a newer configuration."""
         self._state.configuration = configuration
+        self._state.order.set_configuration(configuration, self._state.now_s)
         self._state.changed_pools |= set(configuration.pools)
 
     def add_job(self, spec: JobSpec) -> None:
@@ -118,9 +119,11 @@
         job = JobProgress(spec, arrived_s=state.now_s)
         state.jobs[spec.job_id] = job
         state.open_jobs.add(spec.job_id)
+        state.order.on_job_added(job, state.now_s)
         state.mark_changed(job)
         if not spec.timed and not spec.long_running:
-            self._arrivals.append(Arrival.of_job(job.arrived_s, state.pool_of(job), spec))
+            pool = state.pool_of(job)
+            self._arrivals.append(Arrival.of_job(job.arrived_s, pool, spec, state.run_times))
         if spec.job_id in self._state.early_cancels:
             self.cancel_job(spec.job_id)
 
@@ -142,6 +145,7 @@
         job = JobProgress(spec, arrived_s=state.now_s)
         runs = job.restore(record, revision)
         state.jobs[spec.job_id] = job
+        state.order.on_job_added(job, state.now_s)
         if not job.state.final or runs:
             state.open_jobs.add(spec.job_id)
         for task, stored in runs:
@@ -400,7 +404,8 @@
             for run in worker.runs.values():
                 key = (run.task.key.job_id, run.task.key.occurrence)
                 if key not in runs_later:
-                    runs_later[key] = remaining_chain_s(state.jobs[key[0]], key[1]) > lead_s
+                    left_s = remaining_chain_s(state.jobs[key[0]], key[1], state.run_times)
+                    runs_later[key] = left_s > lead_s
                 load.add_run(run, later=runs_later[key])
         for job_id in state.open_jobs:
             job = state.jobs[job_id]
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -6,11 +6,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.core.failure_domains.models import FailureDomains, NoFailureDomains
 from toucandoor.core.jobs.models import NO_RESOURCES, JobState, Resources, StepKey
 from toucandoor.core.ownership.lease import OWNER_TTL_S
+from toucandoor.core.run_times.models import CALLER_ESTIMATES, RunTimeModel
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.activity import Activity
 from toucandoor.core.scheduling.queue_order import objective_s
+from toucandoor.core.scheduling.step_order import LeastWorkFirst, StepOrder
 from toucandoor.core.scheduling.worker_view import RunState
 
 if TYPE_CHECKING:
@@ -85,11 +88,17 @@
         planned: Planned runs that are not in the store yet, by job.
         finished: Jobs that have ended since `Scheduler.pop_finished` was last called.
         activity: Counts of what this owner has done.
+        run_times: Expected run times of tasks.
+        order: Order in which waiting steps get room.
+        failure_domains: Evidence on silent and slow backend servers.
     """
 
     def __init__(self, settings: SchedulerSettings, clock: Clock) -> None:
         self.settings = settings
         self.clock = clock
+        self.run_times: RunTimeModel = CALLER_ESTIMATES
+        self.order: StepOrder = LeastWorkFirst(self.run_times)
+        self.failure_domains: FailureDomains = NoFailureDomains()
         self.started_s = clock.monotonic_s()
         self.configuration: JobConfiguration | None = None
         self.jobs: dict[JobId, JobProgress] = {}
@@ -156,7 +165,7 @@
     def _count_finished(self, job: JobProgress, total_s: float) -> None:
         self.activity.jobs_ended += 1
         completed = job.state is JobState.COMPLETED
-        if completed and not job.spec.timed and total_s > objective_s(job.spec):
+        if completed and not job.spec.timed and total_s > objective_s(job.spec, self.run_times):
             self.activity.jobs_late += 1
 
     def step_of(self, task: Task) -> StepProgress:
@@ -185,8 +194,10 @@
         """Add a run to its task and backend server, and count it for its team."""
         run.worker.add(run)
         run.task.runs.append(run)
-        team = self.jobs[run.task.key.job_id].spec.team
+        job = self.jobs[run.task.key.job_id]
+        team = job.spec.team
         self._team_used[team] = self._team_used.get(team, NO_RESOURCES) + run.task.step.needs
+        self.order.on_attached(job, run, self.now_s)
 
     def detach(self, run: Run) -> None:
         """Remove a run from its task and backend server, and from the count of its team."""
@@ -197,6 +208,7 @@
         self.runs_awaiting_orders.pop(run, None)
         job = self.jobs[run.task.key.job_id]
         self._team_used[job.spec.team] = self._team_used[job.spec.team] - run.task.step.needs
+        self.order.on_detached(job, run, self.now_s)
         self.changed_pools.add(run.worker.entry.pool)
         if not job.state.final and not run.task.done:
             self.mark_step_waiting(job, self.step_of(run.task))
