Notice the store's return at its first answer, and ask seeds for the configuration

Cause: the time of the store's last answer was set only after a watch of 1 s had returned, and peers were asked before each new try, with connection time-outs of 0.5 s. Restarted nodes knew no peers without the store and refused with 'no configuration yet' from 33 to 37 s. Change: the first answered read counts; after a failed call a short watch probes every 0.1 s; peers are asked in a thread of its own; the settings' seeds stand in until peers are known.

--- /dev/null
+++ b/tests/adapters/test_configuration_watch.py
@@ -0,0 +1,141 @@
+"""A node's view of the store: how soon its return is noticed, and what peers give meanwhile."""
+
+from __future__ import annotations
+
+import threading
+import time
+import unittest
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from toucandoor.adapters.configuration_watch import ConfigurationWatch
+from toucandoor.adapters.peers import Peer, PeerDirectory
+from toucandoor.clock import BootClock
+from toucandoor.core.records import Changes, Record, RecordStore, Snapshot, StoreLease, Transaction
+from toucandoor.exceptions import StoreUnavailableError
+from toucandoor.ids import DataCentreId, EntryId, StoreLeaseId
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+NOTICED_WITHIN_S = 0.3
+"""Time within which submissions must be accepted again after an outage of the store."""
+
+
+def _configuration(version: int) -> bytes:
+    return msgspec.json.encode({"version": version})
+
+
+class _Store(RecordStore):
+    """Store with a configuration that refuses all calls while it is down."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.watch_waits_s: list[float] = []
+
+    def _check(self) -> None:
+        if self.down:
+            raise StoreUnavailableError("503", step="store")
+
+    def read(self, key: str) -> Record | None:
+        self._check()
+        return None
+
+    def read_pages(self, prefix: str) -> Iterator[Snapshot]:
+        self._check()
+        yield Snapshot((Record("op/config", _configuration(1), 5, 5),), 5)
+
+    def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
+        until_s = time.monotonic() + wait_s
+        while time.monotonic() < until_s and not self.down:
+            time.sleep(0.005)
+        self._check()
+        self.watch_waits_s.append(wait_s)
+        return Changes((), (), after_revision)
+
+    def write(self, transaction: Transaction) -> int:
+        self._check()
+        return 6
+
+    def grant_lease(self, ttl_s: float) -> StoreLease:
+        self._check()
+        return StoreLease(StoreLeaseId(1), ttl_s)
+
+    def renew_lease(self, lease_id: StoreLeaseId, timeout_s: float | None = None) -> None:
+        self._check()
+
+    def end_lease(self, lease_id: StoreLeaseId) -> None:
+        self._check()
+
+
+def _wait_until(condition: Callable[[], bool], within_s: float) -> bool:
+    until_s = time.monotonic() + within_s
+    while time.monotonic() < until_s:
+        if condition():
+            return True
+        time.sleep(0.005)
+    return condition()
+
+
+class StoreReturnTest(unittest.TestCase):
+    """The store refuses all calls for a while."""
+
+    def setUp(self) -> None:
+        self.store = _Store()
+
+    def watch(self, fetch: Callable[[int], bytes] | None = None) -> ConfigurationWatch:
+        watch = ConfigurationWatch(self.store, BootClock(), fetch)
+        self.addCleanup(watch.stop)
+        watch.start()
+        return watch
+
+    def test_the_return_is_noticed_before_a_watch_has_waited_for_a_change(self) -> None:
+        # Nodes used to refuse submissions for 1.1 to 1.7 s after the store had returned.
+        watch = self.watch()
+        self.assertTrue(_wait_until(lambda: watch.store_reachable, 5))
+        self.store.down = True
+        self.assertTrue(_wait_until(lambda: not watch.store_reachable, 5))
+        self.store.down = False
+        self.assertTrue(_wait_until(lambda: watch.store_reachable, NOTICED_WITHIN_S))
+
+    def test_peers_that_do_not_answer_do_not_delay_it(self) -> None:
+        asked, release = threading.Event(), threading.Event()
+        self.addCleanup(release.set)
+
+        def fetch(_newer_than: int) -> bytes:
+            asked.set()
+            release.wait(10)
+            return b""
+
+        watch = self.watch(fetch)
+        self.assertTrue(_wait_until(lambda: watch.store_reachable, 5))
+        self.store.down = True
+        self.assertTrue(asked.wait(5))
+        self.assertTrue(_wait_until(lambda: not watch.store_reachable, 5))
+        self.store.down = False
+        self.assertTrue(_wait_until(lambda: watch.store_reachable, NOTICED_WITHIN_S))
+
+    def test_a_node_that_starts_meanwhile_takes_the_configuration_of_a_peer(self) -> None:
+        self.store.down = True
+        watch = self.watch(lambda _newer_than: _configuration(7))
+        self.assertTrue(_wait_until(lambda: watch.current is not None, 5))
+        assert watch.current is not None
+        self.assertEqual(watch.current.version, 7)
+
+
+class SeedsTest(unittest.TestCase):
+    """Peers of a node that has not reached the store since its start."""
+
+    def test_a_node_without_records_of_peers_uses_the_seeds_but_itself(self) -> None:
+        # Restarted nodes refused calls for lack of a configuration though their peers had one.
+        this_node, seed = (
+            Peer(EntryId(name), f"10.0.0.{number}:7000", DataCentreId("d"))
+            for number, name in enumerate(("this", "seed"))
+        )
+        directory = PeerDirectory(_Store(), this_node, (this_node, seed))
+        self.assertEqual(directory.nearest_first(), [seed])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucandoor/adapters/configuration_watch.py
+++ b/toucandoor/adapters/configuration_watch.py
@@ -32,8 +32,13 @@
 STORE_UNREACHABLE_AFTER_S: Final = 2.0
 """Time without an answer after which the store counts as unreachable from this node: a watch and
 its retry."""
-RETRY_PAUSE_S: Final = 0.2
-"""Pause after a failed read of the store."""
+RETRY_PAUSE_S: Final = 0.1
+"""Pause after a failed call to the store. Callers give up within three seconds, so each tenth of a
+second for which a node does not notice the store's return costs jobs."""
+PROBE_WAIT_S: Final = 0.01
+"""Wait of a watch after a failed call: the store answers it at once when it is back."""
+PEERS_INTERVAL_S: Final = 0.2
+"""Interval at which peers are asked for a newer configuration while the store does not answer."""
 
 
 class ConfigurationWatch:
@@ -65,6 +70,7 @@
         self.waves: dict[int, VmWaveOrder] = {}
         self._fetch_from_peers = fetch_from_peers
         self._store_answered_s = -STORE_UNREACHABLE_AFTER_S
+        self._store_failing = False
         self._stop = threading.Event()
 
     @property
@@ -78,8 +84,15 @@
         return self._clock.monotonic_s() - self._store_answered_s < STORE_UNREACHABLE_AFTER_S
 
     def start(self) -> None:
-        """Start to watch the store in a thread."""
+        """Start to watch the store in a thread, and in another one to ask peers in its place."""
         threading.Thread(target=self._run, name="configuration", daemon=True).start()
+        if self._fetch_from_peers is not None:
+            threading.Thread(
+                target=self._follow_peers,
+                args=(self._fetch_from_peers,),
+                name="peer-configuration",
+                daemon=True,
+            ).start()
 
     def stop(self) -> None:
         """Stop the thread after its present call to the store."""
@@ -124,40 +137,50 @@
 
     def _run(self) -> None:
         revision: int | None = None
-        unreachable = False
+        wait_s = WATCH_WAIT_S
         while not self._stop.is_set():
             try:
                 if revision is None:
                     revision = self._read_all()
-                changes = self._store.watch(OPERATOR_PREFIX, revision, WATCH_WAIT_S)
+                    self._on_answer()
+                changes = self._store.watch(OPERATOR_PREFIX, revision, wait_s)
                 for record in changes.written:
                     self._apply_record(record)
                 revision = changes.revision
-                self._store_answered_s = self._clock.monotonic_s()
-                if unreachable:
-                    _LOGGER.info("configuration: the store answers again")
-                unreachable = False
+                wait_s = WATCH_WAIT_S
+                self._on_answer()
             except HistoryLostError:
                 _LOGGER.info(
                     "configuration: the store no longer has all changes; reading all records again"
                 )
-                self._store_answered_s = self._clock.monotonic_s()
+                self._on_answer()
                 revision = None
             except ToucandoorError as err:
-                if not unreachable:
+                if not self._store_failing:
                     _LOGGER.warning("configuration: reading or watching the store failed: %s", err)
-                unreachable = True
-                revision = None
-                self._update_from_peers()
+                self._store_failing = True
+                wait_s = PROBE_WAIT_S
                 self._stop.wait(RETRY_PAUSE_S)
 
-    def _update_from_peers(self) -> None:
-        if self._fetch_from_peers is None:
-            return
-        source = self._fetch_from_peers(self._current.version if self._current is not None else 0)
-        configuration = decode_configuration(source) if source else None
-        if configuration is not None:
-            self.update(configuration, "peer")
+    def _on_answer(self) -> None:
+        self._store_answered_s = self._clock.monotonic_s()
+        if self._store_failing:
+            _LOGGER.info("configuration: the store answers again")
+        self._store_failing = False
+
+    def _follow_peers(self, fetch: Callable[[int], bytes]) -> None:
+        """Take newer configurations from peers while the store does not answer.
+
+        This has a thread of its own: connecting to peers that are cut off takes longer than the
+        return of the store may go unnoticed.
+        """
+        while not self._stop.wait(PEERS_INTERVAL_S):
+            if not self._store_failing:
+                continue
+            source = fetch(self._current.version if self._current is not None else 0)
+            configuration = decode_configuration(source) if source else None
+            if configuration is not None:
+                self.update(configuration, "peer")
 
     def _read_all(self) -> int:
         snapshot = self._store.read_prefix(OPERATOR_PREFIX)
--- a/toucandoor/adapters/peers.py
+++ b/toucandoor/adapters/peers.py
@@ -85,13 +85,19 @@
 class PeerDirectory:
     """Registers this node in the store and reads the other nodes' records.
 
-    While the store is unreachable, it keeps the nodes of the last read.
+    While the store is unreachable, it keeps the nodes of the last read, or the seeds if there has
+    been none.
+
+    Args:
+        store: The platform's store.
+        this_node: This node.
+        seeds: Nodes that the settings name; they may have been replaced.
     """
 
-    def __init__(self, store: RecordStore, this_node: Peer) -> None:
+    def __init__(self, store: RecordStore, this_node: Peer, seeds: tuple[Peer, ...] = ()) -> None:
         self._store = store
         self._this_node = this_node
-        self._peers: tuple[Peer, ...] = ()
+        self._peers = tuple(seed for seed in seeds if seed.address != this_node.address)
         self._lease: StoreLease | None = None
         self._stop = threading.Event()
 
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -32,6 +32,7 @@
 from toucandoor.clock import BootClock
 from toucandoor.core.ownership.candidates import VmCapacity
 from toucandoor.exceptions import SettingsError
+from toucandoor.ids import DataCentreId, EntryId
 from toucandoor.node_messages import AskConfiguration, Configuration
 from toucandoor.platform.async_http import AsyncPlatformHttp
 from toucandoor.platform.http import PlatformHttp
@@ -92,7 +93,7 @@
         peer_address = f"{settings.ip}:{settings.peer_port_first}"
         capacity = VmCapacity(settings.processor_cores, settings.link_mbps)
         this_node = Peer(settings.entry_id, peer_address, settings.data_centre, capacity)
-        self._peers = PeerDirectory(self._store, this_node)
+        self._peers = PeerDirectory(self._store, this_node, _seeds(settings))
         self._configuration = ConfigurationWatch(
             self._store, self._clock, self._fetch_peer_configuration
         )
@@ -210,6 +211,15 @@
         return respond(start_response, 200 if ready else 503, b"{}", "application/json")
 
 
+def _seeds(settings: NodeSettings) -> tuple[Peer, ...]:
+    """Return the nodes that the settings name; ports are the same on all nodes."""
+    hosts = [address.partition(":")[0] for address in settings.seed_addresses]
+    return tuple(
+        Peer(EntryId(host), f"{host}:{settings.peer_port_first}", DataCentreId(""))
+        for host in hosts
+    )
+
+
 def _serve(server: wsgi.Server) -> None:
     try:
         server.serve()
