Count demand of teams only up to their ceilings

Cause: on deployment H every team's ceiling is less than a fifteenth of a pool in its peak. Tasks that wait because of their team's ceiling counted as demand of the pool, and VMs were lent for them. Change: `CeilingDemand` sums each team's demand in all pools. At the end of the lead time the room under a ceiling goes first to tasks that still run, then to waiting ones, then to arrivals; runs that end within the lead time free their room. Pools share a team's room in proportion to its demand in them. Teams without a ceiling count as before. `arriving_cpu` in the log counts arrivals up to the ceiling. Not changed: `spread_workers_min`, the servers that a limit per server asks for whatever the ceiling; a test of the present behaviour expects it.

--- a/toucandoor/core/scheduling/arrivals.py
+++ b/toucandoor/core/scheduling/arrivals.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from toucandoor.core.jobs.models import JobSpec
     from toucandoor.core.run_times.models import RunTimeModel
-    from toucandoor.ids import PoolId
+    from toucandoor.ids import PoolId, TeamId
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,12 +22,14 @@
     Attributes:
         arrived_s: When it arrived, on the monotonic clock.
         pool: Pool that runs it.
+        team: Team that submitted it.
         work: Resources times seconds that all its tasks need, by expected run times.
         chain_s: Expected run time of its longest chain of steps.
     """
 
     arrived_s: float
     pool: PoolId
+    team: TeamId
     work: Resources
     chain_s: float
 
@@ -41,7 +43,7 @@
     ) -> Arrival:
         """Return the arrival of a job."""
         work = Resources(int(job_core_ms(spec, run_times)), int(job_memory_mb_s(spec, run_times)))
-        return cls(arrived_s, pool, work, longest_chain_s(spec, run_times))
+        return cls(arrived_s, pool, spec.team, work, longest_chain_s(spec, run_times))
 
     def needed_after(self, lead_s: float) -> Resources:
         """Return the capacity that one such job a second needs after some seconds.
--- a/toucandoor/core/scheduling/pool_load.py
+++ b/toucandoor/core/scheduling/pool_load.py
@@ -24,10 +24,11 @@
         long_running: Capacity reserved by long-running tasks.
         finite: Capacity reserved by all other tasks.
         later: Part of `finite` whose jobs still run after the lead time.
-        waiting: Capacity needed by tasks that could run now.
-        arriving_cpu_millicores: Processor needed by arriving jobs at their present rate.
+        waiting: Capacity needed by tasks that could run now, within their teams' ceilings.
+        arriving_cpu_millicores: Processor needed by arriving jobs at their present rate, within
+            their teams' ceilings.
         arriving_later: Capacity that jobs which arrive at that rate during the lead time need at
-            its end.
+            its end, within their teams' ceilings.
         spread_workers_min: Backend servers needed because of limits on the tasks of one step per
             server.
     """
@@ -63,16 +64,19 @@
         if later:
             self.later = self.later + reserved
 
-    def add_waiting(self, step: StepProgress, *, room: int | None = None) -> None:
+    def add_waiting(
+        self, step: StepProgress, *, room: int | None = None, ratio: float = 1.0
+    ) -> None:
         """Add the waiting tasks of a step that could run now.
 
         Args:
             step: The step.
+            ratio: Part of the waiting tasks that fit under the team's ceiling.
             room: How many of them fit on the present servers, for a step with a limit per server;
                 None if that is not to be considered.
         """
         waiting = sum(task.waiting for task in step.tasks)
-        self.waiting = self.waiting + step.step.reserved.times(waiting)
+        self.waiting = self.waiting + step.step.reserved.times(waiting * ratio)
         if step.step.per_worker_max:
             apart = -(-step.remaining // step.step.per_worker_max)
             self.spread_workers_min = max(self.spread_workers_min, apart)
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.arrivals import Arrival
+from toucandoor.core.scheduling.ceiling_demand import CeilingDemand
 from toucandoor.core.scheduling.placement import allowed_workers, room_for_step
 from toucandoor.core.scheduling.placer import Placer
 from toucandoor.core.scheduling.pool_load import PoolLoad
@@ -29,7 +30,7 @@
 from toucandoor.core.scheduling.workers import OrderRefusal, RunKey
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from toucandoor.clock import Clock
     from toucandoor.core.jobs.configuration import JobConfiguration
@@ -385,6 +386,9 @@
     def loads(self, lead_s: float = 0.0) -> dict[PoolId, PoolLoad]:
         """Return the load of each pool.
 
+        Of the waiting tasks and arrivals of a team, only what fits under its ceiling at the end of
+        the lead time counts: VMs would not help the others.
+
         Args:
             lead_s: Lead time of `PoolLoad.later` and `PoolLoad.arriving_later`, in seconds.
         """
@@ -392,6 +396,8 @@
         now_s = state.now_s
         loads: dict[PoolId, PoolLoad] = {}
         runs_later: dict[tuple[JobId, int], bool] = {}
+        waiting: list[tuple[JobProgress, StepProgress]] = []
+        demand = CeilingDemand(state.ceiling_of, state.used_by)
 
         def load_of(pool: PoolId) -> PoolLoad:
             return loads.setdefault(pool, PoolLoad(pool))
@@ -403,24 +409,48 @@
             load.add_worker(worker)
             for run in worker.runs.values():
                 key = (run.task.key.job_id, run.task.key.occurrence)
+                job = state.jobs[key[0]]
                 if key not in runs_later:
-                    left_s = remaining_chain_s(state.jobs[key[0]], key[1], state.run_times)
-                    runs_later[key] = left_s > lead_s
+                    runs_later[key] = remaining_chain_s(job, key[1], state.run_times) > lead_s
                 load.add_run(run, later=runs_later[key])
+                if not runs_later[key] and not run.task.step.long_running:
+                    demand.add_ending(job.spec.team, run.task.step.needs)
         for job_id in state.open_jobs:
             job = state.jobs[job_id]
             if job.state.final:
                 continue
-            load = load_of(state.pool_of(job))
+            load_of(state.pool_of(job))
             for step in job.steps.values():
                 if step.remaining and job.runnable(step):
-                    load.add_waiting(step, room=self._room_for_lasting(job, step, now_s))
-        while self._arrivals and self._arrivals[0].arrived_s < now_s - const.ARRIVAL_WINDOW_S:
+                    waiting.append((job, step))
+                    tasks = sum(task.waiting for task in step.tasks)
+                    demand.add_waiting(job.spec.team, step.step.needs.times(tasks))
+        ratios = demand.waiting_ratios()
+        for job, step in waiting:
+            ratio = ratios.get(job.spec.team, 1.0)
+            room = self._room_for_lasting(job, step, now_s)
+            load_of(state.pool_of(job)).add_waiting(step, room=room, ratio=ratio)
+        self._add_arrivals(load_of, demand, now_s, lead_s)
+        return loads
+
+    def _add_arrivals(
+        self,
+        load_of: Callable[[PoolId], PoolLoad],
+        demand: CeilingDemand,
+        now_s: float,
+        lead_s: float,
+    ) -> None:
+        """Add the jobs that have arrived within the window to the loads of their pools."""
+        window_s = const.ARRIVAL_WINDOW_S
+        while self._arrivals and self._arrivals[0].arrived_s < now_s - window_s:
             self._arrivals.popleft()
+        for arrival in self._arrivals:
+            now, later = arrival.work.times(1 / window_s), arrival.needed_after(lead_s)
+            demand.add_arriving(arrival.team, now, later.times(1 / window_s))
+        ratios = demand.arriving_ratios()
         for arrival in self._arrivals:
             load = load_of(arrival.pool)
-            load.arriving_cpu_millicores += arrival.work.cpu_millicores / const.ARRIVAL_WINDOW_S
-            load.arriving_later = load.arriving_later + arrival.needed_after(lead_s).times(
-                1 / const.ARRIVAL_WINDOW_S
-            )
-        return loads
+            ratio, ratio_later = ratios.get(arrival.team, (1.0, 1.0))
+            load.arriving_cpu_millicores += arrival.work.cpu_millicores * ratio / window_s
+            later = arrival.needed_after(lead_s).times(ratio_later / window_s)
+            load.arriving_later = load.arriving_later + later
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -254,16 +254,23 @@
         for run in list(worker.runs.values()):
             self.discard_run(run)
 
-    def within_ceiling(self, job: JobProgress, more: Resources) -> bool:
-        """Return whether a job's team may have this much more running."""
-        team_id = job.spec.team
+    def ceiling_of(self, team_id: TeamId) -> Resources | None:
+        """Return the most that a team may have running; None for no ceiling."""
         if not team_id or self.configuration is None:
-            return True
+            return None
         team = self.configuration.teams.get(team_id)
-        if team is None or team.ceiling == NO_RESOURCES:
+        return None if team is None or team.ceiling == NO_RESOURCES else team.ceiling
+
+    def used_by(self, team_id: TeamId) -> Resources:
+        """Return what the runs of a team use."""
+        return self._team_used.get(team_id, NO_RESOURCES)
+
+    def within_ceiling(self, job: JobProgress, more: Resources) -> bool:
+        """Return whether a job's team may have this much more running."""
+        ceiling = self.ceiling_of(job.spec.team)
+        if ceiling is None:
             return True
-        total = self._team_used.get(team_id, NO_RESOURCES) + more
-        ceiling = team.ceiling
+        total = self.used_by(job.spec.team) + more
         return not (
             (ceiling.cpu_millicores and total.cpu_millicores > ceiling.cpu_millicores)
             or (ceiling.memory_mb and total.memory_mb > ceiling.memory_mb)
