--- a/tests/adapters/test_configuration_watch.py
+++ b/tests/adapters/test_configuration_watch.py
@@ -6,12 +6,14 @@
 import time
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
 import msgspec
 
 from toucandoor.adapters.configuration_watch import ConfigurationWatch
 from toucandoor.adapters.peers import Peer, PeerDirectory
-from toucandoor.clock import BootClock
+from toucandoor.clock import BootClock, ManualClock
+from toucandoor.core.evacuation.requests import EvacuationRequests
 from toucandoor.core.records import Changes, Record, RecordStore, Snapshot, StoreLease, Transaction
 from toucandoor.exceptions import StoreUnavailableError
 from toucandoor.ids import DataCentreId, EntryId, StoreLeaseId
@@ -124,6 +126,52 @@
         self.assertEqual(watch.current.version, 7)
 
 
+class EvacuationsTest(unittest.TestCase):
+    """Requests to evacuate a data centre, from full reads and watches of the store."""
+
+    def setUp(self) -> None:
+        self.store = mock.Mock()
+        self.clock = ManualClock()
+        self.requests = EvacuationRequests(5.0, 1.5)
+        self.watch = ConfigurationWatch(self.store, self.clock, None, self.requests)
+
+    def in_force(self) -> set[str]:
+        return set(self.requests.in_force)
+
+    def test_writes_and_deletions_are_passed_on(self) -> None:
+        # Deletions used to be ignored; an evacuation would then never end.
+        records = (
+            Record("op/config", _configuration(1), 5, 5),
+            Record("op/evacuate/a", b"{}", 6, 6),
+        )
+        self.store.read_prefix.return_value = Snapshot(records, 6)
+        self.watch._read_all()
+        self.assertEqual(self.in_force(), {"a"})
+        written = (Record("op/evacuate/b", b"{}", 8, 8),)
+        changes = Changes(written, ("op/wave/1", "op/evacuate/a"), 9, (7, 9))
+        self.watch._apply_evacuations(changes, self.clock.monotonic_s(), 1.0)
+        self.assertEqual(self.in_force(), {"b"})
+
+    def test_knowledge_is_dated_by_what_the_store_has_confirmed(self) -> None:
+        # An answer that was on its way for seconds must not count as fresh.
+        sent_s = self.clock.monotonic_s()
+        self.clock.advance(4.0)
+        for changes, confirmed_s in (
+            (Changes((Record("op/evacuate/b", b"{}", 8, 8),), (), 8), sent_s),
+            (Changes((), (), 8), sent_s + 1.0),
+        ):
+            self.watch._apply_evacuations(changes, sent_s, 1.0)
+            self.assertTrue(self.requests.known_within(confirmed_s + 2.5, 2.5))
+            self.assertFalse(self.requests.known_within(confirmed_s + 2.6, 2.5))
+
+    def test_without_the_switch_they_are_ignored(self) -> None:
+        watch = ConfigurationWatch(self.store, self.clock)
+        self.store.read_prefix.return_value = Snapshot((Record("op/evacuate/a", b"{}", 6, 6),), 6)
+        watch._read_all()
+        watch._apply_evacuations(Changes((), ("op/evacuate/a",), 7), 0.0, 1.0)
+        self.assertIsNone(watch.evacuations)
+
+
 class SeedsTest(unittest.TestCase):
     """Peers of a node that has not reached the store since its start."""
 
--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -17,6 +17,7 @@
 from toucandoor.adapters.owner_task import OwnerTask
 from toucandoor.adapters.term_context import OwnerDependencies
 from toucandoor.clock import SystemClock
+from toucandoor.core.evacuation.requests import EvacuationEvent, EvacuationRequests
 from toucandoor.core.jobs.models import JobSpec, JobState, Step
 from toucandoor.core.ownership.handover import HANDOVER_KEY
 from toucandoor.core.ownership.lease import OWNER_KEY
@@ -204,7 +205,7 @@
         vm_move_s=1.5,
         status_retention_s=120.0,
     )
-    watch = mock.Mock(waves={})
+    watch = mock.Mock(waves={}, evacuations=None)
     watch.add_listener.side_effect = lambda listener: listener(configuration())
     vms = mock.Mock()
     vms.list.return_value = ()
@@ -328,11 +329,13 @@
         self.records = VirtualRecords()
         self.store = MemoryStore(self.records, threading.Condition(threading.RLock()))
 
-    def node(self, name: str, processor_cores: float, link_mbps: float) -> OwnerTask:
+    def node(
+        self, name: str, processor_cores: float, link_mbps: float, data_centre: str = "d"
+    ) -> OwnerTask:
         """Return the owner task of a node that has announced itself to the others."""
         record = {
             "address": f"{name}:1",
-            "data_centre": "d",
+            "data_centre": data_centre,
             "processor_cores": processor_cores,
             "link_mbps": link_mbps,
         }
@@ -392,6 +395,28 @@
             wait_for(self, lambda: strong.is_owner)
         self.assertFalse(weak.is_owner)
 
+    def test_an_owner_leaves_an_evacuated_data_centre(self) -> None:
+        # The ownership would otherwise stay where the VMs are about to be switched off.
+        requests = EvacuationRequests(5.0, 1.5)
+        here = self.node("here", 1.0, 100.0)
+        there = self.node("there", 1.0, 100.0, "elsewhere")
+        for node, centre in ((here, "d"), (there, "elsewhere")):
+            self.addCleanup(node.stop, 2.0)
+            node._dependencies.configuration.evacuations = requests
+            node._dependencies.settings.data_centre = centre  # type: ignore[misc]
+        self.assertFalse(here._weaker_than_a_peer())
+        revision = self.records.write(Transaction(writes={"op/evacuate/d": b"{}"}))
+        found = [EvacuationEvent(DataCentreId("d"), revision)]
+        requests.on_read(found, revision, time.monotonic(), 0.0)
+        self.assertTrue(here._weaker_than_a_peer())
+        self.assertFalse(there._weaker_than_a_peer())
+        with mock.patch("toucandoor.adapters.owner_task.CANDIDATES_READ_INTERVAL_S", 0.05):
+            here.start()
+            wait_for(self, lambda: here.is_owner)
+            there.start()
+            wait_for(self, lambda: there.is_owner)
+        self.assertFalse(here.is_owner)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/adapters/test_term_intake.py
+++ b/tests/adapters/test_term_intake.py
@@ -12,16 +12,17 @@
 from tests.core.scheduling.common import NEEDS, POOL, fleet, job
 from toucandoor.adapters.term_context import TermContext
 from toucandoor.adapters.term_intake import TermIntake
+from toucandoor.core.evacuation.requests import EvacuationRequests
 from toucandoor.core.jobs.models import JobState, Step
 from toucandoor.core.jobs.records import progress_key
-from toucandoor.core.records import Record, RecordStore, Snapshot
+from toucandoor.core.records import Record, RecordStore, Snapshot, Transaction
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
 from toucandoor.ids import FencingToken
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from toucandoor.core.records import Changes, StoreLease, Transaction
+    from toucandoor.core.records import Changes, StoreLease
     from toucandoor.fakes.virtual_platform import VirtualRecords
     from toucandoor.ids import StoreLeaseId
 
@@ -87,11 +88,14 @@
 class TakeoverTest(unittest.TestCase):
     """A new owner's load, from the records that a former owner has left."""
 
-    def load(self, store: CountingStore) -> tuple[Scheduler, TermIntake]:
+    def load(
+        self, store: CountingStore, requests: EvacuationRequests | None = None
+    ) -> tuple[Scheduler, TermIntake]:
         clock = self.fleet.clock
         settings = SchedulerSettings("owner", 1, FencingToken(1), 6.0)
         scheduler = Scheduler(settings, clock)
         dependencies = mock.Mock(store=store, clock=clock)
+        dependencies.configuration.evacuations = requests
         term = TermContext(
             dependencies, scheduler, lambda event: event(), mock.Mock(), mock.Mock(), lambda: True
         )
@@ -145,6 +149,14 @@
                 running = [each for each in scheduler.jobs.values() if each.has_runs]
                 self.assertEqual(len(running), 4)
 
+    def test_requests_to_evacuate_are_read_before_the_first_plan(self) -> None:
+        # The process of a new owner may not have heard from the store for seconds.
+        requests = EvacuationRequests(5.0, 1.5)
+        self.fleet.records.write(Transaction(writes={"op/evacuate/a": b"{}"}))
+        self.load(CountingStore(self.fleet.records), requests)
+        self.assertEqual(set(requests.in_force), {"a"})
+        self.assertTrue(requests.known_within(self.fleet.clock.monotonic_s(), 0.0))
+
     def test_ended_jobs_are_read_after_the_load_and_removed_in_time(self) -> None:
         made = self.fleet
         made.boot("w", POOL, NEEDS.times(8))
--- a/tests/adapters/test_term_orders.py
+++ b/tests/adapters/test_term_orders.py
@@ -1,4 +1,4 @@
-"""Start orders while the ownership is not valid."""
+"""Start orders that must not be sent: without a valid ownership, or to an evacuated server."""
 
 from __future__ import annotations
 
@@ -34,8 +34,23 @@
         virtual.run(2.0)
         self.assertEqual(virtual.state(job(1).job_id), JobState.COMPLETED)
 
-    def invalidate_ownership(self, virtual: VirtualFleet, owner: OwnerTerm) -> None:
-        """Handle start orders as in a term whose ownership is not valid; send all other orders."""
+    def test_no_start_is_sent_to_a_data_centre_that_is_evacuated_meanwhile(self) -> None:
+        # A start may wait for a connection; the ownership alone would permit it.
+        virtual = fleet()
+        owner = virtual.owner
+        assert owner is not None
+        self.invalidate_ownership(virtual, owner, valid=True)
+        may_start = mock.patch.object(owner.scheduler.evacuation, "may_start", return_value=False)
+        with may_start as asked:
+            virtual.submit(job(1, Step(1, NEEDS)))
+            virtual.run(0.2)
+        self.assertEqual(virtual.observations.starts, 0)
+        asked.assert_called()
+
+    def invalidate_ownership(
+        self, virtual: VirtualFleet, owner: OwnerTerm, *, valid: bool = False
+    ) -> None:
+        """Handle start orders as in a term with this validity; send all other orders."""
         send = virtual.calls.send
 
         def post(event: Callable[[], None]) -> None:
@@ -55,7 +70,7 @@
             post,
             lambda action: action(),
             submit_calls,
-            lambda: False,
+            lambda: valid,
         )
         orders = TermOrders(term)
 
--- a/tests/core/ownership/test_candidates.py
+++ b/tests/core/ownership/test_candidates.py
@@ -11,8 +11,9 @@
     YieldPolicy,
     claim_delay_s,
     stronger_exists,
+    usable_elsewhere,
 )
-from toucandoor.ids import EntryId
+from toucandoor.ids import DataCentreId, EntryId
 
 SMALL = VmCapacity(0.5, 10.0)
 LARGE = VmCapacity(2.0, 200.0)
@@ -57,6 +58,31 @@
         self.assertLessEqual(claim_delay_s(YEAR_S, weaker=False), AGE_DELAY_S_MAX)
 
 
+class EvacuatedOwnerTest(unittest.TestCase):
+    """Whether an owner in an evacuated data centre hands over."""
+
+    def test_to_a_vm_elsewhere_that_is_not_weaker(self) -> None:
+        here, there, third = (DataCentreId(name) for name in ("here", "there", "third"))
+        own, weak = VmCapacity(1.0, 100.0), VmCapacity(0.5, 50.0)
+        for others, evacuated, expected in (
+            ([(there, own)], {here}, True),
+            ([(there, VmCapacity())], {here}, True),
+            ([(there, weak), (here, own)], {here}, False),
+            ([(there, own)], {there}, False),
+            ([(there, own)], {here, there}, False),
+            ([(there, own), (third, own)], {here, there}, True),
+            ([], {here}, False),
+        ):
+            with self.subTest(others=others, evacuated=evacuated):
+                self.assertIs(usable_elsewhere(own, here, others, evacuated), expected)
+
+    def test_not_again_soon_if_no_other_vm_has_claimed(self) -> None:
+        policy = YieldPolicy(VmCapacity(1.0, 100.0))
+        self.assertTrue(policy.should_leave(10.0))
+        self.assertFalse(policy.should_leave(10.0 + YIELD_PAUSE_S / 2))
+        self.assertTrue(policy.should_leave(10.0 + YIELD_PAUSE_S))
+
+
 class YieldTest(unittest.TestCase):
     """Release of the ownership to a stronger VM."""
 
--- a/tests/core/pools/test_vm_lender.py
+++ b/tests/core/pools/test_vm_lender.py
@@ -6,12 +6,16 @@
 from dataclasses import replace
 from unittest import mock
 
-from tests.core.scheduling.common import CAPACITY, POOL, fleet
+from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, fleet, job
+from toucandoor.core.evacuation.requests import EvacuationRequests
+from toucandoor.core.jobs.configuration import JobPool
+from toucandoor.core.jobs.models import Step
 from toucandoor.core.maintenance.vm_list import VmList
 from toucandoor.core.maintenance.vm_orders import VmOrderLog
 from toucandoor.core.pools.lending import PoolMove
 from toucandoor.core.pools.vm_lender import VmLender
-from toucandoor.ids import PoolId, VmId, WorkerId
+from toucandoor.core.scheduling.workers import VmEntry, VmState
+from toucandoor.ids import DataCentreId, PoolId, VmId, WorkerId
 
 OTHER = PoolId("other")
 VM = VmId("vm-w0")
@@ -66,5 +70,36 @@
         )
 
 
+class EvacuationTest(unittest.TestCase):
+    """Lending while a data centre is evacuated."""
+
+    def test_vms_there_are_neither_lent_nor_counted(self) -> None:
+        # A VM that is lent from there would cost a move and then get no task.
+        requests = EvacuationRequests(5.0, 1.5)
+        virtual = fleet(workers=0)
+        with mock.patch.object(virtual, "_make_requests", lambda: requests):
+            owner = virtual.take_over()
+        spare = PoolId("spare")
+        pools = virtual.configuration.pools | {spare: JobPool(spare, True, True)}
+        owner.scheduler.set_configuration(replace(virtual.configuration, version=2, pools=pools))
+        now_s = virtual.clock.monotonic_s
+        vm_list = VmList(now_s)
+        lender = VmLender(
+            owner.scheduler, vm_list, now_s, order_log=VmOrderLog(virtual.clock, 3.5), move_s=1.5
+        )
+        vms = [
+            VmEntry(VmId(f"{centre}{number}"), spare, VmState.UP, centre, (), CAPACITY, None)
+            for centre in (DataCentreId("a"), DataCentreId("b"))
+            for number in range(20)
+        ]
+        vm_list.on_read(vms, now_s())
+        virtual.submit(job(1, Step(20, NEEDS, 10_000)))
+        virtual.operators.request(DataCentreId("a"))
+        virtual.run(1.0)
+        moves = lender.due_moves(())
+        self.assertGreaterEqual(len(moves), 5)
+        self.assertEqual({move.vm_id[0] for move in moves}, {"b"})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_operator_records.py
+++ b/tests/platform/test_operator_records.py
@@ -8,6 +8,8 @@
 from toucandoor.ids import PoolId, QueueId, TeamId
 from toucandoor.platform.operator_records import (
     decode_configuration,
+    decode_evacuation,
+    decode_evacuation_end,
     decode_wave,
     encode_wave_status,
     wave_is_completed,
@@ -53,6 +55,27 @@
         self.assertIsNone(decode_configuration(b'{"version":"x"}'))
 
 
+class EvacuationTest(unittest.TestCase):
+    """Requests to evacuate a data centre."""
+
+    def test_values(self) -> None:
+        for key, value, invalid in (
+            ("op/evacuate/z1", b"{}", False),
+            ("op/evacuate/z1", b'{"reason":"x"}', False),
+            ("op/evacuate/z1", b"", True),
+            ("op/evacuate/z1", b"[]", True),
+            ("op/evacuate/z1", b"\xff", True),
+            ("op/evacuate/", b"{}", True),
+        ):
+            with self.subTest(key=key, value=value):
+                found = decode_evacuation(key, value, 3)
+                self.assertEqual((found.invalid, found.revision), (invalid, 3))
+
+    def test_end(self) -> None:
+        found = decode_evacuation_end("op/evacuate/z1", 4)
+        self.assertEqual((found.data_centre, found.ended), ("z1", True))
+
+
 class WaveTest(unittest.TestCase):
     """Records of maintenance waves and of their status."""
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -54,6 +54,13 @@
         self.assertEqual(settings.processor_cores, 1.5)  # type: ignore[attr-defined]
         self.assertEqual(settings.link_mbps, 200.0)  # type: ignore[attr-defined]
 
+    def test_evacuations_are_supported_where_they_have_a_bound(self) -> None:
+        self.assertIsNone(self.load(GOOD).evacuate_s)  # type: ignore[attr-defined]
+        supported = GOOD.replace("[bounds]", "[bounds]\nevacuate_ms = 5000")
+        self.assertEqual(self.load(supported).evacuate_s, 5.0)  # type: ignore[attr-defined]
+        with self.assertRaises(SettingsError):
+            self.load(GOOD.replace("[bounds]", "[bounds]\nevacuate_ms = 0"))
+
     def test_every_invalid_value_is_named(self) -> None:
         bad = GOOD.replace('ip = "10.1.0.23"\n', "").replace('"10.1.0.23:8343"', '"nowhere"')
         with self.assertRaises(SettingsError) as raised:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -69,6 +69,16 @@
         with self.assertRaises(HistoryLostError):
             self.store.watch("p/", 1, 0.1)
 
+    def test_deletions_in_a_watch_have_revisions(self) -> None:
+        # Without its own revision, a deletion is dated by the end of the watch, which is later.
+        events = [
+            {"key": "op/a", "revision": 6, "deleted": True},
+            {"key": "op/b", "revision": 2, "deleted": True},
+        ]
+        self.answers = [(200, {"events": events, "at": 9})]
+        changes = self.store.watch("op/", 4, 0.1)
+        self.assertEqual((changes.deleted, changes.deletion_revisions), (("op/a", "op/b"), (6, 9)))
+
     def test_write_and_its_refusals(self) -> None:
         self.answers = [
             (200, {"revision": 12}),
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -122,6 +122,18 @@
         self.assertTrue(entry.draining)
         self.assertEqual((entry.rack, entry.vm_id, entry.remaining_ms), ("r2-3", "m-1", 900))
 
+    def test_time_for_which_a_server_is_cold(self) -> None:
+        # An implausible value must not take the server out of use.
+        for text, expected_s in (("2500", 2.5), ('"2500"', 0), ("-1", 0), ("1e9", 0), ("null", 0)):
+            value = (
+                b'{"service":"p","address":"a","zone":"z","state":"ready","sequence":1,'
+                b'"capacity":{"cpu":1,"mem_mb":1},"labels":[],"cold_left_ms":'
+            )
+            with self.subTest(text=text):
+                entry = decode_worker("i-1", value + text.encode() + b"}")
+                assert entry is not None
+                self.assertEqual(entry.cold_s, expected_s)
+
     def test_invalid_entries_are_ignored(self) -> None:
         for value in (
             b"\xff\x00",
--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -46,6 +46,7 @@
     "known": bool,
     "lasting_cpu": int,
     "lasting_mb": int,
+    "lasting_runs": int,
     "listing_age_s": (int, float),
     "load_s": (int, float),
     "longest_step_s": (int, float),
@@ -101,6 +102,7 @@
 """Messages that the session with faults must log, so that the types of their fields are checked."""
 PACKAGE = Path(__file__).parent.parent / "toucandoor"
 NODE_PATHS = (
+    "core/evacuation",
     "core/scheduling",
     "core/ownership",
     "core/pools/vm_lender.py",
--- a/toucandoor/adapters/configuration_watch.py
+++ b/toucandoor/adapters/configuration_watch.py
@@ -1,4 +1,4 @@
-"""Watches the store for the operators' configuration and maintenance waves."""
+"""Watches the store for the operators' configuration, maintenance waves and evacuations."""
 
 from __future__ import annotations
 
@@ -10,9 +10,12 @@
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.platform.operator_records import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     OPERATOR_PREFIX,
     WAVE_PREFIX,
     decode_configuration,
+    decode_evacuation,
+    decode_evacuation_end,
     decode_wave,
 )
 
@@ -20,9 +23,10 @@
     from collections.abc import Callable
 
     from toucandoor.clock import Clock
+    from toucandoor.core.evacuation.requests import EvacuationRequests
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.maintenance.job_waves import VmWaveOrder
-    from toucandoor.core.records import Record, RecordStore
+    from toucandoor.core.records import Changes, Record, RecordStore
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -46,6 +50,7 @@
 
     Attributes:
         waves: Maintenance waves by their number.
+        evacuations: Requests to evacuate data centres; None if they are not supported.
     """
 
     def __init__(
@@ -53,6 +58,7 @@
         store: RecordStore,
         clock: Clock,
         fetch_from_peers: Callable[[int], bytes] | None = None,
+        evacuations: EvacuationRequests | None = None,
     ) -> None:
         """Initialize.
 
@@ -61,7 +67,9 @@
             clock: The clock.
             fetch_from_peers: Returns the record of a peer's configuration that is newer than the
                 given version, empty for none; called while the store does not answer.
+            evacuations: Receives the requests to evacuate data centres; None to ignore them.
         """
+        self.evacuations = evacuations
         self._store = store
         self._clock = clock
         self._lock = threading.Lock()
@@ -143,7 +151,9 @@
                 if revision is None:
                     revision = self._read_all()
                     self._on_answer()
+                sent_s = self._clock.monotonic_s()
                 changes = self._store.watch(OPERATOR_PREFIX, revision, wait_s)
+                self._apply_evacuations(changes, sent_s, wait_s)
                 for record in changes.written:
                     self._apply_record(record)
                 revision = changes.revision
@@ -183,11 +193,41 @@
                 self.update(configuration, "peer")
 
     def _read_all(self) -> int:
+        sent_s = self._clock.monotonic_s()
         snapshot = self._store.read_prefix(OPERATOR_PREFIX)
+        if self.evacuations is not None:
+            found = [
+                decode_evacuation(record.key, record.value, record.revision)
+                for record in snapshot.records
+                if record.key.startswith(EVACUATION_PREFIX)
+            ]
+            now_s = self._clock.monotonic_s()
+            self.evacuations.on_read(found, snapshot.revision, sent_s, now_s)
         for record in snapshot.records:
             self._apply_record(record)
         return snapshot.revision
 
+    def _apply_evacuations(self, changes: Changes, sent_s: float, wait_s: float) -> None:
+        """Pass on the requests that a watch returned, also if there are none."""
+        if self.evacuations is None:
+            return
+        events = [
+            decode_evacuation(record.key, record.value, record.revision)
+            for record in changes.written
+            if record.key.startswith(EVACUATION_PREFIX)
+        ]
+        revisions = changes.deletion_revisions or (changes.revision,) * len(changes.deleted)
+        events += [
+            decode_evacuation_end(key, revision)
+            for key, revision in zip(changes.deleted, revisions, strict=True)
+            if key.startswith(EVACUATION_PREFIX)
+        ]
+        now_s = self._clock.monotonic_s()
+        # The store answers a watch without changes only once it has waited.
+        waited = not changes.written and not changes.deleted and now_s - sent_s >= wait_s
+        as_of_s = sent_s + wait_s if waited else sent_s
+        self.evacuations.on_changes(events, changes.revision, as_of_s, now_s)
+
     def _apply_record(self, record: Record) -> None:
         if record.key == CONFIGURATION_KEY:
             configuration = decode_configuration(record.value)
--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -14,6 +14,7 @@
 
     from toucandoor.adapters.wsgi import Environ, StartResponse
     from toucandoor.core.scheduling.pool_load import PoolLoad
+    from toucandoor.ids import DataCentreId
 
 _CALL_BUCKETS_S: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0]
 _JOB_BUCKETS_S: Final = [0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 8.0, 15.0, 60.0]
@@ -48,6 +49,16 @@
             "toucandoor_platform_body_bytes",
             "Bytes of bodies sent to and received from the platform by step",
         )
+        self._evacuation_runs = Gauge(
+            "toucandoor_evacuation_runs", "Runs left in an evacuated data centre"
+        )
+        self._evacuation_s = Gauge(
+            "toucandoor_evacuation_seconds", "Time since the request to evacuate a data centre"
+        )
+        self._evacuations_ignored = Gauge(
+            "toucandoor_evacuations_ignored",
+            "Requests that are invalid or name an unknown data centre",
+        )
         self._lock = threading.Lock()
         self._bytes_by_step: dict[str, tuple[int, int]] = {}
         self._workers = Gauge("toucandoor_pool_servers", "Backend servers that may get tasks")
@@ -89,6 +100,15 @@
         """Set the version of the configuration in force."""
         self._version.set({}, version)
 
+    def set_evacuation(self, data_centre: DataCentreId, runs: int, seconds: float) -> None:
+        """Set the runs left in a data centre and the time since its request; 0 after its end."""
+        self._evacuation_runs.set({"data_centre": data_centre}, runs)
+        self._evacuation_s.set({"data_centre": data_centre}, seconds)
+
+    def set_evacuations_ignored(self, count: int) -> None:
+        """Set the number of requests to evacuate a data centre that were ignored."""
+        self._evacuations_ignored.set({}, count)
+
     def set_pool_load(self, load: PoolLoad) -> None:
         """Set the load of a pool."""
         for use, amount in (
--- a/toucandoor/adapters/owner_task.py
+++ b/toucandoor/adapters/owner_task.py
@@ -11,13 +11,14 @@
 import msgspec
 
 from toucandoor.adapters.owner_term import OwnerTerm
-from toucandoor.adapters.peers import NODE_PREFIX, decode_peers
+from toucandoor.adapters.peers import NODE_PREFIX, Peer, decode_peers
 from toucandoor.core.ownership.candidates import (
     CANDIDATES_READ_INTERVAL_S,
     VmCapacity,
     YieldPolicy,
     claim_delay_s,
     stronger_exists,
+    usable_elsewhere,
 )
 from toucandoor.core.ownership.handover import HANDOVER_KEY, decode_handover
 from toucandoor.core.ownership.lease import (
@@ -30,9 +31,11 @@
 )
 from toucandoor.core.records import HistoryLostError, Transaction, TransactionConflictError
 from toucandoor.exceptions import StoreAnswerLostError, ToucandoorError
-from toucandoor.ids import EntryId, FencingToken
+from toucandoor.ids import FencingToken
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from toucandoor.adapters.term_context import OwnerDependencies
     from toucandoor.core.records import Record, StoreLease
     from toucandoor.core.scheduling.workers import Boot
@@ -118,17 +121,28 @@
         return claim_delay_s(age_s, weaker=weaker) + random.uniform(0, CLAIM_JITTER_S)
 
     def _weaker_than_a_peer(self) -> bool:
-        """Return whether the store lists a stronger entry VM.
+        """Return whether the store lists an entry VM that should claim before this one.
 
         Raises:
             ToucandoorError: The store did not answer.
         """
-        return stronger_exists(self._capacity, self._read_peers().values())
+        peers = self._read_peers()
+        if stronger_exists(self._capacity, (peer.capacity for peer in peers)):
+            return True
+        return self._should_be_elsewhere(peers)
 
-    def _read_peers(self) -> dict[EntryId, VmCapacity]:
+    def _read_peers(self) -> tuple[Peer, ...]:
         snapshot = self._dependencies.store.read_prefix(NODE_PREFIX)
-        peers = decode_peers(snapshot.records, self._dependencies.entry_id)
-        return {peer.entry_id: peer.capacity for peer in peers}
+        return decode_peers(snapshot.records, self._dependencies.entry_id)
+
+    def _should_be_elsewhere(self, peers: Iterable[Peer]) -> bool:
+        """Return whether this data centre is evacuated and a VM elsewhere can own the schedule."""
+        evacuations = self._dependencies.configuration.evacuations
+        if evacuations is None:
+            return False
+        others = ((peer.data_centre, peer.capacity) for peer in peers)
+        own = self._dependencies.settings.data_centre
+        return usable_elsewhere(self._capacity, own, others, evacuations.in_force)
 
     def _yield_to_a_stronger_vm(self, term: OwnerTerm, term_ended: threading.Event) -> None:
         """End the term once a stronger VM can own the schedule; runs in a thread of the term."""
@@ -138,7 +152,13 @@
             except ToucandoorError as err:
                 _LOGGER.info("owner: reading the other entry VMs failed: %s", err)
                 continue
-            if self._yield_policy.should_yield(peers, self._dependencies.clock.monotonic_s()):
+            now_s = self._dependencies.clock.monotonic_s()
+            if self._should_be_elsewhere(peers) and self._yield_policy.should_leave(now_s):
+                _LOGGER.info("owner: releasing the ownership, as this data centre is evacuated")
+                term.stop()
+                return
+            capacities = {peer.entry_id: peer.capacity for peer in peers}
+            if self._yield_policy.should_yield(capacities, now_s):
                 _LOGGER.info("owner: releasing the ownership, as a stronger VM is available")
                 term.stop()
                 return
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -87,7 +87,9 @@
             status_retention_s=dependencies.settings.status_retention_s,
             handed_over_leases_s=handed_over_leases_s,
         )
-        self._scheduler = Scheduler(settings, dependencies.clock)
+        self._scheduler = Scheduler(
+            settings, dependencies.clock, dependencies.configuration.evacuations
+        )
         self._report = TermReport(self._scheduler, dependencies)
         self._call_pool = ThreadPoolExecutor(CALL_THREADS, "calls")
         context = TermContext(
--- a/toucandoor/adapters/term_intake.py
+++ b/toucandoor/adapters/term_intake.py
@@ -23,7 +23,12 @@
 from toucandoor.core.records import HistoryLostError
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.ids import JobId, WorkerId
-from toucandoor.platform.operator_records import WAVE_STATUS_PREFIX, WORKER_PREFIX
+from toucandoor.platform.operator_records import (
+    EVACUATION_PREFIX,
+    WAVE_STATUS_PREFIX,
+    WORKER_PREFIX,
+    decode_evacuation,
+)
 from toucandoor.platform.workers import decode_worker
 
 if TYPE_CHECKING:
@@ -87,10 +92,12 @@
             VM_ORDERS_KEY,
         )
         with ThreadPoolExecutor(READS_IN_PARALLEL, "load") as readers:
+            evacuations = readers.submit(self._read_evacuations)
             snapshots = list(readers.map(self._read_prefix, prefixes))
             workers, intake, wave_statuses, waves, vm_orders = snapshots
             jobs = [record for record in intake.records if record.key.startswith(JOB_PREFIX)]
             progress = self._read_progress(jobs, readers)
+            evacuations.result()
         read_s = clock.monotonic_s() - started_s
         for record in workers.records:
             self._apply_worker_entry(record)
@@ -112,6 +119,19 @@
         )
         return workers.revision, intake.revision
 
+    def _read_evacuations(self) -> None:
+        """Read which data centres are evacuated, before the first plan of the term."""
+        requests = self._term.dependencies.configuration.evacuations
+        if requests is None:
+            return
+        clock = self._term.dependencies.clock
+        sent_s = clock.monotonic_s()
+        snapshot = self._read_prefix(EVACUATION_PREFIX)
+        found = [
+            decode_evacuation(each.key, each.value, each.revision) for each in snapshot.records
+        ]
+        requests.on_read(found, snapshot.revision, sent_s, clock.monotonic_s())
+
     def _read_progress(
         self, jobs: Sequence[Record], readers: ThreadPoolExecutor
     ) -> dict[str, Record]:
--- a/toucandoor/adapters/term_orders.py
+++ b/toucandoor/adapters/term_orders.py
@@ -74,12 +74,17 @@
 
     async def _async_start_run(self, order: StartRun) -> None:
         scheduler, run = self._term.scheduler, order.run
+
+        def may_send() -> bool:
+            return self._term.may_act() and scheduler.evacuation.may_start(run)
+
         try:
             clock_ms = await self._term.dependencies.workers.async_start(
-                run.worker.target, order.order, self._term.may_act
+                run.worker.target, order.order, may_send
             )
         except OrderWithheldError:
-            # The ownership may become valid again; the scheduler then sends the start again.
+            # The ownership may become valid again; the scheduler then sends the start again, unless
+            # it withdraws the run from an evacuated data centre.
             self._term.post(lambda: scheduler.start_not_sent(run))
         except OrderRefusedError as err:
             refusal = err.refusal
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from toucandoor.adapters.term_context import OwnerDependencies
     from toucandoor.core.scheduling.scheduler import Scheduler
+    from toucandoor.ids import DataCentreId
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -33,6 +34,7 @@
         self._bytes = dependencies.metrics.platform_bytes()
         self._busy_s = 0.0
         self._longest_step_s = 0.0
+        self._evacuated: set[DataCentreId] = set()
 
     def on_step(self, step_s: float) -> None:
         """Handle the end of a step of the event loop.
@@ -48,6 +50,7 @@
             return
         self._next_s = now_s + REPORT_INTERVAL_S
         self._log_load()
+        self._record_evacuations(now_s)
         self._log_activity(now_s)
         self._log_traffic()
 
@@ -65,6 +68,16 @@
             self._dependencies.metrics.set_pool_load(load)
             _LOGGER.info("schedule: load", extra=load.log_fields())
 
+    def _record_evacuations(self, now_s: float) -> None:
+        evacuation, metrics = self._scheduler.evacuation, self._dependencies.metrics
+        present = {each.data_centre: each for each in evacuation.statuses if each.known}
+        for data_centre in self._evacuated - present.keys():
+            metrics.set_evacuation(data_centre, 0, 0.0)
+        for data_centre, status in present.items():
+            metrics.set_evacuation(data_centre, status.runs, now_s - status.since_s)
+        self._evacuated = set(present)
+        metrics.set_evacuations_ignored(evacuation.ignored_records)
+
     def _log_activity(self, now_s: float) -> None:
         counts = self._scheduler.activity.counts()
         workers = self._scheduler.workers.values()
--- a/toucandoor/adapters/term_vms.py
+++ b/toucandoor/adapters/term_vms.py
@@ -211,7 +211,9 @@
             self._term.post(lambda: self._lender.on_move_refused(order, refusal))
 
     def _move(self, move: PoolMove) -> None:
-        if not self._term.may_act():
+        vm = self._vm_list.vms.get(move.vm_id)
+        evacuation = self._term.scheduler.evacuation
+        if not self._term.may_act() or (vm and evacuation.evacuated(vm.data_centre)):
             self._report_order_failure(move, VmRefusal.UNAVAILABLE)
             return
         holder, token = self._term.dependencies.entry_id, self._term.scheduler.token
@@ -252,6 +254,7 @@
         def on_answer(vms: tuple[VmEntry, ...] | None) -> None:
             self._vm_list.on_read(vms, requested_at_s)
             if vms is not None:
+                self._term.scheduler.evacuation.add_known(vm.data_centre for vm in vms)
                 self._waves.on_vm_list(requested_at_s)
 
         try:
--- a/toucandoor/core/admission/submission.py
+++ b/toucandoor/core/admission/submission.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from toucandoor.core.jobs.models import JobSpec
 
 
@@ -33,6 +35,25 @@
         """Return why a job must be rejected now; None to accept it."""
 
 
+class FirstRejection(SubmissionPolicy):
+    """Asks several policies in turn; the first rejection counts.
+
+    Args:
+        policies: The policies, in the order in which they are asked.
+    """
+
+    def __init__(self, policies: Sequence[SubmissionPolicy]) -> None:
+        self._policies = tuple(policies)
+
+    def rejection(self, spec: JobSpec) -> Rejection | None:
+        """Return the first rejection; None if every policy accepts the job."""
+        for policy in self._policies:
+            found = policy.rejection(spec)
+            if found is not None:
+                return found
+        return None
+
+
 class AcceptAll(SubmissionPolicy):
     """Baseline: accepts every job, whatever the load."""
 
--- /dev/null
+++ b/toucandoor/core/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of data centres: which are evacuated, and how their servers become empty."""
--- a/toucandoor/core/ownership/candidates.py
+++ b/toucandoor/core/ownership/candidates.py
@@ -11,9 +11,9 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
-    from toucandoor.ids import EntryId
+    from toucandoor.ids import DataCentreId, EntryId
 
 STRONGER_RATIO: Final = 1.5
 """Ratio of processor or link from which a VM counts as stronger. Below it, the gain is less than
@@ -67,6 +67,26 @@
     return any(other.stronger_than(own) for other in others)
 
 
+def usable_elsewhere(
+    own: VmCapacity,
+    own_data_centre: DataCentreId,
+    others: Iterable[tuple[DataCentreId, VmCapacity]],
+    evacuated: Collection[DataCentreId],
+) -> bool:
+    """Return whether the ownership should move out of the evacuated data centre of this VM.
+
+    Args:
+        own: Capacity of this VM.
+        own_data_centre: Data centre of this VM.
+        others: Data centre and capacity of each other entry VM that is listed.
+        evacuated: Data centres that are evacuated.
+    """
+    return own_data_centre in evacuated and any(
+        data_centre not in evacuated and not own.stronger_than(capacity)
+        for data_centre, capacity in others
+    )
+
+
 def claim_delay_s(process_age_s: float, *, weaker: bool) -> float:
     """Return how long to delay a claim of a vacant ownership, in seconds.
 
@@ -116,3 +136,14 @@
             return False
         self._not_before_s = now_s + YIELD_PAUSE_S
         return True
+
+    def should_leave(self, now_s: float) -> bool:
+        """Return whether to release the ownership as this VM's data centre is evacuated.
+
+        Args:
+            now_s: The monotonic time.
+        """
+        if now_s < self._not_before_s:
+            return False
+        self._not_before_s = now_s + YIELD_PAUSE_S
+        return True
--- a/toucandoor/core/pools/vm_lender.py
+++ b/toucandoor/core/pools/vm_lender.py
@@ -139,7 +139,7 @@
         self, vm: VmEntry, worker: WorkerView | None, spare: frozenset[PoolId], now_s: float
     ) -> LendableVm | None:
         """Return the policy's view of a VM; None for a VM that it must not consider now."""
-        if vm.vm_id in self._in_flight:
+        if vm.vm_id in self._in_flight or self._scheduler.evacuation.evacuated(vm.data_centre):
             return None
         if vm.vm_id in self._arriving_until_s or vm.state is VmState.MOVING:
             return LendableVm(vm.vm_id, vm.pool, False, True, vm.capacity)
--- a/toucandoor/core/records.py
+++ b/toucandoor/core/records.py
@@ -55,11 +55,14 @@
         written: Records that were written, in order.
         deleted: Keys that were deleted, in order.
         revision: Revision from which the next watch continues.
+        deletion_revisions: Revisions of the deletions, in the order of `deleted`; empty where the
+            client does not give them.
     """
 
     written: tuple[Record, ...]
     deleted: tuple[str, ...]
     revision: int
+    deletion_revisions: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -63,6 +63,7 @@
     step: StepProgress,
     task: Task,
     on_worker: dict[WorkerId, int],
+    now_s: float,
 ) -> WorkerView | None:
     """Return the best backend server with free capacity for a task; None if there is none.
 
@@ -71,6 +72,7 @@
         step: The step.
         task: The task.
         on_worker: Number of tasks of this step on each server, for the limit per server.
+        now_s: The monotonic time.
     """
     needed = step.step.reserved
     limit = step.step.per_worker_max
@@ -83,18 +85,21 @@
     ]
     if not fitting:
         return None
-    return min(fitting, key=lambda worker: _cost(worker, step.step, task))
+    return min(fitting, key=lambda worker: _cost(worker, step.step, task, now_s))
 
 
-def _cost(worker: WorkerView, step: Step, task: Task) -> tuple[bool, bool, int, float]:
+def _cost(
+    worker: WorkerView, step: Step, task: Task, now_s: float
+) -> tuple[bool, bool, bool, int, float]:
     """Return the sort key of a server for a task; lower is better.
 
-    In this order: the task has not failed there, its data is on the server's rack, a best-effort
-    task slows down few latency-sensitive runs, and the server has the largest share of its capacity
-    in use.
+    In this order: the task has not failed there, the server is not cold, the task's data is on its
+    rack, a best-effort task slows down few latency-sensitive runs, and the server has the largest
+    share of its capacity in use.
     """
     failed_there = worker.entry.worker_id in task.failed_on
     far = bool(step.data_rack) and step.data_rack not in worker.entry.labels
     slowed = len(latency_sensitive_runs(worker)) if step.uses_leftovers else 0
     # The fullest server comes first, so that others stay empty and their VMs can be lent.
-    return (failed_there, far, slowed, -worker.used_ratio)
+    cold = now_s < worker.cold_until_s
+    return (failed_there, cold, far, slowed, -worker.used_ratio)
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -127,7 +127,7 @@
         for task in tasks:
             if not self._state.within_ceiling(job, step.step.needs):
                 return
-            chosen = choose_worker(allowed, step, task, on_worker)
+            chosen = choose_worker(allowed, step, task, on_worker, now_s)
             if chosen is None:
                 return
             self._plan(job, task, chosen, task.attempt + 1, now_s)
@@ -152,7 +152,7 @@
         planned: list[Run] = []
         for task in tasks:
             task.checkpoint = checkpoint
-            chosen = choose_worker(allowed, step, task, on_worker)
+            chosen = choose_worker(allowed, step, task, on_worker, now_s)
             if chosen is None:
                 for run in planned:
                     self._cancel_planned(run)
--- a/toucandoor/core/scheduling/pool_load.py
+++ b/toucandoor/core/scheduling/pool_load.py
@@ -24,7 +24,8 @@
         long_running: Capacity reserved by long-running tasks.
         finite: Capacity reserved by all other tasks.
         later: Part of `finite` whose jobs still run after the lead time.
-        waiting: Capacity needed by tasks that could run now.
+        waiting: Capacity needed by tasks that could run now, and by those that must leave an
+            evacuated data centre.
         arriving_cpu_millicores: Processor needed by arriving jobs at their present rate.
         arriving_later: Capacity that jobs which arrive at that rate during the lead time need at
             its end.
@@ -63,15 +64,16 @@
         if later:
             self.later = self.later + reserved
 
-    def add_waiting(self, step: StepProgress, *, room: int | None = None) -> None:
+    def add_waiting(self, step: StepProgress, *, room: int | None = None, leaving: int = 0) -> None:
         """Add the waiting tasks of a step that could run now.
 
         Args:
             step: The step.
             room: How many of them fit on the present servers, for a step with a limit per server;
                 None if that is not to be considered.
+            leaving: Tasks of the step that must leave an evacuated data centre.
         """
-        waiting = sum(task.waiting for task in step.tasks)
+        waiting = sum(task.waiting for task in step.tasks) + leaving
         self.waiting = self.waiting + step.step.reserved.times(waiting)
         if step.step.per_worker_max:
             apart = -(-step.remaining // step.step.per_worker_max)
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -90,6 +90,8 @@
         if run.state is not RunState.STARTING:
             del self._state.runs_awaiting_orders[run]
             return None
+        if not self._state.may_start(run):
+            return None
         until_ms = self._extend_lease(run.worker, now_s)
         if until_ms is None:
             return None
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING
 
+from toucandoor.core.evacuation.evacuator import Evacuator
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.arrivals import Arrival
@@ -32,6 +33,7 @@
     from collections.abc import Iterable
 
     from toucandoor.clock import Clock
+    from toucandoor.core.evacuation.requests import EvacuationRequests
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.jobs.models import JobSpec, StepKey
     from toucandoor.core.jobs.records import ProgressRecord
@@ -50,10 +52,26 @@
 
 
 class Scheduler:
-    """Scheduler of all pools for one term of ownership."""
-
-    def __init__(self, settings: SchedulerSettings, clock: Clock) -> None:
+    """Scheduler of all pools for one term of ownership.
+
+    Args:
+        settings: Settings for the term.
+        clock: Source of monotonic and wall-clock time.
+        evacuations: Requests to evacuate data centres; None if they are not supported.
+
+    Attributes:
+        evacuation: Empties the servers of evacuated data centres.
+    """
+
+    def __init__(
+        self,
+        settings: SchedulerSettings,
+        clock: Clock,
+        evacuations: EvacuationRequests | None = None,
+    ) -> None:
         self._state = ScheduleState(settings, clock)
+        self.evacuation = Evacuator(self._state, evacuations)
+        self._state.may_start = self.evacuation.may_start
         self._registry = WorkerRegistry(self._state)
         self._orders = RunOrders(self._state, self._registry)
         self._ends = RunEnds(self._state)
@@ -348,7 +366,8 @@
         """Place waiting tasks and return the orders to carry out now."""
         self._placer.open_occurrences()
         self._registry.discard_expired()
-        orders = self._placer.place()
+        orders = self._placer.place() if self.evacuation.prepare() else []
+        self.evacuation.advance()
         return orders + self._orders.due()
 
     def next_wake_s(self) -> float:
@@ -361,7 +380,9 @@
         finished, self._state.finished = self._state.finished, []
         return finished
 
-    def _room_for_lasting(self, job: JobProgress, step: StepProgress, now_s: float) -> int | None:
+    def _room_for_lasting(
+        self, job: JobProgress, step: StepProgress, now_s: float, leaving: int
+    ) -> int | None:
         """Return how many tasks of a long-running step with a limit per server still fit.
 
         None for other steps, whose servers become free again, and where more servers might not
@@ -375,7 +396,7 @@
         if queue is None or queue.adviser is not None:
             return None
         waiting = sum(task.waiting for task in step.tasks)
-        if not waiting or not state.within_ceiling(job, needs.times(waiting)):
+        if not waiting + leaving or not state.within_ceiling(job, needs.times(waiting)):
             return None
         workers = [each for each in state.workers.values() if each.entry.pool == queue.pool]
         if not any(step.step.reserved.fits_in(each.entry.capacity) for each in workers):
@@ -396,7 +417,10 @@
         def load_of(pool: PoolId) -> PoolLoad:
             return loads.setdefault(pool, PoolLoad(pool))
 
+        leaving: Counter[StepKey] = Counter()
         for worker in state.workers.values():
+            if worker.evacuated:
+                leaving.update(run.task.key.step_key for run in self.evacuation.leaving(worker))
             if not worker.usable(now_s):
                 continue
             load = load_of(worker.entry.pool)
@@ -414,7 +438,9 @@
             load = load_of(state.pool_of(job))
             for step in job.steps.values():
                 if step.remaining and job.runnable(step):
-                    load.add_waiting(step, room=self._room_for_lasting(job, step, now_s))
+                    count = leaving[step.key]
+                    room = self._room_for_lasting(job, step, now_s, count)
+                    load.add_waiting(step, room=room, leaving=count)
         while self._arrivals and self._arrivals[0].arrived_s < now_s - const.ARRIVAL_WINDOW_S:
             self._arrivals.popleft()
         for arrival in self._arrivals:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -17,7 +17,7 @@
 from toucandoor.core.scheduling.worker_view import RunState
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from toucandoor.clock import Clock
     from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
@@ -91,6 +91,7 @@
         run_times: Expected run times of tasks.
         order: Order in which waiting steps get room.
         failure_domains: Evidence on silent and slow backend servers.
+        may_start: Returns whether the start of a run may be sent now.
     """
 
     def __init__(self, settings: SchedulerSettings, clock: Clock) -> None:
@@ -99,6 +100,7 @@
         self.run_times: RunTimeModel = CALLER_ESTIMATES
         self.order: StepOrder = LeastWorkFirst(self.run_times)
         self.failure_domains: FailureDomains = NoFailureDomains()
+        self.may_start: Callable[[Run], bool] = lambda _run: True
         self.started_s = clock.monotonic_s()
         self.configuration: JobConfiguration | None = None
         self.jobs: dict[JobId, JobProgress] = {}
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -46,6 +46,7 @@
                 extra={"worker": entry.worker_id, "pool": entry.pool},
             )
         known.update_entry(entry)
+        known.cold_until_s = state.now_s + entry.cold_s
         known.listed = True
         if known.heartbeat_failures > 0:
             # It has just written its entry, so it may answer again.
@@ -171,7 +172,11 @@
     def _new_view(self, entry: WorkerEntry) -> WorkerView:
         state = self._state
         lease_s = state.settings.handed_over_leases_s.get(entry.boot, state.settings.former_lease_s)
-        return WorkerView(entry, former_lease_until_s=state.started_s + lease_s)
+        return WorkerView(
+            entry,
+            former_lease_until_s=state.started_s + lease_s,
+            cold_until_s=state.now_s + entry.cold_s,
+        )
 
     def _known_boot(self, entry: WorkerEntry) -> WorkerView | None:
         """Return the former boot that an entry describes, if there is one, and update it."""
@@ -179,6 +184,7 @@
             if known.entry.boot == entry.boot:
                 self._state.former_boots.remove(known)
                 known.update_entry(entry)
+                known.cold_until_s = self._state.now_s + entry.cold_s
                 known.listed = True
                 return known
         return None
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -110,6 +110,9 @@
             never set so far.
         cordoned: Whether it gets no new tasks because of maintenance.
         leaving: Whether its VM is being moved to another pool.
+        evacuated: Whether it gets no new tasks because its data centre is evacuated.
+        held: Capacity kept free for tasks that are being stopped elsewhere.
+        cold_until_s: Time before which it is slow because of its recent start.
         heartbeat_failures: Consecutive failed heartbeats during which it answered nothing else.
         heartbeat_sent_s: When the latest heartbeat was sent.
         answered_s: When it last answered any order.
@@ -141,6 +144,9 @@
     probing: bool = False
     cordoned: bool = False
     leaving: bool = False
+    evacuated: bool = False
+    held: Resources = NO_RESOURCES
+    cold_until_s: float = 0.0
     heartbeat_failures: int = 0
     heartbeat_sent_s: float = 0.0
     answered_s: float = 0.0
@@ -167,6 +173,16 @@
             self.used = self.used - run.task.step.reserved
             self._update_free()
 
+    def hold(self, amount: Resources) -> None:
+        """Keep capacity free for a task that is being stopped elsewhere."""
+        self.held = self.held + amount
+        self._update_free()
+
+    def release(self, amount: Resources) -> None:
+        """Make capacity available that was held."""
+        self.held = self.held - amount
+        self._update_free()
+
     def update_entry(self, entry: WorkerEntry) -> None:
         """Replace the entry by a newer one of this boot."""
         self.entry = entry
@@ -174,7 +190,7 @@
 
     def _update_free(self) -> None:
         capacity, used = self.entry.capacity, self.used
-        self.free = capacity - used
+        self.free = capacity - used - self.held
         self.used_ratio = max(
             used.cpu_millicores / capacity.cpu_millicores if capacity.cpu_millicores else 0.0,
             used.memory_mb / capacity.memory_mb if capacity.memory_mb else 0.0,
@@ -238,5 +254,6 @@
             and not self.entry.draining
             and not self.cordoned
             and not self.leaving
+            and not self.evacuated
             and now_s >= self.paused_until_s
         )
--- a/toucandoor/core/scheduling/workers.py
+++ b/toucandoor/core/scheduling/workers.py
@@ -38,6 +38,7 @@
         booted_unix_ms: Start of this boot; 0 if not given.
         remaining_ms: Least time until it leaves; None if it stays or gives no time.
         vm_id: VM on which it runs; None if not given.
+        cold_s: Time from the writing of the entry for which it remains slow after its start.
     """
 
     worker_id: WorkerId
@@ -50,6 +51,7 @@
     booted_unix_ms: int
     remaining_ms: int | None = None
     vm_id: VmId | None = None
+    cold_s: float = 0.0
 
     @property
     def boot(self) -> Boot:
--- a/toucandoor/fakes/virtual_calls.py
+++ b/toucandoor/fakes/virtual_calls.py
@@ -76,6 +76,7 @@
         choose_outcome: Returns the outcome of a call of the given kind: ``start``, ``stop``,
             ``hold`` (a heartbeat) or ``write``.
         choose_delay_s: Returns the delay of a late call, in seconds.
+        choose_send_delay_s: Returns the time for which a start waits for a connection, in seconds.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
     ) -> None:
         self.choose_outcome: Callable[[str], CallOutcome] = lambda kind: CallOutcome.ANSWERED
         self.choose_delay_s: Callable[[], float] = lambda: 4.0
+        self.choose_send_delay_s: Callable[[], float] = lambda: 0.0
         self._clock = clock
         self._records = records
         self._workers = workers
@@ -139,15 +141,11 @@
                 CALL_S / 2, lambda: self._heartbeat_arrives(owner, order, sent_s, outcome, sent_s)
             )
         elif isinstance(order, StartRun):
-            self._send_order(
-                owner,
-                "start",
-                order.run.worker,
-                lambda worker: worker.start(order.order),
-                lambda clock_ms: owner.scheduler.start_answered(order.run, clock_ms),
-                lambda err: owner.scheduler.start_refused(order.run, err.refusal),
-                lambda: owner.scheduler.start_unanswered(order.run),
-            )
+            delay_s = self.choose_send_delay_s()
+            if delay_s > 0:
+                self._schedule_event(owner, delay_s, lambda: self._send_start(owner, order))
+            else:
+                self._send_start(owner, order)
         elif isinstance(order, StopRun):
             self._send_order(
                 owner,
@@ -161,6 +159,22 @@
         elif isinstance(order, RequestAdvice | LimitSpeed):
             raise NotImplementedError(type(order).__name__)
 
+    def _send_start(self, owner: OwnerTerm, order: StartRun) -> None:
+        scheduler = owner.scheduler
+        valid = self._clock.monotonic_s() < owner.valid_until_s
+        if not valid or not scheduler.evacuation.may_start(order.run):
+            scheduler.start_not_sent(order.run)
+            return
+        self._send_order(
+            owner,
+            "start",
+            order.run.worker,
+            lambda worker: worker.start(order.order),
+            lambda clock_ms: scheduler.start_answered(order.run, clock_ms),
+            lambda err: scheduler.start_refused(order.run, err.refusal),
+            lambda: scheduler.start_unanswered(order.run),
+        )
+
     def _reachable_boot(self, view: WorkerView) -> VirtualWorker | None:
         worker = self._workers.get(view.entry.worker_id)
         return worker if worker is not None and worker.alive and worker.reachable else None
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -27,6 +27,7 @@
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
 from toucandoor.core.scheduling.workers import WorkerEntry
 from toucandoor.fakes.virtual_calls import STORE_CALL_S, OwnerTerm, VirtualCalls
+from toucandoor.fakes.virtual_operators import VirtualOperators
 from toucandoor.fakes.virtual_platform import (
     Observations,
     TaskBehaviour,
@@ -38,6 +39,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from toucandoor.core.evacuation.requests import EvacuationRequests
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.jobs.models import JobSpec, Resources, TaskKey
     from toucandoor.core.records import Record
@@ -51,6 +53,8 @@
 
     Args:
         behaviour: Returns how a task runs on a backend server.
+        make_requests: Returns the knowledge of a new owner's process about evacuations; None if
+            they are not supported.
 
     Attributes:
         clock: The virtual clock.
@@ -59,12 +63,14 @@
         workers: Present boots of backend servers.
         owner: Present owner of the schedule; None while there is none.
         calls: Carries out the owners' calls; faults are set there.
+        operators: Requests evacuations; faults of reading them are set there.
     """
 
     def __init__(
         self,
         configuration: JobConfiguration,
         behaviour: Callable[[TaskKey, WorkerId], TaskBehaviour],
+        make_requests: Callable[[], EvacuationRequests] | None = None,
     ) -> None:
         self.clock = ManualClock(datetime(2026, 1, 5, 18, 0, tzinfo=UTC))
         self.clock.advance(100.0)
@@ -75,7 +81,9 @@
         self.calls = VirtualCalls(
             self.clock, self.records, self.workers, self.schedule, self._schedule_event
         )
+        self.operators = VirtualOperators(self.clock, self.schedule, self._schedule_event)
         self.configuration = configuration
+        self._make_requests = make_requests
         self._behaviour = behaviour
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
@@ -108,6 +116,8 @@
         labels: tuple[str, ...] = ("a", "r1"),
         clock_rate: float = 1.0,
         vm_id: str | None = None,
+        data_centre: str = "dc",
+        cold_s: float = 0.0,
     ) -> VirtualWorker:
         """Start a backend server, or restart it under the same id."""
         booted_unix_ms = int(self.clock.now().timestamp() * 1000)
@@ -115,12 +125,13 @@
             WorkerId(worker_id),
             PoolId(pool),
             f"{worker_id}:1",
-            DataCentreId("dc"),
+            DataCentreId(data_centre),
             capacity,
             labels,
             False,
             booted_unix_ms,
             vm_id=VmId(vm_id) if vm_id is not None else None,
+            cold_s=cold_s,
         )
         worker = VirtualWorker(
             entry, self.clock, self.observations, self._behaviour, clock_rate=clock_rate
@@ -190,7 +201,10 @@
             lease_s=LEASE_S,
             handed_over_leases_s=handed_over,
         )
-        owner = OwnerTerm(Scheduler(settings, self.clock))
+        requests = self._make_requests() if self._make_requests is not None else None
+        owner = OwnerTerm(Scheduler(settings, self.clock, requests))
+        if requests is not None:
+            self.operators.follow(owner, requests)
         owner.scheduler.set_configuration(self.configuration)
         self.owner = owner
         for worker in self.workers.values():
--- a/toucandoor/fakes/virtual_platform.py
+++ b/toucandoor/fakes/virtual_platform.py
@@ -123,6 +123,7 @@
         acknowledged: Tasks whose end as done has been acknowledged.
         failed: Attempt numbers of the acknowledged failed runs of each task.
         starts: Number of runs that have started.
+        started: Time and server of each run that has started.
         wasted_core_s: Processor time of runs that did not end as done, in core-seconds.
         boots: All boots of backend servers; all are updated before a run starts, so that runs
             which have ended by then don't count as running.
@@ -133,6 +134,7 @@
     acknowledged: set[TaskKey] = field(default_factory=set)
     failed: dict[TaskKey, set[int]] = field(default_factory=dict)
     starts: int = 0
+    started: list[tuple[float, WorkerEntry]] = field(default_factory=list)
     wasted_core_s: float = 0.0
     boots: list[VirtualWorker] = field(default_factory=list)
 
@@ -292,6 +294,7 @@
             )
         others.add(self.entry.worker_id)
         self._observations.starts += 1
+        self._observations.started.append((now_s, self.entry))
         self.runs[key] = _VirtualRun(
             key, behaviour.needs, now_s, now_s + behaviour.duration_s, behaviour.outcome
         )
--- a/toucandoor/platform/operator_records.py
+++ b/toucandoor/platform/operator_records.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from toucandoor.core.evacuation.requests import EvacuationEvent
 from toucandoor.core.jobs.configuration import (
     DEFAULT_BODY_BYTES_MAX,
     AdviserTimes,
@@ -16,7 +17,7 @@
     JobTeam,
 )
 from toucandoor.core.maintenance.job_waves import VmWaveOrder
-from toucandoor.ids import ConfigVersion, PoolId, QueueId, TeamId, VmId
+from toucandoor.ids import ConfigVersion, DataCentreId, PoolId, QueueId, TeamId, VmId
 from toucandoor.platform.wire import WireResources
 
 _LOGGER = logging.getLogger(__name__)
@@ -24,6 +25,7 @@
 OPERATOR_PREFIX: Final = "op/"
 CONFIGURATION_KEY: Final = "op/config"
 WAVE_PREFIX: Final = "op/wave/"
+EVACUATION_PREFIX: Final = "op/evacuate/"
 WAVE_STATUS_PREFIX: Final = "status/wave/"
 WORKER_PREFIX: Final = "servers/"
 
@@ -130,6 +132,25 @@
     )
 
 
+def decode_evacuation(key: str, value: bytes, revision: int) -> EvacuationEvent:
+    """Decode a request to evacuate a data centre; the result says whether it is invalid."""
+    name = DataCentreId(key.removeprefix(EVACUATION_PREFIX))
+    invalid = not name
+    if invalid:
+        _LOGGER.error("evacuation: record %s names no data centre", key)
+    try:
+        msgspec.json.decode(value, type=dict)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as err:
+        _LOGGER.error("evacuation: record %s cannot be decoded: %s", key, err)
+        invalid = True
+    return EvacuationEvent(name, revision, invalid=invalid)
+
+
+def decode_evacuation_end(key: str, revision: int) -> EvacuationEvent:
+    """Return the end of a request, from the deletion of its record."""
+    return EvacuationEvent(DataCentreId(key.removeprefix(EVACUATION_PREFIX)), revision, ended=True)
+
+
 def encode_wave_status(*, completed: bool) -> bytes:
     """Encode the status record of a wave."""
     return msgspec.json.encode(_WaveStatus("completed" if completed else "in_progress"))
--- a/toucandoor/platform/settings.py
+++ b/toucandoor/platform/settings.py
@@ -52,6 +52,8 @@
             its target.
         speed_limit_delay_s: Time until a new speed limit takes effect.
         vm_orders_per_s: Most orders on VMs per second, from all entry VMs together.
+        evacuate_s: Time from the confirmation of a request to evacuate a data centre after which no
+            task may be started there; None if such requests are not supported.
     """
 
     entry_id: EntryId
@@ -83,6 +85,7 @@
     tail_excess_s: float
     speed_limit_delay_s: float
     vm_orders_per_s: float
+    evacuate_s: float | None = None
 
 
 class _Table(BaseModel):
@@ -117,6 +120,7 @@
     migrate_s: float = 1.5
     impact_ms: float = 4000
     rate_window_ms: float = 100
+    evacuate_ms: float | None = Field(default=None, gt=0)
 
 
 class _Store(_Table):
@@ -206,4 +210,5 @@
         tail_excess_s=bounds.impact_ms / 1000,
         speed_limit_delay_s=bounds.rate_window_ms / 1000,
         vm_orders_per_s=file.cloud_api.duty_per_s,
+        evacuate_s=None if bounds.evacuate_ms is None else bounds.evacuate_ms / 1000,
     )
--- a/toucandoor/platform/store.py
+++ b/toucandoor/platform/store.py
@@ -131,7 +131,13 @@
         page = answer.decode(_Watch)
         written = tuple(_record(answer, item) for item in page.events if not item.deleted)
         deleted = tuple(item.key for item in page.events if item.deleted)
-        return Changes(written, deleted, page.at)
+        # A deletion that carries no revision of its own is dated by the end of the watch.
+        deletion_revisions = tuple(
+            item.revision if item.revision > after_revision else page.at
+            for item in page.events
+            if item.deleted
+        )
+        return Changes(written, deleted, page.at, deletion_revisions)
 
     def write(self, transaction: Transaction) -> int:
         """Write a transaction and return its revision."""
--- a/toucandoor/platform/workers.py
+++ b/toucandoor/platform/workers.py
@@ -46,6 +46,8 @@
 server answers in milliseconds."""
 ORDER_TIMEOUT_S_MAX: Final = 0.6
 """Longest time-out, while answers are slow; a tenth of a backend server's lease."""
+COLD_MS_MAX: Final = 600_000
+"""Longest plausible time for which a server is slow after its start."""
 INSTANCE_HEADER: Final = "X-Toucandoor-Expected-Instance"
 
 _REFUSALS = {
@@ -74,6 +76,7 @@
         born: Start of this boot, in Unix ms; 0 if not given.
         remaining_ms: Least time until it leaves; None if it stays.
         machine: Id of its VM; empty if not given.
+        cold_left_ms: Time for which it remains slow after its start.
     """
 
     service: str
@@ -86,6 +89,7 @@
     born: int = 0
     remaining_ms: int | None = None
     machine: str = ""
+    cold_left_ms: Any = 0
 
 
 class _Reply(msgspec.Struct, frozen=True):
@@ -130,9 +134,16 @@
         booted_unix_ms=entry.born,
         remaining_ms=entry.remaining_ms,
         vm_id=VmId(entry.machine) if entry.machine else None,
+        cold_s=_cold_s(entry.cold_left_ms),
     )
 
 
+def _cold_s(cold_left_ms: Any) -> float:
+    """Return the time for which a server remains slow; 0 if it is missing or implausible."""
+    plausible = isinstance(cold_left_ms, int | float) and 0 <= cold_left_ms <= COLD_MS_MAX
+    return cold_left_ms / 1000 if plausible else 0.0
+
+
 def task_name(task: TaskKey) -> str:
     """Return a task's name in the platform's protocol."""
     return f"{task.job_id}.{task.occurrence}.{task.step}.{task.number}"
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -30,6 +30,9 @@
 from toucandoor.adapters.term_context import OwnerDependencies
 from toucandoor.adapters.wsgi import make_server, respond
 from toucandoor.clock import BootClock
+from toucandoor.core.admission.submission import FirstRejection
+from toucandoor.core.evacuation.requests import EvacuationRequests
+from toucandoor.core.evacuation.submissions import RefuseWhileAllEvacuated
 from toucandoor.core.ownership.candidates import VmCapacity
 from toucandoor.exceptions import SettingsError
 from toucandoor.ids import DataCentreId, EntryId
@@ -47,6 +50,7 @@
     from cheroot import wsgi
 
     from toucandoor.adapters.wsgi import Environ, StartResponse
+    from toucandoor.core.admission.submission import SubmissionPolicy
     from toucandoor.platform.settings import NodeSettings
 
 _LOGGER = logging.getLogger(__name__)
@@ -94,8 +98,13 @@
         capacity = VmCapacity(settings.processor_cores, settings.link_mbps)
         this_node = Peer(settings.entry_id, peer_address, settings.data_centre, capacity)
         self._peers = PeerDirectory(self._store, this_node, _seeds(settings))
+        evacuations = (
+            EvacuationRequests(settings.evacuate_s, settings.vm_move_s)
+            if settings.evacuate_s is not None
+            else None
+        )
         self._configuration = ConfigurationWatch(
-            self._store, self._clock, self._fetch_peer_configuration
+            self._store, self._clock, self._fetch_peer_configuration, evacuations
         )
         own_jobs = StoreJobService(self._store, self._clock)
         peer_requests = PeerRequestHandler(
@@ -129,6 +138,7 @@
             self._clock,
             self._metrics,
             lambda: self._configuration.store_reachable,
+            FirstRejection(self._submission_policies()),
         )
         self._configuration.add_listener(
             lambda current: self._metrics.set_configuration_version(current.version)
@@ -180,6 +190,16 @@
         self._caller_http.stop()
         _LOGGER.info("node: stopped")
 
+    def _submission_policies(self) -> list[SubmissionPolicy]:
+        """Return the policies that may reject a submission, in the order of their questions."""
+        policies: list[SubmissionPolicy] = []
+        evacuations = self._configuration.evacuations
+        if evacuations is not None:
+            policies.append(
+                RefuseWhileAllEvacuated(evacuations, lambda: self._peers.data_centres, self._clock)
+            )
+        return policies
+
     def _fetch_peer_configuration(self, newer_than: int) -> bytes:
         """Return the record of a peer's newer configuration; empty if none has one."""
         for peer in self._peers.nearest_first()[:PEERS_TRIED_MAX]:
