--- a/toucandoor/core/scheduling/pool_load.py
+++ b/toucandoor/core/scheduling/pool_load.py
@@ -24,7 +24,8 @@
         long_running: Capacity reserved by long-running tasks.
         finite: Capacity reserved by all other tasks.
         later: Part of `finite` whose jobs still run after the lead time.
-        waiting: Capacity needed by tasks that could run now, within their teams' ceilings.
+        waiting: Capacity needed by tasks that could run now, within their teams' ceilings, and by
+            those that must leave an evacuated data centre.
         arriving_cpu_millicores: Processor needed by arriving jobs at their present rate, within
             their teams' ceilings.
         arriving_later: Capacity that jobs which arrive at that rate during the lead time need at
@@ -65,7 +66,12 @@
             self.later = self.later + reserved
 
     def add_waiting(
-        self, step: StepProgress, *, room: int | None = None, ratio: float = 1.0
+        self,
+        step: StepProgress,
+        *,
+        room: int | None = None,
+        ratio: float = 1.0,
+        leaving: int = 0,
     ) -> None:
         """Add the waiting tasks of a step that could run now.
 
@@ -74,9 +80,11 @@
             ratio: Part of the waiting tasks that fit under the team's ceiling.
             room: How many of them fit on the present servers, for a step with a limit per server;
                 None if that is not to be considered.
+            leaving: Tasks of the step that must leave an evacuated data centre.
         """
         waiting = sum(task.waiting for task in step.tasks)
-        self.waiting = self.waiting + step.step.reserved.times(waiting * ratio)
+        self.waiting = self.waiting + step.step.reserved.times(waiting * ratio + leaving)
+        waiting += leaving
         if step.step.per_worker_max:
             apart = -(-step.remaining // step.step.per_worker_max)
             self.spread_workers_min = max(self.spread_workers_min, apart)
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING
 
+from toucandoor.core.evacuation.evacuator import Evacuator
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.arrivals import Arrival
@@ -33,6 +34,7 @@
     from collections.abc import Callable, Iterable
 
     from toucandoor.clock import Clock
+    from toucandoor.core.evacuation.requests import EvacuationRequests
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.jobs.models import JobSpec, StepKey
     from toucandoor.core.jobs.records import ProgressRecord
@@ -51,10 +53,26 @@
 
 
 class Scheduler:
-    """Scheduler of all pools for one term of ownership."""
+    """Scheduler of all pools for one term of ownership.
 
-    def __init__(self, settings: SchedulerSettings, clock: Clock) -> None:
+    Args:
+        settings: Settings for the term.
+        clock: Source of monotonic and wall-clock time.
+        evacuations: Requests to evacuate data centres; None if they are not supported.
+
+    Attributes:
+        evacuation: Empties the servers of evacuated data centres.
+    """
+
+    def __init__(
+        self,
+        settings: SchedulerSettings,
+        clock: Clock,
+        evacuations: EvacuationRequests | None = None,
+    ) -> None:
         self._state = ScheduleState(settings, clock)
+        self.evacuation = Evacuator(self._state, evacuations)
+        self._state.may_start = self.evacuation.may_start
         self._registry = WorkerRegistry(self._state)
         self._orders = RunOrders(self._state, self._registry)
         self._ends = RunEnds(self._state)
@@ -349,7 +367,8 @@
         """Place waiting tasks and return the orders to carry out now."""
         self._placer.open_occurrences()
         self._registry.discard_expired()
-        orders = self._placer.place()
+        orders = self._placer.place() if self.evacuation.prepare() else []
+        self.evacuation.advance()
         return orders + self._orders.due()
 
     def next_wake_s(self) -> float:
@@ -362,7 +381,9 @@
         finished, self._state.finished = self._state.finished, []
         return finished
 
-    def _room_for_lasting(self, job: JobProgress, step: StepProgress, now_s: float) -> int | None:
+    def _room_for_lasting(
+        self, job: JobProgress, step: StepProgress, now_s: float, leaving: int
+    ) -> int | None:
         """Return how many tasks of a long-running step with a limit per server still fit.
 
         None for other steps, whose servers become free again, and where more servers might not
@@ -376,7 +397,7 @@
         if queue is None or queue.adviser is not None:
             return None
         waiting = sum(task.waiting for task in step.tasks)
-        if not waiting or not state.within_ceiling(job, needs.times(waiting)):
+        if not waiting + leaving or not state.within_ceiling(job, needs.times(waiting)):
             return None
         workers = [each for each in state.workers.values() if each.entry.pool == queue.pool]
         if not any(step.step.reserved.fits_in(each.entry.capacity) for each in workers):
@@ -402,7 +423,10 @@
         def load_of(pool: PoolId) -> PoolLoad:
             return loads.setdefault(pool, PoolLoad(pool))
 
+        leaving: Counter[StepKey] = Counter()
         for worker in state.workers.values():
+            if worker.evacuated:
+                leaving.update(run.task.key.step_key for run in self.evacuation.leaving(worker))
             if not worker.usable(now_s):
                 continue
             load = load_of(worker.entry.pool)
@@ -428,8 +452,9 @@
         ratios = demand.waiting_ratios()
         for job, step in waiting:
             ratio = ratios.get(job.spec.team, 1.0)
-            room = self._room_for_lasting(job, step, now_s)
-            load_of(state.pool_of(job)).add_waiting(step, room=room, ratio=ratio)
+            count = leaving[step.key]
+            room = self._room_for_lasting(job, step, now_s, count)
+            load_of(state.pool_of(job)).add_waiting(step, room=room, ratio=ratio, leaving=count)
         self._add_arrivals(load_of, demand, now_s, lead_s)
         return loads
 
