Learn by which factor the estimates of run times are wrong

Cause: pools are sized by the callers' estimates of run times. Change: `LearnedRunTimes` keeps the ratio of actual to estimated run time by queue and image, with a half-life of 30 s and a prior of 8 samples of ratio 1. The factor is the sum of run times by the sum of estimates, outliers limited to three medians; within a tenth of 1 the estimates are used as they are. Runs that are late already count with their time so far, as only short tasks have ended in the first second of a peak. Order, remaining chains, pool load and arrivals use it; arrivals are estimated when the load is asked for. The owner writes the record `run-times`, at most every 5 s; the next owner starts from it.

--- a/tests/adapters/test_node_metrics.py
+++ b/tests/adapters/test_node_metrics.py
@@ -6,8 +6,9 @@
 import unittest
 
 from toucandoor.adapters.node_metrics import NodeMetrics, metrics_app
+from toucandoor.core.run_times.models import QueueRatio
 from toucandoor.core.scheduling.pool_load import PoolLoad
-from toucandoor.ids import PoolId
+from toucandoor.ids import PoolId, QueueId
 
 LABELS = {
     "toucandoor_caller_seconds": {"queue", "team", "method", "status"},
@@ -18,6 +19,8 @@
     "toucandoor_configuration_version": set(),
     "toucandoor_pool_cpu_millicores": {"pool", "use"},
     "toucandoor_pool_servers": {"pool"},
+    "toucandoor_run_time_ratio": {"queue", "kind"},
+    "toucandoor_run_times_dropped": set(),
 }
 HISTOGRAMS = {name for name in LABELS if name.endswith("_seconds")}
 SAMPLE = re.compile(r"^(\w+?)(_bucket|_sum|_count)?(?:\{(.*)\})? \S+$")
@@ -33,6 +36,8 @@
         metrics.set_owner(True)
         metrics.set_configuration_version(3)
         metrics.set_pool_load(PoolLoad(PoolId("p")))
+        metrics.set_run_time_ratio(QueueRatio(QueueId("q"), 1.2, 1.1, 8.0))
+        metrics.add_dropped_run_times(1)
         seen: dict[str, set[str]] = {}
         buckets: set[str] = set()
         for line in b"".join(metrics_app({}, lambda *_: lambda _data: None)).decode().splitlines():
--- a/tests/adapters/test_term_intake.py
+++ b/tests/adapters/test_term_intake.py
@@ -14,14 +14,15 @@
 from toucandoor.adapters.term_intake import TermIntake
 from toucandoor.core.jobs.models import JobState, Step
 from toucandoor.core.jobs.records import progress_key
-from toucandoor.core.records import Record, RecordStore, Snapshot
+from toucandoor.core.records import Record, RecordStore, Snapshot, Transaction
+from toucandoor.core.run_times.snapshots import RUN_TIMES_KEY
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
 from toucandoor.ids import FencingToken
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from toucandoor.core.records import Changes, StoreLease, Transaction
+    from toucandoor.core.records import Changes, StoreLease
     from toucandoor.fakes.virtual_platform import VirtualRecords
     from toucandoor.ids import StoreLeaseId
 
@@ -145,6 +146,17 @@
                 running = [each for each in scheduler.jobs.values() if each.has_runs]
                 self.assertEqual(len(running), 4)
 
+    def test_run_times_that_cannot_be_used_are_logged_and_start_from_the_prior(self) -> None:
+        """Guards against a takeover that fails, or stands, because of one bad record."""
+        for value, level in ((b"\xff", "ERROR"), (b'{"version": 1, "ratios": []}', "INFO")):
+            records = type(self.fleet.records)()
+            records.write(Transaction({}, {RUN_TIMES_KEY: value}))
+            with self.assertLogs("toucandoor.adapters.term_intake", "INFO") as logs:
+                scheduler, _ = self.load(CountingStore(records))
+            self.assertEqual(scheduler.run_times.queue_ratios(), ())
+            (line,) = [each for each in logs.output if "learned run times" in each]
+            self.assertTrue(line.startswith(level))
+
     def test_ended_jobs_are_read_after_the_load_and_removed_in_time(self) -> None:
         made = self.fleet
         made.boot("w", POOL, NEEDS.times(8))
--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -13,6 +13,7 @@
     from collections.abc import Iterable
 
     from toucandoor.adapters.wsgi import Environ, StartResponse
+    from toucandoor.core.run_times.models import QueueRatio
     from toucandoor.core.scheduling.pool_load import PoolLoad
 
 _CALL_BUCKETS_S: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0]
@@ -48,6 +49,13 @@
             "toucandoor_platform_body_bytes",
             "Bytes of bodies sent to and received from the platform by step",
         )
+        self._run_times = Gauge(
+            "toucandoor_run_time_ratio",
+            "Ratio of actual to estimated run times of a queue: its median, and the one in use",
+        )
+        self._dropped_run_times = Counter(
+            "toucandoor_run_times_dropped", "Run times that were implausible and not used"
+        )
         self._lock = threading.Lock()
         self._bytes_by_step: dict[str, tuple[int, int]] = {}
         self._workers = Gauge("toucandoor_pool_servers", "Backend servers that may get tasks")
@@ -100,6 +108,15 @@
             self._pool_cpu.set({"pool": load.pool, "use": use}, amount.cpu_millicores)
         self._workers.set({"pool": load.pool}, load.workers)
 
+    def set_run_time_ratio(self, ratio: QueueRatio) -> None:
+        """Set the ratios of actual to estimated run times of a queue."""
+        for kind, value in (("median", ratio.median), ("expected", ratio.expected)):
+            self._run_times.set({"queue": ratio.queue, "kind": kind}, value)
+
+    def add_dropped_run_times(self, count: int) -> None:
+        """Count run times that were not used."""
+        self._dropped_run_times.add({}, count)
+
 
 def metrics_app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
     """WSGI application that serves the metrics at any path."""
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -167,6 +167,9 @@
             pending = scheduler.pending_commit()
             if pending is not None:
                 self._submit(partial(self._write_pending, pending))
+            run_times = scheduler.run_times_commit()
+            if run_times is not None:
+                self._submit(partial(self._write_run_times, run_times))
             removal = scheduler.removal()
             if removal is not None:
                 self._submit(partial(self._remove_records, removal))
@@ -271,6 +274,16 @@
         else:
             self._post(lambda: scheduler.pending_written(ok=True))
 
+    def _write_run_times(self, transaction: Transaction) -> None:
+        scheduler = self._scheduler
+        try:
+            self._dependencies.store.write(transaction)
+        except ToucandoorError as err:
+            _LOGGER.info("progress: writing the learned run times failed: %s", err)
+            self._post(lambda: scheduler.run_times_written(ok=False))
+        else:
+            self._post(lambda: scheduler.run_times_written(ok=True))
+
     def _remove_records(self, transaction: Transaction) -> None:
         scheduler = self._scheduler
         try:
--- a/toucandoor/adapters/term_intake.py
+++ b/toucandoor/adapters/term_intake.py
@@ -21,6 +21,7 @@
 from toucandoor.core.maintenance.job_waves import WAVE_PROGRESS_PREFIX
 from toucandoor.core.maintenance.vm_orders import VM_ORDERS_KEY
 from toucandoor.core.records import HistoryLostError
+from toucandoor.core.run_times.snapshots import RUN_TIMES_KEY
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.ids import JobId, WorkerId
 from toucandoor.platform.operator_records import WAVE_STATUS_PREFIX, WORKER_PREFIX
@@ -85,13 +86,15 @@
             WAVE_STATUS_PREFIX,
             WAVE_PROGRESS_PREFIX,
             VM_ORDERS_KEY,
+            RUN_TIMES_KEY,
         )
         with ThreadPoolExecutor(READS_IN_PARALLEL, "load") as readers:
             snapshots = list(readers.map(self._read_prefix, prefixes))
-            workers, intake, wave_statuses, waves, vm_orders = snapshots
+            workers, intake, wave_statuses, waves, vm_orders, run_times = snapshots
             jobs = [record for record in intake.records if record.key.startswith(JOB_PREFIX)]
             progress = self._read_progress(jobs, readers)
         read_s = clock.monotonic_s() - started_s
+        self._restore_run_times(run_times)
         for record in workers.records:
             self._apply_worker_entry(record)
         for record in jobs:
@@ -112,6 +115,17 @@
         )
         return workers.revision, intake.revision
 
+    def _restore_run_times(self, snapshot: Snapshot) -> None:
+        for record in snapshot.records:
+            if record.key != RUN_TIMES_KEY:
+                continue
+            try:
+                keys = self._term.scheduler.restore_run_times(record.value)
+            except msgspec.MsgspecError as err:
+                _LOGGER.error("owner: the learned run times can't be used, and start anew: %s", err)
+            else:
+                _LOGGER.info("owner: restored the learned run times", extra={"records": keys})
+
     def _read_progress(
         self, jobs: Sequence[Record], readers: ThreadPoolExecutor
     ) -> dict[str, Record]:
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -31,6 +31,7 @@
         self._reported_s = dependencies.clock.monotonic_s()
         self._counts = scheduler.activity.counts()
         self._bytes = dependencies.metrics.platform_bytes()
+        self._dropped = 0
         self._busy_s = 0.0
         self._longest_step_s = 0.0
 
@@ -64,6 +65,25 @@
         for load in self._scheduler.loads().values():
             self._dependencies.metrics.set_pool_load(load)
             _LOGGER.info("schedule: load", extra=load.log_fields())
+        run_times = self._scheduler.run_times
+        for ratio in run_times.queue_ratios():
+            self._dependencies.metrics.set_run_time_ratio(ratio)
+            _LOGGER.info(
+                "schedule: run times",
+                extra={
+                    "queue": ratio.queue,
+                    "ratio": round(ratio.expected, 3),
+                    "median_ratio": round(ratio.median, 3),
+                    "samples": round(ratio.weight, 1),
+                },
+            )
+        if run_times.dropped > self._dropped:
+            _LOGGER.warning(
+                "schedule: implausible run times were dropped",
+                extra={"dropped": run_times.dropped - self._dropped},
+            )
+            self._dependencies.metrics.add_dropped_run_times(run_times.dropped - self._dropped)
+            self._dropped = run_times.dropped
 
     def _log_activity(self, now_s: float) -> None:
         counts = self._scheduler.activity.counts()
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -7,6 +7,7 @@
 
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.scheduling import const
+from toucandoor.core.scheduling.run_samples import RunSamples
 from toucandoor.core.scheduling.state import find_task, run_fields, task_text
 from toucandoor.core.scheduling.worker_view import Run, RunState, WorkerView
 from toucandoor.core.scheduling.workers import EndReason
@@ -20,10 +21,15 @@
 
 
 class RunEnds:
-    """Applies the ends of runs to their jobs, and reconciles runs with status reports."""
+    """Applies the ends of runs to their jobs, and reconciles runs with status reports.
+
+    Attributes:
+        samples: Measures the run times of the runs that end.
+    """
 
     def __init__(self, state: ScheduleState) -> None:
         self._state = state
+        self.samples = RunSamples(state)
 
     def process_report(self, worker: WorkerView, report: StatusReport, sent_s: float) -> None:
         """Process the status report of a backend server.
@@ -36,10 +42,11 @@
         for ended in report.ended:
             if ended.sequence > worker.ends_processed:
                 worker.ends_processed = ended.sequence
-                self._process_end(worker, ended)
+                self._process_end(worker, ended, sent_s)
+        worker.reported_s = self._state.now_s
         self._reconcile(worker, report, sent_s)
 
-    def _process_end(self, worker: WorkerView, ended: EndedRun) -> None:
+    def _process_end(self, worker: WorkerView, ended: EndedRun, sent_s: float) -> None:
         state = self._state
         run = worker.runs.get(ended.run)
         job = state.jobs.get(ended.run.task.job_id)
@@ -49,6 +56,8 @@
         if ended.checkpoint:
             task.checkpoint = ended.checkpoint
         if ended.reason is EndReason.DONE and not task.step.long_running:
+            if run is not None:
+                self.samples.on_done(run, worker, sent_s)
             self._task_done(job, task)
         elif ended.reason is EndReason.FAILED:
             self._task_failed(job, task, ended.run.attempt, worker)
--- /dev/null
+++ b/toucandoor/core/scheduling/run_samples.py
@@ -0,0 +1,91 @@
+"""Decides which runs are samples of run times, and measures them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from toucandoor.core.run_times.learned import task_weight
+from toucandoor.core.run_times.models import OpenRun
+from toucandoor.core.scheduling.pacing import FULL_PERCENT
+from toucandoor.core.scheduling.worker_view import RunState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from toucandoor.core.scheduling.state import ScheduleState
+    from toucandoor.core.scheduling.worker_view import Run, WorkerView
+
+UNCERTAINTY_S_MAX: Final = 0.1
+"""Longest time for which the start or end of a sample may have been unknown to the owner. Answers
+within a region take milliseconds; tasks take a second and more."""
+REFRESH_INTERVAL_S: Final = 0.25
+"""Interval between two refreshes of the expected run times; a peak lasts some seconds."""
+MS_PER_S: Final = 1000.0
+
+
+class RunSamples:
+    """Passes the run times of undisturbed runs to the model of run times."""
+
+    def __init__(self, state: ScheduleState) -> None:
+        self._state = state
+        self._next_refresh_s = 0.0
+
+    def on_done(self, run: Run, worker: WorkerView, sent_s: float) -> None:
+        """Record the run time of a run that a server reports as done, if it is a sample.
+
+        Args:
+            run: The run.
+            worker: The server.
+            sent_s: When the heartbeat was sent that returned the end.
+        """
+        if run.confirmed_s is None or not _undisturbed(run):
+            return
+        # A server answers a waiting heartbeat at once when a run ends. A run that ended before the
+        # heartbeat was sent did so at an unknown time since the last report.
+        if sent_s - max(worker.reported_s, run.confirmed_s) > UNCERTAINTY_S_MAX:
+            return
+        state = self._state
+        queue = state.jobs[run.task.key.job_id].spec.queue
+        state.run_times.record(run.task.step, queue, state.now_s - run.confirmed_s)
+
+    def refresh_if_due(self) -> None:
+        """Let the model compute anew what is expected, a few times a second."""
+        now_s = self._state.now_s
+        if now_s >= self._next_refresh_s:
+            self._next_refresh_s = now_s + REFRESH_INTERVAL_S
+            self._state.run_times.refresh(self._open_runs(now_s))
+
+    def _open_runs(self, now_s: float) -> Iterator[OpenRun]:
+        for worker in self._state.workers.values():
+            if worker.unresponsive:
+                continue  # its runs may have ended
+            for run in worker.runs.values():
+                estimate_s = run.task.step.estimate_ms / MS_PER_S
+                if run.confirmed_s is None or estimate_s <= 0 or not _undisturbed(run):
+                    continue
+                step = run.task.step
+                queue = self._state.jobs[run.task.key.job_id].spec.queue
+                elapsed_ratio = (now_s - run.confirmed_s) / estimate_s
+                yield OpenRun(queue, step.image, estimate_s, elapsed_ratio, task_weight(step))
+
+
+def _undisturbed(run: Run) -> bool:
+    """Return whether a confirmed run tells how long its task takes on a server of usual speed.
+
+    It must have been started by this owner from the task's beginning, beside its data, as the only
+    run of the task, and without a speed limit, which any best-effort task may have had.
+    """
+    step = run.task.step
+    return (
+        not step.long_running
+        and not step.uses_leftovers
+        and run.state is RunState.RUNNING
+        and run.starts_sent == 1
+        and run.confirmed_s is not None
+        and run.confirmed_s - run.order_sent_s <= UNCERTAINTY_S_MAX
+        and not run.stop_requested
+        and not run.checkpoint
+        and len(run.task.runs) == 1
+        and run.speed_limit_percent == FULL_PERCENT
+        and not (step.data_rack and step.data_rack not in run.worker.entry.labels)
+    )
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -12,6 +12,13 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.core.jobs.models import JobState
+from toucandoor.core.records import Transaction
+from toucandoor.core.run_times.learned import LearnedRunTimes
+from toucandoor.core.run_times.snapshots import (
+    RUN_TIMES_KEY,
+    RunTimeSnapshots,
+    restore_run_times,
+)
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.arrivals import Arrival
 from toucandoor.core.scheduling.ceiling_demand import CeilingDemand
@@ -36,7 +43,8 @@
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.jobs.models import JobSpec, StepKey
     from toucandoor.core.jobs.records import ProgressRecord
-    from toucandoor.core.records import Record, Transaction
+    from toucandoor.core.records import Record
+    from toucandoor.core.run_times.models import RunTimeModel
     from toucandoor.core.scheduling.activity import Activity
     from toucandoor.core.scheduling.orders import Commit, Order
     from toucandoor.core.scheduling.workers import Advice, Boot, StatusReport, WorkerEntry
@@ -51,17 +59,29 @@
 
 
 class Scheduler:
-    """Scheduler of all pools for one term of ownership."""
+    """Scheduler of all pools for one term of ownership.
 
-    def __init__(self, settings: SchedulerSettings, clock: Clock) -> None:
-        self._state = ScheduleState(settings, clock)
+    Args:
+        settings: Settings of the term.
+        clock: Source of monotonic and wall-clock time.
+        run_times: Expected run times of tasks; by default they are learned.
+    """
+
+    def __init__(
+        self, settings: SchedulerSettings, clock: Clock, run_times: RunTimeModel | None = None
+    ) -> None:
+        self._state = ScheduleState(settings, clock, run_times)
         self._registry = WorkerRegistry(self._state)
         self._orders = RunOrders(self._state, self._registry)
         self._ends = RunEnds(self._state)
         self._placer = Placer(self._state)
         self._writer = ProgressWriter(self._state)
         self._retention = Retention(self._state, settings.status_retention_s)
-        self._arrivals: deque[Arrival] = deque()
+        self._arrivals: deque[JobProgress] = deque()
+        model = self._state.run_times
+        self._snapshots = (
+            RunTimeSnapshots(model, clock) if isinstance(model, LearnedRunTimes) else None
+        )
 
     @property
     def token(self) -> FencingToken:
@@ -93,6 +113,11 @@
         """Counts of what this owner has done since its term began."""
         return self._state.activity
 
+    @property
+    def run_times(self) -> RunTimeModel:
+        """Expected run times of tasks."""
+        return self._state.run_times
+
     @property
     def workers(self) -> dict[WorkerId, WorkerView]:
         """Latest boot of each backend server."""
@@ -123,8 +148,7 @@
         state.order.on_job_added(job, state.now_s)
         state.mark_changed(job)
         if not spec.timed and not spec.long_running:
-            pool = state.pool_of(job)
-            self._arrivals.append(Arrival.of_job(job.arrived_s, pool, spec, state.run_times))
+            self._arrivals.append(job)
         if spec.job_id in self._state.early_cancels:
             self.cancel_job(spec.job_id)
 
@@ -323,6 +347,30 @@
         """Process the result of writing the count of waiting jobs."""
         self._writer.pending_written(ok=ok)
 
+    def run_times_commit(self) -> Transaction | None:
+        """Return the write of a snapshot of the learned run times; None while none is due."""
+        value = self._snapshots.due() if self._snapshots is not None else None
+        if value is None:
+            return None
+        settings = self._state.settings
+        return Transaction({settings.owner_key: settings.owner_revision}, {RUN_TIMES_KEY: value})
+
+    def run_times_written(self, *, ok: bool) -> None:
+        """Process the result of writing a snapshot."""
+        if self._snapshots is not None:
+            self._snapshots.written(ok=ok)
+
+    def restore_run_times(self, value: bytes) -> int:
+        """Start from the run times that a former owner has learned; return the number of kinds.
+
+        Raises:
+            msgspec.MsgspecError: The record can't be used; the run times start from the prior.
+        """
+        model = self._state.run_times
+        if not isinstance(model, LearnedRunTimes):
+            return 0
+        return restore_run_times(model, value, self._state.now_s)
+
     def removal(self) -> Transaction | None:
         """Return the next removal of expired job records; None if there is none."""
         return self._retention.removal()
@@ -347,6 +395,7 @@
 
     def orders(self) -> list[Order]:
         """Place waiting tasks and return the orders to carry out now."""
+        self._ends.samples.refresh_if_due()
         self._placer.open_occurrences()
         self._registry.discard_expired()
         orders = self._placer.place()
@@ -444,11 +493,17 @@
         window_s = const.ARRIVAL_WINDOW_S
         while self._arrivals and self._arrivals[0].arrived_s < now_s - window_s:
             self._arrivals.popleft()
-        for arrival in self._arrivals:
+        state = self._state
+        # Estimated now and not on arrival, so that what has been learned meanwhile counts.
+        arrivals = [
+            Arrival.of_job(job.arrived_s, state.pool_of(job), job.spec, state.run_times)
+            for job in self._arrivals
+        ]
+        for arrival in arrivals:
             now, later = arrival.work.times(1 / window_s), arrival.needed_after(lead_s)
             demand.add_arriving(arrival.team, now, later.times(1 / window_s))
         ratios = demand.arriving_ratios()
-        for arrival in self._arrivals:
+        for arrival in arrivals:
             load = load_of(arrival.pool)
             ratio, ratio_later = ratios.get(arrival.team, (1.0, 1.0))
             load.arriving_cpu_millicores += arrival.work.cpu_millicores * ratio / window_s
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -9,7 +9,7 @@
 from toucandoor.core.failure_domains.models import FailureDomains, NoFailureDomains
 from toucandoor.core.jobs.models import NO_RESOURCES, JobState, Resources, StepKey
 from toucandoor.core.ownership.lease import OWNER_TTL_S
-from toucandoor.core.run_times.models import CALLER_ESTIMATES, RunTimeModel
+from toucandoor.core.run_times.learned import LearnedRunTimes
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.activity import Activity
 from toucandoor.core.scheduling.queue_order import objective_s
@@ -22,6 +22,7 @@
     from toucandoor.clock import Clock
     from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
     from toucandoor.core.jobs.models import TaskKey
+    from toucandoor.core.run_times.models import RunTimeModel
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress, Task
     from toucandoor.core.scheduling.worker_view import Run, WorkerView
     from toucandoor.core.scheduling.workers import Boot
@@ -93,10 +94,12 @@
         failure_domains: Evidence on silent and slow backend servers.
     """
 
-    def __init__(self, settings: SchedulerSettings, clock: Clock) -> None:
+    def __init__(
+        self, settings: SchedulerSettings, clock: Clock, run_times: RunTimeModel | None = None
+    ) -> None:
         self.settings = settings
         self.clock = clock
-        self.run_times: RunTimeModel = CALLER_ESTIMATES
+        self.run_times: RunTimeModel = run_times or LearnedRunTimes(clock)
         self.order: StepOrder = LeastWorkFirst(self.run_times)
         self.failure_domains: FailureDomains = NoFailureDomains()
         self.started_s = clock.monotonic_s()
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -114,6 +114,7 @@
         heartbeat_sent_s: When the latest heartbeat was sent.
         answered_s: When it last answered any order.
         speed_limited_s: When speed limits of its runs were last changed.
+        reported_s: When its latest status report arrived.
     """
 
     entry: WorkerEntry
@@ -145,6 +146,7 @@
     heartbeat_sent_s: float = 0.0
     answered_s: float = 0.0
     speed_limited_s: float = 0.0
+    reported_s: float = 0.0
 
     def __post_init__(self) -> None:
         """Compute the free capacity."""
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -41,6 +41,7 @@
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.jobs.models import JobSpec, Resources, TaskKey
     from toucandoor.core.records import Record
+    from toucandoor.core.run_times.models import RunTimeModel
     from toucandoor.core.scheduling.workers import Boot
 
 LEASE_S = 6.0
@@ -59,6 +60,7 @@
         workers: Present boots of backend servers.
         owner: Present owner of the schedule; None while there is none.
         calls: Carries out the owners' calls; faults are set there.
+        run_times: Expected run times that the next owner uses; None for learned ones.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.records = VirtualRecords()
         self.workers: dict[WorkerId, VirtualWorker] = {}
         self.owner: OwnerTerm | None = None
+        self.run_times: RunTimeModel | None = None
         self.calls = VirtualCalls(
             self.clock, self.records, self.workers, self.schedule, self._schedule_event
         )
@@ -190,7 +193,7 @@
             lease_s=LEASE_S,
             handed_over_leases_s=handed_over,
         )
-        owner = OwnerTerm(Scheduler(settings, self.clock))
+        owner = OwnerTerm(Scheduler(settings, self.clock, self.run_times))
         owner.scheduler.set_configuration(self.configuration)
         self.owner = owner
         for worker in self.workers.values():
