--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -43,6 +43,7 @@
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.jobs.models import JobSpec, Resources, TaskKey
     from toucandoor.core.records import Record
+    from toucandoor.core.run_times.models import RunTimeModel
     from toucandoor.core.scheduling.workers import Boot
 
 LEASE_S = 6.0
@@ -64,6 +65,7 @@
         owner: Present owner of the schedule; None while there is none.
         calls: Carries out the owners' calls; faults are set there.
         operators: Requests evacuations; faults of reading them are set there.
+        run_times: Expected run times that the next owner uses; None for learned ones.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self.records = VirtualRecords()
         self.workers: dict[WorkerId, VirtualWorker] = {}
         self.owner: OwnerTerm | None = None
+        self.run_times: RunTimeModel | None = None
         self.calls = VirtualCalls(
             self.clock, self.records, self.workers, self.schedule, self._schedule_event
         )
@@ -202,7 +205,7 @@
             handed_over_leases_s=handed_over,
         )
         requests = self._make_requests() if self._make_requests is not None else None
-        owner = OwnerTerm(Scheduler(settings, self.clock, requests))
+        owner = OwnerTerm(Scheduler(settings, self.clock, requests, self.run_times))
         if requests is not None:
             self.operators.follow(owner, requests)
         owner.scheduler.set_configuration(self.configuration)
