Suspect racks whose servers do not answer, and let flapping servers wait

Cause: of a rack that is out of reach, each server counts as usable until its own long poll has failed, up to 1.6 s after the cut, and starts that are sent to it meanwhile are lost for the time of their leases. A server that goes down and comes back every few seconds gets tasks at once.

Change: ObservedFailureDomains collects the calls of one owner that were not answered. A rack is suspected when two of its servers with runs have missed an answer and none of its servers has answered since the first one was due. A suspected rack gets no starts, starts that were never sent are planned elsewhere, and one of its servers is tried at a time. If servers of more than half of the racks are silent, the owner's own connection is suspected and no rack is. After a call without an answer the other servers of the rack get polls of 0.25 s for 2 s.

The answer of a long poll is due after its wait, so the evidence counts from there, not from when it was sent: otherwise an answer of another server during the wait would rule out a later cut.

Also mended: a server with a failed heartbeat whose runs had been discarded got no heartbeat any more, and so no task while the platform's list kept its entry.

--- /dev/null
+++ b/tests/core/failure_domains/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the evidence on racks and backend servers."""
--- /dev/null
+++ b/tests/core/failure_domains/common.py
@@ -0,0 +1,59 @@
+"""Fleets over several racks, for tests of failure domains."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tests.core.scheduling.common import CAPACITY, POOL, configuration, succeeds_after_1s
+from toucandoor.core.failure_domains.models import NoFailureDomains
+from toucandoor.core.failure_domains.racks import ObservedFailureDomains
+from toucandoor.fakes.virtual_fleet import VirtualFleet
+from toucandoor.ids import WorkerId
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from toucandoor.core.jobs.models import TaskKey
+    from toucandoor.fakes.virtual_platform import TaskBehaviour
+
+
+def rack_fleet(
+    racks: int = 4,
+    servers: int = 2,
+    behaviour: Callable[[TaskKey, WorkerId], TaskBehaviour] = succeeds_after_1s,
+    *,
+    baseline: bool = False,
+    attempts_max: int = 3,
+) -> VirtualFleet:
+    """Return a fleet of servers named ``rRACK-NUMBER`` with an owner.
+
+    Args:
+        racks: Number of racks.
+        servers: Servers of each rack.
+        behaviour: How tasks run; by default they succeed after a second.
+        baseline: Whether the owner has no evidence on failure domains.
+        attempts_max: Failed runs of a task at which its job fails.
+    """
+    virtual = VirtualFleet(configuration(attempts_max=attempts_max), behaviour)
+    for rack in range(racks):
+        for number in range(servers):
+            virtual.boot(f"r{rack}-{number}", POOL, CAPACITY, labels=("a", f"r{rack}"))
+    owner = virtual.take_over()
+    if baseline:
+        owner.scheduler._state.failure_domains = NoFailureDomains()
+    return virtual
+
+
+def domains(virtual: VirtualFleet) -> ObservedFailureDomains:
+    """Return the evidence of the present owner."""
+    assert virtual.owner is not None
+    found = virtual.owner.scheduler._state.failure_domains
+    assert isinstance(found, ObservedFailureDomains)
+    return found
+
+
+def set_reachable(virtual: VirtualFleet, rack: str, *, reachable: bool) -> None:
+    """Cut off or reconnect all servers of a rack."""
+    for worker in virtual.workers.values():
+        if worker.entry.rack == rack:
+            worker.reachable = reachable
--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -61,6 +61,8 @@
     "pool": str,
     "queue": str,
     "queues": int,
+    "rack": str,
+    "racks": int,
     "read_s": (int, float),
     "reason": str,
     "received": int,
@@ -101,6 +103,7 @@
 """Messages that the session with faults must log, so that the types of their fields are checked."""
 PACKAGE = Path(__file__).parent.parent / "toucandoor"
 NODE_PATHS = (
+    "core/failure_domains",
     "core/scheduling",
     "core/ownership",
     "core/pools/vm_lender.py",
--- /dev/null
+++ b/toucandoor/core/failure_domains/racks.py
@@ -0,0 +1,245 @@
+"""Suspects racks none of whose servers answer, by the calls of one owner."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from toucandoor.core.failure_domains.flapping import Flapping
+from toucandoor.core.failure_domains.models import USUAL_SPEED, FailureDomains
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from toucandoor.clock import Clock
+    from toucandoor.core.scheduling.worker_view import WorkerView
+    from toucandoor.ids import WorkerId
+
+_LOGGER = logging.getLogger(__name__)
+
+SILENT_SERVERS_MIN: Final = 2
+"""Servers with runs that must not answer before their rack is suspected; a single one is more
+likely down by itself."""
+OWN_CONNECTION_RATIO: Final = 0.5
+"""Share of all racks above which the owner's own connection is the likelier cause."""
+DOWN_FAILURES: Final = 2
+"""Failed heartbeats in succession after which a server counts as having been down; a single lost
+message does not make a server flap."""
+PROBE_INTERVAL_S: Final = 0.1
+"""Shortest time between two tries of servers on a suspected rack; a refused connection fails within
+a millisecond."""
+INDEX_INTERVAL_S: Final = 0.5
+"""Time after which the servers of each rack are collected again; needed only while some do not
+answer."""
+WATCHED_S: Final = 2.0
+"""Time after a call without an answer in which other servers of the rack get short polls."""
+WATCHED_POLL_WAIT_S: Final = 0.25
+"""Wait of a poll in that time: the servers answer or fail sooner, at four times the calls to one
+rack."""
+
+
+@dataclass(slots=True)
+class _Silence:
+    """Calls to one boot that were not answered.
+
+    Attributes:
+        worker: The boot.
+        due_s: When the answer to the first of them was due.
+        was_down: Whether enough heartbeats in succession have failed.
+    """
+
+    worker: WorkerView
+    due_s: float
+    was_down: bool = False
+
+
+@dataclass(slots=True)
+class _Rack:
+    """A rack as collected from the list of servers."""
+
+    servers: list[WorkerView] = field(default_factory=list)
+
+    @property
+    def answered_s(self) -> float:
+        """When any of its servers last answered."""
+        return max((worker.answered_s for worker in self.servers), default=0.0)
+
+
+class ObservedFailureDomains(FailureDomains):
+    """Evidence from the calls of one owner; another owner begins without any.
+
+    Args:
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._silent: dict[WorkerId, _Silence] = {}
+        self._flapping = Flapping()
+        self._racks: dict[str, _Rack] = {}
+        self._indexed_s = float("-inf")
+        self._suspected: dict[str, float] = {}
+        self._watched: dict[str, float] = {}
+        self._probed_s: dict[str, float] = {}
+        self._own_connection_suspected = False
+
+    @property
+    def suspected_racks(self) -> frozenset[str]:
+        """Racks that get no starts for now."""
+        return frozenset(self._suspected)
+
+    @property
+    def own_connection_suspected(self) -> bool:
+        """Whether so many racks do not answer that the owner itself is probably cut off."""
+        return self._own_connection_suspected
+
+    def suspects(self, worker: WorkerView) -> bool:
+        """Return whether new starts avoid a backend server for now."""
+        if worker.entry.rack in self._suspected:
+            return True
+        return self._flapping.paused(worker.entry.worker_id, self._clock.monotonic_s())
+
+    def slowness(self, worker: WorkerView) -> float:
+        """Return the usual speed."""
+        return USUAL_SPEED
+
+    def poll_wait_s(self, worker: WorkerView, wait_s: float) -> float:
+        """Return a shorter wait while another server of the rack does not answer."""
+        until_s = self._watched.get(worker.entry.rack, 0.0)
+        if until_s > self._clock.monotonic_s():
+            return min(wait_s, WATCHED_POLL_WAIT_S)
+        return wait_s
+
+    def on_unanswered(self, worker: WorkerView, due_s: float) -> None:
+        """Process a call without an answer."""
+        if worker.answered_s >= due_s or worker.ended:
+            return
+        worker_id = worker.entry.worker_id
+        silence = self._silent.get(worker_id)
+        if silence is None or silence.worker is not worker:
+            silence = self._silent[worker_id] = _Silence(worker, due_s)
+            if worker.entry.rack:
+                self._watched[worker.entry.rack] = self._clock.monotonic_s() + WATCHED_S
+        if worker.heartbeat_failures >= DOWN_FAILURES:
+            silence.was_down = True
+
+    def update(self, workers: Mapping[WorkerId, WorkerView]) -> None:
+        """Suspect and clear racks by the calls so far, and choose which servers are tried."""
+        if not self._silent and not self._suspected:
+            return
+        now_s = self._clock.monotonic_s()
+        self._drop_ended_silences(workers, now_s)
+        self._collect_racks(workers, now_s)
+        silent = self._silent_by_rack()
+        self._judge_own_connection(len(silent))
+        for rack in list(self._suspected):
+            if self._own_connection_suspected or not silent.get(rack):
+                self._clear(rack, now_s)
+        if not self._own_connection_suspected:
+            for rack, silences in silent.items():
+                with_runs = [each for each in silences if each.worker.runs]
+                if rack not in self._suspected and len(with_runs) >= SILENT_SERVERS_MIN:
+                    self._suspect(rack, with_runs, now_s)
+        self._choose_probes(now_s)
+
+    def _drop_ended_silences(self, workers: Mapping[WorkerId, WorkerView], now_s: float) -> None:
+        """Drop servers that have answered again, and boots that a later one has replaced."""
+        for worker_id, silence in list(self._silent.items()):
+            present = workers.get(worker_id)
+            answered = silence.worker.answered_s > silence.due_s
+            if not answered and present is silence.worker and not present.ended:
+                continue
+            if present is not None and not present.unresponsive:
+                del self._silent[worker_id]
+                if silence.was_down or present is not silence.worker:
+                    self._flapping.on_return(worker_id, now_s)
+            elif present is None:
+                del self._silent[worker_id]
+
+    def _collect_racks(self, workers: Mapping[WorkerId, WorkerView], now_s: float) -> None:
+        if now_s - self._indexed_s < INDEX_INTERVAL_S:
+            return
+        self._indexed_s = now_s
+        self._racks = {}
+        for worker in workers.values():
+            if worker.entry.rack and not worker.ended:
+                self._racks.setdefault(worker.entry.rack, _Rack()).servers.append(worker)
+        self._watched = {rack: s for rack, s in self._watched.items() if s > now_s}
+        self._probed_s = {rack: s for rack, s in self._probed_s.items() if rack in self._racks}
+
+    def _silent_by_rack(self) -> dict[str, list[_Silence]]:
+        """Return the silent servers of each rack from which no server has answered since.
+
+        A server that is silent while another one of its rack answers is down by itself; it counts
+        again once it has answered.
+        """
+        found: dict[str, list[_Silence]] = {}
+        answered_s: dict[str, float] = {}
+        for silence in self._silent.values():
+            name = silence.worker.entry.rack
+            rack = self._racks.get(name)
+            if rack is None:
+                continue
+            if name not in answered_s:
+                answered_s[name] = rack.answered_s
+            if silence.due_s >= answered_s[name]:
+                found.setdefault(name, []).append(silence)
+        return found
+
+    def _judge_own_connection(self, silent_racks: int) -> None:
+        suspected = silent_racks > OWN_CONNECTION_RATIO * len(self._racks)
+        if suspected and not self._own_connection_suspected:
+            _LOGGER.warning(
+                "racks: servers of most racks do not answer; no rack is suspected",
+                extra={"silent": silent_racks, "racks": len(self._racks)},
+            )
+        self._own_connection_suspected = suspected
+
+    def _suspect(self, rack: str, silences: list[_Silence], now_s: float) -> None:
+        self._suspected[rack] = now_s
+        first_s = min(silence.due_s for silence in silences)
+        _LOGGER.warning(
+            "racks: %s is suspected, as its servers do not answer",
+            rack,
+            extra={
+                "rack": rack,
+                "silent": len(silences),
+                "servers": len(self._racks[rack].servers),
+                "runs": sum(len(silence.worker.runs) for silence in silences),
+                "after_s": round(now_s - first_s, 3),
+            },
+        )
+
+    def _clear(self, rack: str, now_s: float) -> None:
+        """End the suspicion of a rack and call its servers at once."""
+        since_s = self._suspected.pop(rack)
+        servers = self._racks[rack].servers if rack in self._racks else []
+        for worker in servers:
+            if worker.heartbeat_failures > 0:
+                worker.next_heartbeat_s = min(worker.next_heartbeat_s, now_s)
+        _LOGGER.info(
+            "racks: %s is no longer suspected",
+            rack,
+            extra={"rack": rack, "after_s": round(now_s - since_s, 3)},
+        )
+
+    def _choose_probes(self, now_s: float) -> None:
+        """Choose the server of each suspected rack that is tried next, the longest untried one."""
+        if not self._suspected:
+            self.held_back = self.probes = frozenset()
+            return
+        held_back: set[WorkerId] = set()
+        probes: set[WorkerId] = set()
+        for name in self._suspected:
+            servers = self._racks[name].servers if name in self._racks else []
+            held_back |= {each.entry.worker_id for each in servers if each.heartbeat_failures > 0}
+            tried = any(each.heartbeat_in_flight and each.heartbeat_failures for each in servers)
+            idle = [each for each in servers if not each.heartbeat_in_flight and each.listed]
+            if tried or not idle or now_s - self._probed_s.get(name, 0.0) < PROBE_INTERVAL_S:
+                continue
+            self._probed_s[name] = now_s
+            probe = min(idle, key=lambda each: each.heartbeat_sent_s)
+            probe.next_heartbeat_s = min(probe.next_heartbeat_s, now_s)
+            probes.add(probe.entry.worker_id)
+        self.held_back, self.probes = frozenset(held_back), frozenset(probes)
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -99,7 +99,8 @@
     ) -> None:
         workers: dict[PoolId, list[WorkerView]] = {}
         for worker in self._state.workers.values():
-            workers.setdefault(worker.entry.pool, []).append(worker)
+            if not self._state.failure_domains.suspects(worker):
+                workers.setdefault(worker.entry.pool, []).append(worker)
         now_ms = self._state.now_unix_ms
         for pool, steps in waiting.items():
             self._reviewed_s[pool] = now_s
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -49,7 +49,7 @@
                     orders.append(order)
         for worker in state.workers.values():
             due = not worker.heartbeat_in_flight and now_s >= worker.next_heartbeat_s
-            if worker.needs_heartbeat and due and worker.entry.address:
+            if due and self._wants_heartbeat(worker) and worker.entry.address:
                 orders.append(self._heartbeat(worker, now_s))
             if worker.unknown_runs:
                 orders += self._stop_unknown_runs(worker, now_s)
@@ -76,11 +76,17 @@
             (
                 worker.next_heartbeat_s
                 for worker in self._state.workers.values()
-                if worker.needs_heartbeat and not worker.heartbeat_in_flight
+                if not worker.heartbeat_in_flight and self._wants_heartbeat(worker)
             ),
             default=float("inf"),
         )
 
+    def _wants_heartbeat(self, worker: WorkerView) -> bool:
+        domains = self._state.failure_domains
+        if worker.entry.worker_id in domains.probes:
+            return not worker.ended
+        return worker.needs_heartbeat and worker.entry.worker_id not in domains.held_back
+
     def _run_order(self, run: Run, now_s: float) -> Order | None:
         token = self._state.settings.token
         if run.stop_requested:
@@ -90,6 +96,13 @@
         if run.state is not RunState.STARTING:
             del self._state.runs_awaiting_orders[run]
             return None
+        if self._state.failure_domains.suspects(run.worker):
+            if run.starts_sent == 0:
+                # Its start was never sent, so it cannot exist and the task may run elsewhere.
+                self._state.discard_run(run)
+                return None
+            if run.worker.answered_s < run.order_sent_s:
+                return None
         until_ms = self._extend_lease(run.worker, now_s)
         if until_ms is None:
             return None
@@ -115,11 +128,14 @@
             # Killing a stopped run takes no longer than the margin.
             wait_s = min(wait_s, const.LEASE_EXPIRY_MARGIN_S)
         token = self._state.settings.token
+        wait_s = self._state.failure_domains.poll_wait_s(worker, wait_s)
+        worker.heartbeat_wait_s = wait_s
         return SendHeartbeat(worker, token, until_ms, worker.ends_committed, wait_s)
 
     def _short_heartbeat(self, worker: WorkerView, until_ms: int | None) -> SendHeartbeat:
         token = self._state.settings.token
         wait_s = 0.0 if worker.uncommitted else const.SHORT_HEARTBEAT_WAIT_S
+        worker.heartbeat_wait_s = wait_s
         return SendHeartbeat(worker, token, until_ms, worker.ends_committed, wait_s)
 
     def _extend_lease(self, worker: WorkerView, now_s: float) -> int | None:
@@ -167,6 +183,9 @@
             pause_s *= 2**doublings
         worker.next_heartbeat_s = self._state.now_s + pause_s
         worker.heartbeat_failures += 1
+        if refusal is None:
+            due_s = worker.heartbeat_sent_s + worker.heartbeat_wait_s
+            self._state.failure_domains.on_unanswered(worker, due_s)
 
     def _handle_common_refusal(self, worker: WorkerView, refusal: OrderRefusal | None) -> bool:
         """Handle a refusal that means the same for every order, and return whether it was one."""
@@ -239,6 +258,7 @@
         worker = run.worker
         if worker.answered_s < run.order_sent_s:
             worker.paused_until_s = max(worker.paused_until_s, now_s + const.UNANSWERED_PAUSE_S)
+        self._state.failure_domains.on_unanswered(worker, run.order_sent_s)
         if run.starts_sent >= const.START_RETRIES_MAX:
             self._state.request_stop(run)
 
@@ -263,3 +283,5 @@
         if refusal is OrderRefusal.REJECTED:
             # The server does not know the run, and refuses it from now on as after a stop.
             self.stop_answered(run)
+        elif refusal is None:
+            self._state.failure_domains.on_unanswered(run.worker, run.order_sent_s)
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -348,6 +348,7 @@
         """Place waiting tasks and return the orders to carry out now."""
         self._placer.open_occurrences()
         self._registry.discard_expired()
+        self._state.failure_domains.update(self._state.workers)
         orders = self._placer.place()
         return orders + self._orders.due()
 
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from toucandoor.core.failure_domains.models import FailureDomains, NoFailureDomains
+from toucandoor.core.failure_domains.racks import ObservedFailureDomains
 from toucandoor.core.jobs.models import NO_RESOURCES, JobState, Resources, StepKey
 from toucandoor.core.ownership.lease import OWNER_TTL_S
 from toucandoor.core.run_times.models import CALLER_ESTIMATES, RunTimeModel
@@ -20,6 +20,7 @@
     from collections.abc import Mapping
 
     from toucandoor.clock import Clock
+    from toucandoor.core.failure_domains.models import FailureDomains
     from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
     from toucandoor.core.jobs.models import TaskKey
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress, Task
@@ -98,7 +99,7 @@
         self.clock = clock
         self.run_times: RunTimeModel = CALLER_ESTIMATES
         self.order: StepOrder = LeastWorkFirst(self.run_times)
-        self.failure_domains: FailureDomains = NoFailureDomains()
+        self.failure_domains: FailureDomains = ObservedFailureDomains(clock)
         self.started_s = clock.monotonic_s()
         self.configuration: JobConfiguration | None = None
         self.jobs: dict[JobId, JobProgress] = {}
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -112,6 +112,7 @@
         leaving: Whether its VM is being moved to another pool.
         heartbeat_failures: Consecutive failed heartbeats during which it answered nothing else.
         heartbeat_sent_s: When the latest heartbeat was sent.
+        heartbeat_wait_s: Longest wait that it asked for.
         answered_s: When it last answered any order.
         speed_limited_s: When speed limits of its runs were last changed.
     """
@@ -143,6 +144,7 @@
     leaving: bool = False
     heartbeat_failures: int = 0
     heartbeat_sent_s: float = 0.0
+    heartbeat_wait_s: float = 0.0
     answered_s: float = 0.0
     speed_limited_s: float = 0.0
 
@@ -225,7 +227,7 @@
         if self.ended:
             return False
         unacknowledged = self.ends_committed > self.acknowledgement_confirmed
-        unknown = self.listed and not self.contacted
+        unknown = self.listed and self.unresponsive
         tracked = self.runs or self.unknown_runs or self.uncommitted
         return bool(tracked or unacknowledged or unknown)
 
