Start copies of tasks that allow them, on capacity that no waiting task needs

Cause: a task on a server that does not answer waits for the proof that its run has ended, up to the length of a lease, also where its step allows that it runs twice. A task on a slow server keeps its job from being done.

Change: the copies of core/copies are planned after each placement: one second run, on another rack, for a run on an unresponsive server or suspected rack, and for the last run of a step that has taken 1.5 times the 0.95 quantile. They use servers that no waiting task may use, and at most a tenth of the pool's cores. Gangs, long-running and best-effort tasks are not copied, nor tasks whose runs could then fail more often than the job allows. Copies are runs in the record of the job, so a new owner knows them. They count as no load of their pool, so no VM is lent for them.

A start that is carried out late could begin a run after another one is done, so backend servers refuse starts of tasks that allow copies 0.8 s after they were sent.

--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -27,6 +27,14 @@
     "capacity_mb": int,
     "claim_s": float,
     "configuration": int,
+    "copied_worker": str,
+    "copies_core_s": int,
+    "copies_lost": int,
+    "copies_no_room": int,
+    "copies_over_budget": int,
+    "copies_started": int,
+    "copies_won": int,
+    "core_s": (int, float),
     "data_centre": str,
     "deposed": bool,
     "down_max": int,
@@ -88,6 +96,7 @@
     "waiting_cpu": int,
     "waiting_mb": int,
     "wave": int,
+    "won": bool,
     "within_s": (int, float),
     "worker": str,
     "workers": int,
@@ -103,6 +112,7 @@
 """Messages that the session with faults must log, so that the types of their fields are checked."""
 PACKAGE = Path(__file__).parent.parent / "toucandoor"
 NODE_PATHS = (
+    "core/copies",
     "core/failure_domains",
     "core/scheduling",
     "core/ownership",
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -29,7 +29,7 @@
         self._dependencies = dependencies
         self._next_s = 0.0
         self._reported_s = dependencies.clock.monotonic_s()
-        self._counts = scheduler.activity.counts()
+        self._counts = scheduler.activity.counts() | scheduler.copies.counts()
         self._bytes = dependencies.metrics.platform_bytes()
         self._busy_s = 0.0
         self._longest_step_s = 0.0
@@ -66,7 +66,7 @@
             _LOGGER.info("schedule: load", extra=load.log_fields())
 
     def _log_activity(self, now_s: float) -> None:
-        counts = self._scheduler.activity.counts()
+        counts = self._scheduler.activity.counts() | self._scheduler.copies.counts()
         workers = self._scheduler.workers.values()
         _LOGGER.info(
             "schedule: activity",
--- a/toucandoor/core/failure_domains/models.py
+++ b/toucandoor/core/failure_domains/models.py
@@ -37,6 +37,10 @@
     def slowness(self, worker: WorkerView) -> float:
         """Return the ratio of true to expected run times on a server; 1.0 where it is unknown."""
 
+    @abstractmethod
+    def rack_suspected(self, worker: WorkerView) -> bool:
+        """Return whether the rack of a backend server is suspected."""
+
     @property
     def own_connection_suspected(self) -> bool:
         """Whether so many racks do not answer that the owner itself is probably cut off."""
@@ -72,6 +76,10 @@
         """Return False."""
         return False
 
+    def rack_suspected(self, worker: WorkerView) -> bool:
+        """Return False."""
+        return False
+
     def slowness(self, worker: WorkerView) -> float:
         """Return the usual speed."""
         return USUAL_SPEED
--- a/toucandoor/core/failure_domains/racks.py
+++ b/toucandoor/core/failure_domains/racks.py
@@ -100,6 +100,10 @@
             return True
         return self._flapping.paused(worker.entry.worker_id, self._clock.monotonic_s())
 
+    def rack_suspected(self, worker: WorkerView) -> bool:
+        """Return whether the rack of a backend server is suspected."""
+        return worker.entry.rack in self._suspected
+
     def slowness(self, worker: WorkerView) -> float:
         """Return the usual speed."""
         return USUAL_SPEED
--- a/toucandoor/core/scheduling/const.py
+++ b/toucandoor/core/scheduling/const.py
@@ -30,6 +30,10 @@
 """Time without new tasks for a backend server that has answered nothing since a start was sent."""
 START_RETRIES_MAX: Final = 3
 """Unanswered starts after which the run is stopped and the task is planned elsewhere."""
+COPIED_START_DEADLINE_S: Final = 0.8
+"""Time after which a backend server refuses a start of a task that may have copies. Another run may
+be done meanwhile, and the platform tolerates a start up to a second later. It is far longer than an
+order takes, and a heartbeat has extended the server's lease by then."""
 STOP_RETRY_S: Final = 0.5
 """Pause before an unanswered stop is sent again."""
 NO_ROOM_PAUSE_S: Final = 0.3
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -131,7 +131,7 @@
             chosen = choose_worker(allowed, step, task, on_worker)
             if chosen is None:
                 return
-            self._plan(job, task, chosen, task.attempt + 1, now_s)
+            self.plan_run(job, task, chosen, task.attempt + 1, now_s)
             _count_task(on_worker, chosen)
 
     def _place_gang(
@@ -158,12 +158,21 @@
                 for run in planned:
                     self._cancel_planned(run)
                 return
-            planned.append(self._plan(job, task, chosen, attempt, now_s))
+            planned.append(self.plan_run(job, task, chosen, attempt, now_s))
             _count_task(on_worker, chosen)
 
-    def _plan(
+    def plan_run(
         self, job: JobProgress, task: Task, worker: WorkerView, attempt: int, now_s: float
     ) -> Run:
+        """Plan a run; it is started once its record is in the store.
+
+        Args:
+            job: Job of the task.
+            task: The task.
+            worker: The backend server.
+            attempt: Attempt number, which no run of the task has had.
+            now_s: The monotonic time.
+        """
         state = self._state
         run = Run(RunKey(task.key, attempt), task, worker, RunState.PLANNED, now_s)
         run.checkpoint = task.checkpoint
--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -25,6 +25,7 @@
         attempt: Highest attempt number used.
         failed_attempts: Numbers of the failed attempts; for a gang, of any of its tasks.
         done: Whether a run has completed it.
+        done_attempt: Attempt number of that run; 0 before that, and after a change of owner.
         checkpoint: Latest saved progress.
         runs: Runs that may exist; at most one unless the step allows copies.
         failed_on: Backend servers on which it has failed.
@@ -36,6 +37,7 @@
     attempt: int = 0
     failed_attempts: set[int] = field(default_factory=set)
     done: bool = False
+    done_attempt: int = 0
     checkpoint: str = ""
     runs: list[Run] = field(default_factory=list)
     failed_on: set[WorkerId] = field(default_factory=set)
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -49,7 +49,7 @@
         if ended.checkpoint:
             task.checkpoint = ended.checkpoint
         if ended.reason is EndReason.DONE and not task.step.long_running:
-            self._task_done(job, task)
+            self._task_done(job, task, ended.run.attempt)
         elif ended.reason is EndReason.FAILED:
             self._task_failed(job, task, ended.run.attempt, worker)
         if run is not None:
@@ -69,13 +69,14 @@
         state.mark_changed(job)
         worker.uncommitted.append((job.spec.job_id, job.version))
 
-    def _task_done(self, job: JobProgress, task: Task) -> None:
+    def _task_done(self, job: JobProgress, task: Task, attempt: int) -> None:
         state = self._state
         step = job.step(task.key.occurrence, task.key.step)
         for each in step.tasks if task.step.gang else [task]:
             if each.done:
                 continue
             each.done = True
+            each.done_attempt = attempt
             step.remaining -= 1
             for run in each.runs:
                 # The tasks of a gang end together by themselves; a second run of a task does not.
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from toucandoor.core.copies.models import may_be_copied
 from toucandoor.core.jobs.models import NO_RESOURCES, Step
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.orders import LimitSpeed, Order, SendHeartbeat, StartRun, StopRun
@@ -106,6 +107,9 @@
         until_ms = self._extend_lease(run.worker, now_s)
         if until_ms is None:
             return None
+        if may_be_copied(run.task.step):
+            deadline_ms = run.worker.lease_end_ms(const.COPIED_START_DEADLINE_S, now_s)
+            until_ms = min(until_ms, deadline_ms) if deadline_ms is not None else until_ms
         run.starts_sent += 1
         step = self._state.step_of(run.task)
         ticket = ""
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -11,6 +11,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from toucandoor.core.copies.spare_capacity import SpareCapacityCopies
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.arrivals import Arrival
@@ -32,6 +33,7 @@
     from collections.abc import Iterable
 
     from toucandoor.clock import Clock
+    from toucandoor.core.copies.models import CopyCounts, CopyPolicy
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.jobs.models import JobSpec, StepKey
     from toucandoor.core.jobs.records import ProgressRecord
@@ -61,6 +63,7 @@
         self._writer = ProgressWriter(self._state)
         self._retention = Retention(self._state, settings.status_retention_s)
         self._arrivals: deque[Arrival] = deque()
+        self._copies: CopyPolicy = SpareCapacityCopies(self._state)
 
     @property
     def token(self) -> FencingToken:
@@ -92,6 +95,11 @@
         """Counts of what this owner has done since its term began."""
         return self._state.activity
 
+    @property
+    def copies(self) -> CopyCounts:
+        """Counts of the copies of this owner's term."""
+        return self._copies.counts
+
     @property
     def workers(self) -> dict[WorkerId, WorkerView]:
         """Latest boot of each backend server."""
@@ -350,6 +358,7 @@
         self._registry.discard_expired()
         self._state.failure_domains.update(self._state.workers)
         orders = self._placer.place()
+        self._copies.plan(self._placer.plan_run)
         return orders + self._orders.due()
 
     def next_wake_s(self) -> float:
@@ -403,6 +412,8 @@
             load = load_of(worker.entry.pool)
             load.add_worker(worker)
             for run in worker.runs.values():
+                if run.is_copy:
+                    continue  # uses what others leave; no VM is lent for it
                 key = (run.task.key.job_id, run.task.key.occurrence)
                 if key not in runs_later:
                     left_s = remaining_chain_s(state.jobs[key[0]], key[1], state.run_times)
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.core.copies.models import may_be_copied
 from toucandoor.core.failure_domains.racks import ObservedFailureDomains
 from toucandoor.core.jobs.models import NO_RESOURCES, JobState, Resources, StepKey
 from toucandoor.core.ownership.lease import OWNER_TTL_S
@@ -92,6 +93,7 @@
         run_times: Expected run times of tasks.
         order: Order in which waiting steps get room.
         failure_domains: Evidence on silent and slow backend servers.
+        runs_to_copy: Runs of tasks that may have a second run, and these second runs.
     """
 
     def __init__(self, settings: SchedulerSettings, clock: Clock) -> None:
@@ -114,6 +116,7 @@
         self.dirty: dict[JobId, None] = {}
         self.planned: dict[JobId, list[Run]] = {}
         self.finished: list[JobProgress] = []
+        self.runs_to_copy: dict[Run, None] = {}
         self.activity = Activity(self.started_s)
         self._team_used: dict[TeamId, Resources] = {}
 
@@ -195,6 +198,8 @@
         """Add a run to its task and backend server, and count it for its team."""
         run.worker.add(run)
         run.task.runs.append(run)
+        if may_be_copied(run.task.step):
+            self.runs_to_copy[run] = None
         job = self.jobs[run.task.key.job_id]
         team = job.spec.team
         self._team_used[team] = self._team_used.get(team, NO_RESOURCES) + run.task.step.needs
@@ -207,6 +212,7 @@
         run.worker.remove(run)
         run.task.runs.remove(run)
         self.runs_awaiting_orders.pop(run, None)
+        self.runs_to_copy.pop(run, None)
         job = self.jobs[run.task.key.job_id]
         self._team_used[job.spec.team] = self._team_used[job.spec.team] - run.task.step.needs
         self.order.on_detached(job, run, self.now_s)
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -72,6 +72,11 @@
     recent_metric: int = 0
     checkpoint: str = ""
 
+    @property
+    def is_copy(self) -> bool:
+        """Whether an earlier run of the task exists or may exist."""
+        return len(self.task.runs) > 1 and self.task.runs[0] is not self
+
 
 @dataclass(slots=True, eq=False)
 class WorkerView:
