Repeat a heartbeat without a wait when only other orders were answered meanwhile

Cause: a server counts as unresponsive after its long poll has failed, unless another order was answered since the poll was sent; then the next poll had to fail too. A start is answered right after the first poll of a server has been sent, so a server that is cut off in the second after a start was noticed after two long polls: up to 1.6 s each, by their wait and time-out.

Change: the poll after such a failure asks for no wait, so it fails after the time-out of an order (0.1 to 0.6 s). Whether a server counts as unresponsive is decided as before.

Result: a test of the waits that are asked for. The stand-in's time-out does not depend on the wait, so the time gained was not measured.

--- a/tests/core/failure_domains/test_racks.py
+++ b/tests/core/failure_domains/test_racks.py
@@ -126,6 +126,22 @@
         virtual.run(2.0)
         self.assertFalse(domains(virtual).own_connection_suspected)
 
+    def test_a_poll_that_failed_beside_an_answered_start_is_repeated_without_a_wait(self) -> None:
+        """Guards against a second long poll before a server counts as unresponsive."""
+        virtual = rack_fleet(behaviour=runs_20s)
+        calls = record_calls(virtual)
+        virtual.submit(job(1, Step(1, NEEDS)))
+        virtual.run(0.3)
+        set_reachable(virtual, "r0", reachable=False)
+        virtual.run(3.0)
+        # The start of the run is answered during the first poll after the first contact.
+        waits_s = [
+            each.wait_s
+            for _, each in calls
+            if isinstance(each, SendHeartbeat) and each.worker.entry.worker_id == "r0-0"
+        ]
+        self.assertEqual(waits_s[:2], [1.0, 0.0])
+
     def test_a_new_owner_knows_no_suspicion_and_learns_it_from_its_own_calls(self) -> None:
         virtual = rack_fleet(behaviour=runs_20s)
         fill(virtual)
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -124,6 +124,9 @@
         worker.acknowledgement_in_flight = worker.ends_committed
         until_ms = self._extend_lease(worker, now_s) if worker.runs else None
         up_to_date = not worker.unresponsive and not worker.uncommitted
+        if worker.heartbeat_lost:
+            # The answer to the other order may be older than a fault, so it is not waited for long.
+            up_to_date = worker.heartbeat_lost = False
         if needs_short_heartbeats(worker):
             return self._short_heartbeat(worker, until_ms)
         recovered = any(run.state is RunState.RECOVERED for run in worker.runs.values())
@@ -180,6 +183,7 @@
         if worker.answered_s > worker.heartbeat_sent_s:
             # It has answered another order since: only this call was lost.
             worker.next_heartbeat_s = self._state.now_s
+            worker.heartbeat_lost = refusal is None
             return
         pause_s = const.HEARTBEAT_RETRY_S
         if not worker.runs:
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -118,6 +118,8 @@
         heartbeat_failures: Consecutive failed heartbeats during which it answered nothing else.
         heartbeat_sent_s: When the latest heartbeat was sent.
         heartbeat_wait_s: Longest wait that it asked for.
+        heartbeat_lost: Whether it got no answer, though the server has answered another order since
+            it was sent.
         answered_s: When it last answered any order.
         speed_limited_s: When speed limits of its runs were last changed.
     """
@@ -150,6 +152,7 @@
     heartbeat_failures: int = 0
     heartbeat_sent_s: float = 0.0
     heartbeat_wait_s: float = 0.0
+    heartbeat_lost: bool = False
     answered_s: float = 0.0
     speed_limited_s: float = 0.0
 
