Choose slow servers last, and give them one task at a time

Cause: the fullest server gets the next task, so a server on which tasks take several times as long is filled again and again, and each job waits for its slowest task.

Change: of each server, the median of its last 8 run times counts, relative to the expectation and to the other runs of the queue, with a half-life of 10 s and beside one run of usual speed. Above 2 the server is chosen last and gets one task at a time. Comparing with the queue's runs keeps wrong estimates from making all servers slow. Runs of gangs, with data or on a preferred rack, resumed runs, and runs whose end was reported late do not count.

--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -71,6 +71,7 @@
     "queues": int,
     "rack": str,
     "racks": int,
+    "ratio": (int, float),
     "read_s": (int, float),
     "reason": str,
     "received": int,
--- a/toucandoor/core/failure_domains/models.py
+++ b/toucandoor/core/failure_domains/models.py
@@ -8,11 +8,13 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from toucandoor.core.scheduling.worker_view import WorkerView
-    from toucandoor.ids import WorkerId
+    from toucandoor.core.scheduling.worker_view import Run, WorkerView
+    from toucandoor.ids import QueueId, WorkerId
 
 USUAL_SPEED = 1.0
 """Slowness of a backend server on which tasks take the expected time."""
+SLOW_RATIO = 2.0
+"""Slowness above which a server is chosen last and gets one task at a time."""
 
 
 class FailureDomains(ABC):
@@ -37,6 +39,16 @@
     def slowness(self, worker: WorkerView) -> float:
         """Return the ratio of true to expected run times on a server; 1.0 where it is unknown."""
 
+    @abstractmethod
+    def on_done(self, run: Run, queue: QueueId, ratio: float) -> None:
+        """Process the end of a run as done.
+
+        Args:
+            run: The run.
+            queue: Queue of its job.
+            ratio: Its run time divided by the expected one.
+        """
+
     @abstractmethod
     def rack_suspected(self, worker: WorkerView) -> bool:
         """Return whether the rack of a backend server is suspected."""
@@ -84,6 +96,9 @@
         """Return the usual speed."""
         return USUAL_SPEED
 
+    def on_done(self, run: Run, queue: QueueId, ratio: float) -> None:
+        """Ignore the run."""
+
     def on_unanswered(self, worker: WorkerView, due_s: float) -> None:
         """Ignore the call."""
 
--- a/toucandoor/core/failure_domains/racks.py
+++ b/toucandoor/core/failure_domains/racks.py
@@ -7,14 +7,15 @@
 from typing import TYPE_CHECKING, Final
 
 from toucandoor.core.failure_domains.flapping import Flapping
-from toucandoor.core.failure_domains.models import USUAL_SPEED, FailureDomains
+from toucandoor.core.failure_domains.models import SLOW_RATIO, USUAL_SPEED, FailureDomains
+from toucandoor.core.failure_domains.run_speed import RunSpeed
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from toucandoor.clock import Clock
-    from toucandoor.core.scheduling.worker_view import WorkerView
-    from toucandoor.ids import WorkerId
+    from toucandoor.core.scheduling.worker_view import Run, WorkerView
+    from toucandoor.ids import QueueId, WorkerId
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -39,6 +40,10 @@
 rack."""
 
 
+SLOW_REVIEW_S: Final = 1.0
+"""Time between two reviews of the slow servers, whose runs lose weight with time."""
+
+
 @dataclass(slots=True)
 class _Silence:
     """Calls to one boot that were not answered.
@@ -83,6 +88,9 @@
         self._watched: dict[str, float] = {}
         self._probed_s: dict[str, float] = {}
         self._own_connection_suspected = False
+        self._speed = RunSpeed()
+        self._slow: dict[WorkerId, float] = {}
+        self._slow_reviewed_s = float("-inf")
 
     @property
     def suspected_racks(self) -> frozenset[str]:
@@ -105,8 +113,17 @@
         return worker.entry.rack in self._suspected
 
     def slowness(self, worker: WorkerView) -> float:
-        """Return the usual speed."""
-        return USUAL_SPEED
+        """Return the ratio of true to expected run times; only slow servers have another than 1."""
+        return self._slow.get(worker.entry.worker_id, USUAL_SPEED)
+
+    def on_done(self, run: Run, queue: QueueId, ratio: float) -> None:
+        """Process the end of a run as done."""
+        worker_id = run.worker.entry.worker_id
+        if worker_id in self._silent:
+            return  # the run may have ended long before its end could be reported
+        now_s = self._clock.monotonic_s()
+        self._speed.record(worker_id, queue, ratio, now_s)
+        self._judge_speed(worker_id, now_s)
 
     def poll_wait_s(self, worker: WorkerView, wait_s: float) -> float:
         """Return a shorter wait while another server of the rack does not answer."""
@@ -130,9 +147,14 @@
 
     def update(self, workers: Mapping[WorkerId, WorkerView]) -> None:
         """Suspect and clear racks by the calls so far, and choose which servers are tried."""
+        now_s = self._clock.monotonic_s()
+        if now_s - self._slow_reviewed_s >= SLOW_REVIEW_S:
+            self._slow_reviewed_s = now_s
+            self._speed.keep(workers.keys())
+            for worker_id in list(self._slow):
+                self._judge_speed(worker_id, now_s)
         if not self._silent and not self._suspected:
             return
-        now_s = self._clock.monotonic_s()
         self._drop_ended_silences(workers, now_s)
         self._collect_racks(workers, now_s)
         silent = self._silent_by_rack()
@@ -147,6 +169,20 @@
                     self._suspect(rack, with_runs, now_s)
         self._choose_probes(now_s)
 
+    def _judge_speed(self, worker_id: WorkerId, now_s: float) -> None:
+        ratio = self._speed.slowness(worker_id, now_s)
+        was_slow = worker_id in self._slow
+        if ratio > SLOW_RATIO:
+            self._slow[worker_id] = ratio
+        else:
+            self._slow.pop(worker_id, None)
+        if was_slow != (worker_id in self._slow):
+            _LOGGER.info(
+                "workers: %s has its usual speed again" if was_slow else "workers: %s is slow",
+                worker_id,
+                extra={"worker": worker_id, "ratio": round(ratio, 2)},
+            )
+
     def _drop_ended_silences(self, workers: Mapping[WorkerId, WorkerView], now_s: float) -> None:
         """Drop servers that have answered again, and boots that a later one has replaced."""
         for worker_id, silence in list(self._silent.items()):
--- /dev/null
+++ b/toucandoor/core/failure_domains/run_speed.py
@@ -0,0 +1,84 @@
+"""How much longer tasks take on a backend server than elsewhere."""
+
+from __future__ import annotations
+
+from collections import deque
+from statistics import median
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from toucandoor.core.failure_domains.models import USUAL_SPEED
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from toucandoor.ids import QueueId, WorkerId
+
+SAMPLES_MAX: Final = 8
+"""Latest runs of a server that count."""
+HALF_LIFE_S: Final = 10.0
+"""Age at which a run has half its weight."""
+UNKNOWN_WEIGHT: Final = 1.0
+"""Weight of the usual speed beside that of the runs. A single long run does not make a server slow,
+and a server without recent runs counts as usual again."""
+QUEUE_SAMPLES_MAX: Final = 32
+"""Latest runs of a queue, over all servers, to which a run is compared."""
+QUEUE_SAMPLES_MIN: Final = 8
+"""Runs of a queue needed for that."""
+QUEUES_MAX: Final = 256
+"""Most queues that are kept; the one added first is dropped."""
+
+
+class _Sample(NamedTuple):
+    ended_s: float
+    ratio: float
+
+
+class RunSpeed:
+    """Median of the latest run times on each server, relative to those of the same queue.
+
+    Expected run times may be wrong for a whole queue, as callers' estimates are. A run is therefore
+    compared to what the runs of its queue took relative to expectation on all servers.
+    """
+
+    def __init__(self) -> None:
+        self._queues: dict[QueueId, deque[float]] = {}
+        self._servers: dict[WorkerId, deque[_Sample]] = {}
+
+    def record(self, worker_id: WorkerId, queue: QueueId, ratio: float, now_s: float) -> None:
+        """Record a run.
+
+        Args:
+            worker_id: The server.
+            queue: Queue of its job.
+            ratio: Its run time divided by the expected one.
+            now_s: When it ended.
+        """
+        found = self._queues.setdefault(queue, deque(maxlen=QUEUE_SAMPLES_MAX))
+        if len(self._queues) > QUEUES_MAX:
+            del self._queues[next(iter(self._queues))]
+        if len(found) >= QUEUE_SAMPLES_MIN:
+            sample = _Sample(now_s, ratio / median(found))
+            self._servers.setdefault(worker_id, deque(maxlen=SAMPLES_MAX)).append(sample)
+        found.append(ratio)
+
+    def slowness(self, worker_id: WorkerId, now_s: float) -> float:
+        """Return the weighted median of a server's runs; the lower one if two are as good."""
+        samples = self._servers.get(worker_id)
+        if not samples:
+            return USUAL_SPEED
+        weighted = [(USUAL_SPEED, UNKNOWN_WEIGHT)]
+        weighted += [
+            (each.ratio, 0.5 ** ((now_s - each.ended_s) / HALF_LIFE_S)) for each in samples
+        ]
+        weighted.sort()
+        half = sum(weight for _, weight in weighted) / 2
+        passed = 0.0
+        for ratio, weight in weighted:
+            passed += weight
+            if passed >= half:
+                return ratio
+        return USUAL_SPEED
+
+    def keep(self, worker_ids: Collection[WorkerId]) -> None:
+        """Forget all other servers."""
+        self._servers = {each: found for each, found in self._servers.items() if each in worker_ids}
--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -79,22 +79,22 @@
         for worker in allowed
         if needed.fits_in(worker.free)
         and not (limit and on_worker.get(worker.entry.worker_id, 0) >= limit)
-        and not worker.probing
+        and not (worker.slow and worker.runs)
     ]
     if not fitting:
         return None
     return min(fitting, key=lambda worker: _cost(worker, step.step, task))
 
 
-def _cost(worker: WorkerView, step: Step, task: Task) -> tuple[bool, bool, int, float]:
+def _cost(worker: WorkerView, step: Step, task: Task) -> tuple[bool, bool, bool, int, float]:
     """Return the sort key of a server for a task; lower is better.
 
-    In this order: the task has not failed there, its data is on the server's rack, a best-effort
-    task slows down few latency-sensitive runs, and the server has the largest share of its capacity
-    in use.
+    In this order: the server is not slow, the task has not failed there, its data is on the
+    server's rack, a best-effort task slows down few latency-sensitive runs, and the server has the
+    largest share of its capacity in use.
     """
     failed_there = worker.entry.worker_id in task.failed_on
     far = bool(step.data_rack) and step.data_rack not in worker.entry.labels
     slowed = len(latency_sensitive_runs(worker)) if step.uses_leftovers else 0
     # The fullest server comes first, so that others stay empty and their VMs can be lent.
-    return (failed_there, far, slowed, -worker.used_ratio)
+    return (worker.slow, failed_there, far, slowed, -worker.used_ratio)
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.core.failure_domains.models import SLOW_RATIO
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.orders import Order, RequestAdvice
@@ -98,8 +99,10 @@
         orders: list[Order],
     ) -> None:
         workers: dict[PoolId, list[WorkerView]] = {}
+        domains = self._state.failure_domains
         for worker in self._state.workers.values():
-            if not self._state.failure_domains.suspects(worker):
+            if not domains.suspects(worker):
+                worker.slow = domains.slowness(worker) > SLOW_RATIO
                 workers.setdefault(worker.entry.pool, []).append(worker)
         now_ms = self._state.now_unix_ms
         for pool, steps in waiting.items():
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -49,6 +49,8 @@
         if ended.checkpoint:
             task.checkpoint = ended.checkpoint
         if ended.reason is EndReason.DONE and not task.step.long_running:
+            if run is not None:
+                self._record_speed(job, run)
             self._task_done(job, task, ended.run.attempt)
         elif ended.reason is EndReason.FAILED:
             self._task_failed(job, task, ended.run.attempt, worker)
@@ -69,6 +71,20 @@
         state.mark_changed(job)
         worker.uncommitted.append((job.spec.job_id, job.version))
 
+    def _record_speed(self, job: JobProgress, run: Run) -> None:
+        """Record how long a task took, unless something other than its server may have delayed it.
+
+        A run of a gang waits for the others, and a recovered run began at an unknown time.
+        """
+        step, state = run.task.step, self._state
+        elsewhere = step.gang or step.one_rack_preferred or step.data_rack
+        if run.confirmed_s is None or not run.starts_sent or run.checkpoint or elsewhere:
+            return
+        expected_s = state.run_times.expected_s(step, job.spec.queue)
+        if expected_s > 0 and not step.uses_leftovers:
+            ratio = (state.now_s - run.confirmed_s) / expected_s
+            state.failure_domains.on_done(run, job.spec.queue, ratio)
+
     def _task_done(self, job: JobProgress, task: Task, attempt: int) -> None:
         state = self._state
         step = job.step(task.key.occurrence, task.key.step)
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -111,8 +111,7 @@
         next_heartbeat_s: Earliest time of the next heartbeat.
         paused_until_s: Time before which it gets no new tasks.
         failures: Time and job of recently failed runs.
-        probing: Whether it gets no new tasks while a single one is to show that it works again;
-            never set so far.
+        slow: Whether tasks take so long on it that it is chosen last and gets one at a time.
         cordoned: Whether it gets no new tasks because of maintenance.
         leaving: Whether its VM is being moved to another pool.
         heartbeat_failures: Consecutive failed heartbeats during which it answered nothing else.
@@ -146,7 +145,7 @@
     next_heartbeat_s: float = 0.0
     paused_until_s: float = 0.0
     failures: list[tuple[float, JobId]] = field(default_factory=list)
-    probing: bool = False
+    slow: bool = False
     cordoned: bool = False
     leaving: bool = False
     heartbeat_failures: int = 0
