Probe an idle server when the only busy one of its rack does not answer

Cause: idle servers get no heartbeat, so a rack with one busy server was never suspected. When the runs of that server were discarded, they were planned on an idle server of the same unreachable rack, and waited for another lease. Seen in a test of long-running tasks: 4 of 6 run 12 s after the cut.

Change: while a server is silent and none of its rack has answered since, one idle server of the rack at a time gets a heartbeat without a wait.

Result: in that test the tasks run elsewhere after the first lease.

--- a/tests/core/failure_domains/test_racks.py
+++ b/tests/core/failure_domains/test_racks.py
@@ -96,6 +96,21 @@
         virtual.run(4.0)
         self.assertEqual(domains(virtual).suspected_racks, set())
 
+    def test_an_idle_server_is_asked_when_the_only_busy_one_of_its_rack_is_silent(self) -> None:
+        """Guards against tasks that move from one silent server to the next of the same rack."""
+        virtual = rack_fleet(behaviour=runs_20s)
+        virtual.submit(job(1, Step(2, NEEDS)))
+        virtual.run(0.5)
+        set_reachable(virtual, "r0", reachable=False)
+        virtual.run(4.0)
+        self.assertEqual(domains(virtual).suspected_racks, {"r0"})
+        virtual.run(6.0)
+        self.assertEqual(virtual.observations.starts, 4)
+        set_reachable(virtual, "r0", reachable=True)
+        virtual.run(2.0)
+        self.assertEqual(domains(virtual).suspected_racks, set())
+        self.assertEqual(virtual.observations.violations, [])
+
     def test_two_crashed_servers_do_not_keep_the_others_of_their_rack_idle(self) -> None:
         """Guards against a suspicion that lasts as long as the crashed servers do not answer."""
         virtual = rack_fleet(servers=4, behaviour=runs_20s)
--- a/toucandoor/core/failure_domains/racks.py
+++ b/toucandoor/core/failure_domains/racks.py
@@ -11,7 +11,7 @@
 from toucandoor.core.failure_domains.run_speed import RunSpeed
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from toucandoor.clock import Clock
     from toucandoor.core.scheduling.worker_view import Run, WorkerView
@@ -20,8 +20,8 @@
 _LOGGER = logging.getLogger(__name__)
 
 SILENT_SERVERS_MIN: Final = 2
-"""Servers with runs that must not answer before their rack is suspected; a single one is more
-likely down by itself."""
+"""Servers that must not answer before their rack is suspected, one of them with runs; a single one
+is more likely down by itself. The other one may be an idle server that was probed for it."""
 OWN_CONNECTION_RATIO: Final = 0.5
 """Share of all racks above which the owner's own connection is the likelier cause."""
 DOWN_FAILURES: Final = 2
@@ -154,6 +154,7 @@
             for worker_id in list(self._slow):
                 self._judge_speed(worker_id, now_s)
         if not self._silent and not self._suspected:
+            self.held_back = self.probes = frozenset()
             return
         self._drop_ended_silences(workers, now_s)
         self._collect_racks(workers, now_s)
@@ -164,10 +165,11 @@
                 self._clear(rack, now_s)
         if not self._own_connection_suspected:
             for rack, silences in silent.items():
-                with_runs = [each for each in silences if each.worker.runs]
-                if rack not in self._suspected and len(with_runs) >= SILENT_SERVERS_MIN:
-                    self._suspect(rack, with_runs, now_s)
-        self._choose_probes(now_s)
+                with_runs = any(each.worker.runs for each in silences)
+                enough = with_runs and len(silences) >= SILENT_SERVERS_MIN
+                if rack not in self._suspected and enough:
+                    self._suspect(rack, silences, now_s)
+        self._choose_probes(silent, now_s)
 
     def _judge_speed(self, worker_id: WorkerId, now_s: float) -> None:
         ratio = self._speed.slowness(worker_id, now_s)
@@ -264,22 +266,37 @@
             extra={"rack": rack, "after_s": round(now_s - since_s, 3)},
         )
 
-    def _choose_probes(self, now_s: float) -> None:
-        """Choose the server of each suspected rack that is tried next, the longest untried one."""
-        if not self._suspected:
-            self.held_back = self.probes = frozenset()
-            return
+    def _choose_probes(self, silent: Collection[str], now_s: float) -> None:
+        """Choose which servers are tried.
+
+        On a suspected rack it is the server that has not been tried for the longest time. On a rack
+        with a silent server it is an idle one, which gets no heartbeat otherwise: it shows whether
+        the whole rack is silent.
+
+        Args:
+            silent: Racks with silent servers.
+            now_s: The monotonic time.
+        """
         held_back: set[WorkerId] = set()
         probes: set[WorkerId] = set()
-        for name in self._suspected:
+        for name in {*self._suspected, *silent}:
             servers = self._racks[name].servers if name in self._racks else []
-            held_back |= {each.entry.worker_id for each in servers if each.heartbeat_failures > 0}
-            tried = any(each.heartbeat_in_flight and each.heartbeat_failures for each in servers)
-            idle = [each for each in servers if not each.heartbeat_in_flight and each.listed]
-            if tried or not idle or now_s - self._probed_s.get(name, 0.0) < PROBE_INTERVAL_S:
+            candidates = [each for each in servers if not each.heartbeat_in_flight and each.listed]
+            if name in self._suspected:
+                held_back |= {each.entry.worker_id for each in servers if each.heartbeat_failures}
+                tried = any(
+                    each.heartbeat_in_flight and each.heartbeat_failures for each in servers
+                )
+            else:
+                candidates = [
+                    each for each in candidates if not each.runs and not each.unresponsive
+                ]
+                tried = any(each.heartbeat_in_flight and not each.runs for each in servers)
+            since_s = now_s - self._probed_s.get(name, float("-inf"))
+            if tried or not candidates or since_s < PROBE_INTERVAL_S:
                 continue
             self._probed_s[name] = now_s
-            probe = min(idle, key=lambda each: each.heartbeat_sent_s)
+            probe = min(candidates, key=lambda each: each.heartbeat_sent_s)
             probe.next_heartbeat_s = min(probe.next_heartbeat_s, now_s)
             probes.add(probe.entry.worker_id)
         self.held_back, self.probes = frozenset(held_back), frozenset(probes)
