Spread long-running tasks over racks within their step's promise

Cause: the fullest server gets the next task, so all tasks of a step may be on one rack, and its loss makes more of them unavailable than the step promises.

Change: for a long-running task with a promise (unavailable_max), racks that have as many tasks of the step as it allows come last; beyond that the tasks are spread evenly. Where only full racks have room, they are used. Tasks that already run are not moved for it.

--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from toucandoor.core.failure_domains.rack_spread import tasks_beyond_promise
 from toucandoor.core.scheduling.pacing import latency_sensitive_runs
 
 if TYPE_CHECKING:
@@ -83,7 +84,11 @@
     ]
     if not fitting:
         return None
-    return min(fitting, key=lambda worker: _cost(worker, step.step, task))
+    beyond = tasks_beyond_promise(step, task)
+    return min(
+        fitting,
+        key=lambda worker: (beyond.get(worker.entry.rack, 0), *_cost(worker, step.step, task)),
+    )
 
 
 def _cost(worker: WorkerView, step: Step, task: Task) -> tuple[bool, bool, bool, int, float]:
