--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.core.failure_domains.models import SLOW_RATIO
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.orders import Order, RequestAdvice
@@ -98,8 +99,11 @@
         orders: list[Order],
     ) -> None:
         workers: dict[PoolId, list[WorkerView]] = {}
+        domains = self._state.failure_domains
         for worker in self._state.workers.values():
-            workers.setdefault(worker.entry.pool, []).append(worker)
+            if not domains.suspects(worker):
+                worker.slow = domains.slowness(worker) > SLOW_RATIO
+                workers.setdefault(worker.entry.pool, []).append(worker)
         now_ms = self._state.now_unix_ms
         for pool, steps in waiting.items():
             self._reviewed_s[pool] = now_s
@@ -130,7 +134,7 @@
             chosen = choose_worker(allowed, step, task, on_worker, now_s)
             if chosen is None:
                 return
-            self._plan(job, task, chosen, task.attempt + 1, now_s)
+            self.plan_run(job, task, chosen, task.attempt + 1, now_s)
             _count_task(on_worker, chosen)
 
     def _place_gang(
@@ -157,12 +161,21 @@
                 for run in planned:
                     self._cancel_planned(run)
                 return
-            planned.append(self._plan(job, task, chosen, attempt, now_s))
+            planned.append(self.plan_run(job, task, chosen, attempt, now_s))
             _count_task(on_worker, chosen)
 
-    def _plan(
+    def plan_run(
         self, job: JobProgress, task: Task, worker: WorkerView, attempt: int, now_s: float
     ) -> Run:
+        """Plan a run; it is started once its record is in the store.
+
+        Args:
+            job: Job of the task.
+            task: The task.
+            worker: The backend server.
+            attempt: Attempt number, which no run of the task has had.
+            now_s: The monotonic time.
+        """
         state = self._state
         run = Run(RunKey(task.key, attempt), task, worker, RunState.PLANNED, now_s)
         run.checkpoint = task.checkpoint
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -58,7 +58,8 @@
         if ended.reason is EndReason.DONE and not task.step.long_running:
             if run is not None:
                 self.samples.on_done(run, worker, sent_s)
-            self._task_done(job, task)
+                self._record_speed(job, run)
+            self._task_done(job, task, ended.run.attempt)
         elif ended.reason is EndReason.FAILED:
             self._task_failed(job, task, ended.run.attempt, worker)
         if run is not None:
@@ -78,13 +79,28 @@
         state.mark_changed(job)
         worker.uncommitted.append((job.spec.job_id, job.version))
 
-    def _task_done(self, job: JobProgress, task: Task) -> None:
+    def _record_speed(self, job: JobProgress, run: Run) -> None:
+        """Record how long a task took, unless something other than its server may have delayed it.
+
+        A run of a gang waits for the others, and a recovered run began at an unknown time.
+        """
+        step, state = run.task.step, self._state
+        elsewhere = step.gang or step.one_rack_preferred or step.data_rack
+        if run.confirmed_s is None or not run.starts_sent or run.checkpoint or elsewhere:
+            return
+        expected_s = state.run_times.expected_s(step, job.spec.queue)
+        if expected_s > 0 and not step.uses_leftovers:
+            ratio = (state.now_s - run.confirmed_s) / expected_s
+            state.failure_domains.on_done(run, job.spec.queue, ratio)
+
+    def _task_done(self, job: JobProgress, task: Task, attempt: int) -> None:
         state = self._state
         step = job.step(task.key.occurrence, task.key.step)
         for each in step.tasks if task.step.gang else [task]:
             if each.done:
                 continue
             each.done = True
+            each.done_attempt = attempt
             step.remaining -= 1
             for run in each.runs:
                 # The tasks of a gang end together by themselves; a second run of a task does not.
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from toucandoor.core.copies.models import may_be_copied
 from toucandoor.core.jobs.models import NO_RESOURCES, Step
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.orders import LimitSpeed, Order, SendHeartbeat, StartRun, StopRun
@@ -49,7 +50,7 @@
                     orders.append(order)
         for worker in state.workers.values():
             due = not worker.heartbeat_in_flight and now_s >= worker.next_heartbeat_s
-            if worker.needs_heartbeat and due and worker.entry.address:
+            if due and self._wants_heartbeat(worker) and worker.entry.address:
                 orders.append(self._heartbeat(worker, now_s))
             if worker.unknown_runs:
                 orders += self._stop_unknown_runs(worker, now_s)
@@ -76,11 +77,17 @@
             (
                 worker.next_heartbeat_s
                 for worker in self._state.workers.values()
-                if worker.needs_heartbeat and not worker.heartbeat_in_flight
+                if not worker.heartbeat_in_flight and self._wants_heartbeat(worker)
             ),
             default=float("inf"),
         )
 
+    def _wants_heartbeat(self, worker: WorkerView) -> bool:
+        domains = self._state.failure_domains
+        if worker.entry.worker_id in domains.probes:
+            return not worker.ended
+        return worker.needs_heartbeat and worker.entry.worker_id not in domains.held_back
+
     def _run_order(self, run: Run, now_s: float) -> Order | None:
         token = self._state.settings.token
         if run.stop_requested:
@@ -92,9 +99,19 @@
             return None
         if not self._state.may_start(run):
             return None
+        if self._state.failure_domains.suspects(run.worker):
+            if run.starts_sent == 0:
+                # Its start was never sent, so it cannot exist and the task may run elsewhere.
+                self._state.discard_run(run)
+                return None
+            if run.worker.answered_s < run.order_sent_s:
+                return None
         until_ms = self._extend_lease(run.worker, now_s)
         if until_ms is None:
             return None
+        if may_be_copied(run.task.step):
+            deadline_ms = run.worker.lease_end_ms(const.COPIED_START_DEADLINE_S, now_s)
+            until_ms = min(until_ms, deadline_ms) if deadline_ms is not None else until_ms
         run.starts_sent += 1
         step = self._state.step_of(run.task)
         ticket = ""
@@ -109,6 +126,9 @@
         worker.acknowledgement_in_flight = worker.ends_committed
         until_ms = self._extend_lease(worker, now_s) if worker.runs else None
         up_to_date = not worker.unresponsive and not worker.uncommitted
+        if worker.heartbeat_lost:
+            # The answer to the other order may be older than a fault, so it is not waited for long.
+            up_to_date = worker.heartbeat_lost = False
         if needs_short_heartbeats(worker):
             return self._short_heartbeat(worker, until_ms)
         recovered = any(run.state is RunState.RECOVERED for run in worker.runs.values())
@@ -117,11 +137,14 @@
             # Killing a stopped run takes no longer than the margin.
             wait_s = min(wait_s, const.LEASE_EXPIRY_MARGIN_S)
         token = self._state.settings.token
+        wait_s = self._state.failure_domains.poll_wait_s(worker, wait_s)
+        worker.heartbeat_wait_s = wait_s
         return SendHeartbeat(worker, token, until_ms, worker.ends_committed, wait_s)
 
     def _short_heartbeat(self, worker: WorkerView, until_ms: int | None) -> SendHeartbeat:
         token = self._state.settings.token
         wait_s = 0.0 if worker.uncommitted else const.SHORT_HEARTBEAT_WAIT_S
+        worker.heartbeat_wait_s = wait_s
         return SendHeartbeat(worker, token, until_ms, worker.ends_committed, wait_s)
 
     def _extend_lease(self, worker: WorkerView, now_s: float) -> int | None:
@@ -162,6 +185,7 @@
         if worker.answered_s > worker.heartbeat_sent_s:
             # It has answered another order since: only this call was lost.
             worker.next_heartbeat_s = self._state.now_s
+            worker.heartbeat_lost = refusal is None
             return
         pause_s = const.HEARTBEAT_RETRY_S
         if not worker.runs:
@@ -169,6 +193,9 @@
             pause_s *= 2**doublings
         worker.next_heartbeat_s = self._state.now_s + pause_s
         worker.heartbeat_failures += 1
+        if refusal is None:
+            due_s = worker.heartbeat_sent_s + worker.heartbeat_wait_s
+            self._state.failure_domains.on_unanswered(worker, due_s)
 
     def _handle_common_refusal(self, worker: WorkerView, refusal: OrderRefusal | None) -> bool:
         """Handle a refusal that means the same for every order, and return whether it was one."""
@@ -241,6 +268,7 @@
         worker = run.worker
         if worker.answered_s < run.order_sent_s:
             worker.paused_until_s = max(worker.paused_until_s, now_s + const.UNANSWERED_PAUSE_S)
+        self._state.failure_domains.on_unanswered(worker, run.order_sent_s)
         if run.starts_sent >= const.START_RETRIES_MAX:
             self._state.request_stop(run)
 
@@ -265,3 +293,5 @@
         if refusal is OrderRefusal.REJECTED:
             # The server does not know the run, and refuses it from now on as after a stop.
             self.stop_answered(run)
+        elif refusal is None:
+            self._state.failure_domains.on_unanswered(run.worker, run.order_sent_s)
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -11,6 +11,7 @@
 from collections import Counter, deque
 from typing import TYPE_CHECKING
 
+from toucandoor.core.copies.spare_capacity import SpareCapacityCopies
 from toucandoor.core.evacuation.evacuator import Evacuator
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.records import Transaction
@@ -41,6 +42,7 @@
     from collections.abc import Callable, Iterable
 
     from toucandoor.clock import Clock
+    from toucandoor.core.copies.models import CopyCounts, CopyPolicy
     from toucandoor.core.evacuation.requests import EvacuationRequests
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.jobs.models import JobSpec, StepKey
@@ -94,6 +96,7 @@
         self._snapshots = (
             RunTimeSnapshots(model, clock) if isinstance(model, LearnedRunTimes) else None
         )
+        self._copies: CopyPolicy = SpareCapacityCopies(self._state)
 
     @property
     def token(self) -> FencingToken:
@@ -130,6 +133,11 @@
         """Expected run times of tasks."""
         return self._state.run_times
 
+    @property
+    def copies(self) -> CopyCounts:
+        """Counts of the copies of this owner's term."""
+        return self._copies.counts
+
     @property
     def workers(self) -> dict[WorkerId, WorkerView]:
         """Latest boot of each backend server."""
@@ -410,7 +418,11 @@
         self._ends.samples.refresh_if_due()
         self._placer.open_occurrences()
         self._registry.discard_expired()
-        orders = self._placer.place() if self.evacuation.prepare() else []
+        self._state.failure_domains.update(self._state.workers)
+        orders: list[Order] = []
+        if self.evacuation.prepare():
+            orders = self._placer.place()
+            self._copies.plan(self._placer.plan_run)
         self.evacuation.advance()
         return orders + self._orders.due()
 
@@ -475,6 +487,8 @@
             load = load_of(worker.entry.pool)
             load.add_worker(worker)
             for run in worker.runs.values():
+                if run.is_copy:
+                    continue  # uses what others leave; no VM is lent for it
                 key = (run.task.key.job_id, run.task.key.occurrence)
                 job = state.jobs[key[0]]
                 if key not in runs_later:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from toucandoor.core.failure_domains.models import FailureDomains, NoFailureDomains
+from toucandoor.core.copies.models import may_be_copied
+from toucandoor.core.failure_domains.racks import ObservedFailureDomains
 from toucandoor.core.jobs.models import NO_RESOURCES, JobState, Resources, StepKey
 from toucandoor.core.ownership.lease import OWNER_TTL_S
 from toucandoor.core.run_times.learned import LearnedRunTimes
@@ -20,6 +21,7 @@
     from collections.abc import Callable, Mapping
 
     from toucandoor.clock import Clock
+    from toucandoor.core.failure_domains.models import FailureDomains
     from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
     from toucandoor.core.jobs.models import TaskKey
     from toucandoor.core.run_times.models import RunTimeModel
@@ -93,6 +95,7 @@
         order: Order in which waiting steps get room.
         failure_domains: Evidence on silent and slow backend servers.
         may_start: Returns whether the start of a run may be sent now.
+        runs_to_copy: Runs of tasks that may have a second run, and these second runs.
     """
 
     def __init__(
@@ -102,7 +105,7 @@
         self.clock = clock
         self.run_times: RunTimeModel = run_times or LearnedRunTimes(clock)
         self.order: StepOrder = LeastWorkFirst(self.run_times)
-        self.failure_domains: FailureDomains = NoFailureDomains()
+        self.failure_domains: FailureDomains = ObservedFailureDomains(clock)
         self.may_start: Callable[[Run], bool] = lambda _run: True
         self.started_s = clock.monotonic_s()
         self.configuration: JobConfiguration | None = None
@@ -118,6 +121,7 @@
         self.dirty: dict[JobId, None] = {}
         self.planned: dict[JobId, list[Run]] = {}
         self.finished: list[JobProgress] = []
+        self.runs_to_copy: dict[Run, None] = {}
         self.activity = Activity(self.started_s)
         self._team_used: dict[TeamId, Resources] = {}
 
@@ -199,6 +203,8 @@
         """Add a run to its task and backend server, and count it for its team."""
         run.worker.add(run)
         run.task.runs.append(run)
+        if may_be_copied(run.task.step):
+            self.runs_to_copy[run] = None
         job = self.jobs[run.task.key.job_id]
         team = job.spec.team
         self._team_used[team] = self._team_used.get(team, NO_RESOURCES) + run.task.step.needs
@@ -211,6 +217,7 @@
         run.worker.remove(run)
         run.task.runs.remove(run)
         self.runs_awaiting_orders.pop(run, None)
+        self.runs_to_copy.pop(run, None)
         job = self.jobs[run.task.key.job_id]
         self._team_used[job.spec.team] = self._team_used[job.spec.team] - run.task.step.needs
         self.order.on_detached(job, run, self.now_s)
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -72,6 +72,11 @@
     recent_metric: int = 0
     checkpoint: str = ""
 
+    @property
+    def is_copy(self) -> bool:
+        """Whether an earlier run of the task exists or may exist."""
+        return len(self.task.runs) > 1 and self.task.runs[0] is not self
+
 
 @dataclass(slots=True, eq=False)
 class WorkerView:
@@ -106,8 +111,7 @@
         next_heartbeat_s: Earliest time of the next heartbeat.
         paused_until_s: Time before which it gets no new tasks.
         failures: Time and job of recently failed runs.
-        probing: Whether it gets no new tasks while a single one is to show that it works again;
-            never set so far.
+        slow: Whether tasks take so long on it that it is chosen last and gets one at a time.
         cordoned: Whether it gets no new tasks because of maintenance.
         leaving: Whether its VM is being moved to another pool.
         evacuated: Whether it gets no new tasks because its data centre is evacuated.
@@ -115,6 +119,9 @@
         cold_until_s: Time before which it is slow because of its recent start.
         heartbeat_failures: Consecutive failed heartbeats during which it answered nothing else.
         heartbeat_sent_s: When the latest heartbeat was sent.
+        heartbeat_wait_s: Longest wait that it asked for.
+        heartbeat_lost: Whether it got no answer, though the server has answered another order since
+            it was sent.
         answered_s: When it last answered any order.
         speed_limited_s: When speed limits of its runs were last changed.
         reported_s: When its latest status report arrived.
@@ -142,7 +149,7 @@
     next_heartbeat_s: float = 0.0
     paused_until_s: float = 0.0
     failures: list[tuple[float, JobId]] = field(default_factory=list)
-    probing: bool = False
+    slow: bool = False
     cordoned: bool = False
     leaving: bool = False
     evacuated: bool = False
@@ -150,6 +157,8 @@
     cold_until_s: float = 0.0
     heartbeat_failures: int = 0
     heartbeat_sent_s: float = 0.0
+    heartbeat_wait_s: float = 0.0
+    heartbeat_lost: bool = False
     answered_s: float = 0.0
     speed_limited_s: float = 0.0
     reported_s: float = 0.0
@@ -243,7 +252,7 @@
         if self.ended:
             return False
         unacknowledged = self.ends_committed > self.acknowledgement_confirmed
-        unknown = self.listed and not self.contacted
+        unknown = self.listed and self.unresponsive
         tracked = self.runs or self.unknown_runs or self.uncommitted
         return bool(tracked or unacknowledged or unknown)
 
