Order waiting steps by rate status, the teams' shares and the time left to jobs

Cause: estimated remaining work decided across all teams, so that a team with seven times its load in small jobs went before all others, and large jobs waited longest. Change: `FairOrder` (core/fair_order), in force while a team of the configuration has a valid weight; without one `LeastWorkFirst` stays. `ShareLedger` charges attempts by a rate (default 1), and can make teams level. An invalid weight no longer makes the whole configuration invalid. Log fields of planned runs and metrics by team.

--- a/tests/adapters/test_node_metrics.py
+++ b/tests/adapters/test_node_metrics.py
@@ -7,7 +7,8 @@
 
 from toucandoor.adapters.node_metrics import NodeMetrics, metrics_app
 from toucandoor.core.scheduling.pool_load import PoolLoad
-from toucandoor.ids import PoolId
+from toucandoor.core.scheduling.step_order import TeamFigures
+from toucandoor.ids import PoolId, TeamId
 
 LABELS = {
     "toucandoor_caller_seconds": {"queue", "team", "method", "status"},
@@ -18,6 +19,10 @@
     "toucandoor_configuration_version": set(),
     "toucandoor_pool_cpu_millicores": {"pool", "use"},
     "toucandoor_pool_servers": {"pool"},
+    "toucandoor_team_server_time_s": {"team"},
+    "toucandoor_team_waiting_steps": {"team"},
+    "toucandoor_team_jobs": {"team", "rate_status"},
+    "toucandoor_invalid_weights": set(),
 }
 HISTOGRAMS = {name for name in LABELS if name.endswith("_seconds")}
 SAMPLE = re.compile(r"^(\w+?)(_bucket|_sum|_count)?(?:\{(.*)\})? \S+$")
@@ -33,6 +38,8 @@
         metrics.set_owner(True)
         metrics.set_configuration_version(3)
         metrics.set_pool_load(PoolLoad(PoolId("p")))
+        metrics.set_team(TeamFigures(TeamId("t"), 1.5, 2, 3, 4))
+        metrics.set_invalid_weights(1)
         seen: dict[str, set[str]] = {}
         buckets: set[str] = set()
         for line in b"".join(metrics_app({}, lambda *_: lambda _data: None)).decode().splitlines():
--- a/tests/core/shares/test_ledger.py
+++ b/tests/core/shares/test_ledger.py
@@ -53,6 +53,46 @@
         self.assertEqual(ledger.virtual_time(A, 10.0), 10.0)
         self.assertEqual(ledger.virtual_time(A, 14.0), 11.0)
 
+    def test_an_attempt_is_charged_by_its_rate(self) -> None:
+        """Guards against small tasks that are charged as much as ones that fill a server."""
+        ledger = ShareLedger({A: 1.0, B: 1.0})
+        ledger.on_attempt_started(A, X, 10.0, rate=0.25)
+        ledger.on_attempt_started(B, AttemptId("y"), 10.0)
+        self.assertEqual(ledger.virtual_time(A, 14.0), 1.0)
+        self.assertEqual(ledger.virtual_time(B, 14.0), 4.0)
+        ledger.on_attempt_ended(X, 18.0, completed=True)
+        self.assertEqual(ledger.virtual_time(A, 20.0), 2.0)
+        ledger.correct_run_time(TaskUsage(X, 4.0, True))
+        self.assertEqual(ledger.virtual_time(A, 20.0), 1.0)
+
+    def test_rounding_of_rates_does_not_add_up(self) -> None:
+        """Guards against a team that is ahead of others by the errors of ended attempts."""
+        ledger = ShareLedger({A: 1.0, B: 1.0})
+        for number in range(300):
+            now_s = 1e6 + number * 0.1
+            attempt = AttemptId(f"{number}")
+            ledger.on_attempt_started(A, attempt, now_s, rate=1 / (3 + number % 7))
+            ledger.on_attempt_ended(attempt, now_s, completed=True)
+        self.assertEqual(ledger.virtual_time(A, 2e6), 0.0)
+
+    def test_teams_can_be_made_level(self) -> None:
+        ledger = ShareLedger({A: 1.0, B: 2.0})
+        ledger.on_attempt_started(A, X, 0.0)
+        ledger.set_level(100.0)
+        self.assertEqual(ledger.virtual_time(B, 100.0), ledger.virtual_time(A, 100.0))
+        self.assertEqual(ledger.lead(A, 105.0), 0.0)
+        ledger.on_enqueued(B, 105.0)
+        self.assertEqual(ledger.lead(A, 110.0), 5.0)
+
+    def test_accounts_of_removed_teams_are_dropped_once_idle(self) -> None:
+        ledger = ShareLedger({A: 2.0, B: 2.0})
+        ledger.on_attempt_started(A, X, 0.0)
+        ledger.forget_idle({B})
+        self.assertEqual(ledger.virtual_time(A, 4.0), 2.0)
+        ledger.on_attempt_ended(X, 4.0, completed=True)
+        ledger.forget_idle({B})
+        self.assertEqual(set(ledger.local_service(5.0)), {B})
+
     def test_counts_completed_jobs_where_they_are_the_service(self) -> None:
         ledger = ShareLedger({A: 1.0}, ServiceMeter.COMPLETED_JOB)
         ledger.on_attempt_started(A, X, 0.0)
--- a/tests/platform/test_operator_records.py
+++ b/tests/platform/test_operator_records.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from toucandoor.core.fair_order.rates import valid_rates
 from toucandoor.core.jobs.models import Resources
 from toucandoor.ids import PoolId, QueueId, TeamId
 from toucandoor.platform.operator_records import (
@@ -40,6 +41,16 @@
         self.assertEqual(found.team_of("k2"), TeamId("t"))
         self.assertEqual(found.teams[TeamId("t")].ceiling, Resources(1000, 2000, 0))
 
+    def test_an_invalid_weight_loses_nothing_else(self) -> None:
+        """Guards against one team's bad weight that makes the whole configuration invalid."""
+        huge = b"1" + b"0" * 400
+        for value, valid in ((b"25", True), (b'"x"', False), (b"null", False), (huge, False)):
+            found = decode_configuration(
+                CONFIGURATION.replace(b'"weight":25', b'"weight":' + value)
+            )
+            assert found is not None, value
+            self.assertEqual(valid_rates(found), {TeamId("t"): 25.0} if valid else {})
+
     def test_longest_prefix_wins(self) -> None:
         found = decode_configuration(CONFIGURATION)
         assert found is not None
--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -14,6 +14,7 @@
 
     from toucandoor.adapters.wsgi import Environ, StartResponse
     from toucandoor.core.scheduling.pool_load import PoolLoad
+    from toucandoor.core.scheduling.step_order import TeamFigures
 
 _CALL_BUCKETS_S: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0]
 _JOB_BUCKETS_S: Final = [0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 8.0, 15.0, 60.0]
@@ -50,6 +51,19 @@
         )
         self._lock = threading.Lock()
         self._bytes_by_step: dict[str, tuple[int, int]] = {}
+        self._team_server_time_s = Gauge(
+            "toucandoor_team_server_time_s",
+            "Time of whole servers reserved for a team in this owner's term",
+        )
+        self._team_waiting = Gauge(
+            "toucandoor_team_waiting_steps", "Steps of a team left without room for all their tasks"
+        )
+        self._team_jobs = Gauge(
+            "toucandoor_team_jobs", "Jobs of a team in this owner's term by rate status"
+        )
+        self._invalid_weights = Gauge(
+            "toucandoor_invalid_weights", "Teams whose weight is missing or invalid and is ignored"
+        )
         self._workers = Gauge("toucandoor_pool_servers", "Backend servers that may get tasks")
 
     def record_caller_call(
@@ -100,6 +114,17 @@
             self._pool_cpu.set({"pool": load.pool, "use": use}, amount.cpu_millicores)
         self._workers.set({"pool": load.pool}, load.workers)
 
+    def set_team(self, figures: TeamFigures) -> None:
+        """Set the figures of a team."""
+        self._team_server_time_s.set({"team": figures.team}, figures.service_s)
+        self._team_waiting.set({"team": figures.team}, figures.waiting_steps)
+        for status, count in (("within", figures.jobs_within), ("beyond", figures.jobs_beyond)):
+            self._team_jobs.set({"team": figures.team, "rate_status": status}, count)
+
+    def set_invalid_weights(self, count: int) -> None:
+        """Set the number of teams whose weight is ignored."""
+        self._invalid_weights.set({}, count)
+
 
 def metrics_app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
     """WSGI application that serves the metrics at any path."""
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -48,6 +48,7 @@
             return
         self._next_s = now_s + REPORT_INTERVAL_S
         self._log_load()
+        self._record_teams()
         self._log_activity(now_s)
         self._log_traffic()
 
@@ -65,6 +66,12 @@
             self._dependencies.metrics.set_pool_load(load)
             _LOGGER.info("schedule: load", extra=load.log_fields())
 
+    def _record_teams(self) -> None:
+        metrics = self._dependencies.metrics
+        for figures in self._scheduler.team_figures():
+            metrics.set_team(figures)
+        metrics.set_invalid_weights(self._scheduler.invalid_weights)
+
     def _log_activity(self, now_s: float) -> None:
         counts = self._scheduler.activity.counts()
         workers = self._scheduler.workers.values()
--- a/toucandoor/core/fair_order/const.py
+++ b/toucandoor/core/fair_order/const.py
@@ -15,6 +15,10 @@
 DEADLINE_EVERY: Final = 4
 """Of the capacity given out in a pool during a shortage, one part in so many goes to the jobs with
 the least time left until their latest start."""
+LEVEL_S: Final = 2.0
+"""Teams whose service differs by less than what their shares give in this time count as level, and
+the job with the least work left goes first among them. Without it a pick among many teams is close
+to arbitrary, and fewer jobs are done in time. As long as the burst that a rate allows."""
 LOOK_AHEAD_S: Final = 1.0
 """Time ahead at which virtual times are compared: runs that have just been planned count at once,
 before they have received any service. About the run time of a short task."""
--- a/toucandoor/core/jobs/configuration.py
+++ b/toucandoor/core/jobs/configuration.py
@@ -89,7 +89,8 @@
     Attributes:
         name: Name of the team.
         keys: Keys that identify the team.
-        jobs_per_s: Its share under full load, in jobs per second.
+        jobs_per_s: Its share under full load, in jobs per second; 0 for none. Invalid values are
+            possible and are ignored where it is used.
         ceiling: Most resources that its running tasks may need across the fleet; 0 in a field means
             no limit.
     """
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -48,6 +48,7 @@
             if job.state.final:
                 if not job.has_runs:
                     state.open_jobs.discard(job_id)
+                    state.order.on_job_closed(job, now_ms)
                 continue
             if job.opened < job.spec.occurrences:
                 self._open(job, now_ms)
@@ -181,6 +182,7 @@
         _LOGGER.info(
             "runs: planned",
             extra=run_fields(run)
+            | state.order.run_fields()
             | {
                 "queue": job.spec.queue,
                 "pool": worker.entry.pool,
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -38,6 +38,7 @@
     from toucandoor.core.records import Record, Transaction
     from toucandoor.core.scheduling.activity import Activity
     from toucandoor.core.scheduling.orders import Commit, Order
+    from toucandoor.core.scheduling.step_order import TeamFigures
     from toucandoor.core.scheduling.workers import Advice, Boot, StatusReport, WorkerEntry
     from toucandoor.ids import FencingToken, JobId, PoolId, VmId, WorkerId
 
@@ -97,6 +98,15 @@
         """Latest boot of each backend server."""
         return self._state.workers
 
+    @property
+    def invalid_weights(self) -> int:
+        """Number of teams of the configuration in force whose weight is ignored."""
+        return self._state.rates.invalid_weights
+
+    def team_figures(self) -> list[TeamFigures]:
+        """Return the figures of the teams; none while no team has a weight."""
+        return self._state.order.team_figures(self._state.now_s)
+
     def unresponsive_leases_s(self) -> dict[Boot, float]:
         """Return the longest time, in s, until the lease of each unresponsive boot expires."""
         return self._registry.unresponsive_leases_s()
@@ -105,8 +115,7 @@
 
     def set_configuration(self, configuration: JobConfiguration) -> None:
         """Apply a newer configuration."""
-        self._state.configuration = configuration
-        self._state.order.set_configuration(configuration, self._state.now_s)
+        self._state.set_configuration(configuration)
         self._state.changed_pools |= set(configuration.pools)
 
     def add_job(self, spec: JobSpec) -> None:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING, Final
 
 from toucandoor.core.failure_domains.models import FailureDomains, NoFailureDomains
+from toucandoor.core.fair_order.order import FairOrder
+from toucandoor.core.fair_order.rates import RateStatusTracker, valid_rates
 from toucandoor.core.jobs.models import NO_RESOURCES, JobState, Resources, StepKey
 from toucandoor.core.ownership.lease import OWNER_TTL_S
 from toucandoor.core.run_times.models import CALLER_ESTIMATES, RunTimeModel
@@ -90,6 +92,7 @@
         activity: Counts of what this owner has done.
         run_times: Expected run times of tasks.
         order: Order in which waiting steps get room.
+        rates: Rate status of the jobs; all are within their rate while no team has a weight.
         failure_domains: Evidence on silent and slow backend servers.
     """
 
@@ -98,6 +101,7 @@
         self.clock = clock
         self.run_times: RunTimeModel = CALLER_ESTIMATES
         self.order: StepOrder = LeastWorkFirst(self.run_times)
+        self.rates = RateStatusTracker(self.clock.now().timestamp() * MS_PER_S)
         self.failure_domains: FailureDomains = NoFailureDomains()
         self.started_s = clock.monotonic_s()
         self.configuration: JobConfiguration | None = None
@@ -126,6 +130,22 @@
         """Current wall-clock time."""
         return self.clock.now().timestamp() * MS_PER_S
 
+    def set_configuration(self, configuration: JobConfiguration) -> None:
+        """Apply a newer configuration; the teams' shares decide once one of them has a weight."""
+        self.configuration = configuration
+        self.rates.set_configuration(configuration, self.now_unix_ms)
+        fair = bool(valid_rates(configuration))
+        if fair != isinstance(self.order, FairOrder):
+            self.order = (
+                FairOrder(self.run_times, self.rates) if fair else LeastWorkFirst(self.run_times)
+            )
+            for job in self.jobs.values():
+                self.order.on_job_added(job, self.now_s)
+                for step in job.steps.values():
+                    for run in (run for task in step.tasks for run in task.runs):
+                        self.order.on_attached(job, run, self.now_s)
+        self.order.set_configuration(configuration, self.now_s)
+
     # Progress and terms of jobs
 
     def mark_changed(self, job: JobProgress) -> None:
--- a/toucandoor/core/scheduling/step_order.py
+++ b/toucandoor/core/scheduling/step_order.py
@@ -15,7 +15,7 @@
     from toucandoor.core.run_times.models import RunTimeModel
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress
     from toucandoor.core.scheduling.worker_view import Run
-    from toucandoor.ids import PoolId
+    from toucandoor.ids import PoolId, TeamId
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -31,6 +31,25 @@
     step: StepProgress
 
 
+@dataclass(frozen=True, slots=True)
+class TeamFigures:
+    """What a team has got in this term, for metrics.
+
+    Attributes:
+        team: The team.
+        service_s: Time for which its runs have reserved whole servers, in seconds.
+        waiting_steps: Steps that were left without room for all their tasks.
+        jobs_within: Jobs within its rate.
+        jobs_beyond: Jobs beyond its rate.
+    """
+
+    team: TeamId
+    service_s: float
+    waiting_steps: int
+    jobs_within: int
+    jobs_beyond: int
+
+
 class StepOrder(ABC):
     """Decides which waiting step of a pool gets room next.
 
@@ -45,6 +64,9 @@
     def on_job_added(self, job: JobProgress, now_s: float) -> None:
         """Process a job that has been accepted, or that a new owner has read from the store."""
 
+    def on_job_closed(self, job: JobProgress, now_unix_ms: float) -> None:  # noqa: B027
+        """Process a job that has ended and of which no run may exist any more."""
+
     @abstractmethod
     def on_attached(self, job: JobProgress, run: Run, now_s: float) -> None:
         """Process a run that has been planned or recovered; it takes room from now on."""
@@ -69,6 +91,14 @@
             now_unix_ms: The wall-clock time.
         """
 
+    def run_fields(self) -> dict[str, object]:
+        """Return the log fields of a run that is planned for the step that was yielded last."""
+        return {}
+
+    def team_figures(self, now_s: float) -> list[TeamFigures]:
+        """Return the figures of the teams; none if the order does not depend on teams."""
+        return []
+
 
 class LeastWorkFirst(StepOrder):
     """Baseline: by class and priority, then least remaining work, whatever the team.
--- a/toucandoor/core/shares/ledger.py
+++ b/toucandoor/core/shares/ledger.py
@@ -10,7 +10,7 @@
 from toucandoor.core.shares.models import EntryService, ServiceMeter, TaskUsage
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Collection, Mapping
 
     from toucandoor.ids import AttemptId, EntryId, TeamId
 
@@ -23,8 +23,9 @@
         local_ended: Service of this entry's ended attempts.
         peer_service: Service given by the other entries.
         running: Number of this entry's running attempts.
-        started_sum_s: Sum of the start times of the running attempts, so that their running time at
-            any moment is ``running * now_s - started_sum_s``.
+        running_rate: Sum of the rates of the running attempts.
+        started_sum: Sum of the start times of the running attempts, each times its rate, so that
+            their service at any moment is ``running_rate * now_s - started_sum``.
         waiting: Number of waiting requests here.
         virtual_offset: Added to the virtual time, so that an idle team keeps no credit and a change
             of weight does not change the virtual time.
@@ -34,7 +35,8 @@
     local_ended: float = 0.0
     peer_service: float = 0.0
     running: int = 0
-    started_sum_s: float = 0.0
+    running_rate: float = 0.0
+    started_sum: float = 0.0
     waiting: int = 0
     virtual_offset: float = 0.0
 
@@ -48,23 +50,34 @@
 class _RunningAttempt:
     team: TeamId
     started_s: float
+    rate: float
 
 
 class ShareLedger:
     """Counts each team's service in one pool and computes the virtual time that orders the teams.
 
+    Service is running time, multiplied by a rate where attempts use different amounts of capacity.
     A team's virtual time is its service divided by its weight. The team with the least virtual
     time starts next. Service is measured, never taken from declared running times; it is corrected
     by the backend servers' usage reports and includes the service that other entries report.
+
+    Args:
+        weights: Weight of each team; others have `DEFAULT_WEIGHT`.
+        meter: Unit of the service.
+        correctable_max: Most ended attempts that usage reports may still correct.
     """
 
     def __init__(
-        self, weights: Mapping[TeamId, float], meter: ServiceMeter = ServiceMeter.RUN_TIME
+        self,
+        weights: Mapping[TeamId, float],
+        meter: ServiceMeter = ServiceMeter.RUN_TIME,
+        correctable_max: int = DEFAULT_CORRECTABLE_MAX,
     ) -> None:
+        self._correctable_max = correctable_max
         self._meter = meter
         self._accounts = {team: _Account(weight) for team, weight in weights.items()}
         self._running: dict[AttemptId, _RunningAttempt] = {}
-        self._correctable: OrderedDict[AttemptId, tuple[TeamId, float]] = OrderedDict()
+        self._correctable: OrderedDict[AttemptId, tuple[_RunningAttempt, float]] = OrderedDict()
         self._peers: dict[EntryId, EntryService] = {}
         self._virtual_time_floor = 0.0
 
@@ -87,6 +100,23 @@
         for account in self._accounts.values():
             account.local_ended = account.peer_service = account.virtual_offset = 0.0
 
+    def set_level(self, now_s: float) -> None:
+        """Make the virtual times of all teams equal: service received so far no longer counts."""
+        self._virtual_time_floor = max(
+            (self._virtual_time(each, now_s) for each in self._accounts.values()), default=0.0
+        )
+        for account in self._accounts.values():
+            account.virtual_offset += self._virtual_time_floor - self._virtual_time(account, now_s)
+
+    def forget_idle(self, kept: Collection[TeamId]) -> None:
+        """Drop the accounts of teams that are neither active nor among the given ones."""
+        for team in [
+            team
+            for team, account in self._accounts.items()
+            if not account.active and team not in kept
+        ]:
+            del self._accounts[team]
+
     def on_enqueued(self, team: TeamId, now_s: float) -> None:
         """Record that a request of the team starts to wait."""
         account = self._account(team)
@@ -99,16 +129,27 @@
         account = self._account(team)
         account.waiting = max(0, account.waiting - 1)
 
-    def on_attempt_started(self, team: TeamId, attempt_id: AttemptId, now_s: float) -> None:
-        """Count the service of an attempt from now on; a second call changes nothing."""
+    def on_attempt_started(
+        self, team: TeamId, attempt_id: AttemptId, now_s: float, rate: float = 1.0
+    ) -> None:
+        """Count the service of an attempt from now on; a second call changes nothing.
+
+        Args:
+            team: Its team.
+            attempt_id: The attempt.
+            now_s: The monotonic time.
+            rate: Service that it receives in a second, such as the share of a server that it
+                reserves. Completed jobs are counted without it.
+        """
         if attempt_id in self._running:
             return
         account = self._account(team)
         if not account.active:
             self._forfeit_idle_credit(account, now_s)
-        self._running[attempt_id] = _RunningAttempt(team, now_s)
+        self._running[attempt_id] = _RunningAttempt(team, now_s, rate)
         account.running += 1
-        account.started_sum_s += now_s
+        account.running_rate += rate
+        account.started_sum += rate * now_s
 
     def on_attempt_ended(self, attempt_id: AttemptId, now_s: float, *, completed: bool) -> None:
         """Count an attempt's final service; a second call changes nothing.
@@ -121,14 +162,18 @@
             return
         account = self._account(running.team)
         account.running -= 1
-        account.started_sum_s -= running.started_s
+        account.running_rate -= running.rate
+        account.started_sum -= running.rate * running.started_s
+        if not account.running:
+            # Rounding errors of fractional rates would add up, multiplied by the uptime.
+            account.running_rate = account.started_sum = 0.0
         if self._meter is ServiceMeter.COMPLETED_JOB:
             account.local_ended += 1.0 if completed else 0.0
             return
         run_s = max(0.0, now_s - running.started_s)
-        account.local_ended += run_s
-        self._correctable[attempt_id] = (running.team, run_s)
-        if len(self._correctable) > DEFAULT_CORRECTABLE_MAX:
+        account.local_ended += run_s * running.rate
+        self._correctable[attempt_id] = (running, run_s)
+        if len(self._correctable) > self._correctable_max:
             self._correctable.popitem(last=False)
 
     def correct_run_time(self, report: TaskUsage) -> None:
@@ -139,14 +184,14 @@
         known = self._correctable.get(report.attempt_id)
         if known is None:
             return
-        team, charged_s = known
+        attempt, charged_s = known
         if not report.final and report.run_s <= charged_s:
             return
-        self._account(team).local_ended += report.run_s - charged_s
+        self._account(attempt.team).local_ended += (report.run_s - charged_s) * attempt.rate
         if report.final:
             del self._correctable[report.attempt_id]
         else:
-            self._correctable[report.attempt_id] = (team, report.run_s)
+            self._correctable[report.attempt_id] = (attempt, report.run_s)
 
     def merge_peer_service(self, report: EntryService) -> None:
         """Add another entry's service since its last report; old and duplicate reports are ignored.
@@ -177,13 +222,22 @@
         """Return the team's virtual time ahead of the active team with the lowest one."""
         return self.virtual_time(team, now_s) - self._lowest_virtual_time(now_s)
 
+    def pace(self) -> float:
+        """Return the virtual time that passes in a second for teams that get their exact shares.
+
+        It is 0 while nothing runs.
+        """
+        active = [each for each in self._accounts.values() if each.active]
+        weight = sum(each.weight for each in active)
+        return sum(each.running_rate for each in active) / weight if weight else 0.0
+
     def _account(self, team: TeamId) -> _Account:
         return self._accounts.setdefault(team, _Account(DEFAULT_WEIGHT))
 
     def _local_service(self, account: _Account, now_s: float) -> float:
         if self._meter is ServiceMeter.COMPLETED_JOB:
             return account.local_ended + account.running
-        return account.local_ended + account.running * now_s - account.started_sum_s
+        return account.local_ended + account.running_rate * now_s - account.started_sum
 
     def _virtual_time(self, account: _Account, now_s: float) -> float:
         return (
--- a/toucandoor/platform/operator_records.py
+++ b/toucandoor/platform/operator_records.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import logging
-from typing import Final
+import math
+from typing import Any, Final
 
 import msgspec
 
@@ -62,8 +63,9 @@
 class _Tenant(msgspec.Struct, frozen=True):
     name: str
     api_keys: list[str] = []
-    # Jobs per second to which the team is entitled.
-    weight: float = 1.0
+    # Jobs per second to which the team is entitled. Of any type, so that an invalid weight of one
+    # team does not make the whole configuration invalid.
+    weight: Any = None
     upper_bound: WireResources = WireResources()
 
 
@@ -170,6 +172,18 @@
     return JobTeam(
         name=TeamId(tenant.name),
         keys=frozenset(tenant.api_keys),
-        jobs_per_s=tenant.weight,
+        jobs_per_s=_jobs_per_s(tenant.weight),
         ceiling=tenant.upper_bound.resources,
     )
+
+
+def _jobs_per_s(weight: Any) -> float:
+    """Return a team's weight; 0 if it is missing, and not a number (NaN) if it is none."""
+    if weight is None:
+        return 0.0
+    if isinstance(weight, bool) or not isinstance(weight, int | float):
+        return math.nan
+    try:
+        return float(weight)
+    except OverflowError:
+        return math.inf
