--- a/toucandoor/core/fair_order/order.py
+++ b/toucandoor/core/fair_order/order.py
@@ -59,15 +59,16 @@
         step_class: Its class.
         status: Rate status of its job.
         rank: Sort key within its class, or within its team where shares decide.
-        latest_start_ms: Latest start at which its job is done within its objective, by the wall
-            clock.
+        deadline_rank: Sort key among the steps that get room by deadline; None for other steps.
+            Jobs that have missed their latest start after they were begun come first, by the work
+            left: what has been spent on them would be lost. Then come jobs by their latest start.
     """
 
     waiting: WaitingStep
     step_class: StepClass
     status: RateStatus
     rank: tuple[float, ...]
-    latest_start_ms: float = 0.0
+    deadline_rank: tuple[float, float] | None = None
 
     @property
     def team(self) -> TeamId:
@@ -83,7 +84,7 @@
         long_running: Long-running steps.
         late: Steps of jobs that can't meet their objective.
         groups: Steps for which teams compete, by class and priority, then by team.
-        by_deadline: Heap of the steps within their rate: latest start, number and step.
+        by_deadline: Heap of the steps that get room by deadline.
         taken: Numbers of the steps that have had their turn.
     """
 
@@ -92,7 +93,7 @@
     groups: dict[tuple[StepClass, int], dict[TeamId, list[tuple[float, int, _Ranked]]]] = field(
         default_factory=dict
     )
-    by_deadline: list[tuple[float, int, _Ranked]] = field(default_factory=list)
+    by_deadline: list[tuple[tuple[float, float], int, _Ranked]] = field(default_factory=list)
     taken: set[int] = field(default_factory=set)
 
     def add(self, number: int, each: _Ranked) -> None:
@@ -102,6 +103,8 @@
             number: Its place in the given order, which decides between equal steps.
             each: The step.
         """
+        if each.deadline_rank is not None:
+            self.by_deadline.append((each.deadline_rank, number, each))
         if each.step_class is StepClass.LONG_RUNNING:
             self.long_running.append((each.rank, number, each))
         elif each.step_class not in _COMPETING:
@@ -110,8 +113,6 @@
             key = (each.step_class, each.waiting.job.spec.terms.priority)
             steps = self.groups.setdefault(key, {}).setdefault(each.team, [])
             steps.append((each.rank[0], number, each))
-            if each.step_class is StepClass.WITHIN:
-                self.by_deadline.append((each.latest_start_ms, number, each))
 
     def sort(self) -> None:
         """Sort what has been added; the steps of a team by descending rank, to be popped."""
@@ -216,7 +217,9 @@
             yield self._begin(long_running, by_deadline=False)
         for key in sorted(steps.groups):
             yield from self._by_shares(shares, steps, key, now_s)
-        for _, _, late in steps.late:
+        for _, number, late in steps.late:
+            if number in steps.taken:
+                continue
             yield self._begin(late, by_deadline=False)
             self._end(shares, late, now_s)
         self._current = None
@@ -294,7 +297,7 @@
 
     def _end(self, shares: PoolShares, each: _Ranked, now_s: float) -> None:
         """Count what the step that was yielded last has got."""
-        if self._given_core_s > 0 and each.step_class is StepClass.WITHIN:
+        if self._given_core_s > 0 and (self._by_deadline or each.step_class is StepClass.WITHIN):
             shares.on_room_given(self._given_core_s, by_deadline=self._by_deadline)
         if any(task.waiting for task in each.waiting.step.tasks):
             shares.on_left_waiting(each.team, now_s)
@@ -317,12 +320,17 @@
             within = status is RateStatus.WITHIN
             step_class = StepClass.WITHIN if within else StepClass.BEYOND
             work = remaining_core_s(job, occurrence, self._run_times)
-            return _Ranked(each, step_class, status, (work,), latest_start_ms)
+            return _Ranked(
+                each, step_class, status, (work,), (1.0, latest_start_ms) if within else None
+            )
         useful_until_ms = begin_ms + USEFUL_OBJECTIVES * objective_ms
         useless = now_unix_ms + left_ms > useful_until_ms
         step_class = StepClass.USELESS if useless else StepClass.LATE
         rank = (float(status is RateStatus.BEYOND), priority, begin_ms)
-        return _Ranked(each, step_class, status, rank, latest_start_ms)
+        deadline_rank = None
+        if job.started and status is RateStatus.WITHIN and not useless:
+            deadline_rank = (0.0, remaining_core_s(job, occurrence, self._run_times))
+        return _Ranked(each, step_class, status, rank, deadline_rank)
 
     def _reserved_core_s(self, job: JobProgress, run: Run) -> float:
         step = run.task.step
--- a/toucandoor/core/fair_order/rates.py
+++ b/toucandoor/core/fair_order/rates.py
@@ -149,7 +149,9 @@
         }
         for team, weight in invalid.items():
             known = self._reported.get(team)
-            if known is None or (known != weight and not math.isnan(weight)):
+            # Without any weight the order is not by teams, and a missing one says nothing.
+            expected = bool(rates) or weight != 0.0
+            if expected and (known is None or (known != weight and not math.isnan(weight))):
                 _LOGGER.warning(
                     "order: the weight of team %s is missing or invalid and is ignored",
                     team,
