Forget the rate status of jobs when no team has a weight any more

Cause: the baseline order does not report closed jobs to the tracker, so their statuses stayed until the end of the term once a configuration took all weights away. Change: the tracker is cleared at that moment. The test that no job within its rate waits for one beyond it also shows that it does so with the baseline: with all jobs counted as within it still passed, by the shares.

--- a/tests/core/fair_order/test_days.py
+++ b/tests/core/fair_order/test_days.py
@@ -151,6 +151,9 @@
         day = Day({a: 2.0, b: 2.0}, arrivals, 2)
         waits = [each.waited_s for each in day.play(12.0) if each.arrival.team == a]
         self.assertLess(max(waits), RUN_S + 0.1)
+        outcomes = day.play(12.0, baseline=True)
+        waits = [each.waited_s for each in outcomes if each.arrival.team == a]
+        self.assertGreater(max(waits), RUN_S + 0.1)
 
     def test_the_same_jobs_are_in_time_when_all_have_room(self) -> None:
         """Guards against a cost of the order where there is nothing to decide."""
--- a/tests/core/fair_order/test_order.py
+++ b/tests/core/fair_order/test_order.py
@@ -151,8 +151,12 @@
         schedule.clock.advance(2.0)
         figures = {each.team: each for each in schedule.state.order.team_figures(102.0)}
         self.assertGreater(figures[A].service_s, 0.0)
+        schedule.add(A, 1)
+        schedule.add(A, 1)
         schedule.configure(a=0.0)
         self.assertIsInstance(schedule.state.order, LeastWorkFirst)
+        self.assertEqual(schedule.state.rates.teams_beyond(NOW_MS), ())
+        self.assertEqual(schedule.state.rates.rates(), {})
 
     def test_the_cost_of_a_pick(self) -> None:
         """Guards against a pick whose cost grows with the number of waiting steps."""
--- a/toucandoor/core/fair_order/rates.py
+++ b/toucandoor/core/fair_order/rates.py
@@ -180,6 +180,13 @@
             if team not in self._configured:
                 self._drop_if_unused(team)
 
+    def clear(self) -> None:
+        """Forget all jobs, as no team has a weight any more."""
+        self._teams.clear()
+        self._statuses.clear()
+        self._undecided.clear()
+        self._buckets.clear()
+
     def status(self, job_id: JobId, now_unix_ms: float) -> RateStatus:
         """Return whether a job is within its team's rate; unknown jobs are."""
         self._decide(now_unix_ms)
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -135,6 +135,8 @@
         self.configuration = configuration
         self.rates.set_configuration(configuration, self.now_unix_ms)
         fair = bool(valid_rates(configuration))
+        if not fair:
+            self.rates.clear()
         if fair != isinstance(self.order, FairOrder):
             self.order = (
                 FairOrder(self.run_times, self.rates) if fair else LeastWorkFirst(self.run_times)
