--- a/tests/adapters/test_node_metrics.py
+++ b/tests/adapters/test_node_metrics.py
@@ -8,7 +8,8 @@
 from toucandoor.adapters.node_metrics import NodeMetrics, metrics_app
 from toucandoor.core.run_times.models import QueueRatio
 from toucandoor.core.scheduling.pool_load import PoolLoad
-from toucandoor.ids import PoolId, QueueId
+from toucandoor.core.scheduling.step_order import TeamFigures
+from toucandoor.ids import PoolId, QueueId, TeamId
 
 LABELS = {
     "toucandoor_caller_seconds": {"queue", "team", "method", "status"},
@@ -21,6 +22,10 @@
     "toucandoor_pool_servers": {"pool"},
     "toucandoor_run_time_ratio": {"queue", "kind"},
     "toucandoor_run_times_dropped": set(),
+    "toucandoor_team_server_time_s": {"team"},
+    "toucandoor_team_waiting_steps": {"team"},
+    "toucandoor_team_jobs": {"team", "rate_status"},
+    "toucandoor_invalid_weights": set(),
 }
 HISTOGRAMS = {name for name in LABELS if name.endswith("_seconds")}
 SAMPLE = re.compile(r"^(\w+?)(_bucket|_sum|_count)?(?:\{(.*)\})? \S+$")
@@ -38,6 +43,8 @@
         metrics.set_pool_load(PoolLoad(PoolId("p")))
         metrics.set_run_time_ratio(QueueRatio(QueueId("q"), 1.2, 1.1, 8.0))
         metrics.add_dropped_run_times(1)
+        metrics.set_team(TeamFigures(TeamId("t"), 1.5, 2, 3, 4))
+        metrics.set_invalid_weights(1)
         seen: dict[str, set[str]] = {}
         buckets: set[str] = set()
         for line in b"".join(metrics_app({}, lambda *_: lambda _data: None)).decode().splitlines():
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -52,6 +52,7 @@
         self._next_s = now_s + REPORT_INTERVAL_S
         self._log_load()
         self._record_evacuations(now_s)
+        self._record_teams()
         self._log_activity(now_s)
         self._log_traffic()
 
@@ -98,6 +99,12 @@
         self._evacuated = set(present)
         metrics.set_evacuations_ignored(evacuation.ignored_records)
 
+    def _record_teams(self) -> None:
+        metrics = self._dependencies.metrics
+        for figures in self._scheduler.team_figures():
+            metrics.set_team(figures)
+        metrics.set_invalid_weights(self._scheduler.invalid_weights)
+
     def _log_activity(self, now_s: float) -> None:
         counts = self._scheduler.activity.counts() | self._scheduler.copies.counts()
         workers = self._scheduler.workers.values()
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -8,6 +8,8 @@
 
 from toucandoor.core.copies.models import may_be_copied
 from toucandoor.core.failure_domains.racks import ObservedFailureDomains
+from toucandoor.core.fair_order.order import FairOrder
+from toucandoor.core.fair_order.rates import RateStatusTracker, valid_rates
 from toucandoor.core.jobs.models import NO_RESOURCES, JobState, Resources, StepKey
 from toucandoor.core.ownership.lease import OWNER_TTL_S
 from toucandoor.core.run_times.learned import LearnedRunTimes
@@ -93,6 +95,7 @@
         activity: Counts of what this owner has done.
         run_times: Expected run times of tasks.
         order: Order in which waiting steps get room.
+        rates: Rate status of the jobs; all are within their rate while no team has a weight.
         failure_domains: Evidence on silent and slow backend servers.
         may_start: Returns whether the start of a run may be sent now.
         runs_to_copy: Runs of tasks that may have a second run, and these second runs.
@@ -107,6 +110,7 @@
         self.order: StepOrder = LeastWorkFirst(self.run_times)
         self.failure_domains: FailureDomains = ObservedFailureDomains(clock)
         self.may_start: Callable[[Run], bool] = lambda _run: True
+        self.rates = RateStatusTracker(self.clock.now().timestamp() * MS_PER_S)
         self.started_s = clock.monotonic_s()
         self.configuration: JobConfiguration | None = None
         self.jobs: dict[JobId, JobProgress] = {}
@@ -135,6 +139,24 @@
         """Current wall-clock time."""
         return self.clock.now().timestamp() * MS_PER_S
 
+    def set_configuration(self, configuration: JobConfiguration) -> None:
+        """Apply a newer configuration; the teams' shares decide once one of them has a weight."""
+        self.configuration = configuration
+        self.rates.set_configuration(configuration, self.now_unix_ms)
+        fair = bool(valid_rates(configuration))
+        if not fair:
+            self.rates.clear()
+        if fair != isinstance(self.order, FairOrder):
+            self.order = (
+                FairOrder(self.run_times, self.rates) if fair else LeastWorkFirst(self.run_times)
+            )
+            for job in self.jobs.values():
+                self.order.on_job_added(job, self.now_s)
+                for step in job.steps.values():
+                    for run in (run for task in step.tasks for run in task.runs):
+                        self.order.on_attached(job, run, self.now_s)
+        self.order.set_configuration(configuration, self.now_s)
+
     # Progress and terms of jobs
 
     def mark_changed(self, job: JobProgress) -> None:
