Report overload by the owner, and refuse jobs at the node by it

Cause: under lasting overload nodes accept jobs that are done too late to be of use. Retry-After during an outage of the store was a fixed 2 s.

Change: the owner writes the record `load` under the condition of its ownership, at most every 0.5 s and only while work of a team would wait too long. Nodes follow it in a thread of their own. A job is refused with 429 if the backlog of its team takes longer than three objectives at the team's ceiling, and if runs that were started in the last second show that no job of its size had its turn. New jobs have their turn before late ones, so the backlog alone proves nothing. Where a job would be refused, a stored record is looked for first; if the store doesn't answer that, the answer is 504 and doesn't claim that the job hasn't run. Retry-After during an outage is the median length of outages minus the age of this one.

--- /dev/null
+++ b/tests/core/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the overload report, and of admission by it."""
--- a/toucandoor/adapters/configuration_watch.py
+++ b/toucandoor/adapters/configuration_watch.py
@@ -6,6 +6,7 @@
 import threading
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.core.overload.outages import StoreOutages
 from toucandoor.core.records import HistoryLostError
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.platform.operator_records import (
@@ -46,6 +47,7 @@
 
     Attributes:
         waves: Maintenance waves by their number.
+        outages: Lengths of the store's outages, as this node has seen them.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         self._listeners: list[Callable[[JobConfiguration], None]] = []
         self._current: JobConfiguration | None = None
         self.waves: dict[int, VmWaveOrder] = {}
+        self.outages = StoreOutages()
         self._fetch_from_peers = fetch_from_peers
         self._store_answered_s = -STORE_UNREACHABLE_AFTER_S
         self._store_failing = False
@@ -159,11 +162,13 @@
                 if not self._store_failing:
                     _LOGGER.warning("configuration: reading or watching the store failed: %s", err)
                 self._store_failing = True
+                self.outages.on_failure(self._clock.monotonic_s())
                 wait_s = PROBE_WAIT_S
                 self._stop.wait(RETRY_PAUSE_S)
 
     def _on_answer(self) -> None:
         self._store_answered_s = self._clock.monotonic_s()
+        self.outages.on_answer(self._store_answered_s)
         if self._store_failing:
             _LOGGER.info("configuration: the store answers again")
         self._store_failing = False
--- a/toucandoor/adapters/job_callers.py
+++ b/toucandoor/adapters/job_callers.py
@@ -10,6 +10,7 @@
 from toucandoor.adapters.job_service import WriteOutcome
 from toucandoor.adapters.wsgi import respond, respond_json
 from toucandoor.core.admission.submission import AcceptAll
+from toucandoor.core.overload.outages import StoreOutages
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.ids import JobId, TeamId
 from toucandoor.platform.caller_routes import (
@@ -28,8 +29,9 @@
     from toucandoor.adapters.node_metrics import NodeMetrics
     from toucandoor.adapters.wsgi import Environ, StartResponse
     from toucandoor.clock import Clock
-    from toucandoor.core.admission.submission import SubmissionPolicy
+    from toucandoor.core.admission.submission import Rejection, SubmissionPolicy
     from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
+    from toucandoor.core.jobs.models import JobSpec
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -40,12 +42,12 @@
 """Time-out of a caller that sends no deadline header; the usual time-out of a queue."""
 ANSWER_MARGIN_S: Final = 0.3
 """Part of a caller's time-out that is left for the answer to reach it."""
+NO_JOB: Final = JobId("")
 RETRY_AFTER_S: Final = 1
 """Retry-After if this node could not store a job although the store has answered it recently. A
 retry goes to another entry VM, which may reach the store."""
-RETRY_AFTER_OUTAGE_S: Final = 2
-"""Retry-After while the store is known to be unreachable: outages last some seconds, and a caller
-has few retries."""
+UNKNOWN_REASON: Final = "overloaded; whether it is stored is unknown"
+"""Reason of a refusal if the store doesn't tell whether an earlier try was stored."""
 
 
 class _HttpError(Exception):
@@ -75,6 +77,7 @@
         metrics: Metrics of the process.
         store_reachable: Whether the store has answered this node recently.
         submissions: Decides whether a job is accepted; None to accept all.
+        outages: Lengths of the store's outages; None if they aren't known.
     """
 
     def __init__(
@@ -85,7 +88,9 @@
         metrics: NodeMetrics,
         store_reachable: Callable[[], bool],
         submissions: SubmissionPolicy | None = None,
+        outages: StoreOutages | None = None,
     ) -> None:
+        self._outages = outages or StoreOutages()
         self._submissions = submissions or AcceptAll()
         self._store_reachable = store_reachable
         self._metrics = metrics
@@ -170,9 +175,11 @@
         except InvalidJobError as fault:
             raise _HttpError(400, fault.reason) from fault
         rejection = self._submissions.rejection(spec)
-        if rejection is not None:
-            raise _HttpError(rejection.status, rejection.reason, rejection.retry_after_s)
-        outcome = self._jobs.submit(spec, until_s)
+        if rejection is None:
+            outcome = self._jobs.submit(spec, until_s)
+        else:
+            self._refuse_unless_stored(spec, rejection)
+            outcome = WriteOutcome.STORED
         _LOGGER.info(
             "callers: submission of a job: %s",
             outcome.value,
@@ -186,17 +193,28 @@
                 "tasks": sum(step.count for step in spec.steps),
             },
         )
-        self._check_outcome(outcome)
+        self._check_outcome(outcome, job_id)
         return b"{}"
 
+    def _refuse_unless_stored(self, spec: JobSpec, rejection: Rejection) -> None:
+        """Refuse a job, unless an earlier try has stored it, possibly at another node."""
+        try:
+            status = self._jobs.status(spec.job_id)
+        except (ToucandoorError, msgspec.MsgspecError) as err:
+            self._metrics.record_refusal(spec.queue, spec.team, 504, UNKNOWN_REASON)
+            raise _HttpError(504, UNKNOWN_REASON) from err
+        if status is None:
+            self._metrics.record_refusal(spec.queue, spec.team, rejection.status, rejection.reason)
+            raise _HttpError(rejection.status, rejection.reason, rejection.retry_after_s)
+
     def _job_state(self, queue: JobQueue, job_id: JobId) -> bytes:
-        status = self._read_store(lambda: self._jobs.status(job_id))
+        status = self._read_store(lambda: self._jobs.status(job_id), job_id)
         if status is None or status.queue != queue.name:
             raise _HttpError(410, "no such job")
         return encode_state(status.state)
 
     def _cancel(self, queue: JobQueue, job_id: JobId, until_s: float) -> bytes:
-        status = self._read_store(lambda: self._jobs.status(job_id))
+        status = self._read_store(lambda: self._jobs.status(job_id), job_id)
         if status is None or status.queue != queue.name:
             raise _HttpError(410, "no such job")
         outcome = self._jobs.cancel(job_id, until_s)
@@ -205,25 +223,27 @@
             outcome.value,
             extra={"job": job_id, "queue": queue.name},
         )
-        self._check_outcome(outcome)
+        self._check_outcome(outcome, job_id)
         return b"{}"
 
-    def _read_store(self, action: Callable[[], _T]) -> _T:
+    def _read_store(self, action: Callable[[], _T], job_id: JobId = NO_JOB) -> _T:
         try:
             return action()
         except (ToucandoorError, msgspec.MsgspecError) as err:
             reason = f"the store does not answer: {err}"
-            raise _HttpError(503, reason, self._retry_after_s()) from err
+            raise _HttpError(503, reason, self._retry_after_s(job_id)) from err
 
-    def _check_outcome(self, outcome: WriteOutcome) -> None:
+    def _check_outcome(self, outcome: WriteOutcome, job_id: JobId) -> None:
         if outcome is WriteOutcome.NOT_STORED:
             reason = "the store does not take it; it has not run"
-            raise _HttpError(503, reason, self._retry_after_s())
+            raise _HttpError(503, reason, self._retry_after_s(job_id))
         if outcome is WriteOutcome.UNKNOWN:
             raise _HttpError(504, "whether it is stored is unknown")
 
-    def _retry_after_s(self) -> int:
-        return RETRY_AFTER_S if self._store_reachable() else RETRY_AFTER_OUTAGE_S
+    def _retry_after_s(self, job_id: JobId) -> int:
+        if self._store_reachable() and not self._outages.unavailable:
+            return RETRY_AFTER_S
+        return self._outages.retry_after_s(self._clock.monotonic_s(), job_id)
 
 
 def _caller_timeout_s(environ: Environ) -> float:
--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -50,6 +50,17 @@
         )
         self._lock = threading.Lock()
         self._bytes_by_step: dict[str, tuple[int, int]] = {}
+        self._refusals = Counter(
+            "toucandoor_submissions_refused",
+            "Submissions refused before anything was stored, by queue, team, status and reason",
+        )
+        self._report_age = Gauge(
+            "toucandoor_load_report_age_seconds",
+            "Age of the overload report at the latest submission; 0 without a valid one",
+        )
+        self._reports_ignored = Gauge(
+            "toucandoor_load_reports_ignored", "Overload reports that were invalid or out of order"
+        )
         self._workers = Gauge("toucandoor_pool_servers", "Backend servers that may get tasks")
 
     def record_caller_call(
@@ -81,6 +92,19 @@
         labels = {"queue": queue, "team": team, "class": job_class, "state": state}
         self._jobs_s.observe(labels, seconds)
 
+    def record_refusal(self, queue: str, team: str, status: int, reason: str) -> None:
+        """Record a submission that was refused before anything was stored."""
+        labels = {"queue": queue, "team": team, "status": str(status), "reason": reason}
+        self._refusals.inc(labels)
+
+    def set_load_report_age(self, age_s: float | None) -> None:
+        """Set the age of the overload report; None without a valid one."""
+        self._report_age.set({}, age_s or 0.0)
+
+    def set_ignored_load_reports(self, count: int) -> None:
+        """Set how many overload reports were invalid or out of order."""
+        self._reports_ignored.set({}, count)
+
     def set_owner(self, owner: bool) -> None:
         """Set whether this process owns the schedule."""
         self._owner.set({}, int(owner))
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -12,6 +12,7 @@
 
 from toucandoor.adapters.term_context import OwnerDependencies, TermContext
 from toucandoor.adapters.term_intake import TermIntake
+from toucandoor.adapters.term_load import TermLoad
 from toucandoor.adapters.term_orders import TermOrders
 from toucandoor.adapters.term_report import TermReport
 from toucandoor.adapters.term_vms import TermVms
@@ -100,6 +101,7 @@
         )
         self._orders = TermOrders(context)
         self._vms = TermVms(context)
+        self._load = TermLoad(context, self._vms.fleet_capacity)
         self._intake = TermIntake(context, self._vms, self._ended)
 
     def stop(self) -> None:
@@ -163,6 +165,7 @@
             for commit in scheduler.commits():
                 self._submit(partial(self._commit, commit))
             self._vms.submit_due_actions()
+            self._load.submit_due()
             self._report.on_step(clock.monotonic_s() - began_s)
             pending = scheduler.pending_commit()
             if pending is not None:
--- a/toucandoor/adapters/term_vms.py
+++ b/toucandoor/adapters/term_vms.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from toucandoor.core.jobs.models import NO_RESOURCES
 from toucandoor.core.maintenance.job_waves import (
     WAVE_PROGRESS_PREFIX,
     MaintainVm,
@@ -38,6 +39,7 @@
 
 if TYPE_CHECKING:
     from toucandoor.adapters.term_context import TermContext
+    from toucandoor.core.jobs.models import Resources
     from toucandoor.core.pools.lending import PoolMove
     from toucandoor.core.records import Record, RecordStore, Snapshot
     from toucandoor.core.scheduling.workers import VmEntry
@@ -136,6 +138,10 @@
             move_s=settings.vm_move_s,
         )
 
+    def fleet_capacity(self) -> Resources:
+        """Return the capacity of all VMs; nothing before the first read of the VM list."""
+        return sum((vm.capacity for vm in self._vm_list.vms.values()), NO_RESOURCES)
+
     def restore(self, waves: Snapshot, statuses: Snapshot, vm_orders: Snapshot) -> None:
         """Restore the state that the former owner stored."""
         completed = {
--- /dev/null
+++ b/toucandoor/core/overload/const.py
@@ -0,0 +1,26 @@
+"""Intervals and limits of the overload report and of admission by it."""
+
+from __future__ import annotations
+
+from typing import Final
+
+REPORT_INTERVAL_S: Final = 0.5
+"""Shortest time between two reports of an owner."""
+REPORT_AGE_S_MAX: Final = 2.5
+"""Age at which a report no longer counts: a new owner takes about as long to write its first."""
+REPORT_BYTES_MAX: Final = 16_384
+"""Largest report. With the longest usual names it holds the waits of about 90 queues of teams."""
+LATE_OBJECTIVES_MAX: Final = 3.0
+"""Objectives within which a job must be done to be of any use to its caller."""
+BUSY_S_MIN: Final = 1.5
+"""Time for which work that can still be done in time must use all capacity before a job is refused.
+A report may be 0.5 s old when the next one is written, and refused callers return after a second,
+so that no capacity stays unused because of refusals."""
+STARTS_WINDOW_S: Final = 1.0
+"""Time over which the starts of a team are observed before its jobs may be refused; about the time
+for which a new job can still meet its objective."""
+LATER_SHARE_MAX: Final = 0.1
+"""Share of the work started in that time that may have had its turn after a refused job: narrow
+tasks that use room into which no other task fits."""
+NUMBER_MAX: Final = 1e6
+"""Largest plausible number of seconds or core-seconds in a report."""
--- a/toucandoor/core/overload/models.py
+++ b/toucandoor/core/overload/models.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from toucandoor.ids import PoolId, TeamId
+from toucandoor.ids import PoolId, QueueId, TeamId
 
 
 class RateStatus(Enum):
@@ -16,6 +16,15 @@
     BEYOND = "beyond"
 
 
+class WaitCause(Enum):
+    """Why work of a team waits."""
+
+    CEILING = "ceiling"
+    """The team's own ceiling, whatever the load of the pools."""
+    POOL = "pool"
+    """The load of the pool; only reported for teams beyond their rate."""
+
+
 class PoolReport(msgspec.Struct, frozen=True, omit_defaults=True):
     """Load of one pool.
 
@@ -32,6 +41,26 @@
     drain_cores: float = 0.0
 
 
+class TeamWait(msgspec.Struct, frozen=True, array_like=True):
+    """Shortest time that a late job of a team waits in a queue, and the size of those that don't.
+
+    Attributes:
+        team: The team.
+        queue: The queue.
+        cause: Why it waits.
+        late_s: Time until a job that is accepted now starts once it can no longer meet its
+            objective: the jobs accepted before it then have their turn first.
+        started_core_s: Size, as processor time, of the largest jobs that have lately been started
+            before that. A job of this size or smaller may still be in time.
+    """
+
+    team: TeamId
+    queue: QueueId
+    cause: WaitCause
+    late_s: float
+    started_core_s: float
+
+
 class LoadReport(msgspec.Struct, frozen=True, omit_defaults=True):
     """Overloaded pools, and the teams that are beyond their rate.
 
@@ -42,7 +71,8 @@
         pools: Overloaded pools; none once all have recovered.
         beyond: Teams that hand in more than the rate to which they are entitled.
         ceiling_wait_s: For each team whose own ceiling delays its work, the time until work that is
-            accepted now would start.
+            accepted now would start, in the queue where that takes longest.
+        waits: For each queue in which jobs of a team may be refused, how long they wait.
     """
 
     token: int
@@ -51,3 +81,9 @@
     pools: tuple[PoolReport, ...] = ()
     beyond: tuple[TeamId, ...] = ()
     ceiling_wait_s: dict[TeamId, float] = {}
+    waits: tuple[TeamWait, ...] = ()
+
+    @property
+    def empty(self) -> bool:
+        """Whether no pool is overloaded and no team is delayed by its ceiling."""
+        return not self.pools and not self.waits
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -72,6 +72,11 @@
         """Whether another owner has been detected."""
         return self._state.superseded
 
+    @property
+    def state(self) -> ScheduleState:
+        """The schedule, for reports that only read it."""
+        return self._state
+
     @property
     def configuration(self) -> JobConfiguration | None:
         """Newest configuration; None before the first one."""
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -17,7 +17,7 @@
 from toucandoor.core.scheduling.worker_view import RunState
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from toucandoor.clock import Clock
     from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
@@ -91,6 +91,7 @@
         run_times: Expected run times of tasks.
         order: Order in which waiting steps get room.
         failure_domains: Evidence on silent and slow backend servers.
+        attach_listeners: Called with each run that has been planned or recovered.
     """
 
     def __init__(self, settings: SchedulerSettings, clock: Clock) -> None:
@@ -114,6 +115,7 @@
         self.planned: dict[JobId, list[Run]] = {}
         self.finished: list[JobProgress] = []
         self.activity = Activity(self.started_s)
+        self.attach_listeners: list[Callable[[JobProgress, Run], None]] = []
         self._team_used: dict[TeamId, Resources] = {}
 
     @property
@@ -198,6 +200,8 @@
         team = job.spec.team
         self._team_used[team] = self._team_used.get(team, NO_RESOURCES) + run.task.step.needs
         self.order.on_attached(job, run, self.now_s)
+        for listener in self.attach_listeners:
+            listener(job, run)
 
     def detach(self, run: Run) -> None:
         """Remove a run from its task and backend server, and from the count of its team."""
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -16,6 +16,7 @@
 from toucandoor.adapters.configuration_watch import ConfigurationWatch
 from toucandoor.adapters.job_callers import JobApi
 from toucandoor.adapters.job_service import StoreJobService
+from toucandoor.adapters.load_watch import LoadWatch
 from toucandoor.adapters.node_metrics import NodeMetrics, metrics_app
 from toucandoor.adapters.owner_task import OwnerTask
 from toucandoor.adapters.peers import (
@@ -30,6 +31,8 @@
 from toucandoor.adapters.term_context import OwnerDependencies
 from toucandoor.adapters.wsgi import make_server, respond
 from toucandoor.clock import BootClock
+from toucandoor.core.overload.admission import AdmissionByLoad
+from toucandoor.core.overload.followed_report import FollowedReport
 from toucandoor.core.ownership.candidates import VmCapacity
 from toucandoor.exceptions import SettingsError
 from toucandoor.ids import DataCentreId, EntryId
@@ -123,12 +126,16 @@
             )
         )
         self._stopping = threading.Event()
+        load = FollowedReport(self._clock)
+        self._load_watch = LoadWatch(self._store, load, self._metrics)
         job_api = JobApi(
             self._jobs,
             lambda: self._configuration.current,
             self._clock,
             self._metrics,
             lambda: self._configuration.store_reachable,
+            AdmissionByLoad(load, record_age=self._metrics.set_load_report_age),
+            self._configuration.outages,
         )
         self._configuration.add_listener(
             lambda current: self._metrics.set_configuration_version(current.version)
@@ -149,6 +156,7 @@
         self._peer_server.start()
         self._peers.start()
         self._configuration.start()
+        self._load_watch.start()
         self._owner.start()
         for server in (self._ready_http, self._caller_http, self._metrics_http):
             server.prepare()
@@ -174,6 +182,7 @@
         if left_s > 0:
             time.sleep(left_s)
         self._configuration.stop()
+        self._load_watch.stop()
         self._caller_http.shutdown_timeout = max(
             0.1, self._settings.grace_s - BALANCER_REMOVAL_S - STOP_MARGIN_S
         )
