--- a/toucandoor/adapters/term_load.py
+++ b/toucandoor/adapters/term_load.py
@@ -47,7 +47,7 @@
         """Write the report that is due, unless a write is in flight."""
         if self._writing:
             return
-        report = self._reporter.next_report(self._fleet_capacity())
+        report = self._reporter.next_report(self._fleet_capacity)
         if report is not None:
             self._writing = True
             self._term.submit(partial(self._write, report))
--- a/toucandoor/core/overload/reporter.py
+++ b/toucandoor/core/overload/reporter.py
@@ -25,7 +25,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Callable, Iterator, Sequence
 
     from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress
@@ -69,19 +69,19 @@
         self._next_s = 0.0
         self._reported = False
 
-    def next_report(self, fleet_capacity: Resources) -> LoadReport | None:
+    def next_report(self, fleet_capacity: Callable[[], Resources]) -> LoadReport | None:
         """Return the report that is due now; None if none is.
 
         Args:
-            fleet_capacity: Capacity of all VMs, also of those that are switched off; nothing while
-                it is unknown.
+            fleet_capacity: Returns the capacity of all VMs, also of those that are switched off;
+                nothing while it is unknown.
         """
         state = self._state
         now_s, configuration = state.now_s, state.configuration
         if now_s < self._next_s or configuration is None:
             return None
         self._next_s = now_s + REPORT_INTERVAL_S
-        report = self._build(configuration, fleet_capacity)
+        report = self._build(configuration, fleet_capacity())
         if report.empty and not self._reported:
             return None
         if report.empty or not self._reported:
--- a/toucandoor/core/overload/starts.py
+++ b/toucandoor/core/overload/starts.py
@@ -34,6 +34,7 @@
     """Start of a run.
 
     Attributes:
+        run: The run.
         started_s: When it was planned, on the monotonic clock.
         work_core_s: Processor time that it needs.
         priority: Priority of its queue.
@@ -41,12 +42,18 @@
         job_core_s: Processor time that its job still needed.
     """
 
+    run: Run
     started_s: float
     work_core_s: float
     priority: int
     late: bool
     job_core_s: float
 
+    @property
+    def cancelled(self) -> bool:
+        """Whether it was never sent: a gang that doesn't fit is planned in vain each time."""
+        return self.run.confirmed_s is None and self.run.key not in self.run.worker.runs
+
 
 @dataclass(slots=True)
 class _Observed:
@@ -98,11 +105,12 @@
             starts.popleft()
         if now_s - observed.since_s < STARTS_WINDOW_S:
             return None
-        left_core_s = LATER_SHARE_MAX * sum(start.work_core_s for start in starts)
+        made = [start for start in starts if not start.cancelled]
+        left_core_s = LATER_SHARE_MAX * sum(start.work_core_s for start in made)
         by_turn = sorted(
             (
                 (start.late or start.priority > queue.priority, start.job_core_s, start.work_core_s)
-                for start in starts
+                for start in made
                 if start.priority >= queue.priority
             ),
             reverse=True,
@@ -123,7 +131,9 @@
         late, job_core_s = self._turn(job, run.task.key.occurrence, now_s)
         run_s = state.run_times.expected_s(run.task.step, spec.queue)
         work_core_s = run.task.step.needs.cpu_millicores / MS_PER_S * run_s
-        observed.starts.append(_Start(now_s, work_core_s, spec.terms.priority, late, job_core_s))
+        observed.starts.append(
+            _Start(run, now_s, work_core_s, spec.terms.priority, late, job_core_s)
+        )
 
     def _turn(self, job: JobProgress, occurrence: int, now_s: float) -> tuple[bool, float]:
         """Return whether an occurrence is late, and its size; tasks of a step start together."""
