--- a/toucandoor/core/overload/const.py
+++ b/toucandoor/core/overload/const.py
@@ -9,7 +9,7 @@
 REPORT_AGE_S_MAX: Final = 2.5
 """Age at which a report no longer counts: a new owner takes about as long to write its first."""
 REPORT_BYTES_MAX: Final = 16_384
-"""Largest report. With the longest usual names it holds the waits of about 90 queues of teams."""
+"""Largest report. It holds the waits of 230 pairs of team and queue with names of 20 letters."""
 LATE_OBJECTIVES_MAX: Final = 3.0
 """Objectives within which a job must be done to be of any use to its caller."""
 BUSY_S_MIN: Final = 1.5
@@ -19,6 +19,8 @@
 STARTS_WINDOW_S: Final = 1.0
 """Time over which the starts of a team are observed before its jobs may be refused; about the time
 for which a new job can still meet its objective."""
+STARTS_MAX: Final = 2048
+"""Most starts kept for a team in a pool; an owner plans about as many in a second for all teams."""
 LATER_SHARE_MAX: Final = 0.1
 """Share of the work started in that time that may have had its turn after a refused job: narrow
 tasks that use room into which no other task fits."""
--- a/toucandoor/core/overload/reporter.py
+++ b/toucandoor/core/overload/reporter.py
@@ -223,14 +223,14 @@
         Room under a ceiling is given to whichever pool is reviewed first. So only the work that
         waits in the same pool is sure to have its turn before a new job.
         """
-        state = self._state
         for pool, steps in waiting.items():
-            delayed = {
-                job.spec.team
-                for job, step in steps
-                if job.runnable(step) and not state.within_ceiling(job, step.step.needs)
-            }
-            for team in delayed:
+            of_teams: dict[TeamId, list[tuple[JobProgress, StepProgress]]] = {}
+            for pair in steps:
+                of_teams.setdefault(pair[0].spec.team, []).append(pair)
+            queues = _queues_of(configuration, pool)
+            for team, own in of_teams.items():
+                if not queues or not any(self._delayed(*pair) for pair in own):
+                    continue
                 running = by_team.get(team, _Running())
                 room = _room(configuration.teams[team].ceiling, running.long_running)
                 if room is None:
@@ -239,16 +239,18 @@
                     continue
                 items = [
                     each
-                    for each in self._waiting_work(
-                        [pair for pair in steps if pair[0].spec.team == team]
-                    )
+                    for each in self._waiting_work(own)
                     if team in beyond or each.status is RateStatus.WITHIN
                 ]
-                for queue in _queues_of(configuration, pool):
+                for queue in queues:
                     first = [each for each in items if each.priority <= queue.priority]
                     late_s = late_wait_s(first, running.left, room)
                     yield from self._team_wait(team, queue, WaitCause.CEILING, late_s)
 
+    def _delayed(self, job: JobProgress, step: StepProgress) -> bool:
+        """Return whether a step waits because of its team's ceiling."""
+        return job.runnable(step) and not self._state.within_ceiling(job, step.step.needs)
+
     # Overloaded pools
 
     def _pool_waits(
@@ -285,10 +287,10 @@
         items = list(self._waiting_work(steps))
         within = [each for each in items if each.status is RateStatus.WITHIN]
         waits: list[TeamWait] = []
-        for team in sorted(beyond):
-            for queue in queues:
-                first = [each for each in items if each.priority <= queue.priority]
-                late_s = late_wait_s(first, running.left, room)
+        for queue in queues:
+            first = [each for each in items if each.priority <= queue.priority]
+            late_s = late_wait_s(first, running.left, room)
+            for team in sorted(beyond):
                 waits += self._team_wait(team, queue, WaitCause.POOL, late_s)
         if not waits:
             return None
--- a/toucandoor/core/overload/starts.py
+++ b/toucandoor/core/overload/starts.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from toucandoor.core.overload.const import LATER_SHARE_MAX, STARTS_WINDOW_S
+from toucandoor.core.overload.const import LATER_SHARE_MAX, STARTS_MAX, STARTS_WINDOW_S
 from toucandoor.core.scheduling.queue_order import (
     objective_s,
     remaining_chain_s,
@@ -67,7 +67,7 @@
 
     since_s: float
     needed_s: float
-    starts: deque[_Start] = field(default_factory=deque)
+    starts: deque[_Start] = field(default_factory=lambda: deque(maxlen=STARTS_MAX))
 
 
 class RecentStarts:
