Refuse nothing by a ceiling under which nothing was started lately

Cause: without a start in the last second the report said that no job of any size had its turn. Long tasks may use a ceiling for longer than that, and a new job may be the next one.

Change: there is an entry only if the team has started at least half a core-second for each core of its ceiling in the last second.

--- a/tests/core/overload/test_overload_day.py
+++ b/tests/core/overload/test_overload_day.py
@@ -4,12 +4,12 @@
 
 import dataclasses
 import unittest
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from tests.core.overload.overload_day import BUSY_TEAM, CEILING, OverloadDay
-from tests.core.scheduling.common import NEEDS, configuration, fleet, job
+from tests.core.scheduling.common import NEEDS, configuration, fleet, job, never_ends
 from toucandoor.core.jobs.models import NO_RESOURCES, Resources, Step
 from toucandoor.core.overload.models import RateStatus, WaitCause
 from toucandoor.core.overload.rates import RateStatuses
@@ -106,9 +106,11 @@
 class ReporterTest(unittest.TestCase):
     """Cases in which a long backlog proves nothing."""
 
-    def reports_for(self, ceiling: Resources, *steps: Step, arrivals: bool) -> list[float]:
+    def reports_for(
+        self, ceiling: Resources, *steps: Step, arrivals: bool, behaviour: Any = None
+    ) -> list[float]:
         """Return when a backlog of ten large jobs causes reports within four seconds."""
-        made = fleet(workers=6, ceiling=ceiling)
+        made = fleet(workers=6, behaviour=behaviour, ceiling=ceiling)
         assert made.owner is not None
         reporter = LoadReporter(made.owner.scheduler.state)
         began_s = made.clock.monotonic_s()
@@ -142,6 +144,11 @@
         watcher = Step(8, NEEDS, long_running=True)
         self.assertEqual(self.reports_for(CEILING, watcher, arrivals=True), [])
 
+    def test_a_ceiling_that_long_tasks_use_shows_nothing_about_who_is_next(self) -> None:
+        # Without starts in the last second a new job may be the next one.
+        reports_s = self.reports_for(CEILING, arrivals=True, behaviour=never_ends)
+        self.assertEqual(reports_s, [])
+
     def test_no_report_without_weights(self) -> None:
         made = fleet(workers=1, ceiling=Resources(2000, 0, 0))
         assert made.owner is not None
--- a/toucandoor/core/overload/const.py
+++ b/toucandoor/core/overload/const.py
@@ -19,6 +19,9 @@
 STARTS_WINDOW_S: Final = 1.0
 """Time over which the starts of a team are observed before its jobs may be refused; about the time
 for which a new job can still meet its objective."""
+STARTED_SHARE_MIN: Final = 0.5
+"""Core-seconds that a team must have started in that time for each core of its ceiling. A ceiling
+that long tasks use without a start shows nothing about who is next."""
 STARTS_MAX: Final = 2048
 """Most starts kept for a team in a pool; an owner plans about as many in a second for all teams."""
 LATER_SHARE_MAX: Final = 0.1
--- a/toucandoor/core/overload/reporter.py
+++ b/toucandoor/core/overload/reporter.py
@@ -8,7 +8,12 @@
 
 from toucandoor.core.jobs.models import NO_RESOURCES, Resources
 from toucandoor.core.overload.backlog import WaitingWork, Work, late_wait_s
-from toucandoor.core.overload.const import LATE_OBJECTIVES_MAX, NUMBER_MAX, REPORT_INTERVAL_S
+from toucandoor.core.overload.const import (
+    LATE_OBJECTIVES_MAX,
+    NUMBER_MAX,
+    REPORT_INTERVAL_S,
+    STARTED_SHARE_MIN,
+)
 from toucandoor.core.overload.models import (
     LoadReport,
     PoolReport,
@@ -245,7 +250,10 @@
                 for queue in queues:
                     first = [each for each in items if each.priority <= queue.priority]
                     late_s = late_wait_s(first, running.left, room)
-                    yield from self._team_wait(team, queue, WaitCause.CEILING, late_s)
+                    least_core_s = STARTED_SHARE_MIN * room.cpu_millicores / MS_PER_S
+                    yield from self._team_wait(
+                        team, queue, WaitCause.CEILING, late_s, max(1e-6, least_core_s)
+                    )
 
     def _delayed(self, job: JobProgress, step: StepProgress) -> bool:
         """Return whether a step waits because of its team's ceiling."""
@@ -291,7 +299,8 @@
             first = [each for each in items if each.priority <= queue.priority]
             late_s = late_wait_s(first, running.left, room)
             for team in sorted(beyond):
-                waits += self._team_wait(team, queue, WaitCause.POOL, late_s)
+                # Teams within their rates may leave it no start at all.
+                waits += self._team_wait(team, queue, WaitCause.POOL, late_s, 0.0)
         if not waits:
             return None
         report = PoolReport(
@@ -303,12 +312,22 @@
         return report, waits
 
     def _team_wait(
-        self, team: TeamId, queue: JobQueue, cause: WaitCause, late_s: float
+        self, team: TeamId, queue: JobQueue, cause: WaitCause, late_s: float, least_core_s: float
     ) -> Iterator[TeamWait]:
-        """Yield the wait in a queue, if jobs may be refused by it."""
+        """Yield the wait in a queue, if jobs may be refused by it.
+
+        Args:
+            team: The team.
+            queue: The queue.
+            cause: Why its work waits.
+            late_s: Time until a late job starts.
+            least_core_s: Work that must have been started lately to show whose turn it is.
+        """
         if late_s <= _refused_above_s(queue):
             return
-        started_core_s = self._starts.largest_in_time_core_s(team, queue, self._state.now_s)
+        started_core_s = self._starts.largest_in_time_core_s(
+            team, queue, self._state.now_s, least_core_s
+        )
         if started_core_s is not None:
             late_s = round(min(late_s, NUMBER_MAX), 3)
             yield TeamWait(team, queue.name, cause, late_s, round(started_core_s, 3))
--- a/toucandoor/core/overload/starts.py
+++ b/toucandoor/core/overload/starts.py
@@ -91,11 +91,19 @@
             if observed.needed_s < now_s - STARTS_WINDOW_S:
                 del self._observed[key]
 
-    def largest_in_time_core_s(self, team: TeamId, queue: JobQueue, now_s: float) -> float | None:
+    def largest_in_time_core_s(
+        self, team: TeamId, queue: JobQueue, now_s: float, least_core_s: float
+    ) -> float | None:
         """Return the size up to which new jobs of a team have lately been started in time.
 
         None if it isn't known, or if jobs have been started whose turn is after that of any new
         one.
+
+        Args:
+            team: The team.
+            queue: The queue.
+            now_s: The monotonic time.
+            least_core_s: Work that must have been started; less shows nothing.
         """
         key = (team, queue.pool)
         observed = self._observed.setdefault(key, _Observed(now_s, now_s))
@@ -106,7 +114,10 @@
         if now_s - observed.since_s < STARTS_WINDOW_S:
             return None
         made = [start for start in starts if not start.cancelled]
-        left_core_s = LATER_SHARE_MAX * sum(start.work_core_s for start in made)
+        made_core_s = sum(start.work_core_s for start in made)
+        if made_core_s < least_core_s:
+            return None
+        left_core_s = LATER_SHARE_MAX * made_core_s
         by_turn = sorted(
             (
                 (start.late or start.priority > queue.priority, start.job_core_s, start.work_core_s)
