--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -12,10 +12,12 @@
 
 from toucandoor.adapters.term_context import OwnerDependencies, TermContext
 from toucandoor.adapters.term_intake import TermIntake
+from toucandoor.adapters.term_load import TermLoad
 from toucandoor.adapters.term_orders import TermOrders
 from toucandoor.adapters.term_report import TermReport
 from toucandoor.adapters.term_vms import TermVms
 from toucandoor.core.jobs.records import INTAKE_PREFIX
+from toucandoor.core.overload.rates import TrackedRates
 from toucandoor.core.ownership.handover import HANDOVER_KEY, encode_handover
 from toucandoor.core.ownership.lease import (
     OWNER_KEY,
@@ -102,6 +104,8 @@
         )
         self._orders = TermOrders(context)
         self._vms = TermVms(context)
+        rates = TrackedRates(self._scheduler.state.rates, dependencies.clock)
+        self._load = TermLoad(context, self._vms.fleet_capacity, rates)
         self._intake = TermIntake(context, self._vms, self._ended)
 
     def stop(self) -> None:
@@ -165,6 +169,7 @@
             for commit in scheduler.commits():
                 self._submit(partial(self._commit, commit))
             self._vms.submit_due_actions()
+            self._load.submit_due()
             self._report.on_step(clock.monotonic_s() - began_s)
             pending = scheduler.pending_commit()
             if pending is not None:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -99,6 +99,7 @@
         failure_domains: Evidence on silent and slow backend servers.
         may_start: Returns whether the start of a run may be sent now.
         runs_to_copy: Runs of tasks that may have a second run, and these second runs.
+        attach_listeners: Called with each run that has been planned or recovered.
     """
 
     def __init__(
@@ -127,6 +128,7 @@
         self.finished: list[JobProgress] = []
         self.runs_to_copy: dict[Run, None] = {}
         self.activity = Activity(self.started_s)
+        self.attach_listeners: list[Callable[[JobProgress, Run], None]] = []
         self._team_used: dict[TeamId, Resources] = {}
 
     @property
@@ -231,6 +233,8 @@
         team = job.spec.team
         self._team_used[team] = self._team_used.get(team, NO_RESOURCES) + run.task.step.needs
         self.order.on_attached(job, run, self.now_s)
+        for listener in self.attach_listeners:
+            listener(job, run)
 
     def detach(self, run: Run) -> None:
         """Remove a run from its task and backend server, and from the count of its team."""
