Plan departures from all evacuated data centres at once, and less often

Cause: a plan for each data centre and eight searches in each for room that becomes free took 0.50 s of processor time a second in a trial with 600 servers and 9,600 checkpointing runs without room; with two evacuated data centres the searches would have gone to the first one only.

Change: one plan for all evacuated data centres every 0.2 s; at most two searches every 0.5 s, for the runs with the longest remaining time first.

--- a/toucandoor/core/evacuation/departures.py
+++ b/toucandoor/core/evacuation/departures.py
@@ -18,12 +18,15 @@
     from toucandoor.core.jobs.models import Resources
     from toucandoor.core.scheduling.progress import StepProgress
     from toucandoor.core.scheduling.state import ScheduleState
-    from toucandoor.ids import PoolId
+    from toucandoor.ids import DataCentreId, PoolId
 
 STOPS_MAX: Final = 64
 """Most runs stopped in one plan; more would delay the starts of others in the same step."""
-LATER_ROOM_CHECKS_MAX: Final = 8
+LATER_ROOM_SEARCHES_MAX: Final = 2
 """Most searches in one plan for capacity that becomes free; each goes through a pool's runs."""
+LATER_ROOM_INTERVAL_S: Final = 0.5
+"""Interval between two plans with such searches. With 9,600 runs on 600 servers, 8 of them in every
+plan took half of the owner's time."""
 STOP_S: Final = 0.2
 """Time from the stop of a run until its task can be started elsewhere."""
 
@@ -45,12 +48,16 @@
     Attributes:
         stops: Runs to stop.
         targets: Server whose capacity is kept free for the task of a run, by run.
-        obstacles: Number of the runs that stay for now, by reason.
+        obstacles: Number of the runs that stay for now, by data centre and reason.
     """
 
     stops: list[Run] = field(default_factory=list)
     targets: dict[Run, WorkerView] = field(default_factory=dict)
-    obstacles: Counter[Obstacle] = field(default_factory=Counter)
+    obstacles: dict[DataCentreId, Counter[Obstacle]] = field(default_factory=dict)
+
+    def count(self, run: Run, obstacle: Obstacle) -> None:
+        """Count a run that stays."""
+        self.obstacles.setdefault(run.worker.entry.data_centre, Counter())[obstacle] += 1
 
 
 class DeparturePolicy(ABC):
@@ -78,7 +85,7 @@
         made = Departures()
         for run in leaving:
             if run.stop_requested:
-                made.obstacles[Obstacle.STOPPING] += 1
+                made.count(run, Obstacle.STOPPING)
             else:
                 made.stops.append(run)
         return made
@@ -93,14 +100,23 @@
 
     def __init__(self, move_s: float) -> None:
         self._move_s = move_s
+        self._next_later_s = 0.0
 
     def plan(self, state: ScheduleState, leaving: Sequence[Run], now_s: float) -> Departures:
         """Return the runs that lose nothing and have capacity elsewhere."""
-        return _Plan(state, self._move_s, now_s).decide(leaving)
+        plan = _Plan(state, self._move_s, now_s)
+        if now_s >= self._next_later_s:
+            self._next_later_s = now_s + LATER_ROOM_INTERVAL_S
+            plan.later_searches_left = LATER_ROOM_SEARCHES_MAX
+        return plan.decide(leaving)
 
 
 class _Plan:
-    """One plan of `LeaveWithoutLoss`."""
+    """One plan of `LeaveWithoutLoss`.
+
+    Attributes:
+        later_searches_left: Searches for capacity that becomes free that may still be made.
+    """
 
     def __init__(self, state: ScheduleState, move_s: float, now_s: float) -> None:
         self._state = state
@@ -112,7 +128,8 @@
             if worker.usable(now_s):
                 self._pools.setdefault(worker.entry.pool, []).append(worker)
         self._no_room: set[tuple[PoolId, Resources, str]] = set()
-        self._later_checks = 0
+        self._no_later_room: set[tuple[PoolId, Resources, str]] = set()
+        self.later_searches_left = 0
         self._waiting_pools = {
             state.pool_of(job)
             for key, step in state.waiting_steps.items()
@@ -121,17 +138,28 @@
         }
 
     def decide(self, leaving: Sequence[Run]) -> Departures:
-        """Decide about each run, long-running tasks first: their callers wait for them."""
-        for run in sorted(leaving, key=lambda each: not each.task.step.long_running):
+        """Decide about each run, long-running tasks first: their callers wait for them.
+
+        Then come those with the longest remaining time, which gain most from leaving.
+        """
+        for run in sorted(leaving, key=self._rank):
             obstacle = self._obstacle(run)
             if obstacle is not None:
-                self._made.obstacles[obstacle] += 1
+                self._made.count(run, obstacle)
         return self._made
 
+    def _rank(self, run: Run) -> float:
+        step = run.task.step
+        if step.long_running:
+            return float("-inf")
+        return -self._remaining_s(run) if step.checkpointing else 0.0
+
     def _obstacle(self, run: Run) -> Obstacle | None:
         """Stop a run if it can leave now; otherwise return why it stays."""
         step = run.task.step
-        if run.stop_requested or run in self._made.targets:
+        if run in self._made.targets:
+            return None
+        if run.stop_requested:
             return Obstacle.STOPPING
         if not (step.long_running or step.checkpointing):
             return Obstacle.ENDS_HERE
@@ -214,16 +242,21 @@
         step, pool = run.task.step, run.worker.entry.pool
         if step.long_running or step.per_worker_max or pool in self._waiting_pools:
             return None
-        if self._later_checks >= LATER_ROOM_CHECKS_MAX:
+        kind = (pool, step.reserved, step.required_label)
+        if not self.later_searches_left or kind in self._no_later_room:
             return None
-        self._later_checks += 1
+        self.later_searches_left -= 1
         limit_s = self._remaining_s(run) - STOP_S
         best: tuple[float, WorkerView] | None = None
         for worker in allowed_workers(self._pools.get(pool, ()), progress, self._now_s):
             free_s = self._free_after_s(worker, step.reserved)
             if free_s < limit_s and (best is None or free_s < best[0]):
                 best = (free_s, worker)
-        return best[1] if best is not None else None
+        if best is None:
+            # The others of this kind end sooner, so that they can't leave either.
+            self._no_later_room.add(kind)
+            return None
+        return best[1]
 
     def _free_after_s(self, worker: WorkerView, needed: Resources) -> float:
         """Return the expected time until a server has room; infinity if it is not foreseeable."""
--- a/toucandoor/core/evacuation/evacuator.py
+++ b/toucandoor/core/evacuation/evacuator.py
@@ -21,8 +21,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-PLAN_INTERVAL_S: Final = 0.1
-"""Interval between two plans of departures; a stop takes about as long."""
+PLAN_INTERVAL_S: Final = 0.2
+"""Interval between two plans of departures; a stop takes about as long. Each plan goes through all
+runs of the evacuated data centres."""
 LOG_INTERVAL_S: Final = 2.0
 """Interval between two log lines on a data centre that is not empty yet."""
 UNKNOWN_AFTER_S: Final = 2.0
@@ -229,20 +230,21 @@
             return
         self._next_plan_s = now_s + PLAN_INTERVAL_S
         self._known.update(worker.entry.data_centre for worker in self._state.workers.values())
-        left: dict[DataCentreId, list[Run]] = {}
-        for run in self._evacuated_runs():
-            left.setdefault(run.worker.entry.data_centre, []).append(run)
+        runs = self._evacuated_runs()
+        made = self._policy.plan(self._state, runs, now_s)
+        for run in made.stops:
+            made.count(run, Obstacle.STOPPING)
+            if not run.stop_requested:
+                self._state.request_stop(run)
+        self._held |= made.targets
+        left = Counter(run.worker.entry.data_centre for run in runs)
+        lasting = Counter(
+            run.worker.entry.data_centre for run in runs if run.task.step.long_running
+        )
         for data_centre, status in self._statuses.items():
-            runs = left.get(data_centre, [])
-            made = self._policy.plan(self._state, runs, now_s)
-            for run in made.stops:
-                if not run.stop_requested:
-                    self._state.request_stop(run)
-            self._held |= made.targets
-            status.runs = len(runs)
-            status.long_running = sum(run.task.step.long_running for run in runs)
-            status.obstacles = made.obstacles
-            status.obstacles[Obstacle.STOPPING] += len(made.stops)
+            status.runs = left[data_centre]
+            status.long_running = lasting[data_centre]
+            status.obstacles = made.obstacles.get(data_centre, Counter())
             self._log(status, now_s)
 
     def _log(self, status: DataCentreStatus, now_s: float) -> None:
