Test runs with a repeated start or an unknown end

Cause: without the conditions on a single start order and on an open heartbeat, all tests of samples passed. Change: one test changes a run in each of three ways and expects no sample, and one for the unchanged run. Result: the test fails when either condition is removed.

--- a/tests/core/scheduling/test_run_samples.py
+++ b/tests/core/scheduling/test_run_samples.py
@@ -65,16 +65,26 @@
         virtual.run(4.0)
         self.assertEqual(model(virtual).samples, 0)
 
-    def test_runs_resumed_from_a_checkpoint_are_no_samples(self) -> None:
-        virtual = fleet()
-        virtual.submit(job(1, Step(1, NEEDS, 1000, checkpointing=True)))
-        virtual.run(0.2)
-        assert virtual.owner is not None
-        (task,) = virtual.owner.scheduler.jobs[job(1).job_id].step(0, 0).tasks
-        task.runs[0].checkpoint = "half"
-        virtual.run(4.0)
-        self.assertTrue(task.done)
-        self.assertEqual(model(virtual).samples, 0)
+    def test_runs_whose_start_or_end_is_unknown_or_that_resumed_are_no_samples(self) -> None:
+        """Guards against run times that are too long by a lost answer, or too short."""
+        for name in ("undisturbed", "checkpoint", "starts_sent", "uncommitted"):
+            with self.subTest(changed=name):
+                virtual = fleet(behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 1.5))
+                virtual.submit(job(1, Step(1, NEEDS, 1000)))
+                virtual.run(0.5)
+                assert virtual.owner is not None
+                (task,) = virtual.owner.scheduler.jobs[job(1).job_id].step(0, 0).tasks
+                (run,) = task.runs
+                if name == "checkpoint":
+                    run.checkpoint = "half"
+                elif name == "starts_sent":
+                    run.starts_sent = 2
+                elif name == "uncommitted":
+                    # Heartbeats pause for a second while an effect is not in the store.
+                    run.worker.uncommitted.append((job(1).job_id, 1000))
+                virtual.run(4.0)
+                self.assertTrue(task.done)
+                self.assertEqual(model(virtual).samples, 1 if name == "undisturbed" else 0)
 
     def test_the_next_owner_starts_from_the_snapshot(self) -> None:
         virtual = fleet(6)
