Bound the cost of reviews for copies, and describe failure domains for operators

Cause: each review went through all runs that may be copied, 20 times a second, and looked for a server again for each run that could get none.

Change: between reviews of all runs, each 0.25 s, only runs on silent servers are reviewed; a run that got no copy is reviewed again after 0.5 s, and at most eight are tried in one review.

--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -13,6 +13,7 @@
     from collections.abc import Iterable
 
     from toucandoor.adapters.wsgi import Environ, StartResponse
+    from toucandoor.core.copies.models import CopyCounts
     from toucandoor.core.scheduling.pool_load import PoolLoad
 
 _CALL_BUCKETS_S: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0]
@@ -51,6 +52,9 @@
         self._lock = threading.Lock()
         self._bytes_by_step: dict[str, tuple[int, int]] = {}
         self._workers = Gauge("toucandoor_pool_servers", "Backend servers that may get tasks")
+        self._copies = Gauge("toucandoor_copies", "Copies of the owner's term by result")
+        self._copies_core_s = Gauge("toucandoor_copies_core_seconds", "Cost of the ended copies")
+        self._suspected = Gauge("toucandoor_suspected_servers", "Servers that starts avoid")
 
     def record_caller_call(
         self, queue: str, team: str, method: str, status: int, seconds: float
@@ -89,6 +93,19 @@
         """Set the version of the configuration in force."""
         self._version.set({}, version)
 
+    def set_failure_domains(self, copies: CopyCounts, suspected_servers: int) -> None:
+        """Set what the copies of the owner's term came to, and how many servers get no starts."""
+        for result, count in (
+            ("started", copies.started),
+            ("won", copies.won),
+            ("lost", copies.lost),
+            ("over_budget", copies.over_budget),
+            ("no_room", copies.no_room),
+        ):
+            self._copies.set({"result": result}, count)
+        self._copies_core_s.set({}, copies.core_s)
+        self._suspected.set({}, suspected_servers)
+
     def set_pool_load(self, load: PoolLoad) -> None:
         """Set the load of a pool."""
         for use, amount in (
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -48,6 +48,7 @@
             return
         self._next_s = now_s + REPORT_INTERVAL_S
         self._log_load()
+        self._set_failure_domains()
         self._log_activity(now_s)
         self._log_traffic()
 
@@ -65,6 +66,12 @@
             self._dependencies.metrics.set_pool_load(load)
             _LOGGER.info("schedule: load", extra=load.log_fields())
 
+    def _set_failure_domains(self) -> None:
+        scheduler = self._scheduler
+        self._dependencies.metrics.set_failure_domains(
+            scheduler.copies, scheduler.suspected_servers()
+        )
+
     def _log_activity(self, now_s: float) -> None:
         counts = self._scheduler.activity.counts() | self._scheduler.copies.counts()
         workers = self._scheduler.workers.values()
--- a/toucandoor/core/copies/spare_capacity.py
+++ b/toucandoor/core/copies/spare_capacity.py
@@ -19,7 +19,14 @@
 _LOGGER = logging.getLogger(__name__)
 
 REVIEW_INTERVAL_S: Final = 0.05
-"""Time between two reviews; short beside the seconds that a copy may save."""
+"""Time between two reviews of runs on silent servers; short beside the seconds that a copy may
+save."""
+OVERDUE_INTERVAL_S: Final = 0.25
+"""Time between two reviews of all runs, of which there may be thousands."""
+REFUSED_PAUSE_S: Final = 0.5
+"""Time after which a run that could get no copy is reviewed again."""
+TRIES_MAX: Final = 8
+"""Most runs for which a server is looked for in one review; each look goes through a pool."""
 POOL_CORES_RATIO: Final = 0.1
 """Most of a pool's cores that copies may reserve."""
 OVERDUE_QUANTILE: Final = 0.95
@@ -39,8 +46,9 @@
         super().__init__()
         self._state = state
         self._reviewed_s = float("-inf")
+        self._overdue_reviewed_s = float("-inf")
         self._copies: dict[Run, None] = {}
-        self._refused: set[Run] = set()
+        self._refused: dict[Run, float] = {}
 
     def plan(self, plan_run: PlanRun) -> None:
         """Plan the copies that are needed now."""
@@ -50,12 +58,12 @@
         if (not runs and not self._copies) or now_s - self._reviewed_s < REVIEW_INTERVAL_S:
             return
         self._reviewed_s = now_s
-        self._refused &= runs.keys()
+        self._refused = {run: at_s for run, at_s in self._refused.items() if run in runs}
         self._count_ended(now_s)
         needed: dict[PoolId, list[tuple[Run, CopyReason]]] = {}
-        for run in runs:
-            if run.is_copy and run not in self._copies and not run.stop_requested:
-                self._copies[run] = None  # planned by a former owner
+        for run in self._to_review(now_s):
+            if now_s - self._refused.get(run, float("-inf")) < REFUSED_PAUSE_S:
+                continue
             reason = self._reason(run, now_s)
             if reason is not None:
                 pool = state.pool_of(state.jobs[run.task.key.job_id])
@@ -65,6 +73,20 @@
 
     # Which runs need a copy
 
+    def _to_review(self, now_s: float) -> list[Run]:
+        """Return all runs, or only those on silent servers between two reviews of all."""
+        state = self._state
+        if now_s - self._overdue_reviewed_s < OVERDUE_INTERVAL_S:
+            silent = state.failure_domains.silent_workers
+            return [
+                run for each in silent for run in each.runs.values() if run in state.runs_to_copy
+            ]
+        self._overdue_reviewed_s = now_s
+        for run in state.runs_to_copy:
+            if run.is_copy and run not in self._copies and not run.stop_requested:
+                self._copies[run] = None  # planned by a former owner
+        return list(state.runs_to_copy)
+
     def _reason(self, run: Run, now_s: float) -> CopyReason | None:
         """Return why a run needs a copy now; None if it needs none or may have none."""
         task = run.task
@@ -123,14 +145,14 @@
                 state.step_of(each[0].task).remaining,
             )
         )
-        for run, reason in needed:
+        for run, reason in needed[:TRIES_MAX]:
             cost = run.task.step.needs.cpu_millicores
             if cost > budget:
-                self._refuse(run, over_budget=True)
+                self._refuse(run, now_s, over_budget=True)
                 continue
             chosen = self._choose(run, spare, now_s)
             if chosen is None:
-                self._refuse(run, over_budget=False)
+                self._refuse(run, now_s, over_budget=False)
                 continue
             budget -= cost
             self._start(run, chosen, reason, plan_run, now_s)
@@ -201,10 +223,11 @@
 
     # What came of them
 
-    def _refuse(self, run: Run, *, over_budget: bool) -> None:
-        if run in self._refused:
+    def _refuse(self, run: Run, now_s: float, *, over_budget: bool) -> None:
+        counted = run in self._refused
+        self._refused[run] = now_s
+        if counted:
             return
-        self._refused.add(run)
         if over_budget:
             self.counts.over_budget += 1
         else:
--- a/toucandoor/core/failure_domains/models.py
+++ b/toucandoor/core/failure_domains/models.py
@@ -25,11 +25,14 @@
 
     Attributes:
         held_back: Unresponsive servers on suspected racks that get no heartbeat for now.
-        probes: Servers on suspected racks that get a heartbeat now, also without runs.
+        probes: Servers that get a heartbeat now, also without runs.
+        silent_workers: Unresponsive servers that have missed an answer, and those of suspected
+            racks.
     """
 
     held_back: frozenset[WorkerId] = frozenset()
     probes: frozenset[WorkerId] = frozenset()
+    silent_workers: tuple[WorkerView, ...] = ()
 
     @abstractmethod
     def suspects(self, worker: WorkerView) -> bool:
--- a/toucandoor/core/failure_domains/racks.py
+++ b/toucandoor/core/failure_domains/racks.py
@@ -155,6 +155,7 @@
                 self._judge_speed(worker_id, now_s)
         if not self._silent and not self._suspected:
             self.held_back = self.probes = frozenset()
+            self.silent_workers = ()
             return
         self._drop_ended_silences(workers, now_s)
         self._collect_racks(workers, now_s)
@@ -170,6 +171,10 @@
                 if rack not in self._suspected and enough:
                     self._suspect(rack, silences, now_s)
         self._choose_probes(silent, now_s)
+        found = {each.worker: None for each in self._silent.values()}
+        for rack in self._suspected:
+            found |= dict.fromkeys(self._racks[rack].servers if rack in self._racks else [])
+        self.silent_workers = tuple(found)
 
     def _judge_speed(self, worker_id: WorkerId, now_s: float) -> None:
         ratio = self._speed.slowness(worker_id, now_s)
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -105,6 +105,10 @@
         """Latest boot of each backend server."""
         return self._state.workers
 
+    def suspected_servers(self) -> int:
+        """Return the number of backend servers that starts avoid."""
+        return sum(map(self._state.failure_domains.suspects, self._state.workers.values()))
+
     def unresponsive_leases_s(self) -> dict[Boot, float]:
         """Return the longest time, in s, until the lease of each unresponsive boot expires."""
         return self._registry.unresponsive_leases_s()
