--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -13,6 +13,7 @@
     from collections.abc import Iterable
 
     from toucandoor.adapters.wsgi import Environ, StartResponse
+    from toucandoor.core.copies.models import CopyCounts
     from toucandoor.core.run_times.models import QueueRatio
     from toucandoor.core.scheduling.pool_load import PoolLoad
     from toucandoor.core.scheduling.step_order import TeamFigures
@@ -95,6 +96,9 @@
             "toucandoor_load_reports_ignored", "Overload reports that were invalid or out of order"
         )
         self._workers = Gauge("toucandoor_pool_servers", "Backend servers that may get tasks")
+        self._copies = Gauge("toucandoor_copies", "Copies of the owner's term by result")
+        self._copies_core_s = Gauge("toucandoor_copies_core_seconds", "Cost of the ended copies")
+        self._suspected = Gauge("toucandoor_suspected_servers", "Servers that starts avoid")
 
     def record_caller_call(
         self, queue: str, team: str, method: str, status: int, seconds: float
@@ -155,6 +159,19 @@
         """Set the number of requests to evacuate a data centre that were ignored."""
         self._evacuations_ignored.set({}, count)
 
+    def set_failure_domains(self, copies: CopyCounts, suspected_servers: int) -> None:
+        """Set what the copies of the owner's term came to, and how many servers get no starts."""
+        for result, count in (
+            ("started", copies.started),
+            ("won", copies.won),
+            ("lost", copies.lost),
+            ("over_budget", copies.over_budget),
+            ("no_room", copies.no_room),
+        ):
+            self._copies.set({"result": result}, count)
+        self._copies_core_s.set({}, copies.core_s)
+        self._suspected.set({}, suspected_servers)
+
     def set_pool_load(self, load: PoolLoad) -> None:
         """Set the load of a pool."""
         for use, amount in (
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -53,6 +53,7 @@
         self._log_load()
         self._record_evacuations(now_s)
         self._record_teams()
+        self._set_failure_domains()
         self._log_activity(now_s)
         self._log_traffic()
 
@@ -105,6 +106,12 @@
             metrics.set_team(figures)
         metrics.set_invalid_weights(self._scheduler.invalid_weights)
 
+    def _set_failure_domains(self) -> None:
+        scheduler = self._scheduler
+        self._dependencies.metrics.set_failure_domains(
+            scheduler.copies, scheduler.suspected_servers()
+        )
+
     def _log_activity(self, now_s: float) -> None:
         counts = self._scheduler.activity.counts() | self._scheduler.copies.counts()
         workers = self._scheduler.workers.values()
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -158,6 +158,10 @@
         """Return the figures of the teams; none while no team has a weight."""
         return self._state.order.team_figures(self._state.now_s)
 
+    def suspected_servers(self) -> int:
+        """Return the number of backend servers that starts avoid."""
+        return sum(map(self._state.failure_domains.suspects, self._state.workers.values()))
+
     def unresponsive_leases_s(self) -> dict[Boot, float]:
         """Return the longest time, in s, until the lease of each unresponsive boot expires."""
         return self._registry.unresponsive_leases_s()
