--- a/tests/core/overload/test_overload_day.py
+++ b/tests/core/overload/test_overload_day.py
@@ -69,16 +69,16 @@
     def test_jobs_are_accepted_without_reports_and_after_a_change_of_owner(self) -> None:
         # Jobs must not be refused by a report that is no longer renewed, and a new owner's counts.
         day = self.day()
-        day.fleet.run(4.0)
+        day.fleet.run(5.0)
         day.report_lost = True
         day.take_over()
         day.fleet.run(3.0)
         day.report_lost = False
         day.fleet.run(3.0)
         times_s = [at_s - 100.0 for at_s in day.rejections_s]
-        self.assertTrue(any(at_s < 4.0 for at_s in times_s))
-        self.assertFalse(any(6.6 < at_s < 7.0 for at_s in times_s))
-        self.assertTrue(any(at_s > 7.0 for at_s in times_s))
+        self.assertTrue(any(at_s < 5.0 for at_s in times_s))
+        self.assertFalse(any(7.6 < at_s < 8.0 for at_s in times_s))
+        self.assertTrue(any(at_s > 8.0 for at_s in times_s))
         self.assertEqual(len({report.token for report in day.reports}), 2)
         for team in OTHERS:
             self.assertEqual(self.rejections(day, team), 0)
