--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -13,7 +13,10 @@
     from collections.abc import Iterable
 
     from toucandoor.adapters.wsgi import Environ, StartResponse
+    from toucandoor.core.copies.models import CopyCounts
+    from toucandoor.core.run_times.models import QueueRatio
     from toucandoor.core.scheduling.pool_load import PoolLoad
+    from toucandoor.core.scheduling.step_order import TeamFigures
     from toucandoor.ids import DataCentreId
 
 _CALL_BUCKETS_S: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0]
@@ -59,9 +62,43 @@
             "toucandoor_evacuations_ignored",
             "Requests that are invalid or name an unknown data centre",
         )
+        self._run_times = Gauge(
+            "toucandoor_run_time_ratio",
+            "Ratio of actual to estimated run times of a queue: its median, and the one in use",
+        )
+        self._dropped_run_times = Counter(
+            "toucandoor_run_times_dropped", "Run times that were implausible and not used"
+        )
         self._lock = threading.Lock()
         self._bytes_by_step: dict[str, tuple[int, int]] = {}
+        self._team_server_time_s = Gauge(
+            "toucandoor_team_server_time_s",
+            "Time of whole servers reserved for a team in this owner's term",
+        )
+        self._team_waiting = Gauge(
+            "toucandoor_team_waiting_steps", "Steps of a team left without room for all their tasks"
+        )
+        self._team_jobs = Gauge(
+            "toucandoor_team_jobs", "Jobs of a team in this owner's term by rate status"
+        )
+        self._invalid_weights = Gauge(
+            "toucandoor_invalid_weights", "Teams whose weight is missing or invalid and is ignored"
+        )
+        self._refusals = Counter(
+            "toucandoor_submissions_refused",
+            "Submissions refused before anything was stored, by queue, team, status and reason",
+        )
+        self._report_age = Gauge(
+            "toucandoor_load_report_age_seconds",
+            "Age of the overload report at the latest submission; 0 without a valid one",
+        )
+        self._reports_ignored = Gauge(
+            "toucandoor_load_reports_ignored", "Overload reports that were invalid or out of order"
+        )
         self._workers = Gauge("toucandoor_pool_servers", "Backend servers that may get tasks")
+        self._copies = Gauge("toucandoor_copies", "Copies of the owner's term by result")
+        self._copies_core_s = Gauge("toucandoor_copies_core_seconds", "Cost of the ended copies")
+        self._suspected = Gauge("toucandoor_suspected_servers", "Servers that starts avoid")
 
     def record_caller_call(
         self, queue: str, team: str, method: str, status: int, seconds: float
@@ -92,6 +129,19 @@
         labels = {"queue": queue, "team": team, "class": job_class, "state": state}
         self._jobs_s.observe(labels, seconds)
 
+    def record_refusal(self, queue: str, team: str, status: int, reason: str) -> None:
+        """Record a submission that was refused before anything was stored."""
+        labels = {"queue": queue, "team": team, "status": str(status), "reason": reason}
+        self._refusals.inc(labels)
+
+    def set_load_report_age(self, age_s: float | None) -> None:
+        """Set the age of the overload report; None without a valid one."""
+        self._report_age.set({}, age_s or 0.0)
+
+    def set_ignored_load_reports(self, count: int) -> None:
+        """Set how many overload reports were invalid or out of order."""
+        self._reports_ignored.set({}, count)
+
     def set_owner(self, owner: bool) -> None:
         """Set whether this process owns the schedule."""
         self._owner.set({}, int(owner))
@@ -109,6 +159,19 @@
         """Set the number of requests to evacuate a data centre that were ignored."""
         self._evacuations_ignored.set({}, count)
 
+    def set_failure_domains(self, copies: CopyCounts, suspected_servers: int) -> None:
+        """Set what the copies of the owner's term came to, and how many servers get no starts."""
+        for result, count in (
+            ("started", copies.started),
+            ("won", copies.won),
+            ("lost", copies.lost),
+            ("over_budget", copies.over_budget),
+            ("no_room", copies.no_room),
+        ):
+            self._copies.set({"result": result}, count)
+        self._copies_core_s.set({}, copies.core_s)
+        self._suspected.set({}, suspected_servers)
+
     def set_pool_load(self, load: PoolLoad) -> None:
         """Set the load of a pool."""
         for use, amount in (
@@ -120,6 +183,26 @@
             self._pool_cpu.set({"pool": load.pool, "use": use}, amount.cpu_millicores)
         self._workers.set({"pool": load.pool}, load.workers)
 
+    def set_run_time_ratio(self, ratio: QueueRatio) -> None:
+        """Set the ratios of actual to estimated run times of a queue."""
+        for kind, value in (("median", ratio.median), ("expected", ratio.expected)):
+            self._run_times.set({"queue": ratio.queue, "kind": kind}, value)
+
+    def add_dropped_run_times(self, count: int) -> None:
+        """Count run times that were not used."""
+        self._dropped_run_times.add({}, count)
+
+    def set_team(self, figures: TeamFigures) -> None:
+        """Set the figures of a team."""
+        self._team_server_time_s.set({"team": figures.team}, figures.service_s)
+        self._team_waiting.set({"team": figures.team}, figures.waiting_steps)
+        for status, count in (("within", figures.jobs_within), ("beyond", figures.jobs_beyond)):
+            self._team_jobs.set({"team": figures.team, "rate_status": status}, count)
+
+    def set_invalid_weights(self, count: int) -> None:
+        """Set the number of teams whose weight is ignored."""
+        self._invalid_weights.set({}, count)
+
 
 def metrics_app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
     """WSGI application that serves the metrics at any path."""
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -30,8 +30,9 @@
         self._dependencies = dependencies
         self._next_s = 0.0
         self._reported_s = dependencies.clock.monotonic_s()
-        self._counts = scheduler.activity.counts()
+        self._counts = scheduler.activity.counts() | scheduler.copies.counts()
         self._bytes = dependencies.metrics.platform_bytes()
+        self._dropped = 0
         self._busy_s = 0.0
         self._longest_step_s = 0.0
         self._evacuated: set[DataCentreId] = set()
@@ -51,6 +52,8 @@
         self._next_s = now_s + REPORT_INTERVAL_S
         self._log_load()
         self._record_evacuations(now_s)
+        self._record_teams()
+        self._set_failure_domains()
         self._log_activity(now_s)
         self._log_traffic()
 
@@ -67,6 +70,25 @@
         for load in self._scheduler.loads().values():
             self._dependencies.metrics.set_pool_load(load)
             _LOGGER.info("schedule: load", extra=load.log_fields())
+        run_times = self._scheduler.run_times
+        for ratio in run_times.queue_ratios():
+            self._dependencies.metrics.set_run_time_ratio(ratio)
+            _LOGGER.info(
+                "schedule: run times",
+                extra={
+                    "queue": ratio.queue,
+                    "ratio": round(ratio.expected, 3),
+                    "median_ratio": round(ratio.median, 3),
+                    "samples": round(ratio.weight, 1),
+                },
+            )
+        if run_times.dropped > self._dropped:
+            _LOGGER.warning(
+                "schedule: implausible run times were dropped",
+                extra={"dropped": run_times.dropped - self._dropped},
+            )
+            self._dependencies.metrics.add_dropped_run_times(run_times.dropped - self._dropped)
+            self._dropped = run_times.dropped
 
     def _record_evacuations(self, now_s: float) -> None:
         evacuation, metrics = self._scheduler.evacuation, self._dependencies.metrics
@@ -78,8 +100,20 @@
         self._evacuated = set(present)
         metrics.set_evacuations_ignored(evacuation.ignored_records)
 
+    def _record_teams(self) -> None:
+        metrics = self._dependencies.metrics
+        for figures in self._scheduler.team_figures():
+            metrics.set_team(figures)
+        metrics.set_invalid_weights(self._scheduler.invalid_weights)
+
+    def _set_failure_domains(self) -> None:
+        scheduler = self._scheduler
+        self._dependencies.metrics.set_failure_domains(
+            scheduler.copies, scheduler.suspected_servers()
+        )
+
     def _log_activity(self, now_s: float) -> None:
-        counts = self._scheduler.activity.counts()
+        counts = self._scheduler.activity.counts() | self._scheduler.copies.counts()
         workers = self._scheduler.workers.values()
         _LOGGER.info(
             "schedule: activity",
--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from toucandoor.core.failure_domains.rack_spread import tasks_beyond_promise
 from toucandoor.core.scheduling.pacing import latency_sensitive_runs
 
 if TYPE_CHECKING:
@@ -81,25 +82,32 @@
         for worker in allowed
         if needed.fits_in(worker.free)
         and not (limit and on_worker.get(worker.entry.worker_id, 0) >= limit)
-        and not worker.probing
+        and not (worker.slow and worker.runs)
     ]
     if not fitting:
         return None
-    return min(fitting, key=lambda worker: _cost(worker, step.step, task, now_s))
+    beyond = tasks_beyond_promise(step, task)
+    return min(
+        fitting,
+        key=lambda worker: (
+            beyond.get(worker.entry.rack, 0),
+            *_cost(worker, step.step, task, now_s),
+        ),
+    )
 
 
 def _cost(
     worker: WorkerView, step: Step, task: Task, now_s: float
-) -> tuple[bool, bool, bool, int, float]:
+) -> tuple[bool, bool, bool, bool, int, float]:
     """Return the sort key of a server for a task; lower is better.
 
-    In this order: the task has not failed there, the server is not cold, the task's data is on its
-    rack, a best-effort task slows down few latency-sensitive runs, and the server has the largest
-    share of its capacity in use.
+    In this order: the server is not slow, the task has not failed there, the server is not cold,
+    the task's data is on its rack, a best-effort task slows down few latency-sensitive runs, and
+    the server has the largest share of its capacity in use.
     """
     failed_there = worker.entry.worker_id in task.failed_on
     far = bool(step.data_rack) and step.data_rack not in worker.entry.labels
     slowed = len(latency_sensitive_runs(worker)) if step.uses_leftovers else 0
     # The fullest server comes first, so that others stay empty and their VMs can be lent.
     cold = now_s < worker.cold_until_s
-    return (failed_there, cold, far, slowed, -worker.used_ratio)
+    return (worker.slow, failed_there, cold, far, slowed, -worker.used_ratio)
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -6,10 +6,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from toucandoor.core.failure_domains.models import FailureDomains, NoFailureDomains
+from toucandoor.core.copies.models import may_be_copied
+from toucandoor.core.failure_domains.racks import ObservedFailureDomains
+from toucandoor.core.fair_order.order import FairOrder
+from toucandoor.core.fair_order.rates import RateStatusTracker, valid_rates
 from toucandoor.core.jobs.models import NO_RESOURCES, JobState, Resources, StepKey
 from toucandoor.core.ownership.lease import OWNER_TTL_S
-from toucandoor.core.run_times.models import CALLER_ESTIMATES, RunTimeModel
+from toucandoor.core.run_times.learned import LearnedRunTimes
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.activity import Activity
 from toucandoor.core.scheduling.queue_order import objective_s
@@ -20,8 +23,10 @@
     from collections.abc import Callable, Mapping
 
     from toucandoor.clock import Clock
+    from toucandoor.core.failure_domains.models import FailureDomains
     from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
     from toucandoor.core.jobs.models import TaskKey
+    from toucandoor.core.run_times.models import RunTimeModel
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress, Task
     from toucandoor.core.scheduling.worker_view import Run, WorkerView
     from toucandoor.core.scheduling.workers import Boot
@@ -90,17 +95,23 @@
         activity: Counts of what this owner has done.
         run_times: Expected run times of tasks.
         order: Order in which waiting steps get room.
+        rates: Rate status of the jobs; all are within their rate while no team has a weight.
         failure_domains: Evidence on silent and slow backend servers.
         may_start: Returns whether the start of a run may be sent now.
+        runs_to_copy: Runs of tasks that may have a second run, and these second runs.
+        attach_listeners: Called with each run that has been planned or recovered.
     """
 
-    def __init__(self, settings: SchedulerSettings, clock: Clock) -> None:
+    def __init__(
+        self, settings: SchedulerSettings, clock: Clock, run_times: RunTimeModel | None = None
+    ) -> None:
         self.settings = settings
         self.clock = clock
-        self.run_times: RunTimeModel = CALLER_ESTIMATES
+        self.run_times: RunTimeModel = run_times or LearnedRunTimes(clock)
         self.order: StepOrder = LeastWorkFirst(self.run_times)
-        self.failure_domains: FailureDomains = NoFailureDomains()
+        self.failure_domains: FailureDomains = ObservedFailureDomains(clock)
         self.may_start: Callable[[Run], bool] = lambda _run: True
+        self.rates = RateStatusTracker(self.clock.now().timestamp() * MS_PER_S)
         self.started_s = clock.monotonic_s()
         self.configuration: JobConfiguration | None = None
         self.jobs: dict[JobId, JobProgress] = {}
@@ -115,7 +126,9 @@
         self.dirty: dict[JobId, None] = {}
         self.planned: dict[JobId, list[Run]] = {}
         self.finished: list[JobProgress] = []
+        self.runs_to_copy: dict[Run, None] = {}
         self.activity = Activity(self.started_s)
+        self.attach_listeners: list[Callable[[JobProgress, Run], None]] = []
         self._team_used: dict[TeamId, Resources] = {}
 
     @property
@@ -128,6 +141,24 @@
         """Current wall-clock time."""
         return self.clock.now().timestamp() * MS_PER_S
 
+    def set_configuration(self, configuration: JobConfiguration) -> None:
+        """Apply a newer configuration; the teams' shares decide once one of them has a weight."""
+        self.configuration = configuration
+        self.rates.set_configuration(configuration, self.now_unix_ms)
+        fair = bool(valid_rates(configuration))
+        if not fair:
+            self.rates.clear()
+        if fair != isinstance(self.order, FairOrder):
+            self.order = (
+                FairOrder(self.run_times, self.rates) if fair else LeastWorkFirst(self.run_times)
+            )
+            for job in self.jobs.values():
+                self.order.on_job_added(job, self.now_s)
+                for step in job.steps.values():
+                    for run in (run for task in step.tasks for run in task.runs):
+                        self.order.on_attached(job, run, self.now_s)
+        self.order.set_configuration(configuration, self.now_s)
+
     # Progress and terms of jobs
 
     def mark_changed(self, job: JobProgress) -> None:
@@ -196,10 +227,14 @@
         """Add a run to its task and backend server, and count it for its team."""
         run.worker.add(run)
         run.task.runs.append(run)
+        if may_be_copied(run.task.step):
+            self.runs_to_copy[run] = None
         job = self.jobs[run.task.key.job_id]
         team = job.spec.team
         self._team_used[team] = self._team_used.get(team, NO_RESOURCES) + run.task.step.needs
         self.order.on_attached(job, run, self.now_s)
+        for listener in self.attach_listeners:
+            listener(job, run)
 
     def detach(self, run: Run) -> None:
         """Remove a run from its task and backend server, and from the count of its team."""
@@ -208,6 +243,7 @@
         run.worker.remove(run)
         run.task.runs.remove(run)
         self.runs_awaiting_orders.pop(run, None)
+        self.runs_to_copy.pop(run, None)
         job = self.jobs[run.task.key.job_id]
         self._team_used[job.spec.team] = self._team_used[job.spec.team] - run.task.step.needs
         self.order.on_detached(job, run, self.now_s)
