--- a/toucandoor/core/fair_order/order.py
+++ b/toucandoor/core/fair_order/order.py
@@ -205,7 +205,7 @@
     def ordered(
         self, pool: PoolId, waiting: Sequence[WaitingStep], now_s: float, now_unix_ms: float
     ) -> Iterator[WaitingStep]:
-        """Yield the steps in the order of the class; within it as the class documentation says."""
+        """Yield the steps by `StepClass`; `FairOrder` says in which order within a class."""
         shares = self._shares(pool)
         steps = _Pass()
         for number, each in enumerate(waiting):
