Count each job once when judging how slow a server is

Cause: a server often runs many tasks of one job, and a job's estimates are wrong together. Change: one sample for each job on a server, its fastest run.

--- a/toucandoor/core/failure_domains/racks.py
+++ b/toucandoor/core/failure_domains/racks.py
@@ -122,7 +122,7 @@
         if worker_id in self._silent:
             return  # the run may have ended long before its end could be reported
         now_s = self._clock.monotonic_s()
-        self._speed.record(worker_id, queue, ratio, now_s)
+        self._speed.record(worker_id, run.task.key.job_id, queue, ratio, now_s)
         self._judge_speed(worker_id, now_s)
 
     def poll_wait_s(self, worker: WorkerView, wait_s: float) -> float:
--- a/toucandoor/core/failure_domains/run_speed.py
+++ b/toucandoor/core/failure_domains/run_speed.py
@@ -11,15 +11,15 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from toucandoor.ids import QueueId, WorkerId
+    from toucandoor.ids import JobId, QueueId, WorkerId
 
 SAMPLES_MAX: Final = 8
-"""Latest runs of a server that count."""
+"""Latest jobs of a server that count."""
 HALF_LIFE_S: Final = 10.0
-"""Age at which a run has half its weight."""
+"""Age at which a job has half its weight."""
 UNKNOWN_WEIGHT: Final = 1.0
-"""Weight of the usual speed beside that of the runs. A single long run does not make a server slow,
-and a server without recent runs counts as usual again."""
+"""Weight of the usual speed beside that of the jobs. A single job does not make a server slow, and
+a server without recent runs counts as usual again."""
 QUEUE_SAMPLES_MAX: Final = 32
 """Latest runs of a queue, over all servers, to which a run is compared."""
 QUEUE_SAMPLES_MIN: Final = 8
@@ -29,26 +29,32 @@
 
 
 class _Sample(NamedTuple):
+    job_id: JobId
     ended_s: float
     ratio: float
 
 
 class RunSpeed:
-    """Median of the latest run times on each server, relative to those of the same queue.
+    """Median over the latest jobs on each server, relative to the runs of the same queue.
 
     Expected run times may be wrong for a whole queue, as callers' estimates are. A run is therefore
-    compared to what the runs of its queue took relative to expectation on all servers.
+    compared to what the runs of its queue took relative to expectation on all servers. They may
+    also be wrong for a single job, of which a server often runs several tasks: each job counts
+    once, by its fastest run.
     """
 
     def __init__(self) -> None:
         self._queues: dict[QueueId, deque[float]] = {}
         self._servers: dict[WorkerId, deque[_Sample]] = {}
 
-    def record(self, worker_id: WorkerId, queue: QueueId, ratio: float, now_s: float) -> None:
+    def record(
+        self, worker_id: WorkerId, job_id: JobId, queue: QueueId, ratio: float, now_s: float
+    ) -> None:
         """Record a run.
 
         Args:
             worker_id: The server.
+            job_id: Its job.
             queue: Queue of its job.
             ratio: Its run time divided by the expected one.
             now_s: When it ended.
@@ -57,12 +63,19 @@
         if len(self._queues) > QUEUES_MAX:
             del self._queues[next(iter(self._queues))]
         if len(found) >= QUEUE_SAMPLES_MIN:
-            sample = _Sample(now_s, ratio / median(found))
-            self._servers.setdefault(worker_id, deque(maxlen=SAMPLES_MAX)).append(sample)
+            self._add(worker_id, _Sample(job_id, now_s, ratio / median(found)))
         found.append(ratio)
 
+    def _add(self, worker_id: WorkerId, sample: _Sample) -> None:
+        samples = self._servers.setdefault(worker_id, deque(maxlen=SAMPLES_MAX))
+        for place, known in enumerate(samples):
+            if known.job_id == sample.job_id:
+                samples[place] = sample._replace(ratio=min(known.ratio, sample.ratio))
+                return
+        samples.append(sample)
+
     def slowness(self, worker_id: WorkerId, now_s: float) -> float:
-        """Return the weighted median of a server's runs; the lower one if two are as good."""
+        """Return the weighted median of a server's jobs; the lower one if two are as good."""
         samples = self._servers.get(worker_id)
         if not samples:
             return USUAL_SPEED
