Split the load of pools and the run times' record off the scheduler

Change: PoolLoads (pool_loads.py) counts the loads, RunTimeRecords (run_time_records.py) writes and restores the run times. Callers use scheduler.registry, run_orders, retention, pool_loads and run_time_records directly. No change of behaviour.

--- a/tests/adapters/test_term_intake.py
+++ b/tests/adapters/test_term_intake.py
@@ -178,7 +178,7 @@
         made.run(5.0)
         scheduler, intake = self.load(CountingStore(made.records))
         made.clock.advance(200.0)
-        self.assertIsNone(scheduler.removal())
+        self.assertIsNone(scheduler.retention.removal())
         waits = (
             "toucandoor.adapters.term_intake.ENDED_JOBS_DELAY_S",
             "toucandoor.adapters.term_intake.ENDED_JOBS_PAGE_PAUSE_S",
@@ -186,7 +186,7 @@
         with mock.patch(waits[0], 0.0), mock.patch(waits[1], 0.0):
             intake.read_ended_jobs()
         made.clock.advance(60.0)
-        removal = scheduler.removal()
+        removal = scheduler.retention.removal()
         assert removal is not None
         self.assertEqual(removal.removals, (progress_key(ended.job_id),))
 
--- a/tests/core/evacuation/test_evacuator.py
+++ b/tests/core/evacuation/test_evacuator.py
@@ -173,7 +173,7 @@
             fleet.run(10.0)
         self.assertEqual((runs_in(fleet, A), fleet.observations.starts), (2, 2))
         self.assertIn("no room elsewhere: 2", str(vars(logs.records[-1])["reason"]))
-        [load] = scheduler_of(fleet).loads().values()
+        [load] = scheduler_of(fleet).pool_loads.current().values()
         self.assertEqual(load.waiting, NEEDS.times(2))
 
     def test_checkpointing_tasks_leave_and_others_end(self) -> None:
--- a/tests/core/run_times/peaks.py
+++ b/tests/core/run_times/peaks.py
@@ -101,7 +101,7 @@
     def _lend(self) -> None:
         assert self.fleet.owner is not None
         scheduler = self.fleet.owner.scheduler
-        load = scheduler.loads(LEAD_S).get(POOL)
+        load = scheduler.pool_loads.current(LEAD_S).get(POOL)
         self.waited_s += (
             sum(
                 task.waiting
--- a/tests/core/scheduling/test_arrivals.py
+++ b/tests/core/scheduling/test_arrivals.py
@@ -47,7 +47,7 @@
                     )
                 )
             virtual.run(0.1)
-            wanted = wanted_vms(scheduler.loads(LEAD_S).get(POOL), vm)
+            wanted = wanted_vms(scheduler.pool_loads.current(LEAD_S).get(POOL), vm)
             wanted_max = max(wanted_max, wanted)
             running = sum(map(len, virtual.observations.running.values()))
             running_max = max(running_max, -(-running * NEEDS.cpu_millicores // vm.cpu_millicores))
@@ -59,7 +59,7 @@
         virtual.submit(job(1, Step(8, NEEDS, estimate_ms=1000)))
         virtual.run(0.5)
         assert virtual.owner is not None
-        load = virtual.owner.scheduler.loads(LEAD_S)[POOL]
+        load = virtual.owner.scheduler.pool_loads.current(LEAD_S)[POOL]
         self.assertEqual(load.finite, NEEDS.times(8))
         self.assertEqual(load.later, Resources())
 
@@ -80,7 +80,7 @@
         virtual.submit(job(2, Step(4, NEEDS, long_running=True, per_worker_max=1)))
         virtual.run(1.0)
         assert virtual.owner is not None
-        load = virtual.owner.scheduler.loads(LEAD_S)[POOL]
+        load = virtual.owner.scheduler.pool_loads.current(LEAD_S)[POOL]
         self.assertEqual(load.waiting, NEEDS.times(2))
         self.assertGreaterEqual(wanted_vms(load, vm), 4 + 2)
 
@@ -104,7 +104,7 @@
                 virtual.submit(job(1, step))
                 virtual.run(1.0)
                 assert virtual.owner is not None
-                load = virtual.owner.scheduler.loads(LEAD_S)[POOL]
+                load = virtual.owner.scheduler.pool_loads.current(LEAD_S)[POOL]
                 self.assertEqual(load.spread_workers_min, 4)
 
 
--- a/tests/core/scheduling/test_ceiling_demand.py
+++ b/tests/core/scheduling/test_ceiling_demand.py
@@ -54,7 +54,9 @@
         for number in range(50):
             virtual.submit(job(number, Step(8, NEEDS, estimate_ms=4000)))
             virtual.run(0.1)
-            wanted.append(wanted_vms(virtual.owner.scheduler.loads(LEAD_S).get(POOL), VM))
+            wanted.append(
+                wanted_vms(virtual.owner.scheduler.pool_loads.current(LEAD_S).get(POOL), VM)
+            )
         return max(wanted)
 
     def test_no_vm_is_wanted_beyond_the_ceiling(self) -> None:
@@ -69,7 +71,7 @@
             virtual.submit(job(number, Step(8, NEEDS, estimate_ms=1000)))
         virtual.run(0.5)
         assert virtual.owner is not None
-        load = virtual.owner.scheduler.loads(LEAD_S)[POOL]
+        load = virtual.owner.scheduler.pool_loads.current(LEAD_S)[POOL]
         self.assertEqual(load.finite, NEEDS.times(12))
         # Tasks of a step count by the part that fits, rounded down for each step.
         self.assertAlmostEqual(load.waiting.cpu_millicores, NEEDS.cpu_millicores * 12, delta=10)
--- a/tests/core/scheduling/test_run_samples.py
+++ b/tests/core/scheduling/test_run_samples.py
@@ -92,13 +92,13 @@
             virtual.submit(job(number, Step(1, NEEDS, estimate_ms=4000)))
         virtual.run(6.0)
         assert virtual.owner is not None
-        commit = virtual.owner.scheduler.run_times_commit()
+        commit = virtual.owner.scheduler.run_time_records.commit()
         assert commit is not None
         self.assertEqual(commit.expected, {"owner": int(virtual.owner.scheduler.token)})
         expected_s = model(virtual).expected_s(job(1).steps[0], QUEUE)
         self.assertLess(expected_s, 0.6)
         virtual.take_over()
-        virtual.owner.scheduler.restore_run_times(commit.writes[RUN_TIMES_KEY])
+        virtual.owner.scheduler.run_time_records.restore(commit.writes[RUN_TIMES_KEY])
         restored_s = model(virtual).expected_s(job(1).steps[0], QUEUE)
         self.assertAlmostEqual(restored_s, expected_s, places=2)
 
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -430,7 +430,7 @@
         virtual.submit(job(1, Step(1, NEEDS)))
         assert virtual.owner is not None
         scheduler = virtual.owner.scheduler
-        scheduler.require_heartbeat(scheduler.workers[WorkerId("w0")])
+        scheduler.registry.require_heartbeat(scheduler.workers[WorkerId("w0")])
         with mock.patch.object(virtual.calls, "send", wraps=virtual.calls.send) as send:
             virtual.run(20.0)
             self.assertLessEqual(send.call_count, 8)
--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -218,7 +218,7 @@
         virtual.take_over(planned=True)
         virtual.run(9.0)
         assert virtual.owner is not None
-        self.last_loads = list(virtual.owner.scheduler.loads().values())
+        self.last_loads = list(virtual.owner.scheduler.pool_loads.current().values())
 
 
 if __name__ == "__main__":
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -136,7 +136,7 @@
 
     def _hand_over(self) -> None:
         """Store for the next owner when the leases of unresponsive backend servers expire."""
-        leases_s = self._scheduler.unresponsive_leases_s()
+        leases_s = self._scheduler.registry.unresponsive_leases_s()
         if not leases_s or not self._ownership.valid or self._scheduler.superseded:
             return
         owner = {OWNER_KEY: int(self._scheduler.token)}
@@ -177,10 +177,10 @@
             pending = scheduler.pending_commit()
             if pending is not None:
                 self._submit(partial(self._write_pending, pending))
-            run_times = scheduler.run_times_commit()
+            run_times = scheduler.run_time_records.commit()
             if run_times is not None:
                 self._submit(partial(self._write_run_times, run_times))
-            removal = scheduler.removal()
+            removal = scheduler.retention.removal()
             if removal is not None:
                 self._submit(partial(self._remove_records, removal))
 
@@ -290,9 +290,9 @@
             self._dependencies.store.write(transaction)
         except ToucandoorError as err:
             _LOGGER.info("progress: writing the learned run times failed: %s", err)
-            self._post(lambda: scheduler.run_times_written(ok=False))
+            self._post(lambda: scheduler.run_time_records.written(ok=False))
         else:
-            self._post(lambda: scheduler.run_times_written(ok=True))
+            self._post(lambda: scheduler.run_time_records.written(ok=True))
 
     def _remove_records(self, transaction: Transaction) -> None:
         scheduler = self._scheduler
@@ -300,9 +300,9 @@
             self._dependencies.store.write(transaction)
         except ToucandoorError as err:
             _LOGGER.info("jobs: removing records of ended jobs failed: %s", err)
-            self._post(lambda: scheduler.removed(ok=False))
+            self._post(lambda: scheduler.retention.removed(ok=False))
         else:
-            self._post(lambda: scheduler.removed(ok=True))
+            self._post(lambda: scheduler.retention.removed(ok=True))
 
     def _renew(self) -> None:
         """Renew the lease of the ownership until it is lost or the term ends."""
--- a/toucandoor/adapters/term_intake.py
+++ b/toucandoor/adapters/term_intake.py
@@ -140,7 +140,7 @@
             if record.key != RUN_TIMES_KEY:
                 continue
             try:
-                keys = self._term.scheduler.restore_run_times(record.value)
+                keys = self._term.scheduler.run_time_records.restore(record.value)
             except msgspec.MsgspecError as err:
                 _LOGGER.error("owner: the learned run times can't be used, and start anew: %s", err)
             else:
@@ -201,7 +201,7 @@
                 continue
             if progress.state.final:
                 job_id = JobId(record.key.removeprefix(PROGRESS_PREFIX))
-                self._term.scheduler.add_ended(job_id, progress.finished_unix_ms)
+                self._term.scheduler.retention.add_ended(job_id, progress.finished_unix_ms)
 
     def _load_job(self, job: Record, progress: Record | None) -> None:
         try:
--- a/toucandoor/adapters/term_orders.py
+++ b/toucandoor/adapters/term_orders.py
@@ -65,10 +65,10 @@
         except OrderRefusedError as err:
             refusal = err.refusal
             _LOGGER.info("workers: heartbeat refused: %s", err)
-            self._term.post(lambda: scheduler.heartbeat_failed(worker, refusal))
+            self._term.post(lambda: scheduler.run_orders.heartbeat_failed(worker, refusal))
         except OrderUnansweredError as err:
             _LOGGER.info("workers: heartbeat not answered: %s", err)
-            self._term.post(lambda: scheduler.heartbeat_failed(worker, None))
+            self._term.post(lambda: scheduler.run_orders.heartbeat_failed(worker, None))
         else:
             self._term.post(lambda: scheduler.heartbeat_answered(worker, report, sent_s))
 
@@ -85,17 +85,17 @@
         except OrderWithheldError:
             # The ownership may become valid again; the scheduler then sends the start again, unless
             # it withdraws the run from an evacuated data centre.
-            self._term.post(lambda: scheduler.start_not_sent(run))
+            self._term.post(lambda: scheduler.run_orders.start_not_sent(run))
         except OrderRefusedError as err:
             refusal = err.refusal
-            self._term.post(lambda: scheduler.start_refused(run, refusal))
+            self._term.post(lambda: scheduler.run_orders.start_refused(run, refusal))
         except OrderUnansweredError as err:
             _LOGGER.info(
                 "runs: start order not answered: %s", err, extra={"job": run.task.key.job_id}
             )
-            self._term.post(lambda: scheduler.start_unanswered(run))
+            self._term.post(lambda: scheduler.run_orders.start_unanswered(run))
         else:
-            self._term.post(lambda: scheduler.start_answered(run, clock_ms))
+            self._term.post(lambda: scheduler.run_orders.start_answered(run, clock_ms))
 
     async def _async_stop_run(self, order: StopRun) -> None:
         scheduler, run = self._term.scheduler, order.run
@@ -105,14 +105,14 @@
             )
         except OrderRefusedError as err:
             refusal = err.refusal
-            self._term.post(lambda: scheduler.stop_failed(run, refusal))
+            self._term.post(lambda: scheduler.run_orders.stop_failed(run, refusal))
         except OrderUnansweredError as err:
             _LOGGER.info(
                 "runs: stop order not answered: %s", err, extra={"job": run.task.key.job_id}
             )
-            self._term.post(lambda: scheduler.stop_failed(run, None))
+            self._term.post(lambda: scheduler.run_orders.stop_failed(run, None))
         else:
-            self._term.post(lambda: scheduler.stop_answered(run))
+            self._term.post(lambda: scheduler.run_orders.stop_answered(run))
 
     async def _async_limit_speed(self, order: LimitSpeed) -> None:
         run = order.run
@@ -125,7 +125,9 @@
                 "runs: changing the speed limit failed: %s", err, extra={"job": run.task.key.job_id}
             )
         else:
-            self._term.post(lambda: self._term.scheduler.speed_limit_answered(run, order.percent))
+            self._term.post(
+                lambda: self._term.scheduler.run_orders.speed_limit_answered(run, order.percent)
+            )
 
     def _request_advice(self, order: RequestAdvice) -> None:
         scheduler = self._term.scheduler
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -67,7 +67,7 @@
             )
 
     def _log_load(self) -> None:
-        for load in self._scheduler.loads().values():
+        for load in self._scheduler.pool_loads.current().values():
             self._dependencies.metrics.set_pool_load(load)
             _LOGGER.info("schedule: load", extra=load.log_fields())
         run_times = self._scheduler.run_times
--- a/toucandoor/core/maintenance/job_waves.py
+++ b/toucandoor/core/maintenance/job_waves.py
@@ -230,7 +230,7 @@
         if worker is not None:
             # The backend server has ended, unless the maintenance had been done before and this
             # one was started after it.
-            self._scheduler.require_heartbeat(worker)
+            self._scheduler.registry.require_heartbeat(worker)
         _LOGGER.info(
             "maintenance: maintenance of the VM has begun",
             extra={"vm": order.vm_id, "wave": order.wave, "begun": len(wave.begun)},
@@ -285,7 +285,7 @@
         remaining = [
             vm_id for vm_id in wave.order.vms if self._is_listed(vm_id) and vm_id not in wave.begun
         ]
-        workers = self._scheduler.workers_by_vm()
+        workers = self._scheduler.registry.by_vm()
         self._forget_returned(wave, workers)
         for vm_id in list(wave.vacating_since_s):
             if vm_id not in remaining:
@@ -298,7 +298,7 @@
             if worker is not None:
                 cordoned.add(worker.entry.worker_id)
                 overdue = now_s - since_s > STOP_TASKS_AFTER_S
-                self._scheduler.vacate(worker, at_once=overdue)
+                self._scheduler.registry.vacate(worker, at_once=overdue)
             if (worker is None or not worker.runs) and self._may_begin(wave, vm_id, now_s):
                 if worker is not None:
                     wave.ordered_on[vm_id] = worker.entry.worker_id
--- a/toucandoor/core/pools/vm_lender.py
+++ b/toucandoor/core/pools/vm_lender.py
@@ -73,7 +73,7 @@
         worker = self._end_order(move)
         if worker is not None and worker.entry.pool != move.pool:
             # A boot in the target pool is not the one that the move has ended.
-            self._scheduler.boot_ended(worker, "was moved to another pool with its VM")
+            self._scheduler.registry.boot_ended(worker, "was moved to another pool with its VM")
         self._arriving_until_s[move.vm_id] = now_s + self._move_s + SETTLE_S
         self._vm_list.on_move_begun(move.vm_id, move.pool)
         _LOGGER.info(
@@ -100,7 +100,7 @@
         if worker is not None:
             worker.leaving = False
             # The backend server has ended, unless the move was not made.
-            self._scheduler.require_heartbeat(worker)
+            self._scheduler.registry.require_heartbeat(worker)
         return worker
 
     def due_moves(self, busy: Collection[VmId]) -> list[PoolMove]:
@@ -114,7 +114,7 @@
         if configuration is None or now_s < self._next_plan_s or self._vm_list.read_at_s is None:
             return []
         self._next_plan_s = now_s + PLAN_EVERY_S
-        workers = self._scheduler.workers_by_vm()
+        workers = self._scheduler.registry.by_vm()
         self._forget_arrived(workers, now_s)
         spare = frozenset(pool.name for pool in configuration.pools.values() if pool.spare)
         serving = {queue.pool for queue in configuration.queues.values()} - spare
@@ -126,7 +126,7 @@
         ]
         if not vms:
             return []
-        loads = self._scheduler.loads(self._lead_s)
+        loads = self._scheduler.pool_loads.current(self._lead_s)
         moves = self._policy.plan(loads, vms, sorted(serving), spare, now_s)
         for move in moves:
             worker = workers.get(move.vm_id)
--- /dev/null
+++ b/toucandoor/core/scheduling/pool_loads.py
@@ -0,0 +1,149 @@
+"""Counts the load of the pools: capacity in use, and demand of waiting and arriving tasks."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from typing import TYPE_CHECKING
+
+from toucandoor.core.scheduling import const
+from toucandoor.core.scheduling.arrivals import Arrival
+from toucandoor.core.scheduling.ceiling_demand import CeilingDemand
+from toucandoor.core.scheduling.placement import allowed_workers, room_for_step
+from toucandoor.core.scheduling.pool_load import PoolLoad
+from toucandoor.core.scheduling.queue_order import remaining_chain_s
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from toucandoor.core.evacuation.evacuator import Evacuator
+    from toucandoor.core.jobs.models import Resources, StepKey
+    from toucandoor.core.scheduling.progress import JobProgress, StepProgress
+    from toucandoor.core.scheduling.state import ScheduleState
+    from toucandoor.ids import JobId, PoolId
+
+
+class PoolLoads:
+    """Loads of all pools of a schedule.
+
+    Args:
+        state: The schedule.
+        evacuation: Tells which runs leave an evacuated data centre.
+    """
+
+    def __init__(self, state: ScheduleState, evacuation: Evacuator) -> None:
+        self._state = state
+        self._evacuation = evacuation
+        self._arrivals: deque[JobProgress] = deque()
+
+    def add_arrival(self, job: JobProgress) -> None:
+        """Count a job that has just arrived as demand, unless it is due later or never ends."""
+        if not job.spec.timed and not job.spec.long_running:
+            self._arrivals.append(job)
+
+    def current(self, lead_s: float = 0.0) -> dict[PoolId, PoolLoad]:
+        """Return the load of each pool.
+
+        Of the waiting tasks and arrivals of a team, only what fits under its ceiling at the end of
+        the lead time counts: VMs would not help the others.
+
+        Args:
+            lead_s: Lead time of `PoolLoad.later` and `PoolLoad.arriving_later`, in seconds.
+        """
+        state = self._state
+        now_s = state.now_s
+        loads: dict[PoolId, PoolLoad] = {}
+        runs_later: dict[tuple[JobId, int], bool] = {}
+        waiting: list[tuple[JobProgress, StepProgress]] = []
+        demand = CeilingDemand(state.ceiling_of, state.used_by)
+
+        def load_of(pool: PoolId) -> PoolLoad:
+            return loads.setdefault(pool, PoolLoad(pool))
+
+        leaving: Counter[StepKey] = Counter()
+        for worker in state.workers.values():
+            if worker.evacuated:
+                leaving.update(run.task.key.step_key for run in self._evacuation.leaving(worker))
+            if not worker.usable(now_s):
+                continue
+            load = load_of(worker.entry.pool)
+            load.add_worker(worker)
+            for run in worker.runs.values():
+                if run.is_copy:
+                    continue  # uses what others leave; no VM is lent for it
+                key = (run.task.key.job_id, run.task.key.occurrence)
+                job = state.jobs[key[0]]
+                if key not in runs_later:
+                    runs_later[key] = remaining_chain_s(job, key[1], state.run_times) > lead_s
+                load.add_run(run, later=runs_later[key])
+                if not runs_later[key] and not run.task.step.long_running:
+                    demand.add_ending(job.spec.team, run.task.step.needs)
+        for job_id in state.open_jobs:
+            job = state.jobs[job_id]
+            if job.state.final:
+                continue
+            load_of(state.pool_of(job))
+            for step in job.steps.values():
+                if step.remaining and job.runnable(step):
+                    waiting.append((job, step))
+                    tasks = sum(task.waiting for task in step.tasks)
+                    demand.add_waiting(job.spec.team, step.step.needs.times(tasks))
+        ratios = demand.waiting_ratios()
+        for job, step in waiting:
+            ratio = ratios.get(job.spec.team, 1.0)
+            count = leaving[step.key]
+            room = self._room_for_lasting(job, step, now_s, count)
+            load_of(state.pool_of(job)).add_waiting(step, room=room, ratio=ratio, leaving=count)
+        self._add_arrivals(load_of, demand, now_s, lead_s)
+        return loads
+
+    def _room_for_lasting(
+        self, job: JobProgress, step: StepProgress, now_s: float, leaving: int
+    ) -> int | None:
+        """Return how many tasks of a long-running step with a limit per server still fit.
+
+        None for other steps, whose servers become free again, and where more servers might not
+        help: the team's ceiling, a label or the adviser may be in the way, or a task may be too
+        large for any server.
+        """
+        state, needs = self._state, step.step.needs
+        if not step.step.long_running or not step.step.per_worker_max or step.step.required_label:
+            return None
+        queue = state.queue_of(job)
+        if queue is None or queue.adviser is not None:
+            return None
+        waiting = sum(task.waiting for task in step.tasks)
+        if not waiting + leaving or not state.within_ceiling(job, needs.times(waiting)):
+            return None
+        workers = [each for each in state.workers.values() if each.entry.pool == queue.pool]
+        if not any(step.step.reserved.fits_in(each.entry.capacity) for each in workers):
+            return None
+        return room_for_step(allowed_workers(workers, step, now_s), step)
+
+    def _add_arrivals(
+        self,
+        load_of: Callable[[PoolId], PoolLoad],
+        demand: CeilingDemand,
+        now_s: float,
+        lead_s: float,
+    ) -> None:
+        """Add the jobs that have arrived within the window to the loads of their pools."""
+        window_s = const.ARRIVAL_WINDOW_S
+        while self._arrivals and self._arrivals[0].arrived_s < now_s - window_s:
+            self._arrivals.popleft()
+        state = self._state
+        # Estimated now and not on arrival, so that what has been learned meanwhile counts.
+        arrivals: list[tuple[Arrival, Resources]] = []
+        for job in self._arrivals:
+            pool = state.pool_of(job)
+            arrival = Arrival.of_job(job.arrived_s, pool, job.spec, state.run_times)
+            later = arrival.needed_after(lead_s).times(1 / window_s)
+            arrivals.append((arrival, later))
+            demand.add_arriving(arrival.team, arrival.work.times(1 / window_s), later)
+        ratios = demand.arriving_ratios()
+        for arrival, later in arrivals:
+            load = load_of(arrival.pool)
+            ratio, ratio_later = ratios.get(arrival.team, (1.0, 1.0))
+            load.arriving_cpu_millicores += arrival.work.cpu_millicores * ratio / window_s
+            if ratio_later < 1.0:
+                later = later.times(ratio_later)
+            load.arriving_later = load.arriving_later + later
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -8,52 +8,42 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
 from typing import TYPE_CHECKING
 
 from toucandoor.core.copies.spare_capacity import SpareCapacityCopies
 from toucandoor.core.evacuation.evacuator import Evacuator
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.records import Transaction
-from toucandoor.core.run_times.learned import LearnedRunTimes
-from toucandoor.core.run_times.snapshots import (
-    RUN_TIMES_KEY,
-    RunTimeSnapshots,
-    restore_run_times,
-)
 from toucandoor.core.scheduling import const
-from toucandoor.core.scheduling.arrivals import Arrival
-from toucandoor.core.scheduling.ceiling_demand import CeilingDemand
-from toucandoor.core.scheduling.placement import allowed_workers, room_for_step
 from toucandoor.core.scheduling.placer import Placer
-from toucandoor.core.scheduling.pool_load import PoolLoad
-from toucandoor.core.scheduling.progress import JobProgress, StepProgress
+from toucandoor.core.scheduling.pool_loads import PoolLoads
+from toucandoor.core.scheduling.progress import JobProgress
 from toucandoor.core.scheduling.progress_writer import ProgressWriter
-from toucandoor.core.scheduling.queue_order import remaining_chain_s
 from toucandoor.core.scheduling.retention import Retention
 from toucandoor.core.scheduling.run_ends import RunEnds
 from toucandoor.core.scheduling.run_orders import RunOrders
+from toucandoor.core.scheduling.run_time_records import RunTimeRecords
 from toucandoor.core.scheduling.state import SchedulerSettings, ScheduleState
 from toucandoor.core.scheduling.worker_registry import WorkerRegistry
 from toucandoor.core.scheduling.worker_view import Run, RunState, WorkerView
-from toucandoor.core.scheduling.workers import OrderRefusal, RunKey
+from toucandoor.core.scheduling.workers import RunKey
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from toucandoor.clock import Clock
     from toucandoor.core.copies.models import CopyCounts, CopyPolicy
     from toucandoor.core.evacuation.requests import EvacuationRequests
     from toucandoor.core.jobs.configuration import JobConfiguration
-    from toucandoor.core.jobs.models import JobSpec, Resources, StepKey
+    from toucandoor.core.jobs.models import JobSpec, StepKey
     from toucandoor.core.jobs.records import ProgressRecord
     from toucandoor.core.records import Record
     from toucandoor.core.run_times.models import RunTimeModel
     from toucandoor.core.scheduling.activity import Activity
     from toucandoor.core.scheduling.orders import Commit, Order
     from toucandoor.core.scheduling.step_order import TeamFigures
-    from toucandoor.core.scheduling.workers import Advice, Boot, StatusReport, WorkerEntry
-    from toucandoor.ids import FencingToken, JobId, PoolId, VmId, WorkerId
+    from toucandoor.core.scheduling.workers import Advice, StatusReport, WorkerEntry
+    from toucandoor.ids import FencingToken, JobId, WorkerId
 
 WAKE_S_MAX = 0.25
 """Longest time between two placements."""
@@ -74,6 +64,11 @@
 
     Attributes:
         evacuation: Empties the servers of evacuated data centres.
+        registry: Adds, updates and removes backend servers, and prepares planned ends of VMs.
+        run_orders: Processes the answers to starts, stops and speed limits.
+        retention: Plans the removal of records of ended jobs.
+        pool_loads: Counts the load of the pools.
+        run_time_records: Writes what has been learned about run times, and starts from it.
     """
 
     def __init__(
@@ -86,17 +81,14 @@
         self._state = ScheduleState(settings, clock, run_times)
         self.evacuation = Evacuator(self._state, evacuations)
         self._state.may_start = self.evacuation.may_start
-        self._registry = WorkerRegistry(self._state)
-        self._orders = RunOrders(self._state, self._registry)
+        self.registry = WorkerRegistry(self._state)
+        self.run_orders = RunOrders(self._state, self.registry)
         self._ends = RunEnds(self._state)
         self._placer = Placer(self._state)
         self._writer = ProgressWriter(self._state)
-        self._retention = Retention(self._state, settings.status_retention_s)
-        self._arrivals: deque[JobProgress] = deque()
-        model = self._state.run_times
-        self._snapshots = (
-            RunTimeSnapshots(model, clock) if isinstance(model, LearnedRunTimes) else None
-        )
+        self.retention = Retention(self._state, settings.status_retention_s)
+        self.pool_loads = PoolLoads(self._state, self.evacuation)
+        self.run_time_records = RunTimeRecords(self._state)
         self._copies: CopyPolicy = SpareCapacityCopies(self._state)
 
     @property
@@ -162,10 +154,6 @@
         """Return the number of backend servers that starts avoid."""
         return sum(map(self._state.failure_domains.suspects, self._state.workers.values()))
 
-    def unresponsive_leases_s(self) -> dict[Boot, float]:
-        """Return the longest time, in s, until the lease of each unresponsive boot expires."""
-        return self._registry.unresponsive_leases_s()
-
     # Events from callers and operators
 
     def set_configuration(self, configuration: JobConfiguration) -> None:
@@ -185,8 +173,7 @@
         state.open_jobs.add(spec.job_id)
         state.order.on_job_added(job, state.now_s)
         state.mark_changed(job)
-        if not spec.timed and not spec.long_running:
-            self._arrivals.append(job)
+        self.pool_loads.add_arrival(job)
         if spec.job_id in self._state.early_cancels:
             self.cancel_job(spec.job_id)
 
@@ -212,22 +199,13 @@
         if not job.state.final or runs:
             state.open_jobs.add(spec.job_id)
         for task, stored in runs:
-            worker = self._registry.boot_of_run(stored.worker_id, stored.worker_booted_unix_ms)
+            worker = self.registry.boot_of_run(stored.worker_id, stored.worker_booted_unix_ms)
             key = RunKey(task.key, stored.attempt)
             run = Run(key, task, worker, RunState.RECOVERED, state.now_s)
             state.attach(run)
             if job.state.final or task.done:
                 state.request_stop(run)
 
-    def add_ended(self, job_id: JobId, finished_unix_ms: int) -> None:
-        """Add a job that ended under a former owner, so that its records are removed in time.
-
-        Args:
-            job_id: The job.
-            finished_unix_ms: When it reached its final state.
-        """
-        self._retention.add_ended(job_id, finished_unix_ms)
-
     def cancel_job(self, job_id: JobId) -> None:
         """Cancel a job: its runs are stopped and no task of it starts again."""
         job = self._state.jobs.get(job_id)
@@ -244,37 +222,11 @@
 
     def worker_listed(self, entry: WorkerEntry) -> None:
         """Process a new or changed entry of a backend server in the platform's list."""
-        self._registry.listed(entry)
+        self.registry.listed(entry)
 
     def worker_unlisted(self, worker_id: WorkerId) -> None:
         """Process the removal of a backend server from the platform's list."""
-        self._registry.unlisted(worker_id)
-
-    def workers_by_vm(self) -> dict[VmId, WorkerView]:
-        """Return the latest boot of a backend server on each VM."""
-        return self._registry.by_vm()
-
-    def vacate(self, worker: WorkerView, *, at_once: bool) -> None:
-        """Stop runs on a VM before its planned end, as far as availability promises allow.
-
-        Args:
-            worker: The backend server on the VM.
-            at_once: Also stop tasks that would lose their work.
-        """
-        self._registry.vacate(worker, at_once=at_once)
-
-    def require_heartbeat(self, worker: WorkerView) -> None:
-        """Assign nothing new to a backend server until it has answered another heartbeat."""
-        self._registry.require_heartbeat(worker)
-
-    def boot_ended(self, worker: WorkerView, reason: str) -> None:
-        """Mark a boot as ended, as its VM has been stopped; it gets no more orders.
-
-        Args:
-            worker: The boot.
-            reason: End of the log message; says how the boot ended.
-        """
-        self._registry.boot_ended(worker, reason)
+        self.registry.unlisted(worker_id)
 
     def heartbeat_answered(self, worker: WorkerView, report: StatusReport, sent_s: float) -> None:
         """Process the status report of a backend server.
@@ -288,7 +240,7 @@
         worker.heartbeat_in_flight = False
         worker.heartbeat_failures = 0
         if report.booted_unix_ms > worker.entry.booted_unix_ms > 0:
-            self._registry.boot_ended(worker, "restarted")
+            self.registry.boot_ended(worker, "restarted")
             return
         worker.answered_s = state.now_s
         worker.acknowledgement_confirmed = worker.acknowledgement_in_flight
@@ -298,50 +250,13 @@
             state.changed_pools.add(worker.entry.pool)
         worker.next_heartbeat_s = state.now_s
         self._ends.process_report(worker, report, sent_s)
-        self._orders.adjust_speed_limits(worker)
+        self.run_orders.adjust_speed_limits(worker)
         if worker.uncommitted:
             worker.next_heartbeat_s = state.now_s + const.UNCOMMITTED_HEARTBEAT_PAUSE_S
         elif worker.unknown_runs and not worker.runs:
             worker.next_heartbeat_s = state.now_s + const.STOP_RETRY_S
         self._acknowledge(worker)
 
-    def heartbeat_failed(self, worker: WorkerView, refusal: OrderRefusal | None) -> None:
-        """Process a heartbeat that was refused, or got no answer (None)."""
-        self._orders.heartbeat_failed(worker, refusal)
-
-    def start_answered(self, run: Run, clock_ms: int) -> None:
-        """Process a backend server's confirmation of a start.
-
-        Args:
-            run: The run.
-            clock_ms: The server's steady clock; 0 if not given.
-        """
-        self._orders.start_answered(run, clock_ms)
-
-    def start_refused(self, run: Run, refusal: OrderRefusal) -> None:
-        """Process a backend server's refusal of a start."""
-        self._orders.start_refused(run, refusal)
-
-    def start_not_sent(self, run: Run) -> None:
-        """Process a start that was not sent because the ownership was not valid at that moment."""
-        self._orders.start_not_sent(run)
-
-    def start_unanswered(self, run: Run) -> None:
-        """Process a start without an answer: the run may exist now or later."""
-        self._orders.start_unanswered(run)
-
-    def stop_answered(self, run: Run) -> None:
-        """Process a confirmed stop: the server ends the run and refuses it from now on."""
-        self._orders.stop_answered(run)
-
-    def stop_failed(self, run: Run, refusal: OrderRefusal | None) -> None:
-        """Process a stop that was refused, or got no answer (None)."""
-        self._orders.stop_failed(run, refusal)
-
-    def speed_limit_answered(self, run: Run, percent: int) -> None:
-        """Process a confirmed speed limit of a run."""
-        self._orders.speed_limit_answered(run, percent)
-
     def advice_answered(self, key: StepKey, advice: Advice | None) -> None:
         """Process the adviser's answer for a step; None if it did not answer."""
         job = self._state.jobs.get(key.job_id)
@@ -385,38 +300,6 @@
         """Process the result of writing the count of waiting jobs."""
         self._writer.pending_written(ok=ok)
 
-    def run_times_commit(self) -> Transaction | None:
-        """Return the write of a snapshot of the learned run times; None while none is due."""
-        value = self._snapshots.due() if self._snapshots is not None else None
-        if value is None:
-            return None
-        settings = self._state.settings
-        return Transaction({settings.owner_key: settings.owner_revision}, {RUN_TIMES_KEY: value})
-
-    def run_times_written(self, *, ok: bool) -> None:
-        """Process the result of writing a snapshot."""
-        if self._snapshots is not None:
-            self._snapshots.written(ok=ok)
-
-    def restore_run_times(self, value: bytes) -> int:
-        """Start from the run times that a former owner has learned; return the number of kinds.
-
-        Raises:
-            msgspec.MsgspecError: The record can't be used; the run times start from the prior.
-        """
-        model = self._state.run_times
-        if not isinstance(model, LearnedRunTimes):
-            return 0
-        return restore_run_times(model, value, self._state.now_s)
-
-    def removal(self) -> Transaction | None:
-        """Return the next removal of expired job records; None if there is none."""
-        return self._retention.removal()
-
-    def removed(self, *, ok: bool) -> None:
-        """Process the result of a removal."""
-        self._retention.removed(ok=ok)
-
     def _acknowledge(self, worker: WorkerView) -> None:
         """Acknowledge the ended runs of a backend server if all their effects are in the store."""
         state = self._state
@@ -435,129 +318,21 @@
         """Place waiting tasks and return the orders to carry out now."""
         self._ends.samples.refresh_if_due()
         self._placer.open_occurrences()
-        self._registry.discard_expired()
+        self.registry.discard_expired()
         self._state.failure_domains.update(self._state.workers)
         orders: list[Order] = []
         if self.evacuation.prepare():
             orders = self._placer.place()
             self._copies.plan(self._placer.plan_run)
         self.evacuation.advance()
-        return orders + self._orders.due()
+        return orders + self.run_orders.due()
 
     def next_wake_s(self) -> float:
         """Return the time in seconds until `orders` must be called again if no event arrives."""
-        until_s = self._orders.next_heartbeat_s() - self._state.now_s
+        until_s = self.run_orders.next_heartbeat_s() - self._state.now_s
         return min(max(until_s, WAKE_S_MIN), WAKE_S_MAX)
 
     def pop_finished(self) -> list[JobProgress]:
         """Return the jobs that have ended since the last call."""
         finished, self._state.finished = self._state.finished, []
         return finished
-
-    def _room_for_lasting(
-        self, job: JobProgress, step: StepProgress, now_s: float, leaving: int
-    ) -> int | None:
-        """Return how many tasks of a long-running step with a limit per server still fit.
-
-        None for other steps, whose servers become free again, and where more servers might not
-        help: the team's ceiling, a label or the adviser may be in the way, or a task may be too
-        large for any server.
-        """
-        state, needs = self._state, step.step.needs
-        if not step.step.long_running or not step.step.per_worker_max or step.step.required_label:
-            return None
-        queue = state.queue_of(job)
-        if queue is None or queue.adviser is not None:
-            return None
-        waiting = sum(task.waiting for task in step.tasks)
-        if not waiting + leaving or not state.within_ceiling(job, needs.times(waiting)):
-            return None
-        workers = [each for each in state.workers.values() if each.entry.pool == queue.pool]
-        if not any(step.step.reserved.fits_in(each.entry.capacity) for each in workers):
-            return None
-        return room_for_step(allowed_workers(workers, step, now_s), step)
-
-    def loads(self, lead_s: float = 0.0) -> dict[PoolId, PoolLoad]:
-        """Return the load of each pool.
-
-        Of the waiting tasks and arrivals of a team, only what fits under its ceiling at the end of
-        the lead time counts: VMs would not help the others.
-
-        Args:
-            lead_s: Lead time of `PoolLoad.later` and `PoolLoad.arriving_later`, in seconds.
-        """
-        state = self._state
-        now_s = state.now_s
-        loads: dict[PoolId, PoolLoad] = {}
-        runs_later: dict[tuple[JobId, int], bool] = {}
-        waiting: list[tuple[JobProgress, StepProgress]] = []
-        demand = CeilingDemand(state.ceiling_of, state.used_by)
-
-        def load_of(pool: PoolId) -> PoolLoad:
-            return loads.setdefault(pool, PoolLoad(pool))
-
-        leaving: Counter[StepKey] = Counter()
-        for worker in state.workers.values():
-            if worker.evacuated:
-                leaving.update(run.task.key.step_key for run in self.evacuation.leaving(worker))
-            if not worker.usable(now_s):
-                continue
-            load = load_of(worker.entry.pool)
-            load.add_worker(worker)
-            for run in worker.runs.values():
-                if run.is_copy:
-                    continue  # uses what others leave; no VM is lent for it
-                key = (run.task.key.job_id, run.task.key.occurrence)
-                job = state.jobs[key[0]]
-                if key not in runs_later:
-                    runs_later[key] = remaining_chain_s(job, key[1], state.run_times) > lead_s
-                load.add_run(run, later=runs_later[key])
-                if not runs_later[key] and not run.task.step.long_running:
-                    demand.add_ending(job.spec.team, run.task.step.needs)
-        for job_id in state.open_jobs:
-            job = state.jobs[job_id]
-            if job.state.final:
-                continue
-            load_of(state.pool_of(job))
-            for step in job.steps.values():
-                if step.remaining and job.runnable(step):
-                    waiting.append((job, step))
-                    tasks = sum(task.waiting for task in step.tasks)
-                    demand.add_waiting(job.spec.team, step.step.needs.times(tasks))
-        ratios = demand.waiting_ratios()
-        for job, step in waiting:
-            ratio = ratios.get(job.spec.team, 1.0)
-            count = leaving[step.key]
-            room = self._room_for_lasting(job, step, now_s, count)
-            load_of(state.pool_of(job)).add_waiting(step, room=room, ratio=ratio, leaving=count)
-        self._add_arrivals(load_of, demand, now_s, lead_s)
-        return loads
-
-    def _add_arrivals(
-        self,
-        load_of: Callable[[PoolId], PoolLoad],
-        demand: CeilingDemand,
-        now_s: float,
-        lead_s: float,
-    ) -> None:
-        """Add the jobs that have arrived within the window to the loads of their pools."""
-        window_s = const.ARRIVAL_WINDOW_S
-        while self._arrivals and self._arrivals[0].arrived_s < now_s - window_s:
-            self._arrivals.popleft()
-        state = self._state
-        # Estimated now and not on arrival, so that what has been learned meanwhile counts.
-        arrivals: list[tuple[Arrival, Resources]] = []
-        for job in self._arrivals:
-            pool = state.pool_of(job)
-            arrival = Arrival.of_job(job.arrived_s, pool, job.spec, state.run_times)
-            later = arrival.needed_after(lead_s).times(1 / window_s)
-            arrivals.append((arrival, later))
-            demand.add_arriving(arrival.team, arrival.work.times(1 / window_s), later)
-        ratios = demand.arriving_ratios()
-        for arrival, later in arrivals:
-            load = load_of(arrival.pool)
-            ratio, ratio_later = ratios.get(arrival.team, (1.0, 1.0))
-            load.arriving_cpu_millicores += arrival.work.cpu_millicores * ratio / window_s
-            if ratio_later < 1.0:
-                later = later.times(ratio_later)
-            load.arriving_later = load.arriving_later + later
--- a/toucandoor/fakes/virtual_calls.py
+++ b/toucandoor/fakes/virtual_calls.py
@@ -152,9 +152,9 @@
                 "stop",
                 order.run.worker,
                 lambda worker: worker.stop(order.run.key, order.token),
-                lambda _: owner.scheduler.stop_answered(order.run),
-                lambda err: owner.scheduler.stop_failed(order.run, err.refusal),
-                lambda: owner.scheduler.stop_failed(order.run, None),
+                lambda _: owner.scheduler.run_orders.stop_answered(order.run),
+                lambda err: owner.scheduler.run_orders.stop_failed(order.run, err.refusal),
+                lambda: owner.scheduler.run_orders.stop_failed(order.run, None),
             )
         elif isinstance(order, RequestAdvice | LimitSpeed):
             raise NotImplementedError(type(order).__name__)
@@ -163,16 +163,16 @@
         scheduler = owner.scheduler
         valid = self._clock.monotonic_s() < owner.valid_until_s
         if not valid or not scheduler.evacuation.may_start(order.run):
-            scheduler.start_not_sent(order.run)
+            scheduler.run_orders.start_not_sent(order.run)
             return
         self._send_order(
             owner,
             "start",
             order.run.worker,
             lambda worker: worker.start(order.order),
-            lambda clock_ms: scheduler.start_answered(order.run, clock_ms),
-            lambda err: scheduler.start_refused(order.run, err.refusal),
-            lambda: scheduler.start_unanswered(order.run),
+            lambda clock_ms: scheduler.run_orders.start_answered(order.run, clock_ms),
+            lambda err: scheduler.run_orders.start_refused(order.run, err.refusal),
+            lambda: scheduler.run_orders.start_unanswered(order.run),
         )
 
     def _reachable_boot(self, view: WorkerView) -> VirtualWorker | None:
@@ -243,14 +243,18 @@
                     ).clock_ms,
                 )
                 self._schedule(self.choose_delay_s(), late)
-            self._schedule_event(owner, 1.0, lambda: scheduler.heartbeat_failed(order.worker, None))
+            self._schedule_event(
+                owner, 1.0, lambda: scheduler.run_orders.heartbeat_failed(order.worker, None)
+            )
             return
         try:
             report = worker.heartbeat(order.token, order.lease_until_ms, order.acknowledged)
         except OrderRefusedError as err:
             refusal = err.refusal
             self._schedule_event(
-                owner, CALL_S / 2, lambda: scheduler.heartbeat_failed(order.worker, refusal)
+                owner,
+                CALL_S / 2,
+                lambda: scheduler.run_orders.heartbeat_failed(order.worker, refusal),
             )
             return
         waited_s = self._clock.monotonic_s() - arrived_s
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -192,7 +192,7 @@
         """
         handed_over: dict[Boot, float] = {}
         if planned and self.owner is not None and self._may_act(self.owner):
-            handed_over = self.owner.scheduler.unresponsive_leases_s()
+            handed_over = self.owner.scheduler.registry.unresponsive_leases_s()
         if self.owner is not None:
             self.owner.valid_until_s = min(self.owner.valid_until_s, self.clock.monotonic_s())
         self.records.remove(OWNER_KEY)
@@ -226,7 +226,7 @@
             job_id = JobId(record.key.removeprefix(PROGRESS_PREFIX))
             stored = decode_progress(record.value)
             if stored.state.final:
-                owner.scheduler.add_ended(job_id, stored.finished_unix_ms)
+                owner.scheduler.retention.add_ended(job_id, stored.finished_unix_ms)
         for record in self.records.below(CANCEL_PREFIX):
             owner.scheduler.cancel_job(JobId(record.key.removeprefix(CANCEL_PREFIX)))
         self._tick(owner)
@@ -277,7 +277,7 @@
             self.calls.send(owner, order)
         for commit in owner.scheduler.commits():
             self.calls.write(owner, commit)
-        removal = owner.scheduler.removal()
+        removal = owner.scheduler.retention.removal()
         if removal is not None:
             self.records.write(removal)
-            owner.scheduler.removed(ok=True)
+            owner.scheduler.retention.removed(ok=True)
