Split the parsing of callers' requests and the models of waves into modules

Change: caller_request.py reads queue, headers and body of a caller's request; job_wave_models.py holds orders, decisions and records of the platform's waves. No change of behaviour.

--- a/tests/core/maintenance/test_job_waves.py
+++ b/tests/core/maintenance/test_job_waves.py
@@ -8,14 +8,14 @@
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, fleet, job, never_ends
 from toucandoor.core.jobs.configuration import JobPool
 from toucandoor.core.jobs.models import Step
-from toucandoor.core.maintenance.job_waves import (
+from toucandoor.core.maintenance.job_wave_models import (
     MaintainVm,
     SaveWaveProgress,
     VmWaveOrder,
-    WaveCoordinator,
     decode_wave_record,
     encode_wave_record,
 )
+from toucandoor.core.maintenance.job_waves import WaveCoordinator
 from toucandoor.core.maintenance.vm_list import VmList
 from toucandoor.core.maintenance.vm_orders import VmOrderLog
 from toucandoor.core.scheduling.workers import VmEntry, VmRefusal, VmState
--- a/toucandoor/adapters/caller_http.py
+++ b/toucandoor/adapters/caller_http.py
@@ -11,9 +11,22 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from cheroot.errors import MaxSizeExceeded
-
-from toucandoor.adapters.caller_server import ATTR_SENDER_WATCH, ATTR_SOCKET
+from toucandoor.adapters.caller_request import (
+    ATTR_DEADLINE_S,
+    ATTR_IDEMPOTENCY_KEY,
+    ATTR_IDEMPOTENT,
+    ATTR_RUN_S,
+    DEADLINE_S_MAX,
+    DEFAULT_DEADLINE_S,
+    BadRequestError,
+    parse_flag,
+    parse_preempt_method,
+    parse_queue,
+    parse_request_class,
+    parse_seconds,
+    read_body,
+)
+from toucandoor.adapters.caller_server import ATTR_SOCKET
 from toucandoor.adapters.idempotency import Claim
 from toucandoor.adapters.wsgi import respond
 from toucandoor.core.attempts.models import FetchAnswer
@@ -25,10 +38,8 @@
     Cancelled,
     Dispatch,
     ExecutionStatus,
-    PreemptMethod,
     Refuse,
     Request,
-    RequestClass,
     Submitted,
 )
 from toucandoor.ids import AttemptId, QueueId, RequestId, TeamId
@@ -39,7 +50,6 @@
     from toucandoor.adapters.engine_loop import EngineLoop
     from toucandoor.adapters.idempotency import IdempotencyGuard
     from toucandoor.adapters.metrics import EntryMetrics
-    from toucandoor.adapters.slow_senders import SenderWatch
     from toucandoor.adapters.worker_client import WorkerAnswer, WorkerClient
     from toucandoor.adapters.wsgi import Environ, StartResponse
     from toucandoor.clock import Clock
@@ -49,29 +59,10 @@
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "caller:"
 
-ATTR_CLASS = "HTTP_TOUCANDOOR_CLASS"
-ATTR_DEADLINE_S = "HTTP_TOUCANDOOR_DEADLINE_S"
-ATTR_RUN_S = "HTTP_TOUCANDOOR_RUN_S"
-ATTR_IDEMPOTENT = "HTTP_TOUCANDOOR_IDEMPOTENT"
-ATTR_PREEMPT = "HTTP_TOUCANDOOR_PREEMPT"
-ATTR_IDEMPOTENCY_KEY = "HTTP_IDEMPOTENCY_KEY"
-DEFAULT_DEADLINE_S = {RequestClass.URGENT: 30.0, RequestClass.PATIENT: 3600.0}
-DEADLINE_S_MAX = 24 * 3600.0
-"""Longer deadlines of callers are shortened to this."""
 _DISCONNECT_CHECK_PERIOD_S = 0.5
 """Interval at which a waiting request checks whether its caller has disconnected."""
 
 
-class _BadRequestError(Exception):
-    """The request was refused before it reached the engine; it was not run."""
-
-    def __init__(self, status: int, reason: str, step: str) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.step = step
-
-
 @dataclass(frozen=True, slots=True)
 class EntryState:
     """Read access to the entry's current state.
@@ -113,8 +104,8 @@
         request_id = RequestId(f"{self._entry_id}-{uuid.uuid4().hex}")
         try:
             request = self._parse(environ, request_id)
-            body = _read_body(environ)
-        except _BadRequestError as err:
+            body = read_body(environ)
+        except BadRequestError as err:
             _LOGGER.info(
                 "%s request refused with status %s",
                 _PREFIX,
@@ -133,14 +124,14 @@
         return self._serve(request, body, environ, start_response)
 
     def _parse(self, environ: Environ, request_id: RequestId) -> Request:
-        queue_id = _parse_queue(environ)
+        queue_id = parse_queue(environ)
         if self._state.stopping():
-            raise _BadRequestError(503, "this entry is stopping", "entry.stop")
+            raise BadRequestError(503, "this entry is stopping", "entry.stop")
         team, key_digest = self._authenticate(environ, queue_id)
-        request_class = _parse_request_class(environ)
-        idempotent = _parse_flag(environ, ATTR_IDEMPOTENT)
+        request_class = parse_request_class(environ)
+        idempotent = parse_flag(environ, ATTR_IDEMPOTENT)
         now_s = self._clock.monotonic_s()
-        deadline_s = _parse_seconds(environ, ATTR_DEADLINE_S, DEFAULT_DEADLINE_S[request_class])
+        deadline_s = parse_seconds(environ, ATTR_DEADLINE_S, DEFAULT_DEADLINE_S[request_class])
         return Request(
             request_id=request_id,
             queue=queue_id,
@@ -150,9 +141,9 @@
             arrived_s=now_s,
             deadline_s=now_s + min(deadline_s or 0.0, DEADLINE_S_MAX),
             idempotency_key=environ.get(ATTR_IDEMPOTENCY_KEY),
-            declared_run_s=_parse_seconds(environ, ATTR_RUN_S, None),
+            declared_run_s=parse_seconds(environ, ATTR_RUN_S, None),
             key_digest=key_digest,
-            preempt_how=_parse_preempt_method(environ, request_class, idempotent),
+            preempt_how=parse_preempt_method(environ, request_class, idempotent),
         )
 
     def _authenticate(
@@ -161,24 +152,24 @@
         """Return the team and the digest of its key; two Nones where no key is needed or given.
 
         Raises:
-            _BadRequestError: The queue is unknown, or the key is missing or invalid.
+            BadRequestError: The queue is unknown, or the key is missing or invalid.
         """
         keys = self._state.keys()
         if keys is None:
-            raise _BadRequestError(503, "no configuration yet", "entry.configuration")
+            raise BadRequestError(503, "no configuration yet", "entry.configuration")
         open_to_all = self._state.open_queues(queue_id)
         if open_to_all is None:
-            raise _BadRequestError(404, f"no such queue: {queue_id}", "admission.queue")
+            raise BadRequestError(404, f"no such queue: {queue_id}", "admission.queue")
         scheme, _, secret = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
         if not secret:
             if open_to_all:
                 return None, None
-            raise _BadRequestError(401, "this queue needs a team's key", "admission.key")
+            raise BadRequestError(401, "this queue needs a team's key", "admission.key")
         if scheme.lower() != "bearer":
-            raise _BadRequestError(401, "Authorization must be of kind Bearer", "admission.key")
+            raise BadRequestError(401, "Authorization must be of kind Bearer", "admission.key")
         team = keys.team_of(secret.strip())
         if team is None:
-            raise _BadRequestError(401, "unknown or withdrawn key", "admission.key")
+            raise BadRequestError(401, "unknown or withdrawn key", "admission.key")
         return team, secret_digest(secret.strip())
 
     def _serve(
@@ -295,86 +286,6 @@
         )
 
 
-def _parse_queue(environ: Environ) -> QueueId:
-    match environ["PATH_INFO"].strip("/").split("/"):
-        case ["v1", "queues", queue_id, "requests"]:
-            if environ["REQUEST_METHOD"] != "POST":
-                raise _BadRequestError(405, "requests are sent with POST", "http.method")
-            return QueueId(queue_id)
-    raise _BadRequestError(404, "no such page", "http.path")
-
-
-def _parse_request_class(environ: Environ) -> RequestClass:
-    text = environ.get(ATTR_CLASS, RequestClass.PATIENT.value)
-    try:
-        return RequestClass(text)
-    except ValueError:
-        reason = f"Toucandoor-Class must be urgent or patient, not {text[:40]!r}"
-        raise _BadRequestError(400, reason, "http.headers") from None
-
-
-def _parse_preempt_method(
-    environ: Environ, request_class: RequestClass, idempotent: bool
-) -> PreemptMethod | None:
-    text = environ.get(ATTR_PREEMPT)
-    if text is None:
-        return None
-    if text not in [how.value for how in PreemptMethod]:
-        reason = f"Toucandoor-Preempt must be checkpoint or stop, not {text[:40]!r}"
-        raise _BadRequestError(400, reason, "http.headers")
-    if request_class is RequestClass.URGENT:
-        raise _BadRequestError(400, "an urgent request is never preempted", "http.headers")
-    if text == PreemptMethod.STOP.value and not idempotent:
-        reason = "Toucandoor-Preempt: stop runs the request again; it must be idempotent"
-        raise _BadRequestError(400, reason, "http.headers")
-    return PreemptMethod(text)
-
-
-def _parse_flag(environ: Environ, name: str) -> bool:
-    text = environ.get(name, "false")
-    if text not in ("true", "false"):
-        reason = f"Toucandoor-Idempotent must be true or false, not {text[:40]!r}"
-        raise _BadRequestError(400, reason, "http.headers")
-    return bool(text == "true")
-
-
-def _parse_seconds(environ: Environ, name: str, default_s: float | None) -> float | None:
-    text = environ.get(name)
-    if text is None:
-        return default_s
-    try:
-        seconds = float(text)
-    except ValueError:
-        seconds = -1.0
-    if not 0 < seconds < float("inf"):
-        header = name.removeprefix("HTTP_").replace("_", "-").title()
-        reason = f"{header} must be a number of seconds above 0, not {text[:40]!r}"
-        raise _BadRequestError(400, reason, "http.headers")
-    return seconds
-
-
-def _read_body(environ: Environ) -> bytes:
-    chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
-    length_text = environ.get("CONTENT_LENGTH") or ""
-    if not chunked and not length_text.isdigit():
-        raise _BadRequestError(411, "Content-Length is missing", "http.body")
-    try:
-        body: bytes = environ["wsgi.input"].read(*([] if chunked else [int(length_text)]))
-    except MaxSizeExceeded as err:
-        raise _BadRequestError(413, "the body is too large", "http.body") from err
-    except TimeoutError as err:
-        raise _BadRequestError(408, "the body did not come in time", "http.body") from err
-    except Exception as err:  # cheroot raises various types on oversized and truncated bodies
-        raise _BadRequestError(400, f"the body cannot be read: {err}", "http.body") from err
-    watch: SenderWatch | None = environ.get(ATTR_SENDER_WATCH)
-    if watch is not None and watch.stop_timer(environ[ATTR_SOCKET]):
-        raise _BadRequestError(408, "the body did not come in time", "http.body")
-    if not chunked and len(body) != int(length_text):
-        reason = f"the body is torn: {len(body)} of {length_text} bytes"
-        raise _BadRequestError(400, reason, "http.body")
-    return body
-
-
 def _is_disconnected(sock: socket.socket | None) -> bool:
     """Return whether the caller has closed its connection."""
     if sock is None:
--- a/toucandoor/adapters/configuration_watch.py
+++ b/toucandoor/adapters/configuration_watch.py
@@ -26,7 +26,7 @@
     from toucandoor.clock import Clock
     from toucandoor.core.evacuation.requests import EvacuationRequests
     from toucandoor.core.jobs.configuration import JobConfiguration
-    from toucandoor.core.maintenance.job_waves import VmWaveOrder
+    from toucandoor.core.maintenance.job_wave_models import VmWaveOrder
     from toucandoor.core.records import Changes, Record, RecordStore
 
 _LOGGER = logging.getLogger(__name__)
--- a/toucandoor/adapters/term_intake.py
+++ b/toucandoor/adapters/term_intake.py
@@ -18,7 +18,7 @@
     decode_progress,
     progress_key,
 )
-from toucandoor.core.maintenance.job_waves import WAVE_PROGRESS_PREFIX
+from toucandoor.core.maintenance.job_wave_models import WAVE_PROGRESS_PREFIX
 from toucandoor.core.maintenance.vm_orders import VM_ORDERS_KEY
 from toucandoor.core.records import HistoryLostError
 from toucandoor.core.run_times.snapshots import RUN_TIMES_KEY
--- a/toucandoor/adapters/term_vms.py
+++ b/toucandoor/adapters/term_vms.py
@@ -10,14 +10,14 @@
 import msgspec
 
 from toucandoor.core.jobs.models import NO_RESOURCES
-from toucandoor.core.maintenance.job_waves import (
+from toucandoor.core.maintenance.job_wave_models import (
     WAVE_PROGRESS_PREFIX,
     MaintainVm,
     SaveWaveProgress,
-    WaveCoordinator,
     decode_wave_record,
     encode_wave_record,
 )
+from toucandoor.core.maintenance.job_waves import WaveCoordinator
 from toucandoor.core.maintenance.vm_list import VmList
 from toucandoor.core.maintenance.vm_orders import (
     VM_ORDERS_KEY,
--- a/toucandoor/core/maintenance/job_waves.py
+++ b/toucandoor/core/maintenance/job_waves.py
@@ -11,8 +11,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-import msgspec
-
+from toucandoor.core.maintenance.job_wave_models import (
+    MaintainVm,
+    SaveWaveProgress,
+    VmWaveOrder,
+    WaveAction,
+    WaveRecord,
+)
 from toucandoor.core.scheduling.workers import VmRefusal, VmState
 from toucandoor.ids import VmId
 
@@ -26,7 +31,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-WAVE_PROGRESS_PREFIX: Final = "waves/"
 VM_CYCLE_S: Final = 5.0
 """Time for one VM: the end of its tasks, maintenance of 2 s, the first answer after it."""
 END_MARGIN_S: Final = 4.0
@@ -39,57 +43,6 @@
 """Delay after the platform refused an order or did not answer."""
 
 
-@dataclass(frozen=True, slots=True)
-class VmWaveOrder:
-    """An operators' order to maintain certain VMs.
-
-    Attributes:
-        number: Number of the wave.
-        vms: VMs to maintain.
-        within_s: Time from the order within which the maintenance of all VMs must have begun.
-        down_max: Largest number of these VMs that may be down at once.
-        seen_at_s: When this process saw the order, on the monotonic clock.
-    """
-
-    number: int
-    vms: tuple[VmId, ...]
-    within_s: float
-    down_max: int
-    seen_at_s: float
-
-
-class WaveRecord(msgspec.Struct, frozen=True):
-    """Progress of a wave.
-
-    Attributes:
-        begun: VMs whose maintenance has begun.
-        due_unix_ms: When the maintenance of all VMs must have begun; 0 in records of older builds.
-    """
-
-    begun: tuple[VmId, ...]
-    due_unix_ms: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class MaintainVm:
-    """Decision: order the platform to begin a VM's maintenance."""
-
-    vm_id: VmId
-    wave: int
-
-
-@dataclass(frozen=True, slots=True)
-class SaveWaveProgress:
-    """Decision: write a wave's progress, and the status of it that operators see."""
-
-    wave: int
-    record: WaveRecord
-    completed: bool
-
-
-WaveAction = MaintainVm | SaveWaveProgress
-
-
 @dataclass(slots=True)
 class _Wave:
     """A wave under way.
@@ -401,17 +354,3 @@
         due_unix_s = self._clock.now().timestamp() + wave.due_s - now_s
         record = WaveRecord(tuple(sorted(wave.begun)), int(due_unix_s * 1000))
         orders.append(SaveWaveProgress(wave.order.number, record, state[1]))
-
-
-def encode_wave_record(record: WaveRecord) -> bytes:
-    """Encode a record."""
-    return msgspec.json.encode(record)
-
-
-def decode_wave_record(value: bytes) -> WaveRecord:
-    """Decode a record.
-
-    Raises:
-        msgspec.MsgspecError: The bytes are not such a record.
-    """
-    return msgspec.json.decode(value, type=WaveRecord)
--- a/toucandoor/platform/operator_records.py
+++ b/toucandoor/platform/operator_records.py
@@ -17,7 +17,7 @@
     JobQueue,
     JobTeam,
 )
-from toucandoor.core.maintenance.job_waves import VmWaveOrder
+from toucandoor.core.maintenance.job_wave_models import VmWaveOrder
 from toucandoor.ids import ConfigVersion, DataCentreId, PoolId, QueueId, TeamId, VmId
 from toucandoor.platform.wire import WireResources
 
