Count slow backend servers by what they can do in the load of pools

Cause: a server judged slow (slowness above 2) gets one task at a time, and only when the others have no room, but its VM counted as a whole one of its pool. Too few VMs were lent.

Excluded: counting its capacity divided by its slowness, as the placement gives it one task whatever its size; servers on suspected racks, which come back within seconds.

Change: PoolLoad.unusable is the capacity of slow servers without what their lasting runs reserve; wanted_vms adds it while the pool needs anything, so an idle pool wants no VM for it. Jobs with a run on a slow server are expected to take longer by its slowness. A slow server has room for one task of a step with a limit per server. Slow VMs are returned to a spare pool first and lent last.

--- a/tests/core/pools/test_lending.py
+++ b/tests/core/pools/test_lending.py
@@ -82,6 +82,20 @@
         self.assertEqual([move.pool for move in moves], [POOLS[0]] * 4)
         self.assertEqual([move.vm_id.partition("-")[0] for move in moves[:2]], [POOLS[1]] * 2)
 
+    def test_slow_vms_are_returned_first_and_lent_last(self) -> None:
+        """Otherwise a pool keeps its slow VMs, or borrows those of another pool."""
+        vms = [
+            LendableVm(VmId(f"m{number}"), POOLS[1], True, False, VM_RESOURCES, number == 1)
+            for number in range(POOL_VMS_MIN + 1)
+        ]
+        pools = [POOLS[1]]
+        policy = LendingPolicy(return_after_s=0.0)
+        [returned] = policy.plan({}, vms, pools, frozenset({SPARE}), 0.0)
+        self.assertEqual(returned, PoolMove(VmId("m1"), SPARE))
+        load = PoolLoad(POOLS[0], waiting=VM_RESOURCES.times(0.5))
+        lent = policy.plan({POOLS[0]: load}, vms, [*pools, POOLS[0]], frozenset(), 0.0)
+        self.assertEqual(lent, [PoolMove(VmId("m2"), POOLS[0])])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -105,6 +105,7 @@
     "teams": int,
     "token": int,
     "total_s": (int, float),
+    "unusable_cpu": int,
     "valid": bool,
     "vm": str,
     "vms": int,
--- a/toucandoor/core/pools/lending.py
+++ b/toucandoor/core/pools/lending.py
@@ -16,6 +16,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.core.jobs.models import NO_RESOURCES
+
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
@@ -43,6 +45,7 @@
         empty: Whether the VM could be moved now without ending a task.
         arriving: Whether a move into the pool is under way.
         capacity: Resources of the VM.
+        slow: Whether its backend server takes so long that it gets one task at a time.
     """
 
     vm_id: VmId
@@ -50,6 +53,7 @@
     empty: bool
     arriving: bool
     capacity: Resources
+    slow: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +70,7 @@
 
     Attributes:
         size: Number of VMs of each pool, including those that move there.
-        empty: VMs of each pool that could be moved now.
+        empty: VMs of each pool that could be moved now, the slow ones first.
         wanted: Number of VMs that each pool with queues should have.
     """
 
@@ -82,9 +86,16 @@
         """Return whether a pool has a surplus and an empty VM."""
         return bool(self.empty.get(pool)) and self.surplus(pool) > 0
 
-    def move(self, source: PoolId, target: PoolId) -> PoolMove:
-        """Plan the move of an empty VM and update the state."""
-        vm = self.empty[source].pop()
+    def move(self, source: PoolId, target: PoolId, *, slow_first: bool = False) -> PoolMove:
+        """Plan the move of an empty VM and update the state.
+
+        Args:
+            source: Pool that the VM leaves.
+            target: Pool that gets it.
+            slow_first: Whether a slow VM is preferred, as nothing is to run on it.
+        """
+        empty = self.empty[source]
+        vm = empty.pop(0 if slow_first and empty[0].slow else -1)
         self.size[source] -= 1
         self.size[target] += 1
         return PoolMove(vm.vm_id, target)
@@ -125,6 +136,8 @@
             planned.size[vm.pool] = planned.size.get(vm.pool, 0) + 1
             if vm.empty:
                 planned.empty.setdefault(vm.pool, []).append(vm)
+        for empty in planned.empty.values():
+            empty.sort(key=lambda vm: not vm.slow)
         spare = sorted(spare_pools)
         return self._plan_borrowing(planned, spare) + self._plan_returns(planned, spare, now_s)
 
@@ -154,7 +167,7 @@
             if not spare_pools or now_s - since_s < self._return_after_s:
                 continue
             while planned.can_lend(pool):
-                moves.append(planned.move(pool, spare_pools[0]))
+                moves.append(planned.move(pool, spare_pools[0], slow_first=True))
         return moves
 
 
@@ -168,6 +181,9 @@
     if load is None:
         return 0
     needed = load.long_running + load.later + load.arriving_later + load.waiting
+    if needed != NO_RESOURCES:
+        # The VMs of slow servers count as the pool's own, so others must make up for them.
+        needed = needed + load.unusable.times(FILL_RATIO)
     shares = [
         used / (room * FILL_RATIO)
         for used, room in (
--- a/toucandoor/core/pools/vm_lender.py
+++ b/toucandoor/core/pools/vm_lender.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.core.failure_domains.models import SLOW_RATIO
 from toucandoor.core.pools.lending import LendableVm, LendingPolicy, PoolMove
 from toucandoor.core.scheduling.workers import VmState
 
@@ -152,7 +153,8 @@
         if worker is None or not worker.usable(now_s):
             return None
         empty = not worker.runs and not worker.uncommitted
-        return LendableVm(vm.vm_id, vm.pool, empty, False, vm.capacity)
+        slow = self._scheduler.state.failure_domains.slowness(worker) > SLOW_RATIO
+        return LendableVm(vm.vm_id, vm.pool, empty, False, vm.capacity, slow)
 
     def _forget_arrived(self, workers: dict[VmId, WorkerView], now_s: float) -> None:
         for vm_id, until_s in list(self._arriving_until_s.items()):
--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -53,6 +53,8 @@
     room = 0
     for worker in allowed:
         left = limit - on_worker.get(worker.entry.worker_id, 0)
+        if worker.slow:  # gets one task at a time
+            left = min(left, 0 if worker.runs else 1)
         while left > 0 and not reserved.times(left).fits_in(worker.free):
             left -= 1
         room += max(0, left)
--- a/toucandoor/core/scheduling/pool_load.py
+++ b/toucandoor/core/scheduling/pool_load.py
@@ -21,6 +21,8 @@
         pool: Name of the pool.
         workers: Number of backend servers that may get tasks.
         capacity: Total capacity of these servers.
+        unusable: Part of `capacity` that is on slow servers, without what their long-running tasks
+            and runs in `later` reserve.
         long_running: Capacity reserved by long-running tasks.
         finite: Capacity reserved by all other tasks.
         later: Part of `finite` whose jobs still run after the lead time.
@@ -37,6 +39,7 @@
     pool: PoolId
     workers: int = 0
     capacity: Resources = NO_RESOURCES
+    unusable: Resources = NO_RESOURCES
     long_running: Resources = NO_RESOURCES
     finite: Resources = NO_RESOURCES
     later: Resources = NO_RESOURCES
@@ -45,19 +48,29 @@
     arriving_later: Resources = NO_RESOURCES
     spread_workers_min: int = 0
 
-    def add_worker(self, worker: WorkerView) -> None:
-        """Add a backend server."""
+    def add_worker(self, worker: WorkerView, *, slow: bool = False) -> None:
+        """Add a backend server.
+
+        Args:
+            worker: The server.
+            slow: Whether it gets one task at a time and only when the others have no room.
+        """
         self.workers += 1
         self.capacity = self.capacity + worker.entry.capacity
+        if slow:
+            self.unusable = self.unusable + worker.entry.capacity
 
-    def add_run(self, run: Run, *, later: bool) -> None:
+    def add_run(self, run: Run, *, later: bool, slow: bool = False) -> None:
         """Add a run on one of these servers.
 
         Args:
             run: The run.
             later: Whether its job still runs after the lead time.
+            slow: Whether its server was added as slow.
         """
         reserved = run.task.step.reserved
+        if slow and (later or run.task.step.long_running):
+            self.unusable = self.unusable - reserved
         if run.task.step.long_running:
             self.long_running = self.long_running + reserved
             return
@@ -100,6 +113,7 @@
             "pool": self.pool,
             "servers": self.workers,
             "capacity_cpu": self.capacity.cpu_millicores,
+            "unusable_cpu": self.unusable.cpu_millicores,
             "lasting_cpu": self.long_running.cpu_millicores,
             "ending_cpu": self.finite.cpu_millicores,
             "waiting_cpu": self.waiting.cpu_millicores,
--- a/toucandoor/core/scheduling/pool_loads.py
+++ b/toucandoor/core/scheduling/pool_loads.py
@@ -5,6 +5,7 @@
 from collections import Counter, deque
 from typing import TYPE_CHECKING
 
+from toucandoor.core.failure_domains.models import SLOW_RATIO, USUAL_SPEED
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.arrivals import Arrival
 from toucandoor.core.scheduling.ceiling_demand import CeilingDemand
@@ -44,7 +45,8 @@
         """Return the load of each pool.
 
         Of the waiting tasks and arrivals of a team, only what fits under its ceiling at the end of
-        the lead time counts: VMs would not help the others.
+        the lead time counts: VMs would not help the others. Jobs with a run on a slow server are
+        expected to take longer by its slowness.
 
         Args:
             lead_s: Lead time of `PoolLoad.later` and `PoolLoad.arriving_later`, in seconds.
@@ -52,7 +54,7 @@
         state = self._state
         now_s = state.now_s
         loads: dict[PoolId, PoolLoad] = {}
-        runs_later: dict[tuple[JobId, int], bool] = {}
+        chains_s: dict[tuple[JobId, int], float] = {}
         waiting: list[tuple[JobProgress, StepProgress]] = []
         demand = CeilingDemand(state.ceiling_of, state.used_by)
 
@@ -66,16 +68,19 @@
             if not worker.usable(now_s):
                 continue
             load = load_of(worker.entry.pool)
-            load.add_worker(worker)
+            slowness = state.failure_domains.slowness(worker)
+            slow = slowness > SLOW_RATIO
+            load.add_worker(worker, slow=slow)
             for run in worker.runs.values():
                 if run.is_copy:
                     continue  # uses what others leave; no VM is lent for it
                 key = (run.task.key.job_id, run.task.key.occurrence)
                 job = state.jobs[key[0]]
-                if key not in runs_later:
-                    runs_later[key] = remaining_chain_s(job, key[1], state.run_times) > lead_s
-                load.add_run(run, later=runs_later[key])
-                if not runs_later[key] and not run.task.step.long_running:
+                if key not in chains_s:
+                    chains_s[key] = remaining_chain_s(job, key[1], state.run_times)
+                later = chains_s[key] * (slowness if slow else USUAL_SPEED) > lead_s
+                load.add_run(run, later=later, slow=slow)
+                if not later and not run.task.step.long_running:
                     demand.add_ending(job.spec.team, run.task.step.needs)
         for job_id in state.open_jobs:
             job = state.jobs[job_id]
