Bound the number of evacuation requests that are kept

Cause: every record below op/evacuate/ was kept with a status at the owner, so a faulty script that writes thousands cost the owner memory, time and a log line for each.

Excluded: a bound alone, as a true request after or before the wrong ones must count; asking the records again at each plan.

Change: requests for data centres with servers or VMs are always kept, of the others 64, those in force and the oldest first. While some have been dropped, a data centre that becomes known gets no start until the watch has read all records again. At most 256 data centres count as known, and names above 256 characters are invalid.

Conclusion: bounded; the counter of ignored records counts a dropped one again at each full read.

--- a/tests/adapters/test_configuration_watch.py
+++ b/tests/adapters/test_configuration_watch.py
@@ -164,6 +164,17 @@
             self.assertTrue(self.requests.known_within(confirmed_s + 2.5, 2.5))
             self.assertFalse(self.requests.known_within(confirmed_s + 2.6, 2.5))
 
+    def test_dropped_requests_are_read_again_once_their_data_centre_is_known(self) -> None:
+        records = [Record(f"op/evacuate/x{each}", b"{}", each, each) for each in range(1, 200)]
+        self.store.read_prefix.return_value = Snapshot(tuple(records), 200)
+        self.store.watch.return_value = Changes((), (), 200)
+        self.watch.start()
+        self.addCleanup(self.watch.stop)
+        self.assertTrue(_wait_until(lambda: len(self.in_force()) > 0, 5))
+        self.assertNotIn("x199", self.in_force())
+        self.requests.add_known([DataCentreId("x199")])
+        self.assertTrue(_wait_until(lambda: "x199" in self.in_force(), 5))
+
     def test_without_the_switch_they_are_ignored(self) -> None:
         watch = ConfigurationWatch(self.store, self.clock)
         self.store.read_prefix.return_value = Snapshot((Record("op/evacuate/a", b"{}", 6, 6),), 6)
--- a/tests/core/evacuation/test_evacuator.py
+++ b/tests/core/evacuation/test_evacuator.py
@@ -11,7 +11,12 @@
 from toucandoor.core.admission.submission import AcceptAll, FirstRejection
 from toucandoor.core.evacuation import evacuator
 from toucandoor.core.evacuation.departures import LeaveWithoutLoss, StopAllAtOnce
-from toucandoor.core.evacuation.requests import EvacuationEvent, EvacuationRequests
+from toucandoor.core.evacuation.requests import (
+    KNOWN_MAX,
+    UNKNOWN_MAX,
+    EvacuationEvent,
+    EvacuationRequests,
+)
 from toucandoor.core.evacuation.submissions import RETRY_AFTER_S, RefuseWhileAllEvacuated
 from toucandoor.core.jobs.models import JobState, Step, TaskKey
 from toucandoor.fakes.virtual_fleet import VirtualFleet
@@ -119,6 +124,18 @@
         fleet.run(3.0)
         self.assertEqual({entry.data_centre for _, entry in fleet.observations.started}, {A, C})
 
+    def test_no_start_after_a_request_among_thousands_of_wrong_ones(self) -> None:
+        fleet = make_fleet()
+        for number in range(2000):
+            fleet.operators.request(DataCentreId(f"x{number}"))
+        fleet.operators.request(A)
+        fleet.run(2.0)
+        for number in range(1, 12):
+            fleet.submit(job(number))
+        fleet.run(3.0)
+        self.assertEqual({entry.data_centre for _, entry in fleet.observations.started}, {B, C})
+        self.assertLessEqual(len(list(scheduler_of(fleet).evacuation.statuses)), UNKNOWN_MAX + 1)
+
     def test_without_the_switch_nothing_is_withheld(self) -> None:
         fleet = make_fleet()
         with mock.patch.object(fleet, "_make_requests", None):
@@ -408,6 +425,38 @@
         requests.on_read([], 4, 2.0, 2.0)
         self.assertEqual(set(requests.in_force), {A})
 
+    def test_a_flood_of_requests_is_bounded_and_hides_none_of_a_known_data_centre(self) -> None:
+        """Thousands of wrong records cost the owner's time; a true one may be after them."""
+        flood = [EvacuationEvent(DataCentreId(f"x{each}"), each + 2) for each in range(5000)]
+        true = [EvacuationEvent(A, 1), EvacuationEvent(B, 5002)]
+        for name in ("read", "watch"):
+            with self.subTest(name):
+                requests = EvacuationRequests(BOUND_S, MOVE_S)
+                requests.on_read(true[:1], 1, 0.0, 0.0)
+                requests.add_known([B])
+                if name == "read":
+                    requests.on_read([*flood, *true], 5002, 0.0, 0.0)
+                else:
+                    requests.on_changes([*flood, true[1]], 5002, 0.0, 0.0)
+                self.assertLessEqual({A, B}, set(requests.in_force))
+                self.assertEqual(len(requests.in_force), UNKNOWN_MAX + 1)
+                # A data centre that was unknown until now, whose request was dropped.
+                late = flood[-1].data_centre
+                requests.add_known([B, late])
+                self.assertTrue(requests.needs_read)
+                self.assertFalse(requests.may_start(late, 0.0))
+                requests.on_read([*flood, *true], 5002, 0.0, 0.0)
+                self.assertFalse(requests.needs_read)
+                self.assertIn(late, requests.in_force)
+                requests.on_read(true, 5003, 0.0, 0.0)
+                self.assertEqual(set(requests.in_force), {A, B})
+                self.assertTrue(requests.may_start(late, 0.0))
+
+    def test_a_flood_of_known_data_centres_is_bounded(self) -> None:
+        requests = EvacuationRequests(BOUND_S, MOVE_S)
+        requests.add_known(DataCentreId(f"x{each}") for each in range(5000))
+        self.assertEqual(len(requests.known), KNOWN_MAX)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/adapters/configuration_watch.py
+++ b/toucandoor/adapters/configuration_watch.py
@@ -160,6 +160,8 @@
                 for record in changes.written:
                     self._apply_record(record)
                 revision = changes.revision
+                if self.evacuations is not None and self.evacuations.needs_read:
+                    revision = None
                 wait_s = WATCH_WAIT_S
                 self._on_answer()
             except HistoryLostError:
--- a/toucandoor/core/evacuation/evacuator.py
+++ b/toucandoor/core/evacuation/evacuator.py
@@ -78,7 +78,6 @@
         self._policy = policy or LeaveWithoutLoss(requests.move_s if requests is not None else 0.0)
         self._applied: Mapping[DataCentreId, EvacuationRequest] = MappingProxyType({})
         self._held: dict[Run, WorkerView] = {}
-        self._known: set[DataCentreId] = set()
         self._statuses: dict[DataCentreId, DataCentreStatus] = {}
         self._next_plan_s = 0.0
         self._stale = False
@@ -107,7 +106,8 @@
 
     def add_known(self, data_centres: Iterable[DataCentreId]) -> None:
         """Add data centres that exist, also those that have VMs only."""
-        self._known.update(data_centres)
+        if self._requests is not None:
+            self._requests.add_known(data_centres)
 
     def leaving(self, worker: WorkerView) -> list[Run]:
         """Return the runs of an evacuated server that need capacity elsewhere."""
@@ -148,6 +148,7 @@
         return fresh
 
     def _mark_servers(self, in_force: Mapping[DataCentreId, EvacuationRequest]) -> None:
+        self.add_known({each.entry.data_centre for each in self._state.workers.values()})
         for worker in self._state.workers.values():
             evacuated = worker.entry.data_centre in in_force
             if worker.evacuated is not evacuated:
@@ -229,7 +230,6 @@
         if not self._applied or now_s < self._next_plan_s:
             return
         self._next_plan_s = now_s + PLAN_INTERVAL_S
-        self._known.update(worker.entry.data_centre for worker in self._state.workers.values())
         runs = self._evacuated_runs()
         made = self._policy.plan(self._state, runs, now_s)
         for run in made.stops:
@@ -248,7 +248,7 @@
             self._log(status, now_s)
 
     def _log(self, status: DataCentreStatus, now_s: float) -> None:
-        status.known = status.data_centre in self._known
+        status.known = self._requests is not None and status.data_centre in self._requests.known
         if not status.known:
             if not status.unknown and now_s - status.since_s >= UNKNOWN_AFTER_S:
                 status.unknown = True
--- a/toucandoor/core/evacuation/requests.py
+++ b/toucandoor/core/evacuation/requests.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 from dataclasses import dataclass
 from types import MappingProxyType
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
     from toucandoor.ids import DataCentreId
 
+_LOGGER = logging.getLogger(__name__)
+
+UNKNOWN_MAX: Final = 64
+"""Most requests for data centres that are not known to exist; ten times the data centres of the
+target size. A faulty script may write thousands, each of which costs the owner a status."""
+KNOWN_MAX: Final = 256
+"""Most data centres that count as known; servers name theirs themselves."""
+
 
 @dataclass(frozen=True, slots=True)
 class EvacuationRequest:
@@ -52,6 +61,10 @@
     from its own thread. Their answers may arrive in another order than the store gave them, so each
     carries its revision, and nothing older replaces what is known.
 
+    Requests for known data centres are always kept. Of the others, the newest beyond a bound are
+    dropped. From then on, a data centre that becomes known gets no start until the records have
+    been read again, as its request may be among those dropped.
+
     Args:
         bound_s: Time from the confirmation of a request after which no task may be started in its
             data centre.
@@ -64,9 +77,12 @@
         """Age of the knowledge up to which an owner may start tasks: a watch of 1 s, its retry and
         a margin. The other half of the bound is left for orders on their way."""
         self.ignored = 0
-        """Records that were ignored because their values are invalid."""
+        """Records that were ignored because they are invalid or too many."""
         self._lock = threading.Lock()
         self._in_force: Mapping[DataCentreId, EvacuationRequest] = MappingProxyType({})
+        self._known: frozenset[DataCentreId] = frozenset()
+        # Data centres whose requests have surely been kept; None while none has been dropped.
+        self._checked: frozenset[DataCentreId] | None = None
         self._known_revision = 0
         self._confirmed_s = float("-inf")
 
@@ -75,6 +91,24 @@
         """The requests by data centre; the mapping never changes, a later one replaces it."""
         return self._in_force
 
+    @property
+    def known(self) -> frozenset[DataCentreId]:
+        """Data centres that exist."""
+        return self._known
+
+    @property
+    def needs_read(self) -> bool:
+        """Whether the request for a data centre may have been dropped before it became known."""
+        checked = self._checked
+        return checked is not None and not self._known <= checked
+
+    def add_known(self, data_centres: Iterable[DataCentreId]) -> None:
+        """Add data centres that have servers or VMs."""
+        with self._lock:
+            new = sorted(set(data_centres) - self._known)
+            if new:
+                self._known |= frozenset(new[: KNOWN_MAX - len(self._known)])
+
     def known_within(self, now_s: float, within_s: float) -> bool:
         """Return whether the store has confirmed the present state that recently.
 
@@ -86,6 +120,9 @@
 
     def may_start(self, data_centre: DataCentreId, now_s: float) -> bool:
         """Return whether a task may be started in a data centre now."""
+        checked = self._checked
+        if checked is not None and data_centre not in checked:
+            return False
         return self.known_within(now_s, self.fresh_s) and data_centre not in self._in_force
 
     def on_read(
@@ -103,9 +140,10 @@
             if revision >= self._known_revision:
                 self._known_revision = revision
                 valid = [each for each in found if self._accept(each)]
-                self._in_force = MappingProxyType(
-                    {each.data_centre: self._request(each, now_s) for each in valid}
-                )
+                read = {each.data_centre: self._request(each, now_s) for each in valid}
+                dropped = self._drop_surplus(read)
+                self._in_force = MappingProxyType(read)
+                self._set_checked(self._known if dropped else None)
             self._confirmed_s = max(self._confirmed_s, as_of_s)
 
     def on_changes(
@@ -132,11 +170,39 @@
                     in_force.pop(event.data_centre, None)
                 else:
                     in_force[event.data_centre] = self._request(event, now_s)
+            if self._drop_surplus(in_force) and self._checked is None:
+                self._set_checked(self._known)
             if in_force != self._in_force:
                 self._in_force = MappingProxyType(in_force)
             self._known_revision = max(self._known_revision, revision)
             self._confirmed_s = max(self._confirmed_s, as_of_s)
 
+    def _drop_surplus(self, requests: dict[DataCentreId, EvacuationRequest]) -> bool:
+        """Drop requests for unknown data centres beyond the bound; return whether there were any.
+
+        Those in force are kept first, then those that were written first.
+        """
+        unknown = requests.keys() - self._known
+        surplus = sorted(
+            unknown, key=lambda each: (each not in self._in_force, requests[each].revision)
+        )[UNKNOWN_MAX:]
+        for data_centre in surplus:
+            del requests[data_centre]
+        self.ignored += len(surplus)
+        return bool(surplus)
+
+    def _set_checked(self, checked: frozenset[DataCentreId] | None) -> None:
+        if (checked is None) is not (self._checked is None):
+            _LOGGER.log(
+                logging.INFO if checked is None else logging.ERROR,
+                (
+                    "evacuation: all requests are kept again"
+                    if checked is None
+                    else "evacuation: too many requests; some for unknown data centres are ignored"
+                ),
+            )
+        self._checked = checked
+
     def _accept(self, event: EvacuationEvent) -> bool:
         """Return whether a record counts; an invalid one doesn't end a request in force."""
         self.ignored += event.invalid
--- a/toucandoor/fakes/virtual_operators.py
+++ b/toucandoor/fakes/virtual_operators.py
@@ -122,7 +122,7 @@
         if now_s < operators.down_until_s or now_s < self._owner.paused_until_s:
             operators._schedule(POLL_PAUSE_S, self.poll)
             return
-        if operators.reads_again():
+        if operators.reads_again() or self._requests.needs_read:
             operators._schedule(operators.choose_delay_s(), self._read)
         events = operators._history[self._polled :]
         revision = len(operators._history)
--- a/toucandoor/platform/operator_records.py
+++ b/toucandoor/platform/operator_records.py
@@ -27,6 +27,8 @@
 CONFIGURATION_KEY: Final = "op/config"
 WAVE_PREFIX: Final = "op/wave/"
 EVACUATION_PREFIX: Final = "op/evacuate/"
+DATA_CENTRE_CHARS_MAX: Final = 256
+"""Longest plausible name of a data centre."""
 WAVE_STATUS_PREFIX: Final = "status/wave/"
 WORKER_PREFIX: Final = "servers/"
 
@@ -137,9 +139,9 @@
 def decode_evacuation(key: str, value: bytes, revision: int) -> EvacuationEvent:
     """Decode a request to evacuate a data centre; the result says whether it is invalid."""
     name = DataCentreId(key.removeprefix(EVACUATION_PREFIX))
-    invalid = not name
+    invalid = not 0 < len(name) <= DATA_CENTRE_CHARS_MAX
     if invalid:
-        _LOGGER.error("evacuation: record %s names no data centre", key)
+        _LOGGER.error("evacuation: record %s names no data centre", key[:DATA_CENTRE_CHARS_MAX])
     try:
         msgspec.json.decode(value, type=dict)
     except (msgspec.MsgspecError, UnicodeDecodeError) as err:
