Log the runs that need a copy and get none

Cause: "copies: planned" and "copies: ended" name the job, so toucandoor explain job shows copies that started, won or lost; a copy refused because of the budget was only counted.

Change: "copies: refused", once for each run, with the job and whether the budget or the room was missing.

Conclusion: explain needs no change, as it prints every line of a job.

--- a/tests/core/copies/test_copies.py
+++ b/tests/core/copies/test_copies.py
@@ -6,6 +6,7 @@
 
 from tests.core.failure_domains.common import rack_fleet, set_reachable
 from tests.core.scheduling.common import NEEDS, job
+from toucandoor.core.copies import spare_capacity
 from toucandoor.core.copies.models import CopyCounts, NoCopies
 from toucandoor.core.jobs.models import JobState, Step, TaskKey
 from toucandoor.fakes.virtual_calls import CallOutcome
@@ -77,9 +78,18 @@
         virtual = copied_fleet()
         for number in range(6):
             virtual.submit(job(number + 1, COPIED))
-        virtual.run(1.9)
+        with self.assertLogs(spare_capacity.__name__, "INFO") as logs:
+            virtual.run(1.9)
         self.assertEqual(virtual.observations.copies, 3)
         self.assertEqual(counts(virtual).over_budget, 3)
+        # `toucandoor explain job` would otherwise not tell why a task waited for a slow run.
+        lines = [
+            each.__dict__["job"]
+            for each in logs.records
+            if each.message == "copies: refused" and each.__dict__["reason"] == "over budget"
+        ]
+        self.assertEqual(len(set(lines)), len(lines))
+        self.assertEqual(len(lines), 3)
         virtual.run(5.0)
         self.assertEqual(counts(virtual).won, 6)
 
--- a/toucandoor/core/copies/spare_capacity.py
+++ b/toucandoor/core/copies/spare_capacity.py
@@ -232,6 +232,10 @@
             self.counts.over_budget += 1
         else:
             self.counts.no_room += 1
+        _LOGGER.info(
+            "copies: refused",
+            extra=run_fields(run) | {"reason": "over budget" if over_budget else "no room"},
+        )
 
     def _count_ended(self, now_s: float) -> None:
         """Count the copies that no longer exist, and what they cost."""
