Search servers, jobs and waiting steps less often in the owner's steps

Change, without a change of what is decided: servers are sorted once for a step and not searched for each task; a step is passed over once no server of the pool has room for as little as it needs; usable servers are listed once for a pass; only jobs that are not open yet and jobs that are closing are gone through; waiting steps are not searched while no pool has changed (0.05 s); one pass over the servers gives both the heartbeats due and the time of the next one.

--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 from toucandoor.core.failure_domains.rack_spread import tasks_beyond_promise
@@ -22,6 +23,8 @@
     """Return the backend servers that may run tasks of a step, regardless of free capacity."""
     label = step.step.required_label
     tickets = step.advice.tickets if step.advice is not None else None
+    if not label and tickets is None:
+        return [worker for worker in workers if worker.usable(now_s)]
     return [
         worker
         for worker in workers
@@ -77,15 +80,7 @@
         on_worker: Number of tasks of this step on each server, for the limit per server.
         now_s: The monotonic time.
     """
-    needed = step.step.reserved
-    limit = step.step.per_worker_max
-    fitting = [
-        worker
-        for worker in allowed
-        if needed.fits_in(worker.free)
-        and not (limit and on_worker.get(worker.entry.worker_id, 0) >= limit)
-        and not (worker.slow and worker.runs)
-    ]
+    fitting = [worker for worker in allowed if _fits(worker, step.step, on_worker)]
     if not fitting:
         return None
     beyond = tasks_beyond_promise(step, task)
@@ -98,6 +93,63 @@
     )
 
 
+class ServerChoice:
+    """Chooses servers for the tasks of a step, one after the other, as `choose_worker` does.
+
+    A queue's peak brings hundreds of tasks at once for hundreds of servers, so the servers are
+    sorted once. The order holds while tasks are placed: the fullest server comes first, and a task
+    that is placed there makes it fuller.
+
+    Args:
+        allowed: Servers that may run the step.
+        step: The step.
+        on_worker: Number of tasks of this step on each server, which the caller keeps up to date.
+        now_s: The monotonic time.
+    """
+
+    def __init__(
+        self,
+        allowed: Sequence[WorkerView],
+        step: StepProgress,
+        on_worker: dict[WorkerId, int],
+        now_s: float,
+    ) -> None:
+        self._allowed = allowed
+        self._step = step
+        self._on_worker = on_worker
+        self._now_s = now_s
+        self._sorted: deque[WorkerView] | None = None
+        self._spread = step.step.long_running and step.step.unavailable_max is not None
+
+    def choose(self, task: Task) -> WorkerView | None:
+        """Return the best server with free capacity; None if there is none."""
+        if self._spread or task.failed_on:
+            # Its own order: the racks of the other tasks count, or where it has failed.
+            self._sorted = None
+            return choose_worker(self._allowed, self._step, task, self._on_worker, self._now_s)
+        if self._sorted is None:
+            step, now_s = self._step.step, self._now_s
+            fitting = [worker for worker in self._allowed if self._fits(worker)]
+            fitting.sort(key=lambda worker: _cost(worker, step, task, now_s))
+            self._sorted = deque(fitting)
+        while self._sorted and not self._fits(self._sorted[0]):
+            self._sorted.popleft()
+        return self._sorted[0] if self._sorted else None
+
+    def _fits(self, worker: WorkerView) -> bool:
+        return _fits(worker, self._step.step, self._on_worker)
+
+
+def _fits(worker: WorkerView, step: Step, on_worker: dict[WorkerId, int]) -> bool:
+    """Return whether a server has room for a task; a slow one runs one task at a time."""
+    limit = step.per_worker_max
+    return (
+        step.reserved.fits_in(worker.free)
+        and not (limit and on_worker.get(worker.entry.worker_id, 0) >= limit)
+        and not (worker.slow and worker.runs)
+    )
+
+
 def _cost(
     worker: WorkerView, step: Step, task: Task, now_s: float
 ) -> tuple[bool, bool, bool, bool, int, float]:
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -10,8 +10,8 @@
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.orders import Order, RequestAdvice
 from toucandoor.core.scheduling.placement import (
+    ServerChoice,
     allowed_workers,
-    choose_worker,
     tasks_by_worker,
 )
 from toucandoor.core.scheduling.state import MS_PER_S, run_fields
@@ -20,6 +20,7 @@
 from toucandoor.core.scheduling.workers import RunKey
 
 if TYPE_CHECKING:
+    from toucandoor.core.jobs.models import Resources
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress, Task
     from toucandoor.core.scheduling.state import ScheduleState
     from toucandoor.ids import PoolId, WorkerId
@@ -29,6 +30,9 @@
 REVIEW_INTERVAL_S: Final = 0.25
 """Time after which a pool is reviewed though no event has changed it: pauses of its backend servers
 end, and jobs miss their objectives."""
+SEARCH_INTERVAL_S: Final = 0.05
+"""Time after which waiting steps are searched for pools that are due for a review, though no pool
+has changed. Under overload thousands of steps wait, and most events change no pool."""
 ADVICE_WORKERS_MAX: Final = 100
 """Most backend servers in one request to the adviser, by the platform's protocol."""
 
@@ -39,20 +43,23 @@
     def __init__(self, state: ScheduleState) -> None:
         self._state = state
         self._reviewed_s: dict[PoolId, float] = {}
+        self._searched_s = float("-inf")
 
     def open_occurrences(self) -> None:
-        """Create the steps of occurrences that have become due."""
+        """Create the steps of occurrences that have become due, and close jobs that have ended."""
         state = self._state
         now_ms = state.now_unix_ms
-        for job_id in list(state.open_jobs):
+        for job_id in list(state.closing_jobs):
             job = state.jobs[job_id]
-            if job.state.final:
-                if not job.has_runs:
-                    state.open_jobs.discard(job_id)
-                    state.order.on_job_closed(job, now_ms)
-                continue
-            if job.opened < job.spec.occurrences:
-                self._open(job, now_ms)
+            if not job.has_runs:
+                del state.closing_jobs[job_id]
+                state.open_jobs.discard(job_id)
+                state.order.on_job_closed(job, now_ms)
+        for job_id in list(state.unopened_jobs):
+            job = state.jobs[job_id]
+            self._open(job, now_ms)
+            if job.opened == job.spec.occurrences:
+                del state.unopened_jobs[job_id]
 
     def _open(self, job: JobProgress, now_ms: float) -> None:
         spec = job.spec
@@ -75,11 +82,21 @@
         if state.configuration is None:
             return orders
         now_s = state.now_s
+        if not state.changed_pools and now_s - self._searched_s < SEARCH_INTERVAL_S:
+            return orders
+        self._searched_s = now_s
+        queues = state.configuration.queues
+        unchanged = {
+            pool
+            for pool, reviewed_s in self._reviewed_s.items()
+            if pool not in state.changed_pools and now_s - reviewed_s < REVIEW_INTERVAL_S
+        }
         waiting: dict[PoolId, list[WaitingStep]] = {}
         for key, step in list(state.waiting_steps.items()):
             job = state.jobs[key.job_id]
-            pool = state.pool_of(job)
-            if pool not in state.changed_pools and not self._review_due(pool, now_s):
+            queue = queues.get(job.spec.queue)
+            pool = job.spec.terms.pool if queue is None else queue.pool
+            if pool in unchanged:
                 continue
             if not step.remaining or not any(task.waiting for task in step.tasks):
                 del state.waiting_steps[key]
@@ -90,9 +107,6 @@
             self._place_in_pools(waiting, now_s, orders)
         return orders
 
-    def _review_due(self, pool: PoolId, now_s: float) -> bool:
-        return now_s - self._reviewed_s.get(pool, 0.0) >= REVIEW_INTERVAL_S
-
     def _place_in_pools(
         self,
         waiting: dict[PoolId, list[WaitingStep]],
@@ -102,38 +116,49 @@
         workers: dict[PoolId, list[WorkerView]] = {}
         domains = self._state.failure_domains
         for worker in self._state.workers.values():
-            if not domains.suspects(worker):
+            pool = worker.entry.pool
+            if pool in waiting and worker.usable(now_s) and not domains.suspects(worker):
                 worker.slow = domains.slowness(worker) > SLOW_RATIO
-                workers.setdefault(worker.entry.pool, []).append(worker)
+                workers.setdefault(pool, []).append(worker)
         now_ms = self._state.now_unix_ms
         for pool, steps in waiting.items():
             self._reviewed_s[pool] = now_s
+            usable = workers.get(pool, [])
+            # What no server of the pool has room for; during a pass, room only becomes less.
+            without_room: list[Resources] = []
             for each in self._state.order.ordered(pool, steps, now_s, now_ms):
-                self._place_step(each.job, each.step, workers.get(pool, []), now_s, orders)
+                self._place_step(each.job, each.step, usable, without_room, now_s, orders)
 
     def _place_step(
         self,
         job: JobProgress,
         step: StepProgress,
         workers: list[WorkerView],
+        without_room: list[Resources],
         now_s: float,
         orders: list[Order],
     ) -> None:
         tasks = [task for task in step.tasks if task.waiting and now_s >= task.not_before_s]
         if not tasks or not self._advice_ready(job, step, workers, now_s, orders):
             return
+        reserved = step.step.reserved
+        if any(less.fits_in(reserved) for less in without_room):
+            return
         allowed = allowed_workers(workers, step, now_s)
         if not allowed:
             return
         on_worker = tasks_by_worker(step)
+        servers = ServerChoice(allowed, step, on_worker, now_s)
         if step.step.gang:
-            self._place_gang(job, step, tasks, allowed, on_worker, now_s)
+            self._place_gang(job, step, tasks, servers, on_worker, now_s)
             return
         for task in tasks:
             if not self._state.within_ceiling(job, step.step.needs):
                 return
-            chosen = choose_worker(allowed, step, task, on_worker, now_s)
+            chosen = servers.choose(task)
             if chosen is None:
+                if len(allowed) == len(workers) and not step.step.per_worker_max:
+                    without_room.append(reserved)
                 return
             self.plan_run(job, task, chosen, task.attempt + 1, now_s)
             _count_task(on_worker, chosen)
@@ -143,7 +168,7 @@
         job: JobProgress,
         step: StepProgress,
         tasks: list[Task],
-        allowed: list[WorkerView],
+        servers: ServerChoice,
         on_worker: dict[WorkerId, int],
         now_s: float,
     ) -> None:
@@ -157,7 +182,7 @@
         planned: list[Run] = []
         for task in tasks:
             task.checkpoint = checkpoint
-            chosen = choose_worker(allowed, step, task, on_worker, now_s)
+            chosen = servers.choose(task)
             if chosen is None:
                 for run in planned:
                     self._cancel_planned(run)
@@ -226,10 +251,10 @@
             return True
         if not step.advice_in_flight:
             step.advice = None
-            usable = tuple(worker.entry.worker_id for worker in workers if worker.usable(now_s))
-            if usable:
+            if workers:
                 step.advice_in_flight = True
-                orders.append(RequestAdvice(step.key, usable[:ADVICE_WORKERS_MAX]))
+                asked = tuple(worker.entry.worker_id for worker in workers[:ADVICE_WORKERS_MAX])
+                orders.append(RequestAdvice(step.key, asked))
         return False
 
 
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -32,6 +32,7 @@
         self._state = state
         self._registry = registry
         self._speed_limits: list[Order] = []
+        self.next_heartbeat_s = float("inf")
 
     def due(self) -> list[Order]:
         """Return the orders to send now."""
@@ -48,10 +49,13 @@
                     run.order_in_flight = True
                     run.order_sent_s = now_s
                     orders.append(order)
+        self.next_heartbeat_s = float("inf")
         for worker in state.workers.values():
-            due = not worker.heartbeat_in_flight and now_s >= worker.next_heartbeat_s
-            if due and self._wants_heartbeat(worker) and worker.entry.address:
-                orders.append(self._heartbeat(worker, now_s))
+            if not worker.heartbeat_in_flight and self._wants_heartbeat(worker):
+                if now_s < worker.next_heartbeat_s:
+                    self.next_heartbeat_s = min(self.next_heartbeat_s, worker.next_heartbeat_s)
+                elif worker.entry.address:
+                    orders.append(self._heartbeat(worker, now_s))
             if worker.unknown_runs:
                 orders += self._stop_unknown_runs(worker, now_s)
         return orders
@@ -71,22 +75,13 @@
             orders.append(StopRun(run, self._state.settings.token))
         return orders
 
-    def next_heartbeat_s(self) -> float:
-        """Return when the next heartbeat is due, on the monotonic clock; infinity if none is."""
-        return min(
-            (
-                worker.next_heartbeat_s
-                for worker in self._state.workers.values()
-                if not worker.heartbeat_in_flight and self._wants_heartbeat(worker)
-            ),
-            default=float("inf"),
-        )
-
     def _wants_heartbeat(self, worker: WorkerView) -> bool:
         domains = self._state.failure_domains
-        if worker.entry.worker_id in domains.probes:
+        if domains.probes and worker.entry.worker_id in domains.probes:
             return not worker.ended
-        return worker.needs_heartbeat and worker.entry.worker_id not in domains.held_back
+        if not worker.needs_heartbeat:
+            return False
+        return not domains.held_back or worker.entry.worker_id not in domains.held_back
 
     def _run_order(self, run: Run, now_s: float) -> Order | None:
         token = self._state.settings.token
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -169,9 +169,7 @@
             self._spec_stored_again(known)
             return
         job = JobProgress(spec, arrived_s=state.now_s)
-        state.jobs[spec.job_id] = job
-        state.open_jobs.add(spec.job_id)
-        state.order.on_job_added(job, state.now_s)
+        state.add_job(job)
         state.mark_changed(job)
         self.pool_loads.add_arrival(job)
         if spec.job_id in self._state.early_cancels:
@@ -194,10 +192,7 @@
         state = self._state
         job = JobProgress(spec, arrived_s=state.now_s)
         runs = job.restore(record, revision)
-        state.jobs[spec.job_id] = job
-        state.order.on_job_added(job, state.now_s)
-        if not job.state.final or runs:
-            state.open_jobs.add(spec.job_id)
+        state.add_job(job, has_runs=bool(runs))
         for task, stored in runs:
             worker = self.registry.boot_of_run(stored.worker_id, stored.worker_booted_unix_ms)
             key = RunKey(task.key, stored.attempt)
@@ -329,7 +324,7 @@
 
     def next_wake_s(self) -> float:
         """Return the time in seconds until `orders` must be called again if no event arrives."""
-        until_s = self.run_orders.next_heartbeat_s() - self._state.now_s
+        until_s = self.run_orders.next_heartbeat_s - self._state.now_s
         return min(max(until_s, WAKE_S_MIN), WAKE_S_MAX)
 
     def pop_finished(self) -> list[JobProgress]:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -80,6 +80,8 @@
         configuration: Newest configuration; None before the first one.
         jobs: All jobs.
         open_jobs: Jobs that are not final or that still have runs.
+        unopened_jobs: Jobs with occurrences that were not due yet when they were last looked at.
+        closing_jobs: Open jobs that are final; they are closed once their runs have ended.
         workers: Latest boot of each backend server.
         former_boots: Boots other than these on which recorded runs may exist. The platform's list
             does not contain them, so they have no address and get no orders.
@@ -116,6 +118,8 @@
         self.configuration: JobConfiguration | None = None
         self.jobs: dict[JobId, JobProgress] = {}
         self.open_jobs: set[JobId] = set()
+        self.unopened_jobs: dict[JobId, None] = {}
+        self.closing_jobs: dict[JobId, None] = {}
         self.workers: dict[WorkerId, WorkerView] = {}
         self.former_boots: list[WorkerView] = []
         self.early_cancels: set[JobId] = set()
@@ -161,6 +165,23 @@
 
     # Progress and terms of jobs
 
+    def add_job(self, job: JobProgress, *, has_runs: bool = False) -> None:
+        """Add a job; it is open unless it is final and has no runs.
+
+        Args:
+            job: The job.
+            has_runs: Whether runs of it may exist, which the caller attaches.
+        """
+        job_id = job.spec.job_id
+        self.jobs[job_id] = job
+        self.order.on_job_added(job, self.now_s)
+        if not job.state.final:
+            self.open_jobs.add(job_id)
+            self.unopened_jobs[job_id] = None
+        elif has_runs:
+            self.open_jobs.add(job_id)
+            self.closing_jobs[job_id] = None
+
     def mark_changed(self, job: JobProgress) -> None:
         """Record a change of a job's progress, which must be written to the store."""
         job.version += 1
@@ -193,6 +214,8 @@
             },
         )
         self.finished.append(job)
+        self.unopened_jobs.pop(job.spec.job_id, None)
+        self.closing_jobs[job.spec.job_id] = None
         self.mark_changed(job)
 
     def _count_finished(self, job: JobProgress, total_s: float) -> None:
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -249,12 +249,14 @@
     @property
     def needs_heartbeat(self) -> bool:
         """Whether there is a lease to extend, a status to fetch or an end to acknowledge."""
-        if self.ended:
-            return False
-        unacknowledged = self.ends_committed > self.acknowledgement_confirmed
-        unknown = self.listed and self.unresponsive
-        tracked = self.runs or self.unknown_runs or self.uncommitted
-        return bool(tracked or unacknowledged or unknown)
+        wanted = (
+            self.runs
+            or self.unknown_runs
+            or self.uncommitted
+            or self.ends_committed > self.acknowledgement_confirmed
+            or (self.listed and (self.heartbeat_failures > 0 or not self.contacted))
+        )
+        return bool(wanted) and not self.ended
 
     def usable(self, now_s: float) -> bool:
         """Return whether it may get new tasks."""
