Share builders in the tests of failure domains and copies

Cause: the tests repeated the same fleets with a rack out of reach, and four of them the same check that nothing is copied.

Change: VirtualFleet.scheduler, cut_fleet and runs_20s as shared builders; one table of what is never copied, in subtests. Each of its cases plays 10 s, at least as long as before; those with a cut play it after that.

--- a/tests/core/copies/test_copies.py
+++ b/tests/core/copies/test_copies.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
 
-from tests.core.failure_domains.common import rack_fleet, set_reachable
-from tests.core.scheduling.common import NEEDS, job
+from msgspec.structs import replace
+
+from tests.core.failure_domains.common import rack_fleet, runs_20s, set_reachable
+from tests.core.scheduling.common import NEEDS, job, succeeds_after_1s
 from toucandoor.core.copies import spare_capacity
 from toucandoor.core.copies.models import CopyCounts, NoCopies
 from toucandoor.core.jobs.models import JobState, Step, TaskKey
@@ -22,17 +25,16 @@
     return TaskBehaviour(NEEDS, 30.0 if worker.startswith("r0") else 1.0)
 
 
-def copied_fleet(**options: bool) -> VirtualFleet:
+def copied_fleet(**options: Any) -> VirtualFleet:
     """Return a fleet of 64 cores, of which copies may reserve 6.4: three tasks."""
-    virtual = rack_fleet(behaviour=slow_on_first, **options)
+    virtual = rack_fleet(**{"behaviour": slow_on_first} | options)
     virtual.observations.copies_allowed = lambda task: True
     return virtual
 
 
 def counts(virtual: VirtualFleet) -> CopyCounts:
     """Return the counts of the present owner."""
-    assert virtual.owner is not None
-    return virtual.owner.scheduler.copies
+    return virtual.scheduler.copies
 
 
 class OverdueTest(unittest.TestCase):
@@ -52,27 +54,28 @@
         self.assertEqual((found.started, found.won, found.lost), (1, 1, 0))
         self.assertAlmostEqual(found.core_s, 2.0, delta=0.4)
 
-    def test_a_task_is_not_copied_while_others_of_its_step_run(self) -> None:
-        virtual = copied_fleet()
-        virtual.submit(job(1, Step(2, NEEDS, estimate_ms=1000, copies_allowed=True)))
-        virtual.run(10.0)
-        self.assertEqual(virtual.observations.copies, 0)
-
-    def test_other_steps_are_never_copied(self) -> None:
-        """Guards against copies of gangs, long-running tasks and steps that do not allow them."""
-        for step in (
-            Step(1, NEEDS, estimate_ms=1000),
-            Step(1, NEEDS, estimate_ms=1000, copies_allowed=True, gang=True),
-            Step(1, NEEDS, estimate_ms=1000, copies_allowed=True, long_running=True),
-            Step(1, NEEDS, estimate_ms=1000, copies_allowed=True, uses_leftovers=True),
-            Step(1, NEEDS, estimate_ms=0, copies_allowed=True),
-        ):
-            virtual = copied_fleet()
-            virtual.submit(job(1, step))
-            virtual.run(4.0)
-            set_reachable(virtual, "r0", reachable=step.estimate_ms == 0)
-            virtual.run(4.0)
-            self.assertEqual(virtual.observations.copies, 0, step)
+    def test_what_is_never_copied(self) -> None:
+        one_rack = {"racks": 1, "servers": 3, "behaviour": runs_20s}
+        cases: dict[str, tuple[Step, dict[str, Any]]] = {
+            "others of its step run": (replace(COPIED, count=2), {}),
+            "copies are not allowed": (replace(COPIED, copies_allowed=False), {}),
+            "gang": (replace(COPIED, gang=True), {}),
+            "long-running": (replace(COPIED, long_running=True), {}),
+            "best effort": (replace(COPIED, uses_leftovers=True), {}),
+            "no estimate": (replace(COPIED, estimate_ms=0), {}),
+            "no more runs may fail": (COPIED, {"attempts_max": 1}),
+            "no other rack than the first run's": (COPIED, one_rack),
+        }
+        for name, (step, options) in cases.items():
+            with self.subTest(name):
+                virtual = copied_fleet(**options)
+                virtual.submit(job(1, step))
+                virtual.run(10.0)
+                self.assertEqual(virtual.observations.copies, 0)
+                if name in ("copies are not allowed", "gang", "long-running", "best effort"):
+                    set_reachable(virtual, "r0", reachable=False)
+                    virtual.run(4.0)
+                    self.assertEqual(virtual.observations.copies, 0)
 
     def test_copies_reserve_at_most_a_tenth_of_the_pool(self) -> None:
         virtual = copied_fleet()
@@ -106,13 +109,6 @@
         virtual.run(3.0)
         self.assertEqual(virtual.observations.copies, 1)
 
-    def test_no_more_runs_may_fail_than_the_job_allows(self) -> None:
-        virtual = rack_fleet(behaviour=slow_on_first, attempts_max=1)
-        virtual.observations.copies_allowed = lambda task: True
-        virtual.submit(job(1, COPIED))
-        virtual.run(5.0)
-        self.assertEqual(virtual.observations.copies, 0)
-
 
 class SilentTest(unittest.TestCase):
     """Runs on servers that do not answer."""
@@ -121,14 +117,10 @@
         """Guards against tasks that wait for the rack though they may run twice."""
         completed_s: dict[bool, float] = {}
         for baseline in (False, True):
-            virtual = rack_fleet(
-                behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 1.0), baseline=baseline
-            )
-            assert virtual.owner is not None
+            virtual = copied_fleet(behaviour=succeeds_after_1s, baseline=baseline)
             if baseline:
-                virtual.owner.scheduler._copies = NoCopies()
-            virtual.observations.copies_allowed = lambda task: True
-            spec = job(1, Step(2, NEEDS, estimate_ms=1000, copies_allowed=True))
+                virtual.scheduler._copies = NoCopies()
+            spec = job(1, replace(COPIED, count=2))
             virtual.submit(spec)
             virtual.run(0.3)
             set_reachable(virtual, "r0", reachable=False)
@@ -145,8 +137,7 @@
 
     def test_no_copies_when_the_owners_own_connection_is_suspected(self) -> None:
         """Guards against copies of half the schedule while the owner itself is cut off."""
-        virtual = rack_fleet(behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 20.0))
-        virtual.observations.copies_allowed = lambda task: True
+        virtual = copied_fleet(behaviour=runs_20s)
         step = Step(24, NEEDS, estimate_ms=20000, copies_allowed=True, per_worker_max=3)
         virtual.submit(job(1, step))
         virtual.run(0.5)
@@ -158,15 +149,6 @@
         virtual.run(1.0)
         self.assertEqual(virtual.observations.copies, before)
 
-    def test_a_copy_is_never_on_the_rack_of_the_first_run(self) -> None:
-        virtual = rack_fleet(
-            racks=1, servers=3, behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 20.0)
-        )
-        virtual.observations.copies_allowed = lambda task: True
-        virtual.submit(job(1, COPIED))
-        virtual.run(5.0)
-        self.assertEqual(virtual.observations.copies, 0)
-
     def test_a_new_owner_knows_both_runs_and_stops_the_other_one(self) -> None:
         virtual = copied_fleet()
         spec = job(1, COPIED)
@@ -175,8 +157,7 @@
         self.assertEqual(virtual.observations.copies, 1)
         virtual.take_over()
         virtual.run(0.1)
-        assert virtual.owner is not None
-        task = virtual.owner.scheduler.jobs[spec.job_id].step(0, 0).tasks[0]
+        task = virtual.scheduler.jobs[spec.job_id].step(0, 0).tasks[0]
         self.assertEqual([run.is_copy for run in task.runs], [False, True])
         self.assertFalse(task.waiting)
         virtual.run(2.0)
--- a/tests/core/failure_domains/test_racks.py
+++ b/tests/core/failure_domains/test_racks.py
@@ -4,20 +4,21 @@
 
 import unittest
 
-from tests.core.failure_domains.common import domains, rack_fleet, set_reachable
+from tests.core.failure_domains.common import (
+    cut_fleet,
+    domains,
+    rack_fleet,
+    runs_20s,
+    set_reachable,
+)
 from tests.core.scheduling.common import NEEDS, job
-from toucandoor.core.jobs.models import Step, TaskKey
+from toucandoor.core.jobs.models import Step
 from toucandoor.core.scheduling.orders import Order, SendHeartbeat, StartRun
 from toucandoor.fakes.virtual_calls import CallOutcome, OwnerTerm
 from toucandoor.fakes.virtual_fleet import VirtualFleet
-from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import WorkerId
 
 
-def runs_20s(_task: TaskKey, _worker: WorkerId) -> TaskBehaviour:
-    return TaskBehaviour(NEEDS, 20.0)
-
-
 def record_calls(virtual: VirtualFleet) -> list[tuple[float, Order]]:
     """Return a list to which every later order is added with its time."""
     sent: list[tuple[float, Order]] = []
@@ -31,20 +32,17 @@
     return sent
 
 
-def fill(virtual: VirtualFleet) -> None:
-    """Start three tasks of 20 s on each server, which leaves room for a fourth."""
-    virtual.submit(job(1, Step(3 * len(virtual.workers), NEEDS, per_worker_max=3)))
-    virtual.run(0.5)
+def heartbeats(calls: list[tuple[float, Order]], server: str) -> list[tuple[float, SendHeartbeat]]:
+    """Return the heartbeats to servers whose ids begin with a text, with their times."""
+    found = [(at_s, each) for at_s, each in calls if isinstance(each, SendHeartbeat)]
+    return [each for each in found if each[1].worker.entry.worker_id.startswith(server)]
 
 
 class SuspectedRackTest(unittest.TestCase):
     """A rack is suspected by two silent servers, and not by less."""
 
     def test_a_rack_out_of_reach_gets_no_start_until_one_of_its_servers_answers(self) -> None:
-        virtual = rack_fleet(behaviour=runs_20s)
-        fill(virtual)
-        set_reachable(virtual, "r1", reachable=False)
-        virtual.run(2.2)
+        virtual = cut_fleet(4, 2, "r1", for_s=2.2)
         self.assertEqual(domains(virtual).suspected_racks, {"r1"})
         calls = record_calls(virtual)
         virtual.submit(job(2, Step(8, NEEDS)))
@@ -60,25 +58,16 @@
 
     def test_one_server_of_a_suspected_rack_is_tried_at_a_time(self) -> None:
         """Guards against calls that wait for their time-outs for every server of a lost rack."""
-        virtual = rack_fleet(servers=6, behaviour=runs_20s)
-        fill(virtual)
-        set_reachable(virtual, "r1", reachable=False)
-        virtual.run(2.5)
+        virtual = cut_fleet(4, 6, "r1", for_s=2.5)
         calls = record_calls(virtual)
         virtual.run(3.0)
-        tries = [
-            at_s
-            for at_s, each in calls
-            if isinstance(each, SendHeartbeat) and each.worker.entry.rack == "r1"
-        ]
+        tries = [at_s for at_s, _ in heartbeats(calls, "r1")]
         self.assertGreaterEqual(len(tries), 2)
         for earlier_s, later_s in zip(tries, tries[1:], strict=False):
             self.assertGreaterEqual(later_s - earlier_s, 1.0)  # the stand-in's time-out
 
     def test_a_start_that_was_never_sent_goes_elsewhere(self) -> None:
-        virtual = rack_fleet(behaviour=runs_20s)
-        fill(virtual)
-        set_reachable(virtual, "r1", reachable=False)
+        virtual = cut_fleet(4, 2, "r1", for_s=0.0)
         virtual.calls.choose_outcome = lambda kind: (
             CallOutcome.NOT_SENT if kind == "write" else CallOutcome.ANSWERED
         )
@@ -90,8 +79,7 @@
         self.assertEqual(virtual.observations.starts, 24 + 6)  # 6 more fit on the other racks
 
     def test_a_single_silent_server_is_no_evidence_against_its_rack(self) -> None:
-        virtual = rack_fleet(behaviour=runs_20s)
-        fill(virtual)
+        virtual = cut_fleet(for_s=0.0)
         virtual.workers[WorkerId("r1-0")].reachable = False
         virtual.run(4.0)
         self.assertEqual(domains(virtual).suspected_racks, set())
@@ -116,8 +104,7 @@
         virtual = rack_fleet(servers=4, behaviour=runs_20s)
         virtual.submit(job(1, Step(8, NEEDS)))
         virtual.run(0.5)
-        assert virtual.owner is not None
-        busy = [each for each in virtual.owner.scheduler.workers.values() if each.runs]
+        busy = [each for each in virtual.scheduler.workers.values() if each.runs]
         self.assertEqual({each.entry.rack for each in busy}, {"r0"})
         for each in busy:
             virtual.workers[each.entry.worker_id].reachable = False
@@ -129,11 +116,7 @@
 
     def test_when_most_racks_are_silent_none_is_suspected(self) -> None:
         """Guards against an owner that blames the racks for its own connection."""
-        virtual = rack_fleet(behaviour=runs_20s)
-        fill(virtual)
-        for rack in ("r0", "r1", "r2"):
-            set_reachable(virtual, rack, reachable=False)
-        virtual.run(2.6)
+        virtual = cut_fleet(4, 2, "r0", "r1", "r2", for_s=2.6)
         self.assertTrue(domains(virtual).own_connection_suspected)
         self.assertEqual(domains(virtual).suspected_racks, set())
         for rack in ("r0", "r1", "r2"):
@@ -150,18 +133,11 @@
         set_reachable(virtual, "r0", reachable=False)
         virtual.run(3.0)
         # The start of the run is answered during the first poll after the first contact.
-        waits_s = [
-            each.wait_s
-            for _, each in calls
-            if isinstance(each, SendHeartbeat) and each.worker.entry.worker_id == "r0-0"
-        ]
+        waits_s = [each.wait_s for _, each in heartbeats(calls, "r0-0")]
         self.assertEqual(waits_s[:2], [1.0, 0.0])
 
     def test_a_new_owner_knows_no_suspicion_and_learns_it_from_its_own_calls(self) -> None:
-        virtual = rack_fleet(behaviour=runs_20s)
-        fill(virtual)
-        set_reachable(virtual, "r1", reachable=False)
-        virtual.run(2.2)
+        virtual = cut_fleet(4, 2, "r1", for_s=2.2)
         virtual.take_over()
         self.assertEqual(domains(virtual).suspected_racks, set())
         virtual.run(1.5)
@@ -172,11 +148,9 @@
     """A server that repeatedly goes down waits longer each time before it gets tasks."""
 
     def test_pauses_double_and_are_forgotten(self) -> None:
-        virtual = rack_fleet(servers=2, behaviour=runs_20s)
-        fill(virtual)
+        virtual = cut_fleet(for_s=0.0)
         worker_id = WorkerId("r1-0")
-        assert virtual.owner is not None
-        view = virtual.owner.scheduler.workers[worker_id]
+        view = virtual.scheduler.workers[worker_id]
         pauses_s: list[float] = []
         for _ in range(4):
             virtual.workers[worker_id].reachable = False
@@ -194,10 +168,7 @@
 
     def test_a_server_that_had_runs_gets_tasks_again_after_a_long_cut(self) -> None:
         """Guards against a server that is never called again once its runs are discarded."""
-        virtual = rack_fleet(racks=1, servers=1, behaviour=runs_20s)
-        fill(virtual)
-        set_reachable(virtual, "r0", reachable=False)
-        virtual.run(12.0)
+        virtual = cut_fleet(1, 1, "r0", for_s=12.0)
         set_reachable(virtual, "r0", reachable=True)
         virtual.run(3.0)
         self.assertEqual(virtual.observations.starts, 6)
--- a/tests/core/failure_domains/test_slow_servers.py
+++ b/tests/core/failure_domains/test_slow_servers.py
@@ -18,12 +18,11 @@
 
 def run_day(virtual: VirtualFleet, seconds: int = 30) -> float:
     """Submit a job each half second, and return the mean time until they are done."""
-    assert virtual.owner is not None
     for number in range(seconds * 2):
         virtual.submit(job(number + 1, Step(3, NEEDS, estimate_ms=500)))
         virtual.run(0.5)
     virtual.run(20.0)
-    jobs = virtual.owner.scheduler.jobs.values()
+    jobs = virtual.scheduler.jobs.values()
     begun_ms = virtual.clock.now().timestamp() * 1000 - (seconds + 20.0) * 1000
     total_ms = 0.0
     for number, each in enumerate(jobs):
@@ -31,10 +30,23 @@
     return total_ms / len(jobs) / 1000
 
 
+def behave(_task: TaskKey, worker: WorkerId) -> TaskBehaviour:
+    """Return the behaviour of a task that takes five times as long on one server."""
+    return TaskBehaviour(NEEDS, 2.5 if worker == SLOW else 0.5)
+
+
 def _job(number: int) -> JobId:
     return JobId(f"{number:016x}")
 
 
+def usual_speed() -> RunSpeed:
+    """Return the evidence of 16 runs of the usual speed."""
+    speed = RunSpeed()
+    for number in range(16):
+        speed.record(USUAL, _job(number), QUEUE, 1.0, number * 0.1)
+    return speed
+
+
 class RunSpeedTest(unittest.TestCase):
     """The robust ratio of a server."""
 
@@ -47,9 +59,7 @@
 
     def test_a_wrong_estimate_of_a_job_makes_its_server_not_slow(self) -> None:
         """A server often runs many tasks of a job; 226 of 349 servers were taken for slow."""
-        speed = RunSpeed()
-        for number in range(16):
-            speed.record(USUAL, _job(number), QUEUE, 1.0, number * 0.1)
+        speed = usual_speed()
         for number in range(8):
             speed.record(SLOW, _job(16), QUEUE, 4.0, 2.0 + number * 0.01)
         self.assertLess(speed.slowness(SLOW, 2.1), SLOW_RATIO)
@@ -62,9 +72,7 @@
             self.assertLess(speed.slowness(USUAL, number * 0.1), SLOW_RATIO)
 
     def test_a_slow_server_is_found_and_counts_as_usual_without_recent_runs(self) -> None:
-        speed = RunSpeed()
-        for number in range(16):
-            speed.record(USUAL, _job(number), QUEUE, 1.0, number * 0.1)
+        speed = usual_speed()
         for number in range(2):
             speed.record(SLOW, _job(number), QUEUE, 4.0, 2.0 + number * 0.1)
         self.assertGreater(speed.slowness(SLOW, 2.2), SLOW_RATIO)
@@ -75,23 +83,16 @@
     """A slow server is chosen last and gets one task at a time."""
 
     def test_jobs_with_a_slow_server_and_without_this_part(self) -> None:
-        def behave(_task: TaskKey, worker: WorkerId) -> TaskBehaviour:
-            return TaskBehaviour(NEEDS, 2.5 if worker == SLOW else 0.5)
-
         mean_s = run_day(rack_fleet(behaviour=behave))
         baseline_s = run_day(rack_fleet(behaviour=behave, baseline=True))
         self.assertLess(mean_s, 0.6 * baseline_s, (mean_s, baseline_s))
 
     def test_a_slow_server_gets_one_task_at_a_time(self) -> None:
-        def behave(_task: TaskKey, worker: WorkerId) -> TaskBehaviour:
-            return TaskBehaviour(NEEDS, 2.5 if worker == SLOW else 0.5)
-
         virtual = rack_fleet(racks=2, servers=1, behaviour=behave)
-        assert virtual.owner is not None
         for number in range(1, 5):
             virtual.submit(job(number, Step(8, NEEDS, estimate_ms=500)))
             virtual.run(3.0)
-        view = virtual.owner.scheduler.workers[SLOW]
+        view = virtual.scheduler.workers[SLOW]
         self.assertGreater(domains(virtual).slowness(view), SLOW_RATIO)
         virtual.submit(job(5, Step(8, NEEDS, estimate_ms=500)))
         virtual.run(0.3)
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -92,6 +92,12 @@
         self._sequence = itertools.count()
         self.records.on_change = self._on_record_change
 
+    @property
+    def scheduler(self) -> Scheduler:
+        """Scheduler of the present owner, of which there must be one."""
+        assert self.owner is not None
+        return self.owner.scheduler
+
     # Virtual time
 
     def schedule(self, delay_s: float, action: Callable[[], None]) -> None:
