Share builders in the tests of evacuation

Cause: the tests repeated how servers are filled, how the first data centre is evacuated and which data centres have been used.

Change: fill_servers, evacuate and used_centres in their place; the unused empty_after_s and the blocks for running a file by itself, which script/test does not use, are removed.

--- a/tests/core/evacuation/test_evacuator.py
+++ b/tests/core/evacuation/test_evacuator.py
@@ -27,7 +27,6 @@
     from collections.abc import Callable
 
     from toucandoor.core.evacuation.departures import DeparturePolicy
-    from toucandoor.core.scheduling.scheduler import Scheduler
 
 BOUND_S = 5.0
 MOVE_S = 1.5
@@ -51,9 +50,22 @@
     return made
 
 
-def scheduler_of(fleet: VirtualFleet) -> Scheduler:
-    assert fleet.owner is not None
-    return fleet.owner.scheduler
+def fill_servers(fleet: VirtualFleet) -> None:
+    """Submit jobs of three tasks that need more than all servers, and run on."""
+    for number in range(1, 12):
+        fleet.submit(job(number))
+    fleet.run(3.0)
+
+
+def used_centres(fleet: VirtualFleet) -> set[DataCentreId]:
+    """Return the data centres in which runs have started."""
+    return {entry.data_centre for _, entry in fleet.observations.started}
+
+
+def evacuate(fleet: VirtualFleet, for_s: float) -> None:
+    """Request the evacuation of the first data centre, and run on."""
+    fleet.operators.request(A)
+    fleet.run(for_s)
 
 
 def runs_in(fleet: VirtualFleet, centre: DataCentreId) -> int:
@@ -64,14 +76,6 @@
     return sum(len(worker.runs) for worker in workers)
 
 
-def empty_after_s(fleet: VirtualFleet, centre: DataCentreId, limit_s: float = 30.0) -> float:
-    """Run until a data centre has no runs; return the time that it took."""
-    began_s = fleet.clock.monotonic_s()
-    while runs_in(fleet, centre) and fleet.clock.monotonic_s() < began_s + limit_s:
-        fleet.run(0.05)
-    return fleet.clock.monotonic_s() - began_s
-
-
 class StartsTest(unittest.TestCase):
     """Starts in an evacuated data centre."""
 
@@ -94,11 +98,10 @@
         fleet.submit(job(1))
         with mock.patch.object(fleet.calls, "write"):
             fleet.run(0.2)
-        scheduler = scheduler_of(fleet)
-        self.assertTrue(scheduler.jobs[job(1).job_id].has_runs)
+        self.assertTrue(fleet.scheduler.jobs[job(1).job_id].has_runs)
         fleet.operators.request(A)
         fleet.run(0.5)
-        self.assertFalse(scheduler.jobs[job(1).job_id].has_runs)
+        self.assertFalse(fleet.scheduler.jobs[job(1).job_id].has_runs)
 
     def test_all_evacuated(self) -> None:
         fleet = make_fleet()
@@ -111,7 +114,7 @@
         fleet.operators.withdraw(B)
         fleet.run(3.0)
         self.assertIs(fleet.state(job(1).job_id), JobState.COMPLETED)
-        self.assertEqual({entry.data_centre for _, entry in fleet.observations.started}, {B})
+        self.assertEqual(used_centres(fleet), {B})
 
     def test_several_requests_are_independent(self) -> None:
         fleet = make_fleet()
@@ -119,32 +122,25 @@
         fleet.operators.request(B)
         fleet.run(0.5)
         fleet.operators.withdraw(A)
-        for number in range(1, 12):
-            fleet.submit(job(number))
-        fleet.run(3.0)
-        self.assertEqual({entry.data_centre for _, entry in fleet.observations.started}, {A, C})
+        fill_servers(fleet)
+        self.assertEqual(used_centres(fleet), {A, C})
 
     def test_no_start_after_a_request_among_thousands_of_wrong_ones(self) -> None:
         fleet = make_fleet()
         for number in range(2000):
             fleet.operators.request(DataCentreId(f"x{number}"))
-        fleet.operators.request(A)
-        fleet.run(2.0)
-        for number in range(1, 12):
-            fleet.submit(job(number))
-        fleet.run(3.0)
-        self.assertEqual({entry.data_centre for _, entry in fleet.observations.started}, {B, C})
-        self.assertLessEqual(len(list(scheduler_of(fleet).evacuation.statuses)), UNKNOWN_MAX + 1)
+        evacuate(fleet, 2.0)
+        fill_servers(fleet)
+        self.assertEqual(used_centres(fleet), {B, C})
+        self.assertLessEqual(len(list(fleet.scheduler.evacuation.statuses)), UNKNOWN_MAX + 1)
 
     def test_without_the_switch_nothing_is_withheld(self) -> None:
         fleet = make_fleet()
         with mock.patch.object(fleet, "_make_requests", None):
             fleet.take_over()
         fleet.operators.request(A)
-        for number in range(1, 12):
-            fleet.submit(job(number))
-        fleet.run(3.0)
-        self.assertIn(A, {entry.data_centre for _, entry in fleet.observations.started})
+        fill_servers(fleet)
+        self.assertIn(A, used_centres(fleet))
 
 
 class LeavingTest(unittest.TestCase):
@@ -190,7 +186,7 @@
             fleet.run(10.0)
         self.assertEqual((runs_in(fleet, A), fleet.observations.starts), (2, 2))
         self.assertIn("no room elsewhere: 2", str(vars(logs.records[-1])["reason"]))
-        [load] = scheduler_of(fleet).pool_loads.current().values()
+        [load] = fleet.scheduler.pool_loads.current().values()
         self.assertEqual(load.waiting, NEEDS.times(2))
 
     def test_checkpointing_tasks_leave_and_others_end(self) -> None:
@@ -200,8 +196,7 @@
         self.start_on_a(fleet, 2, Step(2, NEEDS, 8_000))
         self.start_on_a(fleet, 3, Step(1, NEEDS, 3_000, checkpointing=True))
         self.assertEqual(runs_in(fleet, A), 5)
-        fleet.operators.request(A)
-        fleet.run(1.0)
+        evacuate(fleet, 1.0)
         self.assertEqual(runs_in(fleet, A), 3)
         fleet.run(7.0)
         self.assertEqual(runs_in(fleet, A), 0)
@@ -215,8 +210,7 @@
         self.start_on_a(fleet, 1, Step(8, NEEDS, 6_000, checkpointing=True))
         fleet.submit(job(2, Step(16, NEEDS, 30_000)))
         fleet.run(0.5)
-        fleet.operators.request(A)
-        fleet.run(6.0)
+        evacuate(fleet, 6.0)
         self.assertIs(fleet.state(mine), JobState.COMPLETED)
         self.assertEqual(fleet.observations.starts, 24)
 
@@ -226,16 +220,14 @@
         self.start_on_a(fleet, 1, Step(2, NEEDS, 20_000, checkpointing=True))
         fleet.submit(job(2, Step(22, NEEDS, 2_000)))
         fleet.run(0.5)
-        fleet.operators.request(A)
-        fleet.run(3.0)
+        evacuate(fleet, 3.0)
         self.assertEqual(runs_in(fleet, A), 0)
 
     def test_a_gang_leaves_as_a_whole(self) -> None:
         gang = job(1).job_id
         fleet = make_fleet({gang: 20.0})
         self.start_on_a(fleet, 1, Step(3, NEEDS, 20_000, checkpointing=True, gang=True))
-        fleet.operators.request(A)
-        fleet.run(2.0)
+        evacuate(fleet, 2.0)
         self.assertEqual(runs_in(fleet, A), 0)
         self.assertEqual(sum(map(bool, fleet.observations.running.values())), 3)
         self.assertEqual(fleet.observations.starts, 6)
@@ -261,7 +253,7 @@
                 "the request for a has ended",
             ],
         )
-        self.assertEqual(scheduler_of(fleet).evacuation.ignored_records, 1)
+        self.assertEqual(fleet.scheduler.evacuation.ignored_records, 1)
 
 
 class ReturnTest(unittest.TestCase):
@@ -291,12 +283,12 @@
         fleet = make_fleet({job(1).job_id: 20.0})
         fleet.submit(job(1, Step(4, NEEDS, 20_000, checkpointing=True)))
         fleet.run(1.0)
-        [busy] = {entry.data_centre for _, entry in fleet.observations.started}
+        [busy] = used_centres(fleet)
         fleet.operators.request(busy)
         fleet.run(0.15)
         fleet.operators.withdraw(busy)
         fleet.run(2.0)
-        for worker in scheduler_of(fleet).workers.values():
+        for worker in fleet.scheduler.workers.values():
             self.assertEqual(worker.held.cpu_millicores, 0)
 
 
@@ -339,7 +331,7 @@
             empty_s = min(empty_s, fleet.clock.monotonic_s() - began_s)
     fleet.run(25.0)
     ended_s = {
-        each.spec.job_id: each.finished_unix_ms / 1000 for each in scheduler_of(fleet).jobs.values()
+        each.spec.job_id: each.finished_unix_ms / 1000 for each in fleet.scheduler.jobs.values()
     }
     offset_s = fleet.clock.now().timestamp() - fleet.clock.monotonic_s()
     in_time = sum(
@@ -400,30 +392,30 @@
 class RequestsTest(unittest.TestCase):
     """Knowledge of the requests."""
 
+    def setUp(self) -> None:
+        self.requests = EvacuationRequests(BOUND_S, MOVE_S)
+
     def test_an_invalid_record_neither_begins_nor_ends_a_request(self) -> None:
-        requests = EvacuationRequests(BOUND_S, MOVE_S)
-        requests.on_read([EvacuationEvent(A, 1)], 1, 0.0, 0.0)
+        self.requests.on_read([EvacuationEvent(A, 1)], 1, 0.0, 0.0)
         invalid = [EvacuationEvent(A, 2, invalid=True), EvacuationEvent(B, 3, invalid=True)]
-        requests.on_changes(invalid, 3, 1.0, 1.0)
-        self.assertEqual(set(requests.in_force), {A})
-        requests.on_read(invalid, 4, 2.0, 2.0)
-        self.assertEqual(set(requests.in_force), {A})
-        self.assertEqual(requests.ignored, 4)
+        self.requests.on_changes(invalid, 3, 1.0, 1.0)
+        self.assertEqual(set(self.requests.in_force), {A})
+        self.requests.on_read(invalid, 4, 2.0, 2.0)
+        self.assertEqual(set(self.requests.in_force), {A})
+        self.assertEqual(self.requests.ignored, 4)
 
     def test_a_request_that_is_written_again_keeps_its_age(self) -> None:
-        requests = EvacuationRequests(BOUND_S, MOVE_S)
-        requests.on_read([EvacuationEvent(A, 1)], 1, 0.0, 0.0)
-        requests.on_changes([EvacuationEvent(A, 2)], 2, 3.0, 3.0)
-        self.assertEqual(requests.in_force[A].seen_s, 0.0)
-        self.assertTrue(requests.known_within(4.0, 1.0))
-        self.assertFalse(requests.known_within(4.1, 1.0))
+        self.requests.on_read([EvacuationEvent(A, 1)], 1, 0.0, 0.0)
+        self.requests.on_changes([EvacuationEvent(A, 2)], 2, 3.0, 3.0)
+        self.assertEqual(self.requests.in_force[A].seen_s, 0.0)
+        self.assertTrue(self.requests.known_within(4.0, 1.0))
+        self.assertFalse(self.requests.known_within(4.1, 1.0))
 
     def test_a_failed_read_changes_nothing(self) -> None:
         # A read that is answered after a later one tells nothing new.
-        requests = EvacuationRequests(BOUND_S, MOVE_S)
-        requests.on_read([EvacuationEvent(A, 5)], 5, 1.0, 1.0)
-        requests.on_read([], 4, 2.0, 2.0)
-        self.assertEqual(set(requests.in_force), {A})
+        self.requests.on_read([EvacuationEvent(A, 5)], 5, 1.0, 1.0)
+        self.requests.on_read([], 4, 2.0, 2.0)
+        self.assertEqual(set(self.requests.in_force), {A})
 
     def test_a_flood_of_requests_is_bounded_and_hides_none_of_a_known_data_centre(self) -> None:
         """Thousands of wrong records cost the owner's time; a true one may be after them."""
@@ -453,10 +445,5 @@
                 self.assertTrue(requests.may_start(late, 0.0))
 
     def test_a_flood_of_known_data_centres_is_bounded(self) -> None:
-        requests = EvacuationRequests(BOUND_S, MOVE_S)
-        requests.add_known(DataCentreId(f"x{each}") for each in range(5000))
-        self.assertEqual(len(requests.known), KNOWN_MAX)
-
-
-if __name__ == "__main__":
-    unittest.main()
+        self.requests.add_known(DataCentreId(f"x{each}") for each in range(5000))
+        self.assertEqual(len(self.requests.known), KNOWN_MAX)
--- a/tests/core/evacuation/test_histories.py
+++ b/tests/core/evacuation/test_histories.py
@@ -191,12 +191,10 @@
         calls.choose_send_delay_s = lambda: 0.0
         self._run(1.0)
         self._fleet.run(30.0)
-        owner = self._fleet.owner
-        assert owner is not None
         self.faults += self._fleet.observations.violations
         self.faults += [f"order of events: at {at_s}" for at_s in operators.disagreements]
         self.faults += self._late_starts()
-        for worker in owner.scheduler.workers.values():
+        for worker in self._fleet.scheduler.workers.values():
             if not worker.usable(self._fleet.clock.monotonic_s()):
                 self.faults.append(f"{worker.entry.worker_id} is not usable at the end")
             if worker.held.cpu_millicores:
@@ -265,7 +263,3 @@
     def test_check_before_a_start_is_sent(self) -> None:
         with mock.patch.object(Evacuator, "may_start", lambda *_: True):
             self.assertNotEqual(first_faults("late start"), [])
-
-
-if __name__ == "__main__":
-    unittest.main()
