Remove unused parts of the tests of overload and run times

Cause: the peaks collected ratios that no test reads, and a check of other teams' refusals was written three times.

Change: both are removed or shared, with the blocks for running a file by itself.

--- a/tests/core/overload/overload_day.py
+++ b/tests/core/overload/overload_day.py
@@ -163,7 +163,7 @@
 
     def of_use(self, submission: Submission) -> bool:
         """Return whether a job was done within three objectives of its acceptance."""
-        job = self.fleet.owner.scheduler.jobs.get(submission.spec.job_id)  # type: ignore[union-attr]
+        job = self.fleet.scheduler.jobs.get(submission.spec.job_id)
         if job is None or job.state is not JobState.COMPLETED:
             return False
         total_s = (job.finished_unix_ms - submission.spec.accepted_unix_ms) / 1000
--- a/tests/core/overload/test_admission.py
+++ b/tests/core/overload/test_admission.py
@@ -129,7 +129,3 @@
         self.assertEqual(outages.left_s(51.0), 4.0)
         self.assertIn(outages.retry_after_s(50.0, JobId("a")), range(1, 6))
         self.assertEqual(outages.retry_after_s(60.0, JobId("a")), 1)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/core/overload/test_overload_day.py
+++ b/tests/core/overload/test_overload_day.py
@@ -17,7 +17,6 @@
 from toucandoor.ids import TeamId
 
 if TYPE_CHECKING:
-    from toucandoor.core.jobs.configuration import JobTeam
     from toucandoor.core.jobs.models import JobSpec
     from toucandoor.core.scheduling.progress import JobProgress
 
@@ -51,6 +50,10 @@
     def rejections(self, day: OverloadDay, team: TeamId) -> int:
         return sum(len(each.rejections) for each in day.of_team(team))
 
+    def check_no_rejection_of_others(self, day: OverloadDay) -> None:
+        for team in OTHERS:
+            self.assertEqual(self.rejections(day, team), 0)
+
     def done_in_time(self, day: OverloadDay) -> int:
         return sum(day.of_use(each) for each in day.of_team(BUSY_TEAM))
 
@@ -61,8 +64,7 @@
         for each in (day, baseline):
             each.fleet.run(DAY_S + 8)
         self.assertGreater(self.rejections(day, BUSY_TEAM), 20)
-        for team in OTHERS:
-            self.assertEqual(self.rejections(day, team), 0)
+        self.check_no_rejection_of_others(day)
         self.assertGreaterEqual(self.done_in_time(day), 0.9 * self.done_in_time(baseline))
         self.assertTrue(day.reports[-1].empty)
 
@@ -80,8 +82,7 @@
         self.assertFalse(any(7.6 < at_s < 8.0 for at_s in times_s))
         self.assertTrue(any(at_s > 8.0 for at_s in times_s))
         self.assertEqual(len({report.token for report in day.reports}), 2)
-        for team in OTHERS:
-            self.assertEqual(self.rejections(day, team), 0)
+        self.check_no_rejection_of_others(day)
 
     def test_the_load_of_a_pool_refuses_only_teams_beyond_their_rate(self) -> None:
         # Without ceilings the pool of 24 cores is what all teams wait for.
@@ -91,18 +92,13 @@
         self.assertTrue(reported)
         self.assertEqual({wait.cause for wait in reported}, {WaitCause.POOL})
         self.assertGreater(self.rejections(day, BUSY_TEAM), 10)
-        for team in OTHERS:
-            self.assertEqual(self.rejections(day, team), 0)
+        self.check_no_rejection_of_others(day)
 
 
 def _accepted_at(spec: JobSpec, unix_ms: int) -> JobSpec:
     return msgspec.structs.replace(spec, accepted_unix_ms=unix_ms)
 
 
-def _without_weight(team: JobTeam) -> JobTeam:
-    return dataclasses.replace(team, jobs_per_s=0.0)
-
-
 class ReporterTest(unittest.TestCase):
     """Cases in which a long backlog proves nothing."""
 
@@ -111,8 +107,7 @@
     ) -> list[float]:
         """Return when a backlog of ten large jobs causes reports within four seconds."""
         made = fleet(workers=6, behaviour=behaviour, ceiling=ceiling)
-        assert made.owner is not None
-        reporter = LoadReporter(made.owner.scheduler.state)
+        reporter = LoadReporter(made.scheduler.state)
         began_s = made.clock.monotonic_s()
         now_unix_ms = int(made.clock.now().timestamp() * 1000)
         backlog = [job(n, Step(12, NEEDS, estimate_ms=1000)) for n in range(10)]
@@ -151,16 +146,14 @@
 
     def test_no_report_without_weights(self) -> None:
         made = fleet(workers=1, ceiling=Resources(2000, 0, 0))
-        assert made.owner is not None
-        teams = {name: _without_weight(team) for name, team in configuration().teams.items()}
+        teams = {
+            name: dataclasses.replace(team, jobs_per_s=0.0)
+            for name, team in configuration().teams.items()
+        }
         changed = dataclasses.replace(configuration(version=2), teams=teams)
-        made.owner.scheduler.set_configuration(changed)
-        reporter = LoadReporter(made.owner.scheduler.state)
+        made.scheduler.set_configuration(changed)
+        reporter = LoadReporter(made.scheduler.state)
         for number in range(40):
             made.submit(job(number))
             made.run(0.1)
             self.assertIsNone(reporter.next_report(lambda: Resources(8000, 0, 0)))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/core/run_times/peaks.py
+++ b/tests/core/run_times/peaks.py
@@ -40,7 +40,6 @@
         fleet: The fleet.
         vm_s: Time of VMs in the pool.
         waited_s: Time for which tasks waited, in seconds, summed over tasks.
-        ratios: Learned ratio of the queue at each tick; empty with the callers' estimates.
     """
 
     def __init__(
@@ -60,7 +59,6 @@
         self._coming = 0
         self._surplus_s = 0.0
         self.vm_s = self.waited_s = 0.0
-        self.ratios: list[float] = []
         for _ in range(VMS_MIN):
             self._boot()
         self.fleet.take_over()
@@ -99,8 +97,7 @@
         self._booted += 1
 
     def _lend(self) -> None:
-        assert self.fleet.owner is not None
-        scheduler = self.fleet.owner.scheduler
+        scheduler = self.fleet.scheduler
         load = scheduler.pool_loads.current(LEAD_S).get(POOL)
         self.waited_s += (
             sum(
@@ -111,7 +108,6 @@
             )
             * TICK_S
         )
-        self.ratios += [each.expected for each in scheduler.run_times.queue_ratios()]
         wanted = max(VMS_MIN, wanted_vms(load, CAPACITY))
         present = [each for each in scheduler.workers.values() if each.listed]
         self.vm_s += (len(present) + self._coming) * TICK_S
--- a/tests/core/run_times/test_learned.py
+++ b/tests/core/run_times/test_learned.py
@@ -133,7 +133,3 @@
         self.assertEqual(found.queue, QUEUE)
         self.assertAlmostEqual(found.median, 0.5, delta=0.05)
         self.assertAlmostEqual(found.weight, 40.0)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/core/run_times/test_peaks.py
+++ b/tests/core/run_times/test_peaks.py
@@ -43,7 +43,3 @@
         learned, estimates = both(lambda rng, _now_s: rng.uniform(0.1, 1.9), tail_part=0.03)
         self.assertLess(learned.vm_s, 1.1 * estimates.vm_s)
         self.assertLess(learned.waited_s, 1.1 * estimates.waited_s)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/core/run_times/test_snapshots.py
+++ b/tests/core/run_times/test_snapshots.py
@@ -95,7 +95,3 @@
         snapshots.written(ok=True)
         self.clock.advance(SNAPSHOT_INTERVAL_S)
         self.assertIsNone(snapshots.due())
-
-
-if __name__ == "__main__":
-    unittest.main()
