Let entry VMs register after a first configuration without slots

Cause: Acceptance never accepted a version without slots: answers count only from slots, and the majority of none is one. When operators' first apply came before any controller had registered its slot, no slot could be added any more (HeadRecord.with_slot waits until the version is in force everywhere), no entry got a lease, and /readyz said "no lease yet" for good; apply waited its 15 s and then returned 0 without a pending entry. Controllers that start before the store back off by up to 7.5 s, so operators easily come first. The removal of the last slot was stuck for the same reason. Excluded: import times and lease rounds; the state stayed for as long as it was watched. Change: a version with no slots before or after it is in force everywhere, because no entry holds a lease by it; a set without slots asks for no majority. Time-outs of wait_for in LocalDeployment now carry the last answer and the last log lines of the platform and of the VM. Before: one entry VM, platform started 6 s late (scratch script), apply at once after its start: "/readyz not ready within 20.0 s; last: status 503, no lease yet", head record with "slots":[]; both new tests fail. After: ready after 0.01 s, three entry VMs and 8 s late: ready after 6.0 s; tests.core.configuration and tests.core.leases pass (38). Conclusion: one real cause of setUp failures of test_maintenance and test_reserve beside load.

--- a/tests/core/configuration/test_acceptance.py
+++ b/tests/core/configuration/test_acceptance.py
@@ -47,6 +47,16 @@
         self.assertTrue(acceptance.accepted(1.2))
         self.assertEqual(acceptance.pending(1.2), [])
 
+    def test_a_version_without_slots_is_in_force_everywhere(self) -> None:
+        """Guards against a first configuration after which no slot can be added any more."""
+        self.assertTrue(Acceptance(VERSION, [], TIMES).accepted(0.0))
+
+    def test_a_removal_of_the_last_slot_is_accepted_by_the_slots_before(self) -> None:
+        acceptance = Acceptance(VERSION, [], TIMES, slots("a1"))
+        self.assertFalse(acceptance.accepted(0.0))
+        answer_twice(acceptance, "a1", 0.0)
+        self.assertTrue(acceptance.accepted(1.2))
+
     def test_a_silent_data_centre_is_named_until_its_grace_ends(self) -> None:
         acceptance = Acceptance(VERSION, slots("a1 a2 b1 b2 c1"), TIMES)
         answer_twice(acceptance, "a1 a2 c1", 0.0)
--- a/toucandoor/core/configuration/acceptance.py
+++ b/toucandoor/core/configuration/acceptance.py
@@ -65,7 +65,8 @@
     ) -> None:
         self.version = version
         current, previous = tuple(slots), tuple(previous_slots)
-        self._slot_sets = [current, previous] if previous else [current]
+        # Nobody counts a majority, and so holds a lease, by a set without slots.
+        self._slot_sets = [each for each in (current, previous) if each]
         self._slots = {slot.entry: slot for slot in (*previous, *current)}
         self._times = times
         self._version_holders: dict[EntryId, IncarnationId] = {}
@@ -97,7 +98,13 @@
         return self._majority_confirmed_s is not None
 
     def accepted(self, now_s: float) -> bool:
-        """Return whether no entry can start keyed work under a lower version any longer."""
+        """Return whether no entry can start keyed work under a lower version any longer.
+
+        Without slots that is so from the start: the first content may be written before any entry
+        VM has registered, and a slot can be added only to a version that is in force everywhere.
+        """
+        if not self._slots:
+            return True
         if self._majority_confirmed_s is None:
             return False
         if now_s >= self._majority_confirmed_s + self._times.granter_grace_s():
--- a/toucandoor/measures/_deployment.py
+++ b/toucandoor/measures/_deployment.py
@@ -21,6 +21,8 @@
 PEER_SECRET = "loopback-peer-secret"
 OPERATOR_SECRET = "loopback-operator-secret"
 _READY_TIMEOUT_S = 20.0
+_REPORTED_LOG_LINES = 12
+"""Last lines of each log that a failure to become ready reports."""
 
 HTTP = urllib3.PoolManager(maxsize=64, num_pools=64, retries=False, timeout=60.0)
 
@@ -189,17 +191,41 @@
         """Wait until a page answers with status 200.
 
         Raises:
-            TimeoutError: It did not within the time-out.
+            TimeoutError: It did not within the time-out; the text has the last answer and the
+                last log lines of the processes of that address's VM.
         """
         until_s = time.monotonic() + timeout_s
+        last = "no try"
         while time.monotonic() < until_s:
             try:
-                if HTTP.request("GET", f"http://{address}{path}", timeout=1.0).status == 200:
+                answer = HTTP.request("GET", f"http://{address}{path}", timeout=1.0)
+                if answer.status == 200:
                     return
-            except urllib3.exceptions.HTTPError:
-                pass
+                last = f"status {answer.status}, {answer.data.decode(errors='replace').strip()}"
+            except urllib3.exceptions.HTTPError as err:
+                last = f"{type(err).__name__}: {err}"
             time.sleep(0.05)
-        raise TimeoutError(f"{address}{path} not ready within {timeout_s} s")
+        raise TimeoutError(
+            f"{address}{path} not ready within {timeout_s} s; last: {last}{self._last_logs(address)}"
+        )
+
+    def _last_logs(self, address: str) -> str:
+        names = ["platform"]
+        for vm in self.entry_vms:
+            if address in (vm.entry_ops_address, vm.controller_ops_address):
+                names += [f"{vm.entry_id}.controller", f"{vm.entry_id}.entry"]
+        if len(names) == 1:
+            names.append("workers")
+        lines = [f"{name}: {line}" for name in names for line in self._log_tail(name)]
+        return "\n".join(["", *lines])
+
+    def _log_tail(self, name: str) -> list[str]:
+        process = self.processes[name]
+        if not process.log.exists():
+            return ["not started"]
+        status = process.process.poll()
+        state = [] if status is None else [f"ended with status {status}"]
+        return self.log(name).splitlines()[-_REPORTED_LOG_LINES:] + state
 
     def wait_ready(self) -> None:
         """Wait until every entry has a configuration in force."""
