Start a local deployment only once its platform and backend servers listen

Cause: LocalDeployment.start waited for the controllers and entries alone. The platform is started last, so beside load an operator's command came before it listened: apply returned 5 truthfully ("store.get ... cannot connect"), and set_vm_list raised an error. Both were seen in setUp of test_reserve and test_maintenance. Excluded: the store client's time-out; the refusals came at once. Change: start waits until both processes of fakes have printed that all their servers listen, within the same 20 s.

--- a/toucandoor/measures/_deployment.py
+++ b/toucandoor/measures/_deployment.py
@@ -171,9 +171,11 @@
         self._make_processes()
 
     def start(self) -> None:
-        """Start all processes and wait until the entry VMs serve."""
+        """Start all processes and wait until the fakes and the entry VMs serve."""
         for process in self.processes.values():
             process.start()
+        for name in ("platform", "workers"):
+            self._wait_for_fake(name)
         for vm in self.entry_vms:
             self.wait_for(vm.controller_ops_address, "/healthz")
             self.wait_for(vm.entry_ops_address, "/healthz")
@@ -206,7 +208,8 @@
                 last = f"{type(err).__name__}: {err}"
             time.sleep(0.05)
         raise TimeoutError(
-            f"{address}{path} not ready within {timeout_s} s; last: {last}{self._last_logs(address)}"
+            f"{address}{path} not ready within {timeout_s} s; last: {last}"
+            + self._last_logs(address)
         )
 
     def _last_logs(self, address: str) -> str:
@@ -227,6 +230,15 @@
         state = [] if status is None else [f"ended with status {status}"]
         return self.log(name).splitlines()[-_REPORTED_LOG_LINES:] + state
 
+    def _wait_for_fake(self, name: str) -> None:
+        """Wait until a process of fakes has printed that all of its servers listen."""
+        until_s = time.monotonic() + _READY_TIMEOUT_S
+        while "ready" not in self.log(name).splitlines():
+            if time.monotonic() >= until_s or self.processes[name].process.poll() is not None:
+                tail = "\n".join(self._log_tail(name))
+                raise TimeoutError(f"{name} not ready within {_READY_TIMEOUT_S} s\n{tail}")
+            time.sleep(0.05)
+
     def wait_ready(self) -> None:
         """Wait until every entry has a configuration in force."""
         for vm in self.entry_vms:
