Refuse waiting keyed requests once the entry's lease is not renewed

Cause: an entry without a lease refuses new keyed requests at once, but those that already waited for a permit or a slot were held until their deadline, by default 3,600 s. The lease ends 4 s after the entry's controller is lost; a request that had to wait in those 4 s was never answered. This is the caller's thread that was still alive in test_controller_killed_while_draining_another_carries_on; a hang longer than the client's 60 s ended that thread unseen. When the lease has not held for another entry_lease_s, as seen by the engine, waiting keyed requests get the refusal that new ones get: 503, not_run where that is so, Retry-After 5. A shorter lapse, as at each new version, and the first check after a freeze refuse nothing. Conclusion: the product was wrong, not the test's bound.

--- a/tests/core/requests/test_engine.py
+++ b/tests/core/requests/test_engine.py
@@ -50,13 +50,14 @@
         self.clock = ManualClock()
         self.lines: list[Any] = []
         self.permits = StaticPermits({TeamId("a"): 2})
+        self.lease = FixedLease(float("inf"))
         routing = SharedLoadRouting(Random(1), "dc-1")
         numbers = count(1)
         self.engine = RequestEngine(
             make_queue=lambda queue: FirstComeFirstServed(queue.waiting_max),
             routing=routing,
             permits=self.permits,
-            lease=FixedLease(float("inf")),
+            lease=self.lease,
             new_attempt_id=lambda: AttemptId(f"a{next(numbers)}"),
             tracker=AttemptTracker(RetryBudget(Random(1)), routing.is_healthy),
         )
@@ -134,6 +135,24 @@
         self.assertEqual((late.status, late.fate.value), (401, "not_run"))
         verify_session(self.lines)
 
+    def test_a_request_that_waits_is_refused_when_the_lease_is_not_renewed(self) -> None:
+        """Guards against a caller held until its deadline at an entry without a controller."""
+        for name in ("first", "second", "third"):
+            self.submit(name, deadline_s=3600.0)
+        lease_s = CONFIGURATION.policy.entry_lease_s
+        self.lease.until_s = self.clock.monotonic_s()
+        lapsed = self.tick(0.05) + self.tick(lease_s - 0.1)
+        self.lease.until_s = self.clock.monotonic_s() + 1.0
+        # The first check after the lease's end comes late, as after a freeze.
+        lapsed += self.tick(0.05) + self.tick(20.0) + self.tick(lease_s - 0.1)
+        self.assertFalse(any(isinstance(each, Refuse) for each in lapsed))
+        (refused,) = [each for each in self.tick(0.2) if isinstance(each, Refuse)]
+        self.assertEqual(
+            (refused.request_id, refused.status, refused.fate.value, refused.retry_after_s),
+            ("third", 503, "not_run", 5.0),
+        )
+        self.assertEqual(self.end("a1", ANSWERED)[0].request_id, "first")
+
     def test_requests_of_a_queue_that_is_removed_are_given_up(self) -> None:
         for name in ("first", "second", "third"):
             self.submit(name)
--- a/toucandoor/core/requests/engine.py
+++ b/toucandoor/core/requests/engine.py
@@ -22,9 +22,9 @@
     WorkerUnreachable,
 )
 from toucandoor.core.attempts.tracker import AttemptTracker
-from toucandoor.core.keys import KeyRing
 from toucandoor.core.requests.commands import ProbeWorker, WorkerProbed
 from toucandoor.core.requests.const import START_WITHIN_S, STOPPING_RETRY_AFTER_S
+from toucandoor.core.requests.keyed_gate import NO_LEASE, KeyedGate, Refusal
 from toucandoor.core.requests.models import (
     Answer,
     AttemptEnded,
@@ -59,7 +59,8 @@
         make_queue: Returns a new queue policy for a queue.
         routing: Policy that selects backend servers.
         permits: Policy of the permits for keyed requests.
-        lease: The entry's serving lease; without it no keyed request starts.
+        lease: The entry's serving lease; without it no keyed request starts. Those that wait are
+            refused once it has not held for another ``entry_lease_s``.
         new_attempt_id: Returns a globally unique attempt id.
         admission: Policy of the pools' slots; by default all slots of a pool are open to its
             requests.
@@ -80,11 +81,10 @@
         self._make_queue = make_queue
         self._routing = routing
         self._permits = permits
-        self._lease = lease
+        self._gate = KeyedGate(permits, lease)
         self._new_attempt_id = new_attempt_id
         self._admission = admission or OpenAdmission()
         self._configuration: Configuration | None = None
-        self._keys: KeyRing | None = None
         self._pending_refusals: list[EngineDecision] = []
         self._queues: dict[QueueId, QueuePolicy] = {}
         self._requests: dict[RequestId, PendingRequest] = {}
@@ -97,7 +97,7 @@
         removed: their refusals are returned with the next event.
         """
         self._configuration = configuration
-        self._keys = KeyRing(configuration)
+        self._gate.configure(configuration)
         self._admission.configure(configuration, now_s)
         for queue_id, queue in configuration.queues.items():
             if queue_id not in self._queues:
@@ -146,9 +146,9 @@
         queue = self._queues.get(request.queue)
         if queue is None or self._configuration is None:
             return [self._refuse(request, 404, "no such queue", "admission.queue")]
-        refusal = self._check_team(request, now_s)
+        refusal = self._gate.check(request, now_s)
         if refusal is not None:
-            return [refusal]
+            return [self._refuse_as(request, refusal)]
         self._requests[request.request_id] = PendingRequest(request)
         if not queue.offer(request, now_s):
             return [
@@ -158,21 +158,6 @@
             ]
         return self._start_waiting(request.queue, now_s) + self._reclaim(now_s)
 
-    def _check_team(self, request: Request, now_s: float) -> Refuse | None:
-        if request.team is None:
-            return None
-        if not self._lease.holds(now_s):
-            reason = "this data centre is cut off; keyed work is not taken"
-            return self._refuse(request, 503, reason, "lease.check", 5.0)
-        team = self._configuration.teams.get(request.team) if self._configuration else None
-        if team is None:
-            return self._refuse(request, 403, "no such team", "admission.team")
-        if not self._is_key_valid(request):
-            return self._refuse(request, 401, "the key was withdrawn", "admission.key")
-        if team.ceiling_running == 0:
-            return self._refuse(request, 429, "the team's ceiling is 0", "admission.ceiling")
-        return None
-
     def _start_waiting(self, queue_id: QueueId, now_s: float) -> list[EngineDecision]:
         decisions: list[EngineDecision] = []
         queue = self._queues[queue_id]
@@ -199,7 +184,7 @@
         assert self._configuration is not None
         urgent: Counter[PoolId] = Counter()
         for queue_id, queue in self._queues.items():
-            waiting = queue.urgent_waiting(lambda each: self._may_run(each, now_s))
+            waiting = queue.urgent_waiting(lambda each: self._gate.may_run(each, now_s))
             urgent[self._configuration.queues[queue_id].pool] += waiting
         return [
             decision
@@ -212,7 +197,7 @@
         requeue = self._requests[request.request_id].requeue
         if requeue is not None and now_s < requeue.not_before_s:
             return False
-        if not self._may_run(request, now_s):
+        if not self._gate.may_run(request, now_s):
             return False
         key = self._placement_key(request, now_s)
         return bool(key.pools) and key not in exhausted
@@ -229,39 +214,40 @@
         home = self._configuration.queues[request.queue].pool
         return self._admission.pools_for(request, home, now_s)
 
-    def _is_key_valid(self, request: Request) -> bool:
-        if request.team is None or request.key_digest is None or self._keys is None:
-            return True
-        return self._keys.is_valid_for(request.key_digest, request.team)
-
     def _refuse_withdrawn_keys(self) -> None:
         """Refuse the waiting requests whose key is no longer valid."""
-        for request in [each.request for each in self._requests.values()]:
-            if not self._is_key_valid(request) and self._remove_from_queue(request):
-                reason = "the key was withdrawn"
-                self._pending_refusals.append(self._refuse(request, 401, reason, "admission.key"))
+        for request in self._remove_waiting(lambda each: not self._gate.is_key_valid(each)):
+            reason = "the key was withdrawn"
+            self._pending_refusals.append(self._refuse(request, 401, reason, "admission.key"))
 
     def _refuse_queue(self, queue_id: QueueId) -> None:
         """Refuse the requests that wait in a queue about to be removed."""
-        for request in [each.request for each in self._requests.values()]:
-            if request.queue == queue_id and self._remove_from_queue(request):
-                self._pending_refusals.append(self._refuse_without_queue(request))
+        for request in self._remove_waiting(lambda each: each.queue == queue_id):
+            self._pending_refusals.append(self._refuse_without_queue(request))
+
+    def _refuse_after_lapse(self, now_s: float) -> list[EngineDecision]:
+        """Refuse the waiting keyed requests when the lease is not renewed."""
+        if not self._gate.has_lapsed(now_s):
+            return []
+        waiting = self._remove_waiting(lambda each: each.team is not None)
+        return [self._refuse_as(request, NO_LEASE) for request in waiting]
+
+    def _remove_waiting(self, matches: Callable[[Request], bool]) -> list[Request]:
+        """Remove the waiting requests that match from their queues and return them."""
+        requests = [each.request for each in self._requests.values() if matches(each.request)]
+        return [request for request in requests if self._remove_from_queue(request)]
 
     def _remove_from_queue(self, request: Request) -> bool:
         """Remove a request from its queue; return False when it does not wait there."""
         queue = self._queues.get(request.queue)
         return queue is not None and queue.cancel(request.request_id) is not None
 
+    def _refuse_as(self, request: Request, cause: Refusal) -> Refuse:
+        return self._refuse(request, cause.status, cause.reason, cause.step, cause.retry_after_s)
+
     def _refuse_without_queue(self, request: Request) -> Refuse:
         return self._refuse(request, 404, "the queue was removed", "admission.queue")
 
-    def _may_run(self, request: Request, now_s: float) -> bool:
-        if request.team is None:
-            return True
-        if not self._is_key_valid(request):
-            return False
-        return self._lease.holds(now_s) and self._permits.can_acquire(request.team, now_s)
-
     def _dispatch(self, request: Request, now_s: float) -> Dispatch | None:
         assert self._configuration is not None
         pool = self._configuration.queues[request.queue].pool
@@ -361,9 +347,8 @@
         reason, step = "this entry is stopping", "entry.stop"
         decisions: list[EngineDecision] = []
         # Refuse waiting requests first, so that none starts when a running one is stopped.
-        for request in [each.request for each in self._requests.values()]:
-            if self._remove_from_queue(request):
-                decisions.append(self._refuse(request, 503, reason, step, STOPPING_RETRY_AFTER_S))
+        for request in self._remove_waiting(lambda _: True):
+            decisions.append(self._refuse(request, 503, reason, step, STOPPING_RETRY_AFTER_S))
         for request_id in list(self._requests):
             decisions += self._cancel(request_id, now_s, reason, step)
         return decisions
@@ -384,7 +369,7 @@
         return [Refuse(request_id, 503, reason, ExecutionStatus.UNKNOWN, step), *decisions]
 
     def _tick(self, now_s: float) -> list[EngineDecision]:
-        decisions: list[EngineDecision] = []
+        decisions = self._refuse_after_lapse(now_s)
         for worker in self._routing.due_for_probe(now_s):
             decisions.append(ProbeWorker(worker.vm, worker.address))
         for queue in self._queues.values():
