Wait only for the fakes that a deployment has

Cause: waited for the process "workers", which FaultyPool removes to start its own backend servers; setUp of test_backend_faults ended with KeyError. After: tests.programs.test_backend_faults and tests.programs.test_session pass (13).

--- a/toucandoor/measures/_deployment.py
+++ b/toucandoor/measures/_deployment.py
@@ -175,7 +175,9 @@
         for process in self.processes.values():
             process.start()
         for name in ("platform", "workers"):
-            self._wait_for_fake(name)
+            # Some measures start backend servers of their own instead of the workers.
+            if name in self.processes:
+                self._wait_for_fake(name)
         for vm in self.entry_vms:
             self.wait_for(vm.controller_ops_address, "/healthz")
             self.wait_for(vm.entry_ops_address, "/healthz")
@@ -219,7 +221,8 @@
                 names += [f"{vm.entry_id}.controller", f"{vm.entry_id}.entry"]
         if len(names) == 1:
             names.append("workers")
-        lines = [f"{name}: {line}" for name in names for line in self._log_tail(name)]
+        present = [name for name in names if name in self.processes]
+        lines = [f"{name}: {line}" for name in present for line in self._log_tail(name)]
         return "\n".join(["", *lines])
 
     def _log_tail(self, name: str) -> list[str]:
