Write the ends of whole jobs first, then other ends, then starts

Cause: after an outage of the store, jobs were written in the order of their changes, so that callers of ended jobs waited until the starts of all jobs that had changed before were stored.

Excluded: a strict order of the three kinds. While more jobs end than can be stored, no start would ever be written. The job that has waited longest is therefore part of each write. An order by time of the change does not hold either, as a failed write puts its jobs back at the end.

--- /dev/null
+++ b/tests/core/scheduling/test_progress_writer.py
@@ -0,0 +1,77 @@
+"""Order in which changed jobs are written to the store when many have changed at once."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.core.scheduling.common import job
+from toucandoor.clock import ManualClock
+from toucandoor.core.jobs.models import JobState
+from toucandoor.core.ownership.lease import OWNER_KEY
+from toucandoor.core.scheduling.progress import JobProgress
+from toucandoor.core.scheduling.progress_writer import ProgressWriter
+from toucandoor.core.scheduling.state import SchedulerSettings, ScheduleState
+from toucandoor.ids import FencingToken
+
+JOBS_PER_WRITE = 15
+
+
+class ProgressWriterTest(unittest.TestCase):
+    """Jobs have changed while the store was unavailable."""
+
+    def setUp(self) -> None:
+        settings = SchedulerSettings(OWNER_KEY, 1, FencingToken(1), 6.0)
+        self.state = ScheduleState(settings, ManualClock())
+        self.writer = ProgressWriter(self.state)
+
+    def changed(self, *, ended: bool = False, final: bool = False) -> JobProgress:
+        """Return a new job that must be written."""
+        made = JobProgress(job(len(self.state.jobs) + 1))
+        if final:
+            made.state = JobState.COMPLETED
+            made.spec_stored = False
+        self.state.jobs[made.spec.job_id] = made
+        self.state.mark_changed(made)
+        if ended or final:
+            made.ends_version = made.version
+        return made
+
+    def next_writes(self) -> list[JobProgress]:
+        """Return the jobs of the writes that are made now; the store answers them."""
+        commits = self.writer.commits()
+        for commit in commits:
+            self.writer.done(commit, 5)
+        return [each for commit in commits for each, _ in commit.jobs]
+
+    def test_ends_go_before_starts(self) -> None:
+        # Callers of ended jobs waited until the starts of all jobs before them were stored.
+        starts = [self.changed() for _ in range(JOBS_PER_WRITE)]
+        ends = [self.changed(ended=True) for _ in range(JOBS_PER_WRITE)]
+        whole = [self.changed(final=True) for _ in range(JOBS_PER_WRITE)]
+        expected = [starts[0], *whole[:-1], starts[1], whole[-1], *ends[:13], starts[2], *ends[13:]]
+        expected += starts[3:15]
+        self.assertEqual(self.next_writes(), expected)
+
+    def test_an_end_that_is_stored_has_no_precedence(self) -> None:
+        stored = self.changed(ended=True)
+        self.assertEqual(self.next_writes(), [stored])
+        self.changed()
+        self.state.mark_changed(stored)
+        end = self.changed(ended=True)
+        self.assertEqual(self.next_writes()[1:], [end, stored])
+
+    def test_a_start_is_written_while_more_jobs_end_than_can_be_stored(self) -> None:
+        # Ends that always go first would keep a job from starting for as long as they last.
+        for _ in range(4 * JOBS_PER_WRITE):
+            self.changed(final=True)
+        start = self.changed()
+        for _ in range(4 * JOBS_PER_WRITE):
+            if start in self.next_writes():
+                return
+            for _ in range(3 * JOBS_PER_WRITE):
+                self.changed(final=True)
+        self.fail("the start was not written")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -90,6 +90,7 @@
         opened: Number of occurrences that have become due.
         version: Version of the progress in memory.
         committed_version: Latest version that is known to be in the store.
+        ends_version: Version that first contained the latest reported end of one of its runs.
         revision: Revision of its record in the store; 0 before it exists.
         write_in_flight: Whether a write of its record awaits its answer.
         dirty: Whether its record in the store is outdated.
@@ -106,6 +107,7 @@
     opened: int = 0
     version: int = 0
     committed_version: int = 0
+    ends_version: int = 0
     revision: int = 0
     write_in_flight: bool = False
     dirty: bool = False
--- a/toucandoor/core/scheduling/progress_writer.py
+++ b/toucandoor/core/scheduling/progress_writer.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import logging
+from enum import Enum, auto
+from itertools import chain
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -32,6 +34,14 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class _Urgency(Enum):
+    """Order in which changed jobs are written, the most urgent first."""
+
+    JOB_ENDED = auto()
+    RUN_ENDED = auto()
+    OTHER = auto()
+
+
 class ProgressWriter:
     """Writes progress in batches; each job has at most one write in flight."""
 
@@ -147,13 +157,28 @@
         return Commit(transaction, tuple(versions), tuple(planned))
 
     def _choose_jobs(self) -> list[JobProgress]:
-        """Return changed jobs for one write, as many as the store accepts in a transaction."""
-        chosen: list[JobProgress] = []
-        entries_left = const.TRANSACTION_ENTRIES_MAX - 1  # the owner's expected revision
+        """Return changed jobs for one write, as many as the store accepts in a transaction.
+
+        Ends go before starts: callers wait for the ends of whole jobs, and backend servers report
+        the other ends again until they are stored. The job that has waited longest is part of
+        every write, so that a job whose start is to be stored waits for no more writes than jobs
+        had changed before it.
+        """
+        waiting: dict[_Urgency, list[JobProgress]] = {urgency: [] for urgency in _Urgency}
+        oldest: JobProgress | None = None
         for job_id in self._state.dirty:
             job = self._state.jobs[job_id]
             if job.write_in_flight:
                 continue
+            if oldest is None:
+                oldest = job
+            else:
+                waiting[_urgency(job)].append(job)
+        if oldest is None:
+            return []
+        chosen: list[JobProgress] = []
+        entries_left = const.TRANSACTION_ENTRIES_MAX - 1  # the owner's expected revision
+        for job in chain([oldest], *waiting.values()):
             # An expected revision and a value, and for some jobs a removal.
             entries_left -= 3 if _spec_removable(job) else 2
             if entries_left < 0:
@@ -189,6 +214,14 @@
             self._pending_written = None
 
 
+def _urgency(job: JobProgress) -> _Urgency:
+    if job.state.final:
+        return _Urgency.JOB_ENDED
+    if job.ends_version > job.committed_version:
+        return _Urgency.RUN_ENDED
+    return _Urgency.OTHER
+
+
 def _spec_removable(job: JobProgress) -> bool:
     """Return whether the write of a job's progress removes the record of its specification.
 
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -77,6 +77,7 @@
             },
         )
         state.mark_changed(job)
+        job.ends_version = job.version
         worker.uncommitted.append((job.spec.job_id, job.version))
 
     def _record_speed(self, job: JobProgress, run: Run) -> None:
