--- a/toucandoor/fakes/virtual_calls.py
+++ b/toucandoor/fakes/virtual_calls.py
@@ -77,6 +77,7 @@
             ``hold`` (a heartbeat) or ``write``.
         choose_delay_s: Returns the delay of a late call, in seconds.
         choose_send_delay_s: Returns the time for which a start waits for a connection, in seconds.
+        store_down_until_s: Time until which the store refuses all calls.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         self.choose_outcome: Callable[[str], CallOutcome] = lambda kind: CallOutcome.ANSWERED
         self.choose_delay_s: Callable[[], float] = lambda: 4.0
         self.choose_send_delay_s: Callable[[], float] = lambda: 0.0
+        self.store_down_until_s = 0.0
         self._clock = clock
         self._records = records
         self._workers = workers
@@ -109,6 +111,11 @@
             return
 
         def arrive() -> None:
+            if self._clock.monotonic_s() < self.store_down_until_s:
+                self._schedule_event(
+                    owner, STORE_CALL_S / 2, lambda: scheduler.commit_failed(commit, None)
+                )
+                return
             try:
                 revision = self._records.write(commit.transaction)
             except TransactionConflictError as err:
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -22,7 +22,12 @@
     job_key,
     progress_key,
 )
-from toucandoor.core.ownership.lease import OWNER_KEY
+from toucandoor.core.ownership.lease import (
+    OWNER_KEY,
+    OWNER_TTL_S,
+    RENEW_RETRY_S,
+    VALIDITY_MARGIN_S,
+)
 from toucandoor.core.records import Transaction
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
 from toucandoor.core.scheduling.workers import WorkerEntry
@@ -47,6 +52,8 @@
     from toucandoor.core.scheduling.workers import Boot
 
 LEASE_S = 6.0
+WATCH_RETRY_S = 0.1
+"""Interval at which an owner tries its watches again while the store refuses them."""
 
 
 class VirtualFleet:
@@ -232,16 +239,36 @@
         self._tick(owner)
         return owner
 
+    def make_store_unavailable(self, for_s: float) -> None:
+        """Refuse all calls to the store for a while; the owner then renews its ownership.
+
+        The store does not let leases expire meanwhile.
+        """
+        now_s = self.clock.monotonic_s()
+        self.calls.store_down_until_s = now_s + for_s
+        owner = self.owner
+        if owner is None:
+            return
+        owner.valid_until_s = now_s + OWNER_TTL_S - VALIDITY_MARGIN_S
+
+        def renew() -> None:
+            owner.valid_until_s = float("inf")
+            self._tick(owner)
+
+        self.schedule(for_s + RENEW_RETRY_S + STORE_CALL_S, renew)
+
     def _on_record_change(self, key: str, record: Record | None) -> None:
         owner = self.owner
         if owner is None or record is None or key.startswith(PROGRESS_PREFIX):
             return
+        watched_s = self.calls.store_down_until_s + WATCH_RETRY_S - self.clock.monotonic_s()
+        delay_s = max(STORE_CALL_S, watched_s)
         if key.startswith(JOB_PREFIX):
             spec = decode_job(record.value)
-            self._schedule_event(owner, STORE_CALL_S, lambda: owner.scheduler.add_job(spec))
+            self._schedule_event(owner, delay_s, lambda: owner.scheduler.add_job(spec))
         elif key.startswith(CANCEL_PREFIX):
             job_id = JobId(key.removeprefix(CANCEL_PREFIX))
-            self._schedule_event(owner, STORE_CALL_S, lambda: owner.scheduler.cancel_job(job_id))
+            self._schedule_event(owner, delay_s, lambda: owner.scheduler.cancel_job(job_id))
 
     def _may_act(self, owner: OwnerTerm) -> bool:
         return (
