Let nodes claim a vacant ownership in turn, not all after 0.2 s

Cause: a claim was delayed by the age of the process, up to 0.2 s. After some minutes all nodes have the same delay: the ownership stayed vacant for 0.2 s more, and then each of 40 nodes claimed, with three calls, while the new owner read its records. Only weaker nodes watched for another claim.

Change: nodes claim in the order of their registrations in the store, the latest first, 20 ms apart and at most 0.2 s late; each watches the record meanwhile and makes no claim after another's. As before, the younger of equal VMs goes first and weaker ones wait 0.4 s longer. claim_delay_s takes the number of earlier claims in place of an age; its tests are replaced by the same ones for the new order, and those of listed, unregistered and weaker nodes are added.

The lease's rest, 0.9 to 1.2 s, is what remains.

--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -322,6 +322,10 @@
         self.assertEqual(self.seen.violations, [])
 
 
+OLDEST, YOUNGEST = 1, 1000
+"""Revisions at which a process has registered before, or after, all others."""
+
+
 class ClaimOrderTest(unittest.TestCase):
     """Which of the VMs that could claim the ownership claims it first."""
 
@@ -356,14 +360,14 @@
     def test_a_weak_vm_leaves_the_claim_to_a_stronger_one(self) -> None:
         strong = self.node("strong", 2.15, 200.0)
         weak = self.node("weak", 0.52, 10.0)
-        hour_s = 3600.0
-        strong._started_s -= hour_s
         claim_s = 0.1
-        self.assertTrue(weak._weaker_than_a_peer())
-        self.assertFalse(strong._weaker_than_a_peer())
-        self.assertGreater(
-            weak._claim_delay_s(weaker=True), strong._claim_delay_s(weaker=False) + claim_s
-        )
+        delays_s = [
+            node._claim_delay_s(node._read_peers(), own_revision)
+            for node, own_revision in ((weak, YOUNGEST), (strong, OLDEST))
+        ]
+        self.assertGreater(delays_s[0], delays_s[1] + claim_s)
+        self.assertTrue(weak._weaker_than_a_peer(weak._read_peers()))
+        self.assertFalse(strong._weaker_than_a_peer(strong._read_peers()))
 
     # The claims of 39 weak VMs, three calls each, came while the new owner read its records.
     def test_a_weak_vm_makes_no_claim_once_a_stronger_one_has_claimed(self) -> None:
@@ -404,12 +408,12 @@
             self.addCleanup(node.stop, 2.0)
             node._dependencies.configuration.evacuations = requests
             node._dependencies.settings.data_centre = centre  # type: ignore[misc]
-        self.assertFalse(here._weaker_than_a_peer())
+        self.assertFalse(here._weaker_than_a_peer(here._read_peers()))
         revision = self.records.write(Transaction(writes={"op/evacuate/d": b"{}"}))
         found = [EvacuationEvent(DataCentreId("d"), revision)]
         requests.on_read(found, revision, time.monotonic(), 0.0)
-        self.assertTrue(here._weaker_than_a_peer())
-        self.assertFalse(there._weaker_than_a_peer())
+        self.assertTrue(here._weaker_than_a_peer(here._read_peers()))
+        self.assertFalse(there._weaker_than_a_peer(there._read_peers()))
         with mock.patch("toucandoor.adapters.owner_task.CANDIDATES_READ_INTERVAL_S", 0.05):
             here.start()
             wait_for(self, lambda: here.is_owner)
--- a/tests/core/ownership/test_candidates.py
+++ b/tests/core/ownership/test_candidates.py
@@ -5,11 +5,12 @@
 import unittest
 
 from toucandoor.core.ownership.candidates import (
-    AGE_DELAY_S_MAX,
+    CLAIM_DELAY_S_MAX,
     YIELD_PAUSE_S,
     VmCapacity,
     YieldPolicy,
     claim_delay_s,
+    earlier_claims,
     stronger_exists,
     usable_elsewhere,
 )
@@ -17,7 +18,7 @@
 
 SMALL = VmCapacity(0.5, 10.0)
 LARGE = VmCapacity(2.0, 200.0)
-YEAR_S = 365 * 86_400.0
+FLEET = 1000
 
 
 class StrongerTest(unittest.TestCase):
@@ -47,15 +48,29 @@
     """Delay of a claim."""
 
     def test_the_youngest_weak_vm_waits_longer_than_the_oldest_strong_one(self) -> None:
-        youngest_weak_s = claim_delay_s(0.0, weaker=True)
-        self.assertGreaterEqual(youngest_weak_s, 2 * claim_delay_s(YEAR_S, weaker=False))
-
-    def test_among_equals_the_younger_process_waits_less(self) -> None:
-        for weaker in (False, True):
-            self.assertLess(claim_delay_s(1.0, weaker=weaker), claim_delay_s(60.0, weaker=weaker))
+        youngest_weak_s = claim_delay_s(0, weaker=True)
+        self.assertGreaterEqual(youngest_weak_s, 2 * claim_delay_s(FLEET, weaker=False))
+
+    def test_among_equals_the_younger_process_claims_first(self) -> None:
+        revisions = (3, 5, 8)
+        delays_s = [
+            claim_delay_s(
+                earlier_claims(LARGE, own, [(each, LARGE) for each in revisions if each != own]),
+                weaker=False,
+            )
+            for own in revisions
+        ]
+        self.assertEqual(sorted(set(delays_s), reverse=True), delays_s)
+        self.assertEqual(delays_s[-1], 0.0)
+
+    def test_only_vms_that_are_not_weaker_claim_earlier(self) -> None:
+        self.assertEqual(earlier_claims(LARGE, 3, [(5, SMALL), (8, VmCapacity())]), 1)
+
+    def test_a_process_that_has_not_registered_yet_is_the_youngest(self) -> None:
+        self.assertEqual(earlier_claims(LARGE, 0, [(5, LARGE)]), 0)
 
     def test_a_strong_vm_waits_no_longer_than_the_bound(self) -> None:
-        self.assertLessEqual(claim_delay_s(YEAR_S, weaker=False), AGE_DELAY_S_MAX)
+        self.assertLessEqual(claim_delay_s(FLEET, weaker=False), CLAIM_DELAY_S_MAX)
 
 
 class EvacuatedOwnerTest(unittest.TestCase):
--- a/toucandoor/adapters/owner_task.py
+++ b/toucandoor/adapters/owner_task.py
@@ -17,6 +17,7 @@
     VmCapacity,
     YieldPolicy,
     claim_delay_s,
+    earlier_claims,
     stronger_exists,
     usable_elsewhere,
 )
@@ -34,7 +35,7 @@
 from toucandoor.ids import FencingToken
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from toucandoor.adapters.term_context import OwnerDependencies
     from toucandoor.core.records import Record, StoreLease
@@ -47,9 +48,9 @@
 store delays a takeover."""
 RETRY_PAUSE_S: Final = 0.2
 """Pause after a failed call to the store."""
-CLAIM_JITTER_S: Final = 0.02
-"""Longest random delay of a claim. It is about five response times of the store, so that few claims
-of several entry VMs conflict."""
+CLAIM_JITTER_S: Final = 0.005
+"""Longest random delay of a claim, against conflicts of VMs that have the same delay. It is well
+below the delay between two VMs that claim in turn."""
 
 
 class OwnerTask:
@@ -61,7 +62,6 @@
         self._term: OwnerTerm | None = None
         self._revision: int | None = None
         self._handover: Record | None = None
-        self._started_s = dependencies.clock.monotonic_s()
         settings = dependencies.settings
         self._capacity = VmCapacity(settings.processor_cores, settings.link_mbps)
         self._yield_policy = YieldPolicy(self._capacity)
@@ -104,29 +104,29 @@
 
     def _wait_for_turn(self) -> bool:
         """Wait for the delay of a claim; return whether this VM should claim then."""
-        weaker = self._weaker_than_a_peer()
-        delay_s = self._claim_delay_s(weaker=weaker)
-        if not weaker or self._revision is None:
-            self._stop.wait(delay_s)
+        snapshot = self._dependencies.store.read_prefix(NODE_PREFIX)
+        peers = decode_peers(snapshot.records, self._dependencies.entry_id)
+        own_key = NODE_PREFIX + self._dependencies.entry_id
+        own_revision = next((each.revision for each in snapshot.records if each.key == own_key), 0)
+        delay_s = self._claim_delay_s(peers, own_revision)
+        jitter_s = random.uniform(0, CLAIM_JITTER_S)
+        if not delay_s or self._revision is None:
+            self._stop.wait(delay_s + jitter_s)
             return True
-        # Most VMs may be weak. Their claims after that of a strong one would load the store while
-        # the new owner reads its records.
-        changes = self._dependencies.store.watch(OWNER_KEY, self._revision, delay_s)
+        # Claims after that of another VM would load the store while the new owner reads its
+        # records, and each takes three calls.
+        changes = self._dependencies.store.watch(OWNER_KEY, self._revision, delay_s + jitter_s)
         self._revision = changes.revision
         return all(record.key != OWNER_KEY for record in changes.written)
 
-    def _claim_delay_s(self, *, weaker: bool) -> float:
-        """Return how long to delay a claim, with a random part against conflicts."""
-        age_s = self._dependencies.clock.monotonic_s() - self._started_s
-        return claim_delay_s(age_s, weaker=weaker) + random.uniform(0, CLAIM_JITTER_S)
-
-    def _weaker_than_a_peer(self) -> bool:
-        """Return whether the store lists an entry VM that should claim before this one.
+    def _claim_delay_s(self, peers: Collection[Peer], own_revision: int) -> float:
+        """Return how long to delay a claim, without the random part against conflicts."""
+        others = ((peer.revision, peer.capacity) for peer in peers)
+        earlier = earlier_claims(self._capacity, own_revision, others)
+        return claim_delay_s(earlier, weaker=self._weaker_than_a_peer(peers))
 
-        Raises:
-            ToucandoorError: The store did not answer.
-        """
-        peers = self._read_peers()
+    def _weaker_than_a_peer(self, peers: Collection[Peer]) -> bool:
+        """Return whether one of the listed entry VMs should claim well before this one."""
         if stronger_exists(self._capacity, (peer.capacity for peer in peers)):
             return True
         return self._should_be_elsewhere(peers)
--- a/toucandoor/adapters/peers.py
+++ b/toucandoor/adapters/peers.py
@@ -74,12 +74,15 @@
         address: ``IP:port`` for messages of peers.
         data_centre: Data centre of its entry VM.
         capacity: Capacity of its entry VM.
+        revision: Revision of its record in the store, which its process has written at its start;
+            0 if it is not known from there.
     """
 
     entry_id: EntryId
     address: str
     data_centre: DataCentreId
     capacity: VmCapacity = VmCapacity()
+    revision: int = 0
 
 
 class PeerDirectory:
@@ -181,7 +184,9 @@
             _LOGGER.error("peers: record %s cannot be decoded: %s", record.key, err)
             continue
         capacity = VmCapacity(node.processor_cores, node.link_mbps)
-        peers.append(Peer(entry_id, node.address, node.data_centre, capacity))
+        peers.append(
+            Peer(entry_id, node.address, node.data_centre, capacity, revision=record.revision)
+        )
     return tuple(peers)
 
 
--- a/toucandoor/core/ownership/candidates.py
+++ b/toucandoor/core/ownership/candidates.py
@@ -18,12 +18,12 @@
 STRONGER_RATIO: Final = 1.5
 """Ratio of processor or link from which a VM counts as stronger. Below it, the gain is less than
 the cost of a change of owner."""
-AGE_DELAY_S_MAX: Final = 0.2
-"""Longest delay of a claim so that younger processes can claim first. It adds to the time without
-an owner; it is a sixth of the lease of the ownership."""
-AGE_DELAY_HALF_S: Final = 10.0
-"""Age of a process at which it waits half of `AGE_DELAY_S_MAX`. In a rolling restart, entry VMs
-restart seconds apart, so that their ages give different delays."""
+CLAIM_STEP_S: Final = 0.02
+"""Delay of a claim for each VM that claims earlier: about the time that the store takes for two
+calls and for a watch to report the claim, so that the next VM learns of it before its own claim."""
+CLAIM_DELAY_S_MAX: Final = 0.2
+"""Longest delay of a claim so that other VMs can claim first. It adds to the time without an owner
+if those have failed too; it is a sixth of the lease of the ownership."""
 WEAKER_DELAY_S: Final = 0.4
 """Additional delay of a VM that knows of a stronger one: the longest delay of that one's claim, and
 as much again for its calls to a slow store."""
@@ -87,18 +87,36 @@
     )
 
 
-def claim_delay_s(process_age_s: float, *, weaker: bool) -> float:
-    """Return how long to delay a claim of a vacant ownership, in seconds.
+def earlier_claims(
+    own: VmCapacity, own_revision: int, others: Iterable[tuple[int, VmCapacity]]
+) -> int:
+    """Return how many other VMs claim a vacant ownership before this one.
 
     Among equal VMs the younger process claims first. In a rolling restart, the ownership then goes
     to an entry VM that has been restarted already, and moves less often.
 
     Args:
-        process_age_s: Time since the start of the process.
+        own: Capacity of this VM.
+        own_revision: Revision at which this process has registered in the store; 0 if it has not
+            yet, and is the youngest.
+        others: Such a revision, and the capacity, of each other entry VM that is listed.
+    """
+    if not own_revision:
+        return 0
+    return sum(
+        revision > own_revision and not own.stronger_than(capacity) for revision, capacity in others
+    )
+
+
+def claim_delay_s(earlier: int, *, weaker: bool) -> float:
+    """Return how long to delay a claim of a vacant ownership, in seconds.
+
+    Args:
+        earlier: Number of VMs that claim earlier.
         weaker: Whether a stronger VM may claim.
     """
-    age_delay_s = AGE_DELAY_S_MAX * process_age_s / (process_age_s + AGE_DELAY_HALF_S)
-    return age_delay_s + (WEAKER_DELAY_S if weaker else 0.0)
+    delay_s = min(earlier * CLAIM_STEP_S, CLAIM_DELAY_S_MAX)
+    return delay_s + (WEAKER_DELAY_S if weaker else 0.0)
 
 
 class YieldPolicy:
