Spread the tries of nodes while the store does not answer

Cause: an outage ends the calls of all nodes at the same moment, and they pause equally long after each failure. All threads of all nodes therefore try again in the same tenth of a second, also when the store is back.

Excluded: longer pauses (submissions must be accepted within 0.3 s of the return); reading less: what a node reads on return is one ownership record and, if that is vacant, the list of nodes.

Change: the pauses of the configuration watch, of the owner task and of the load watch after a failed call vary by up to half around their former length (adapters/pauses.py).

--- a/toucandoor/adapters/configuration_watch.py
+++ b/toucandoor/adapters/configuration_watch.py
@@ -6,6 +6,7 @@
 import threading
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.adapters.pauses import jittered_s
 from toucandoor.core.overload.outages import StoreOutages
 from toucandoor.core.records import HistoryLostError
 from toucandoor.exceptions import ToucandoorError
@@ -174,7 +175,7 @@
                 self._store_failing = True
                 self.outages.on_failure(self._clock.monotonic_s())
                 wait_s = PROBE_WAIT_S
-                self._stop.wait(RETRY_PAUSE_S)
+                self._stop.wait(jittered_s(RETRY_PAUSE_S))
 
     def _on_answer(self) -> None:
         self._store_answered_s = self._clock.monotonic_s()
--- a/toucandoor/adapters/load_watch.py
+++ b/toucandoor/adapters/load_watch.py
@@ -6,6 +6,7 @@
 import threading
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.adapters.pauses import jittered_s
 from toucandoor.core.overload.records import LOAD_KEY
 from toucandoor.core.records import HistoryLostError
 from toucandoor.exceptions import ToucandoorError
@@ -68,7 +69,7 @@
                 if not failing:
                     _LOGGER.info("overload: following the reports failed: %s", err)
                 failing = True
-                self._stop.wait(RETRY_PAUSE_S)
+                self._stop.wait(jittered_s(RETRY_PAUSE_S))
 
     def _process(self, records: Iterable[Record]) -> None:
         for record in records:
--- a/toucandoor/adapters/owner_task.py
+++ b/toucandoor/adapters/owner_task.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from toucandoor.adapters.owner_term import OwnerTerm
+from toucandoor.adapters.pauses import jittered_s
 from toucandoor.adapters.peers import NODE_PREFIX, Peer, decode_peers
 from toucandoor.core.ownership.candidates import (
     CANDIDATES_READ_INTERVAL_S,
@@ -95,12 +96,12 @@
             except ToucandoorError as err:
                 _LOGGER.info("owner: a call to the store failed; trying again: %s", err)
                 self._revision = None
-                self._stop.wait(RETRY_PAUSE_S)
+                self._stop.wait(jittered_s(RETRY_PAUSE_S))
             except Exception:
                 # A bug must not leave the fleet without an owner permanently.
                 _LOGGER.exception("owner: unhandled error while claiming or in a term")
                 self._revision = None
-                self._stop.wait(RETRY_PAUSE_S)
+                self._stop.wait(jittered_s(RETRY_PAUSE_S))
 
     def _wait_for_turn(self) -> bool:
         """Wait for the delay of a claim; return whether this VM should claim then."""
