Test the time without starts after the owner is killed or cut off

Cause: nothing bounded what a change of owner adds to the lease.

A killed owner is replaced within the target of 1.0 s only if its lease was due for renewal: 0.9 to 1.2 s of it are left.

Change: two tests with 500 open jobs and 40 servers in virtual time. What comes on top of the lease must stay below 0.1 s, which is what the target leaves; the targets of 1.0 s (kill, just before a renewal) and 2.0 s (cut, just after one) hold.

Conclusion: the target of 1.0 s after a kill can't be met in each case with a lease of 1.2 s that is renewed every 0.3 s.

--- a/tests/core/scheduling/test_store_return.py
+++ b/tests/core/scheduling/test_store_return.py
@@ -1,4 +1,4 @@
-"""The first seconds after an outage of the store, with 500 open jobs and 40 backend servers."""
+"""Outages of the store and losses of the owner, with 500 open jobs and 40 backend servers."""
 
 from __future__ import annotations
 
@@ -10,6 +10,8 @@
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job
 from toucandoor.core.jobs.models import JobState, Step
 from toucandoor.core.jobs.records import PROGRESS_PREFIX, decode_progress
+from toucandoor.core.ownership.lease import OWNER_TTL_S, RENEW_INTERVAL_S, VALIDITY_MARGIN_S
+from toucandoor.fakes.virtual_calls import STORE_CALL_S, CallOutcome
 from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 
@@ -21,10 +23,17 @@
 SERVERS = 40
 OPEN_JOBS = 500
 OUTAGE_S = 5.0
+KILLED_S, CUT_OFF_S = 1.0, 2.0
+"""Targets for the time without a start."""
+TAKEOVER_S = 0.1
+"""What the target leaves when the lease ends 0.9 s after the owner was killed."""
+CLAIM_AND_LOAD_S = 0.05 + 3 * STORE_CALL_S
+"""Until a node has claimed, at most (see ``tests/adapters/test_many_nodes.py``), and then for the
+answer to its claim and two reads."""
 
 
-class StoreReturnTest(unittest.TestCase):
-    """Callers replace each job that has completed; the store is unavailable for a while."""
+class BusyFleetTestCase(unittest.TestCase):
+    """Callers replace each job that has completed."""
 
     def setUp(self) -> None:
         self.random = random.Random(1)
@@ -75,6 +84,10 @@
             worker.update()
         return sum(len(worker.runs) for worker in self.fleet.workers.values())
 
+
+class StoreReturnTest(BusyFleetTestCase):
+    """The store is unavailable for a while."""
+
     def test_jobs_complete_and_start_again_at_once(self) -> None:
         # The owner must not wait for a renewal, a watch or starts before it stores what ended.
         self.fleet.run(3.0)
@@ -93,5 +106,41 @@
         self.assertEqual(self.fleet.observations.violations, [])
 
 
+class OwnerLostTest(BusyFleetTestCase):
+    """Another node takes over when the lease in the store has ended."""
+
+    def assert_gap(self, lost_s: float, lease_rest_s: float, within_s: float) -> None:
+        """Take over at the end of the lease; check the time in which no start was sent."""
+        self.fleet.run(lost_s + lease_rest_s + CLAIM_AND_LOAD_S - self.now_s)
+        former = len(self.fleet.observations.started)
+        last_s = self.fleet.observations.started[-1][0]
+        self.fleet.take_over()
+        self.fleet.run(0.5)
+        first_s = self.fleet.observations.started[former][0]
+        self.assertLess(first_s - last_s, within_s)
+        self.assertLess(first_s - lost_s - lease_rest_s, TAKEOVER_S)
+        self.assertEqual(self.fleet.observations.violations, [])
+
+    def test_starts_go_on_soon_after_the_lease_of_a_killed_owner(self) -> None:
+        # Nothing but the lease may keep the schedule standing.
+        self.fleet.run(1.0)
+        assert self.fleet.owner is not None
+        self.fleet.owner.alive = False
+        self.assert_gap(self.now_s, OWNER_TTL_S - RENEW_INTERVAL_S, KILLED_S)
+
+    def test_starts_go_on_soon_after_an_owner_was_cut_off_from_the_store(self) -> None:
+        # It may start what is stored until its lease ends, but plans can't be stored any more.
+        self.fleet.run(1.0)
+        assert self.fleet.owner is not None
+        self.fleet.owner.valid_until_s = self.now_s + OWNER_TTL_S - VALIDITY_MARGIN_S
+        cut_s = self.now_s
+        self.fleet.calls.choose_outcome = lambda kind: (
+            CallOutcome.NOT_SENT
+            if kind == "write" and self.now_s < cut_s + OWNER_TTL_S
+            else CallOutcome.ANSWERED
+        )
+        self.assert_gap(cut_s, OWNER_TTL_S, CUT_OFF_S)
+
+
 if __name__ == "__main__":
     unittest.main()
