Notice the return of a silent store while a lost call still waits

Cause: while the store is silent, each try of a node waits for its time-out of 0.81 s. A call sent just before the store's return delays the next one by as much, and the node refuses submissions meanwhile.

Excluded: a shorter time-out of the probing watch (a store that answers in 0.3 s would count as unreachable for ever); the adaptive time-out of reads (it doubles up to 0.9 s in a long silence).

Change: while a call after a failed one has had no answer for 0.1 s, the configuration watch reads a record every 0.1 s beside it, with at most 8 such reads in flight. An answered read counts as the return. A store that refuses calls gets no more calls than before.

The ownership is still claimed only when the owner task's own call has timed out, up to 1.2 s after the return at a single node.

--- a/tests/adapters/test_configuration_watch.py
+++ b/tests/adapters/test_configuration_watch.py
@@ -15,12 +15,14 @@
 from toucandoor.clock import BootClock, ManualClock
 from toucandoor.core.evacuation.requests import EvacuationRequests
 from toucandoor.core.records import Changes, Record, RecordStore, Snapshot, StoreLease, Transaction
-from toucandoor.exceptions import StoreUnavailableError
+from toucandoor.exceptions import StoreAnswerLostError, StoreUnavailableError
 from toucandoor.ids import DataCentreId, EntryId, StoreLeaseId
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+SILENT_CALL_S = 2.0
+"""Time-out of a call that gets no answer."""
 NOTICED_WITHIN_S = 0.3
 """Time within which submissions must be accepted again after an outage of the store."""
 
@@ -34,9 +36,13 @@
 
     def __init__(self) -> None:
         self.down = False
+        self.silent = False
         self.watch_waits_s: list[float] = []
 
     def _check(self) -> None:
+        if self.silent:
+            time.sleep(SILENT_CALL_S)
+            raise StoreAnswerLostError("no answer", step="store")
         if self.down:
             raise StoreUnavailableError("503", step="store")
 
@@ -50,7 +56,7 @@
 
     def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
         until_s = time.monotonic() + wait_s
-        while time.monotonic() < until_s and not self.down:
+        while time.monotonic() < until_s and not (self.down or self.silent):
             time.sleep(0.005)
         self._check()
         self.watch_waits_s.append(wait_s)
@@ -101,6 +107,17 @@
         self.store.down = False
         self.assertTrue(_wait_until(lambda: watch.store_reachable, NOTICED_WITHIN_S))
 
+    def test_a_call_that_is_lost_before_the_return_does_not_delay_it(self) -> None:
+        # After an outage without answers, nodes refused submissions for up to 0.9 s more.
+        watch = self.watch()
+        self.assertTrue(_wait_until(lambda: watch.store_reachable, 5))
+        self.store.silent = True
+        self.assertTrue(_wait_until(lambda: not watch.store_reachable, 10))
+        sent_s = watch._call_sent_s
+        self.assertTrue(_wait_until(lambda: watch._call_sent_s > sent_s, 10))
+        self.store.silent = False
+        self.assertTrue(_wait_until(lambda: watch.store_reachable, NOTICED_WITHIN_S))
+
     def test_peers_that_do_not_answer_do_not_delay_it(self) -> None:
         asked, release = threading.Event(), threading.Event()
         self.addCleanup(release.set)
--- a/toucandoor/adapters/configuration_watch.py
+++ b/toucandoor/adapters/configuration_watch.py
@@ -43,6 +43,8 @@
 second for which a node does not notice the store's return costs jobs."""
 PROBE_WAIT_S: Final = 0.01
 """Wait of a watch after a failed call: the store answers it at once when it is back."""
+PROBES_MAX: Final = 8
+"""Most reads in flight beside a call that gets no answer: more than start within its time-out."""
 PEERS_INTERVAL_S: Final = 0.2
 """Interval at which peers are asked for a newer configuration while the store does not answer."""
 
@@ -83,6 +85,8 @@
         self._fetch_from_peers = fetch_from_peers
         self._store_answered_s = -STORE_UNREACHABLE_AFTER_S
         self._store_failing = False
+        self._call_sent_s = 0.0
+        self._probes = threading.BoundedSemaphore(PROBES_MAX)
         self._stop = threading.Event()
 
     @property
@@ -98,6 +102,7 @@
     def start(self) -> None:
         """Start to watch the store in a thread, and in another one to ask peers in its place."""
         threading.Thread(target=self._run, name="configuration", daemon=True).start()
+        threading.Thread(target=self._probe_silent_store, name="probes", daemon=True).start()
         if self._fetch_from_peers is not None:
             threading.Thread(
                 target=self._follow_peers,
@@ -151,6 +156,7 @@
         revision: int | None = None
         wait_s = WATCH_WAIT_S
         while not self._stop.is_set():
+            self._call_sent_s = self._clock.monotonic_s()
             try:
                 if revision is None:
                     revision = self._read_all()
@@ -184,6 +190,28 @@
             _LOGGER.info("configuration: the store answers again")
         self._store_failing = False
 
+    def _probe_silent_store(self) -> None:
+        """Read a record at an interval while a call after a failed one gets no answer.
+
+        Calls that a silent store has not received are lost: the first call after its return must
+        not wait for the time-out of the last one before.
+        """
+        while not self._stop.wait(jittered_s(RETRY_PAUSE_S)):
+            waited_s = self._clock.monotonic_s() - self._call_sent_s
+            silent = self._store_failing and waited_s >= RETRY_PAUSE_S
+            if silent and self._probes.acquire(blocking=False):
+                threading.Thread(target=self._probe, name="probe", daemon=True).start()
+
+    def _probe(self) -> None:
+        try:
+            self._store.read(CONFIGURATION_KEY)
+        except ToucandoorError as err:
+            _LOGGER.debug("configuration: a probe of the store failed: %s", err)
+        else:
+            self._on_answer()
+        finally:
+            self._probes.release()
+
     def _follow_peers(self, fetch: Callable[[int], bytes]) -> None:
         """Take newer configurations from peers while the store does not answer.
 
