Make the choice of jobs to write cheaper

Cause: the order of the writes goes through all changed jobs, by enums whose hashes and members are computed in Python.

Excluded: looking at the oldest jobs only, which would keep ends behind starts when most jobs have changed.

Change: lists in place of the enum, and the time of the final state in place of the state.

--- a/tests/core/scheduling/test_progress_writer.py
+++ b/tests/core/scheduling/test_progress_writer.py
@@ -28,7 +28,7 @@
         """Return a new job that must be written."""
         made = JobProgress(job(len(self.state.jobs) + 1))
         if final:
-            made.state = JobState.COMPLETED
+            made.state, made.finished_unix_ms = JobState.COMPLETED, 1
             made.spec_stored = False
         self.state.jobs[made.spec.job_id] = made
         self.state.mark_changed(made)
--- a/toucandoor/core/scheduling/progress_writer.py
+++ b/toucandoor/core/scheduling/progress_writer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from enum import Enum, auto
 from itertools import chain
 from typing import TYPE_CHECKING
 
@@ -34,14 +33,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-class _Urgency(Enum):
-    """Order in which changed jobs are written, the most urgent first."""
-
-    JOB_ENDED = auto()
-    RUN_ENDED = auto()
-    OTHER = auto()
-
-
 class ProgressWriter:
     """Writes progress in batches; each job has at most one write in flight."""
 
@@ -164,21 +155,25 @@
         every write, so that a job whose start is to be stored waits for no more writes than jobs
         had changed before it.
         """
-        waiting: dict[_Urgency, list[JobProgress]] = {urgency: [] for urgency in _Urgency}
-        oldest: JobProgress | None = None
+        oldest: list[JobProgress] = []
+        jobs_ended: list[JobProgress] = []
+        runs_ended: list[JobProgress] = []
+        others: list[JobProgress] = []
         for job_id in self._state.dirty:
             job = self._state.jobs[job_id]
             if job.write_in_flight:
                 continue
-            if oldest is None:
-                oldest = job
+            if not oldest:
+                oldest.append(job)
+            elif job.finished_unix_ms:
+                jobs_ended.append(job)
+            elif job.ends_version > job.committed_version:
+                runs_ended.append(job)
             else:
-                waiting[_urgency(job)].append(job)
-        if oldest is None:
-            return []
+                others.append(job)
         chosen: list[JobProgress] = []
         entries_left = const.TRANSACTION_ENTRIES_MAX - 1  # the owner's expected revision
-        for job in chain([oldest], *waiting.values()):
+        for job in chain(oldest, jobs_ended, runs_ended, others):
             # An expected revision and a value, and for some jobs a removal.
             entries_left -= 3 if _spec_removable(job) else 2
             if entries_left < 0:
@@ -214,14 +209,6 @@
             self._pending_written = None
 
 
-def _urgency(job: JobProgress) -> _Urgency:
-    if job.state.final:
-        return _Urgency.JOB_ENDED
-    if job.ends_version > job.committed_version:
-        return _Urgency.RUN_ENDED
-    return _Urgency.OTHER
-
-
 def _spec_removable(job: JobProgress) -> bool:
     """Return whether the write of a job's progress removes the record of its specification.
 
