--- a/toucandoor/core/scheduling/progress_writer.py
+++ b/toucandoor/core/scheduling/progress_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from itertools import chain
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -147,13 +148,32 @@
         return Commit(transaction, tuple(versions), tuple(planned))
 
     def _choose_jobs(self) -> list[JobProgress]:
-        """Return changed jobs for one write, as many as the store accepts in a transaction."""
-        chosen: list[JobProgress] = []
-        entries_left = const.TRANSACTION_ENTRIES_MAX - 1  # the owner's expected revision
+        """Return changed jobs for one write, as many as the store accepts in a transaction.
+
+        Ends go before starts: callers wait for the ends of whole jobs, and backend servers report
+        the other ends again until they are stored. The job that has waited longest is part of
+        every write, so that a job whose start is to be stored waits for no more writes than jobs
+        had changed before it.
+        """
+        oldest: list[JobProgress] = []
+        jobs_ended: list[JobProgress] = []
+        runs_ended: list[JobProgress] = []
+        others: list[JobProgress] = []
         for job_id in self._state.dirty:
             job = self._state.jobs[job_id]
             if job.write_in_flight:
                 continue
+            if not oldest:
+                oldest.append(job)
+            elif job.finished_unix_ms:
+                jobs_ended.append(job)
+            elif job.ends_version > job.committed_version:
+                runs_ended.append(job)
+            else:
+                others.append(job)
+        chosen: list[JobProgress] = []
+        entries_left = const.TRANSACTION_ENTRIES_MAX - 1  # the owner's expected revision
+        for job in chain(oldest, jobs_ended, runs_ended, others):
             # An expected revision and a value, and for some jobs a removal.
             entries_left -= 3 if _spec_removable(job) else 2
             if entries_left < 0:
