Read the fleet's records within the planning lease

Cause: a planner with nothing to do reads the fleet's records every 10 s, and counts the store as unavailable once its read is older than the planning lease. With planning_lease_s below 10 it therefore said "the platform's store is unavailable; no new stop starts" for most of the time, and started none then. This is the "not within 15 s" of test_move_is_seen_by_the_entries_and_bounded_by_the_budget (lease of 3 s): on a busy machine its three commands took 2 s each, and few of them met the 3 s after a read. Excluded: service reports and changes of the holder; 40 answers of the holder named neither. Conclusion: the product was wrong; it also paused waves where the lease is short.

--- a/tests/core/maintenance/test_session.py
+++ b/tests/core/maintenance/test_session.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 from tests.common import verify_session
-from toucandoor.core.maintenance.models import PollVm
+from toucandoor.core.maintenance.models import MaintenanceSettings, PollVm
+from toucandoor.core.maintenance.wave import Obstacle
 from toucandoor.core.pools.models import Swap, assignment_key, decode_map
 from toucandoor.fakes.fleets import SMALL
 from toucandoor.measures._fleet_models import RunSettings
@@ -73,6 +75,24 @@
         self.assertEqual(run.figures.budget_breaches + run.figures.over_held, 0)
         verify_session(run.lines)
 
+    def test_a_quiet_planner_with_a_short_lease_does_not_take_the_store_for_unavailable(
+        self,
+    ) -> None:
+        """Guards against reads rarer than the age up to which a read counts as recent."""
+        settings = MaintenanceSettings(lease_s=3.0, renew_every_s=1.0)
+        run = FleetSimulation(SMALL, RunSettings(controllers=1), "quiet", settings)
+        run.run()
+        self.assertIsNotNone(run.figures.rollout_s)
+        found: Counter[Obstacle | None] = Counter()
+        for _ in range(60):
+            run.clock.advance(0.5)
+            run.step()
+            now_s, now = run.clock.monotonic_s(), run.clock.now()
+            for each in run.controllers:
+                vm = next(iter(decode_map(run.store.values[assignment_key(each.data_centre)]).vms))
+                found[each.planner.explain(vm, now_s, now).obstacle] += 1
+        self.assertEqual(found, {Obstacle.NOT_DUE: 60 * len(run.controllers)})
+
     def test_every_vm_under_way_is_in_one_record_only(self) -> None:
         run = RecordedRun(SMALL, RunSettings(end_s=300.0), "one")
         run.run()
--- a/toucandoor/core/maintenance/const.py
+++ b/toucandoor/core/maintenance/const.py
@@ -26,6 +26,9 @@
 DEFAULT_POLL_IN_SERVICE_EVERY_S: Final = 600.0
 DEFAULT_COMMAND_RESEND_AFTER_S: Final = 2.0
 DEFAULT_FLEET_READ_EVERY_S: Final = 10.0
+FLEET_READ_LEASE_RATIO: Final = 2 / 3
+"""Longest age of the fleet's records before they are read again, as part of the planning lease;
+records that are older than the lease count as those of an unavailable store."""
 DEFAULT_UNMONITORED_AFTER_S: Final = 60.0
 DEFAULT_REPLAN_AFTER_S: Final = 5.0
 DEFAULT_IDLE_RETURN_S: Final = 30.0
--- a/toucandoor/core/maintenance/models.py
+++ b/toucandoor/core/maintenance/models.py
@@ -36,7 +36,8 @@
         poll_out_every_s: Time between status polls of a VM that is out for another cause.
         poll_in_service_every_s: Time between status polls of a VM in service.
         command_resend_after_s: Time after which a command that had no effect yet is sent again.
-        fleet_read_every_s: Age at which the fleet's records are read again.
+        fleet_read_every_s: Age at which the fleet's records are read again; with a short lease
+            they are read earlier, see ``FLEET_READ_LEASE_RATIO``.
         unmonitored_after_s: Time without a renewal of its planning lease after which a data
             centre's VMs count as out.
         replan_after_s: Time after which planning runs again without an event, when the last run
--- a/toucandoor/core/maintenance/planner.py
+++ b/toucandoor/core/maintenance/planner.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.core.maintenance import map_updates
+from toucandoor.core.maintenance.const import FLEET_READ_LEASE_RATIO
 from toucandoor.core.maintenance.drain import step_commands, undo_stray_drains
 from toucandoor.core.maintenance.event_log import LogRead, ReadLog, next_log_write
 from toucandoor.core.maintenance.lease import LeaseRead, PlanningLease, ReadLease
@@ -186,7 +187,9 @@
     def _plan(self, now_s: float, now: datetime) -> list[PlannerDecision]:
         if self._pending_swap_key is not None or self._fleet_read_pending or self._log_read_pending:
             return []
-        old = now_s - self._read_s >= self._settings.fleet_read_every_s
+        settings = self._settings
+        age_max_s = min(settings.fleet_read_every_s, FLEET_READ_LEASE_RATIO * settings.lease_s)
+        old = now_s - self._read_s >= age_max_s
         if self._read is None or self._stale or old:
             self._fleet_read_pending = True
             return [ReadFleet()]
