Lend permits to an entry that the ledger does not list

Cause: a new incarnation draws no permits before a write lists it, so a restarted entry refused keyed work while the store was away. Its controller also had no links: it reads its peers' addresses from the store. Excluded: that the lease or the configuration was missing; both came from peers. Change: after four join requests without an answer an entry borrows from a listed one, which counts lent permits as spent. The proof that the borrower can't spend any more is a lease of 3 s of the loan, after which it starts nothing and renews no task lease; the lender waits for it and one task lease, the coordinator 3 s longer after a dead lender. Attempts ask before they renew a task lease. Controllers link by the configuration's slots until the store was read.

The state machine restarts an entry without the store, then pauses or kills it or its lender, and lets the store return.

--- a/tests/core/attempts/test_sessions.py
+++ b/tests/core/attempts/test_sessions.py
@@ -3,9 +3,18 @@
 from __future__ import annotations
 
 import unittest
+from random import Random
 
 from tests.core.attempts.common import LEASE_S, Session, make_request
-from toucandoor.core.attempts.models import AnswerFetched, TaskEnded, TaskQueried, TaskState
+from toucandoor.core.attempts.budget import RetryBudget
+from toucandoor.core.attempts.models import (
+    AnswerFetched,
+    QueryTask,
+    TaskEnded,
+    TaskQueried,
+    TaskState,
+)
+from toucandoor.core.attempts.tracker import AttemptTracker
 from toucandoor.core.requests.models import AttemptEnded, AttemptOutcome, ExecutionStatus, Refuse
 from toucandoor.ids import AttemptId
 
@@ -111,3 +120,13 @@
             if TaskEnded(AttemptId("a1")) in session.tick(0.5):
                 ended_s = session.clock.monotonic_s()
         self.assertEqual(ended_s, 9.0 + 1.0 + LEASE_S + 1.0)
+
+    def test_a_lease_that_may_not_be_renewed_ends(self) -> None:
+        """Guards against a task that runs on a borrowed permit after the loan has ended."""
+        session = Session()
+        session.tracker = AttemptTracker(
+            RetryBudget(Random(1)), lambda _vm, _now_s: True, lambda _attempt, _now_s: False
+        )
+        session.start(make_request("job", idempotent=False), "a1", "vm-1")
+        queries = [each for each in session.tick(9.0) if isinstance(each, QueryTask)]
+        self.assertEqual([query.renew for query in queries], [False])
--- a/tests/core/ceilings/test_fleet.py
+++ b/tests/core/ceilings/test_fleet.py
@@ -97,6 +97,39 @@
     def store_outage(self) -> None:
         self.simulation.store.available = not self.simulation.store.available
 
+    @rule(
+        index=ENTRIES,
+        fails=st.sampled_from(["none", "borrower", "lender"]),
+        kill=st.booleans(),
+        fault_s=st.sampled_from([2, 8, 45]),
+        store_returns=st.booleans(),
+    )
+    def restart_without_the_store(
+        self, index: int, fails: str, kill: bool, fault_s: float, store_returns: bool
+    ) -> None:
+        """Restart an entry during an outage; then pause or kill the borrower or its lender."""
+        simulation, fake = self.simulation, self.entry(index)
+        others = [e for e in simulation.entries if e.data_centre == fake.data_centre]
+        lender = next(e for e in others if e.entry != fake.entry)
+        simulation.waiting[lender.entry][TEAMS[0]] = 500
+        simulation.run(3)
+        simulation.store.available = False
+        simulation.restart_entry(fake)
+        simulation.waiting[lender.entry][TEAMS[0]] = 0
+        simulation.waiting[fake.entry][TEAMS[0]] = 500
+        simulation.run(8)
+        borrower = next(e for e in simulation.entries if e.entry == fake.entry)
+        failing = {"borrower": borrower, "lender": lender}.get(fails)
+        if failing is not None and kill:
+            simulation.restart_entry(failing)
+        elif failing is not None:
+            failing.paused = True
+        simulation.waiting[lender.entry][TEAMS[0]] = 500
+        simulation.run(fault_s)
+        simulation.store.available = store_returns
+        lender.paused = borrower.paused = False
+        simulation.run(45 if store_returns else 1)
+
     @rule(lost=RATIOS, doubled=RATIOS, late=RATIOS, answers=RATIOS, writes=RATIOS)
     def disturb(
         self, lost: float, doubled: float, late: float, answers: float, writes: float
@@ -133,7 +166,7 @@
 FleetMachine.TestCase.settings = settings(
     derandomize=True,
     deadline=None,
-    max_examples=12,
+    max_examples=24,
     phases=[Phase.explicit, Phase.generate],
     stateful_step_count=15,
     suppress_health_check=list(HealthCheck),
--- a/tests/core/ceilings/test_sessions.py
+++ b/tests/core/ceilings/test_sessions.py
@@ -131,6 +131,79 @@
         self.assertEqual(simulation.running(RED), 20)
 
 
+class LoanTest(SimulationTest):
+    """An entry that restarts while the store is away borrows from the other of its data centre."""
+
+    def start_loan(self) -> PermitSimulation:
+        """Return a simulation in which north-1 has restarted and runs tasks on 20 lent permits."""
+        simulation = self.simulation = make_simulation()
+        simulation.run_s = lambda: 1.0
+        simulation.waiting[EntryId("north-0")][RED] = 30
+        simulation.run(5)
+        self.assertEqual(simulation.held_by_team()[RED], 20)
+        simulation.store.available = False
+        simulation.run_s = lambda: 1000.0
+        simulation.restart_entry(simulation.entries[1])
+        simulation.waiting[EntryId("north-1")][RED] = 30
+        simulation.run(8)
+        self.assertEqual(simulation.running(RED), 20)
+        return simulation
+
+    def test_lender_ends_while_lent_permits_are_spent(self) -> None:
+        """Guards against a borrower whose tasks go on after its lender's permits were reclaimed.
+
+        The lender's successor is listed once the store returns, and gets the reclaimed permits.
+        """
+        for kill in (True, False):
+            with self.subTest(kill=kill):
+                simulation = self.start_loan()
+                simulation.run(20)
+                self.assertEqual(simulation.running(RED), 20)
+                lender = next(e for e in simulation.entries if e.entry == "north-0")
+                if kill:
+                    simulation.restart_entry(lender)
+                lender.paused = True
+                simulation.run(10)
+                simulation.store.available = True
+                simulation.waiting[lender.entry][RED] = 30
+                simulation.run(40)
+                lender.paused = False
+                simulation.run(10)
+                self.assertEqual(simulation.running(RED), 20)
+                self.tearDown()
+
+    def test_paused_borrower_goes_on_after_its_loan_ended(self) -> None:
+        """Guards against permits that lender and borrower both spend.
+
+        The lender takes them back after the borrower's last task lease, while it is paused.
+        """
+        simulation = self.start_loan()
+        borrower = next(e for e in simulation.entries if e.entry == "north-1")
+        borrower.paused = True
+        simulation.waiting[EntryId("north-0")][RED] = 30
+        simulation.run(25)
+        self.assertEqual(simulation.running(RED), 20)
+        simulation.run(15)
+        self.assertEqual(simulation.running(RED), 20)
+        borrower.paused = False
+        simulation.waiting[EntryId("north-1")][RED] = 30
+        simulation.run(10)
+        self.assertEqual(simulation.running(RED), 20)
+
+    def test_borrower_returns_what_it_does_not_need_once_it_is_listed(self) -> None:
+        """Guards against permits that stay lent, which nobody could use."""
+        simulation = self.start_loan()
+        simulation.store.available = True
+        simulation.run(5)
+        for fake in simulation.entries:
+            for task in fake.tasks.values():
+                task.end_s = simulation.now_s
+        simulation.run(3)
+        simulation.waiting[EntryId("south-0")][RED] = 30
+        simulation.run(5)
+        self.assertEqual(simulation.running(RED), 20)
+
+
 class StormTest(SimulationTest):
     """Demand moves between entries while messages, writes or coordinators fail.
 
--- a/toucandoor/adapters/ceiling_task.py
+++ b/toucandoor/adapters/ceiling_task.py
@@ -12,18 +12,20 @@
 from toucandoor.adapters.ceiling_peers import CeilingPeers
 from toucandoor.adapters.entry_ceilings import to_wire_envelope
 from toucandoor.adapters.threads import async_call
+from toucandoor.ceiling_messages import CeilingEnvelope
 from toucandoor.core.ceilings.const import (
     CONTROLLERS_PREFIX,
     COORDINATOR_ID,
     LEDGER_KEY,
+    PEERS_ID,
     STORE_PREFIX,
 )
 from toucandoor.core.ceilings.coordinator import PermitCoordinator
 from toucandoor.core.ceilings.coordinator_state import CoordinatorState
 from toucandoor.core.ceilings.ledger import decode_ledger, encode_ledger
-from toucandoor.core.ceilings.models import Ledger, WriteLedger
+from toucandoor.core.ceilings.models import Ledger, Member, WriteLedger
 from toucandoor.exceptions import StoreError
-from toucandoor.ids import ConfigVersion, EntryId
+from toucandoor.ids import ConfigVersion, EntryId, IncarnationId
 from toucandoor.messages import PROTOCOL_VERSION, Hello
 
 if TYPE_CHECKING:
@@ -31,12 +33,11 @@
 
     from toucandoor.adapters.settings import ControllerSettings
     from toucandoor.adapters.store_client import Store, StoredValue, WatchResult
-    from toucandoor.ceiling_messages import CeilingEnvelope
     from toucandoor.clock import Clock
     from toucandoor.core.ceilings.models import Envelope
     from toucandoor.core.configuration.models import Configuration
+    from toucandoor.core.leases.models import EntrySlot
     from toucandoor.core.leases.serving import ServingLease
-    from toucandoor.ids import IncarnationId
 
 _LOGGER = logging.getLogger(__name__)
 _PREFIX = "ceilings:"
@@ -78,6 +79,7 @@
         self._start_not_before_s = 0.0
         self._ledger: Ledger | None = None
         self._revision = 0
+        self._peers_read = False
         self._configured: tuple[ConfigVersion, Configuration] | None = None
         self._write_tasks: set[asyncio.Task[None]] = set()
         self._own_key = f"{CONTROLLERS_PREFIX}{settings.data_centre}/{settings.entry_id}"
@@ -87,6 +89,20 @@
         self._configured = (version, configuration)
         self._configure_coordinator()
 
+    def set_slots(self, slots: Iterable[EntrySlot]) -> None:
+        """Set the slots, which name the peers until the store's list of controllers was read.
+
+        A controller that starts while the store is away has them from a peer.
+        """
+        own = self._settings
+        addresses = {
+            slot.entry: slot.address
+            for slot in slots
+            if slot.data_centre == own.data_centre and slot.entry != own.entry_id and slot.address
+        }
+        if not self._peers_read:
+            self._peers.set_addresses(addresses)
+
     async def async_run(self) -> None:
         """Watch the store and run the coordinator's ticks until cancelled."""
         watching = asyncio.create_task(self._async_follow_store())
@@ -115,6 +131,11 @@
         if envelope.to.entry == self._settings.entry_id:
             await self._send_to_entry(envelope)
             return
+        if envelope.to.entry == PEERS_ID:
+            for peer in () if from_peer else self._peers.connected():
+                to = Member(peer, IncarnationId(0))
+                await self._peers.async_send(peer, CeilingEnvelope(to, envelope.message))
+            return
         if envelope.to.entry != COORDINATOR_ID:
             if not from_peer:
                 await self._peers.async_send(envelope.to.entry, envelope)
@@ -272,4 +293,5 @@
         listed = await async_call(lambda: self._store.list(prefix))
         addresses = {EntryId(each.key.removeprefix(prefix)): each.value for each in listed}
         addresses.pop(self._settings.entry_id, None)
+        self._peers_read = True
         self._peers.set_addresses(addresses)
--- a/toucandoor/ceiling_messages.py
+++ b/toucandoor/ceiling_messages.py
@@ -7,6 +7,8 @@
     EpochStart,
     JoinRequest,
     LeaveNotice,
+    LoanAnswer,
+    LoanRequest,
     Member,
     PermitStatus,
     PermitTransfer,
@@ -27,4 +29,6 @@
         | EpochStart
         | EpochReport
         | LeaveNotice
+        | LoanRequest
+        | LoanAnswer
     )
--- a/toucandoor/core/attempts/tracker.py
+++ b/toucandoor/core/attempts/tracker.py
@@ -56,11 +56,18 @@
         budget: Limits the retries.
         is_healthy: Returns whether a backend server is healthy at a monotonic time. Failures on
             unhealthy ones don't count as the fault of the request.
+        may_renew: Returns whether an attempt's task lease may be renewed at a monotonic time.
     """
 
-    def __init__(self, budget: RetryBudget, is_healthy: Callable[[VmId, float], bool]) -> None:
+    def __init__(
+        self,
+        budget: RetryBudget,
+        is_healthy: Callable[[VmId, float], bool],
+        may_renew: Callable[[AttemptId, float], bool] = lambda _attempt_id, _now_s: True,
+    ) -> None:
         self._budget = budget
         self._is_healthy = is_healthy
+        self._may_renew = may_renew
         self._requests: dict[RequestId, RequestState] = {}
         self._attempts: dict[AttemptId, Attempt] = {}
 
@@ -194,9 +201,10 @@
         if attempt.query_pending or attempt.phase is Phase.FETCHING or now_s < attempt.query_at_s:
             return []
         attempt.query_pending = True
-        renew = attempt.phase is not Phase.ABANDONED
         start_by_s = now_s + DEFAULT_QUERY_TIMEOUT_S
         dispatch = attempt.dispatch
+        renew = attempt.phase is not Phase.ABANDONED
+        renew = renew and self._may_renew(dispatch.attempt_id, now_s)
         if renew:
             lease_until_s = start_by_s + dispatch.lease_s + DEFAULT_LEASE_MARGIN_S
             attempt.lease_until_s = max(attempt.lease_until_s, lease_until_s)
--- a/toucandoor/core/ceilings/coordinator.py
+++ b/toucandoor/core/ceilings/coordinator.py
@@ -21,6 +21,7 @@
     DEFAULT_RESEND_S,
     DEFAULT_ROTATION_PERIOD_S,
     DEFAULT_START_MARGIN_S,
+    LOAN_LEASE_S,
 )
 from toucandoor.core.ceilings.coordinator_state import (
     CoordinatorOutput,
@@ -32,8 +33,8 @@
 from toucandoor.core.ceilings.exchange import PermitExchange
 from toucandoor.core.ceilings.ledger import (
     LedgerInput,
-    min_part,
-    outgoing_permits,
+    demands_with_min_part,
+    outgoing_by_team,
     plan_change,
     raise_term,
 )
@@ -236,7 +237,9 @@
         self._plan_due = False
         self._turn = int(now_s / DEFAULT_ROTATION_PERIOD_S)
         inputs = self._ledger_input(now_s)
-        outgoing = self._outgoing_by_team(inputs)
+        ledger = self._ledger or Ledger()
+        teams = self._exchange.known_teams()
+        outgoing = outgoing_by_team(ledger, self._data_centre, teams, inputs)
         for team in set(outgoing) | set(self._outgoing):
             if outgoing.get(team, 0) != self._outgoing.get(team, 0):
                 self._exchange.mark_changed(team)
@@ -342,18 +345,9 @@
     def _demand(self) -> dict[TeamId, int]:
         ledger = self._ledger or Ledger()
         ceilings = self._ceilings if self._version > ledger.version else ledger.ceilings
-        data_centres = len(set(ledger.data_centres) | {self._data_centre})
-        demand_of = self._exchange.demand_of_peers
-        return {
-            team: max(min_part(ceiling, data_centres), demand_of(team))
-            for team, ceiling in ceilings.items()
-        }
-
-    def _outgoing_by_team(self, inputs: LedgerInput) -> dict[TeamId, int]:
-        """Return how many permits of each team this data centre should retire or give away."""
-        ledger, me = self._ledger or Ledger(), self._data_centre
-        teams = set(self._own_line().parts) | self._exchange.known_teams()
-        return {team: outgoing_permits(ledger, me, team, inputs) for team in sorted(teams)}
+        return demands_with_min_part(
+            ledger, self._data_centre, ceilings, self._exchange.demand_of_peers
+        )
 
     def _active_members(self) -> list[Member]:
         return self._members.active(self._own_line().members)
@@ -371,12 +365,15 @@
         return EpochStart(self._exchange.me, self.epoch, self._active_members(), answer_to)
 
     def _drop_ended_members(self, now_s: float) -> None:
-        """Start a new count without the members that have ended since the last one."""
+        """Start a new count without the members that have ended since the last one.
+
+        A dead member's borrowers may start tasks until its last loan's lease has expired.
+        """
         listed = self._own_line().members
         ledger = self._ledger or Ledger()
         task_lease_s = max(self._task_lease_s, ledger.task_lease_s)
         self._members.expire_earlier_incarnations(
-            listed, now_s + task_lease_s + DEFAULT_START_MARGIN_S
+            listed, now_s + LOAN_LEASE_S + task_lease_s + DEFAULT_START_MARGIN_S
         )
         new = self._members.pop_newly_ended(listed)
         if not new:
--- a/toucandoor/core/ceilings/entry.py
+++ b/toucandoor/core/ceilings/entry.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import Counter, defaultdict
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from toucandoor.core.ceilings.const import (
+    BORROW_AFTER_REQUESTS,
     COORDINATOR_ID,
     DEFAULT_RESEND_S,
     DEFAULT_STATUS_REFRESH_S,
+    LOAN_LEASE_S,
+    PEERS_ID,
 )
 from toucandoor.core.ceilings.exchange import PermitExchange
+from toucandoor.core.ceilings.loans import BorrowedPermits, LoanBook, refusal
 from toucandoor.core.ceilings.models import (
     CeilingMessage,
     Envelope,
@@ -21,6 +26,8 @@
     EpochStart,
     JoinRequest,
     LeaveNotice,
+    LoanAnswer,
+    LoanRequest,
     Member,
     PermitStatus,
     PermitTransfer,
@@ -30,6 +37,8 @@
 from toucandoor.ids import IncarnationId
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from toucandoor.core.leases.serving import ServingLease
     from toucandoor.ids import AttemptId, TeamId
 
@@ -58,7 +67,8 @@
 
     A permit is spent when an attempt starts and free again when its task has certainly ended. Once
     the serving lease has expired, if only for a moment, no permit is spent until the coordinator
-    has confirmed that this member's permits still count.
+    has confirmed that this member's permits still count. An entry that the ledger does not list,
+    and that nobody adds while the store is away, borrows permits from a listed one.
     """
 
     def __init__(self, me: Member, lease: ServingLease) -> None:
@@ -74,6 +84,11 @@
         self._report: EpochReport | None = None
         self._join_question = 1
         self._join_sent_s: float | None = None
+        # Longest of any configuration so far; no loan ends before it is known.
+        self._task_lease_s = math.inf
+        self._loans = LoanBook()
+        self._borrowed = BorrowedPermits(me)
+        self._unanswered_joins = 0
 
     @property
     def me(self) -> Member:
@@ -105,16 +120,16 @@
     def can_acquire(self, team: TeamId, now_s: float) -> bool:
         """Return whether the lease holds and a permit is free that is not reserved for a peer."""
         self._observe_lease(now_s)
-        if self._state is not MemberState.CONFIRMED or self._leaving:
-            return False
-        if not self._lease.holds(now_s):
+        if self._leaving or not self._lease.holds(now_s):
             return False
-        return self._spent[team] < self.held(team) - self._reserved.get(team, 0)
+        return self._has_own_free(team) or self._borrowed.can_acquire(team, now_s)
 
     def acquire(self, team: TeamId, attempt_id: AttemptId, now_s: float) -> bool:
         """Spend a permit on an attempt; return False when none is free."""
         if not self.can_acquire(team, now_s):
             return False
+        if not self._has_own_free(team):
+            return self._borrowed.acquire(team, attempt_id, now_s)
         self._spent[team] += 1
         self._team_of[attempt_id] = team
         self._exchange.mark_changed(team)
@@ -125,10 +140,20 @@
         self._observe_lease(now_s)
         team = self._team_of.pop(attempt_id, None)
         if team is None:
+            self._borrowed.release(attempt_id)
             return
         self._spent[team] -= 1
         self._exchange.mark_changed(team)
 
+    def may_renew(self, attempt_id: AttemptId, now_s: float) -> bool:
+        """Return whether the task lease of a running attempt may be renewed."""
+        return self._borrowed.may_renew(attempt_id, now_s)
+
+    def set_task_lease(self, task_lease_s: float) -> None:
+        """Set the task lease of the configuration in force; a shorter one is ignored."""
+        known_s = 0.0 if math.isinf(self._task_lease_s) else self._task_lease_s
+        self._task_lease_s = max(known_s, task_lease_s)
+
     def set_waiting(self, team: TeamId, waiting: int, now_s: float) -> None:
         """Set how many requests of the team wait for a permit here."""
         if self._waiting.get(team, 0) == waiting:
@@ -148,6 +173,7 @@
         have expired, so releasing them here changes nothing.
         """
         self._reset(Member(self.me.entry, incarnation))
+        self._borrowed.restart(self.me)
 
     def on_message(self, message: CeilingMessage, now_s: float) -> list[Envelope]:
         """Handle a message from another member and return the answers."""
@@ -158,6 +184,10 @@
             return self._on_transfer(message)
         if isinstance(message, EpochStart):
             return self._on_epoch_start(message, now_s)
+        if isinstance(message, LoanRequest):
+            return self._on_loan_request(message, now_s)
+        if isinstance(message, LoanAnswer):
+            self._borrowed.on_answer(message, now_s)
         if isinstance(message, PermitTransferAck):
             self._exchange.on_ack(message)
         if isinstance(message, PermitStatus):
@@ -172,17 +202,59 @@
         self._observe_lease(now_s)
         if self._state is MemberState.LEFT:
             return [Envelope(self._coordinator(), LeaveNotice(self.me))]
-        envelopes = self._due_join_request(now_s)
+        envelopes = self._due_join_request(now_s) + self._due_loan_requests(now_s)
         if self._state is MemberState.NOT_JOINED:
             return envelopes
+        self._mark_changed(self._loans.end_expired(self._task_lease_s, now_s))
         self._exchange.drop_silent_peers(now_s)
         envelopes += self._exchange.due_resends(now_s)
         envelopes += self._due_transfers(now_s)
         envelopes += self._exchange.due_statuses(self._demand, now_s)
-        if self._leaving and not +self._spent and self._exchange.holding.is_settled():
+        # The notice frees the permits at once, those of a loan too.
+        is_unused = not +self._spent and self._loans.is_empty and self._borrowed.is_empty
+        if self._leaving and is_unused and self._exchange.holding.is_settled():
             self._state = MemberState.LEFT
         return envelopes
 
+    def _has_own_free(self, team: TeamId) -> bool:
+        if self._state is not MemberState.CONFIRMED:
+            return False
+        held = self.held(team)
+        kept = self._reserved.get(team, 0) + self._loans.reserved(team, held)
+        return self._used(team) < held - kept
+
+    def _used(self, team: TeamId) -> int:
+        """Return how many of the held permits are spent here or lent."""
+        return self._spent[team] + self._loans.lent(team)
+
+    def _on_loan_request(self, request: LoanRequest, now_s: float) -> list[Envelope]:
+        """Lend permits, offer to, or refuse; a member that is not confirmed gives no answer."""
+        lease_s = min(LOAN_LEASE_S, self._lease.keyed_until_s() - now_s)
+        is_ready = self._state is MemberState.CONFIRMED and lease_s > 0
+        answer: LoanAnswer | None = None
+        if request.lender.entry == PEERS_ID:
+            if is_ready and not self._leaving:
+                answer = LoanAnswer(self.me, request.borrower, request.question, {}, lease_s)
+        elif request.lender != self.me:
+            answer = refusal(request)
+        elif self._leaving:
+            answer = self._loans.refuse(request)
+        elif is_ready:
+            answer = self._loans.on_request(request, self._free, lease_s, now_s)
+        self._mark_changed(self._loans.teams() | set(request.kept) | set(request.waiting))
+        return [] if answer is None else [Envelope(request.borrower, answer)]
+
+    def _free(self, team: TeamId) -> int:
+        return self.held(team) - self._used(team) - self._reserved.get(team, 0)
+
+    def _due_loan_requests(self, now_s: float) -> list[Envelope]:
+        """Return the request to borrow, or to return, permits that is due."""
+        if self._state is not MemberState.NOT_JOINED or self._leaving:
+            return self._borrowed.due_returns(self._task_lease_s, now_s)
+        if not self._lease.holds(now_s) or self._unanswered_joins < BORROW_AFTER_REQUESTS:
+            return []
+        return self._borrowed.due_requests(self._waiting, self._task_lease_s, now_s)
+
     def _coordinator(self) -> Member:
         return Member(COORDINATOR_ID, IncarnationId(self.epoch.term))
 
@@ -212,6 +284,7 @@
         if self._join_sent_s is not None and now_s - self._join_sent_s < interval_s:
             return []
         self._join_sent_s = now_s
+        self._unanswered_joins += 1
         return [
             Envelope(self._coordinator(), JoinRequest(self.me, self._join_question, self.epoch))
         ]
@@ -255,21 +328,26 @@
     def _reset(self, me: Member) -> None:
         self._exchange.reset(me)
         self._state = MemberState.NOT_JOINED
+        self._unanswered_joins = 0
         self._join_question += 1
         self._join_sent_s = None
         self._spent.clear()
         self._team_of.clear()
         self._reserved.clear()
         self._report = None
+        self._loans.clear()
 
     def _mark_all_changed(self) -> None:
-        for team in self._exchange.known_teams() | set(self._waiting):
+        self._mark_changed(self._exchange.known_teams() | set(self._waiting))
+
+    def _mark_changed(self, teams: Iterable[TeamId]) -> None:
+        for team in teams:
             self._exchange.mark_changed(team)
 
     def _demand(self, team: TeamId) -> int:
         if self._leaving or self._state is not MemberState.CONFIRMED:
-            return self._spent[team]
-        return self._spent[team] + self._waiting.get(team, 0)
+            return self._used(team)
+        return self._used(team) + self._waiting.get(team, 0) + self._loans.waiting(team)
 
     def _due_transfers(self, now_s: float) -> list[Envelope]:
         given: defaultdict[Member, Counter[TeamId]] = defaultdict(Counter)
@@ -281,7 +359,7 @@
         self, team: TeamId, given: defaultdict[Member, Counter[TeamId]], now_s: float
     ) -> None:
         """Add the permits each peer gets now to `given`; reserve those it gets as tasks end."""
-        free = self.held(team) - self._spent[team]
+        free = self.held(team) - self._used(team)
         reserved = 0
         for peer, planned in self._planned_transfers(team, now_s).items():
             if not self._exchange.holding.can_transfer_to(peer):
--- a/toucandoor/core/ceilings/ledger.py
+++ b/toucandoor/core/ceilings/ledger.py
@@ -14,7 +14,7 @@
 from toucandoor.core.ceilings.models import DataCentrePart, Ledger, Member, TeamStatus
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from toucandoor.ids import ConfigVersion, DataCentreId, OperationId, TeamId
 
@@ -111,6 +111,28 @@
     return sum(_gifts_by_taker(ledger, me, team, inputs).values())
 
 
+def outgoing_by_team(
+    ledger: Ledger, me: DataCentreId, teams: Iterable[TeamId], inputs: LedgerInput
+) -> dict[TeamId, int]:
+    """Return `outgoing_permits` of some teams and of those with permits in the data centre."""
+    teams = {*teams, *ledger.data_centres.get(me, _NO_PART).parts}
+    return {team: outgoing_permits(ledger, me, team, inputs) for team in sorted(teams)}
+
+
+def demands_with_min_part(
+    ledger: Ledger,
+    me: DataCentreId,
+    ceilings: Mapping[TeamId, int],
+    demand_of: Callable[[TeamId], int],
+) -> dict[TeamId, int]:
+    """Return a data centre's demand for each team, at least the part that it keeps without any."""
+    data_centres = len({*ledger.data_centres, me})
+    return {
+        team: max(min_part(ceiling, data_centres), demand_of(team))
+        for team, ceiling in ceilings.items()
+    }
+
+
 def min_part(ceiling: int, data_centres: int) -> int:
     """Return the permits that a data centre keeps without demand, to serve when it is cut off."""
     return int(ceiling * DEFAULT_FLOOR_RATIO / max(1, data_centres))
--- a/toucandoor/core/ceilings/models.py
+++ b/toucandoor/core/ceilings/models.py
@@ -137,6 +137,40 @@
     member: Member
 
 
+class LoanRequest(CeilingMessage, frozen=True, tag="permit_loan_request"):
+    """Asks a listed member to lend permits to an entry that the ledger does not list yet.
+
+    Attributes:
+        lender: The member asked; `PEERS_ID` asks every entry for an offer, which lends nothing.
+        question: Raised by the borrower with each request.
+        kept: Permits that the borrower spends at most until the answer to this request.
+        waiting: Permits of each team that it could use beyond those.
+        task_lease_s: Longest task lease that the borrower requests.
+    """
+
+    borrower: Member
+    lender: Member
+    question: int
+    kept: dict[TeamId, int]
+    waiting: dict[TeamId, int]
+    task_lease_s: float
+
+
+class LoanAnswer(CeilingMessage, frozen=True, tag="permit_loan_answer"):
+    """Permits that the borrower may spend from now on.
+
+    Attributes:
+        lease_s: Time for which it may spend them, counted from before it sent the request; 0
+            refuses, and ends the use of what was lent before.
+    """
+
+    lender: Member
+    borrower: Member
+    question: int
+    permits: dict[TeamId, int]
+    lease_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Envelope:
     """A message and its receiver; `COORDINATOR_ID` stands for the data centre's coordinator."""
--- a/toucandoor/core/ceilings/policy.py
+++ b/toucandoor/core/ceilings/policy.py
@@ -31,6 +31,10 @@
     def release(self, attempt_id: AttemptId, now_s: float) -> None:
         """Free the permit of an attempt whose task has certainly ended."""
 
+    def may_renew(self, attempt_id: AttemptId, now_s: float) -> bool:
+        """Return whether the task lease of a running attempt may be renewed."""
+        return True
+
     @abstractmethod
     def set_waiting(self, team: TeamId, waiting: int, now_s: float) -> None:
         """Set how many requests of the team wait for a permit here."""
--- a/toucandoor/measures/_ceilings.py
+++ b/toucandoor/measures/_ceilings.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.adapters.entry_ceilings import to_wire_envelope
-from toucandoor.core.ceilings.const import COORDINATOR_ID
+from toucandoor.core.ceilings.const import COORDINATOR_ID, PEERS_ID
 from toucandoor.core.ceilings.coordinator import PermitCoordinator
 from toucandoor.core.ceilings.coordinator_state import CoordinatorState
 from toucandoor.core.ceilings.entry import EntryPermits, MemberState
@@ -162,7 +162,9 @@
 
     def make_permits(self, member: Member, lease: FixedLease) -> PermitPolicy:
         """Return the permit policy of a starting entry."""
-        return EntryPermits(member, lease)
+        permits = EntryPermits(member, lease)
+        permits.set_task_lease(TASK_LEASE_S)
+        return permits
 
     def restart_entry(self, fake: FakeEntry) -> None:
         """Kill an entry's process and start the next incarnation; the tasks go on running."""
@@ -309,7 +311,9 @@
     def _end_tasks(self) -> None:
         for fake in [*self.entries, *self.former_processes]:
             for attempt_id, task in list(fake.tasks.items()):
-                if fake.active and fake.lease.holds(self.now_s) and self._is_running(task):
+                renews = fake.active and fake.lease.holds(self.now_s)
+                renews = renews and fake.permits.may_renew(attempt_id, self.now_s)
+                if renews and self._is_running(task):
                     task.lease_end_s = self.now_s + TASK_LEASE_S
                 if not self._is_running(task) and (fake.active or not fake.alive):
                     del fake.tasks[attempt_id]
@@ -411,6 +415,12 @@
                 me = Member(COORDINATOR_ID, IncarnationId(coordinator.epoch.term))
                 self._send(data_centre, me, answers)
             return
+        if envelope.to.entry == PEERS_ID:
+            for peer in list(self.entries):
+                if peer.data_centre == data_centre and peer.entry != sender.entry:
+                    to = Envelope(Member(peer.entry, peer.incarnation), envelope.message)
+                    self._deliver(data_centre, sender, to)
+            return
         fake = self._find_entry(envelope.to.entry)
         if fake is not None:
             self._deliver_to_entry(fake, sender, envelope.message)
--- a/toucandoor/programs/controller.py
+++ b/toucandoor/programs/controller.py
@@ -254,6 +254,7 @@
 
     async def _async_on_configuration(self, head: Head | None) -> None:
         self._in_force.on_head_record(self._configuration.record)
+        self._ceilings.set_slots(self._configuration.record.slots)
         if head is not None:
             self._ceilings.configure(ConfigVersion(head.version), head.configuration)
             await self._async_send_entries(_configuration_push(head))
--- a/toucandoor/programs/entry.py
+++ b/toucandoor/programs/entry.py
@@ -78,7 +78,9 @@
             make_queue=self._make_queue,
             admission=self._admission,
             routing=self._routing,
-            tracker=AttemptTracker(RetryBudget(Random()), self._routing.is_healthy),
+            tracker=AttemptTracker(
+                RetryBudget(Random()), self._routing.is_healthy, self._permits.may_renew
+            ),
             permits=self._permits,
             lease=self._lease,
             new_attempt_id=lambda: AttemptId(uuid.uuid4().hex),
@@ -155,6 +157,7 @@
         self._metrics.urgent_target_s = configuration.policy.urgent_start_target_s
         self._engine.configure(configuration, self._clock.monotonic_s())
         self._workers.task_lease_s = configuration.policy.task_lease_s
+        self._permits.set_task_lease(configuration.policy.task_lease_s)
         self._update_workers()
         _LOGGER.info("%s configuration %s is in force", _PREFIX, version)
 
