Look at each server less often in the owner's steps

Cause: every step went through all servers three times to find ended leases and removed servers, and called a method for each to find the heartbeats that are due. With 350 servers most are idle.

Excluded: an index of the servers that need a heartbeat. Seven fields decide that, and they are changed in many places.

Change: one pass over the servers finds ended leases and removed servers, without copies of the list. The check for a heartbeat first uses what excludes most servers.

The pass over all servers remains.

--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -50,8 +50,11 @@
                     run.order_sent_s = now_s
                     orders.append(order)
         self.next_heartbeat_s = float("inf")
+        # Most servers await an answer or need no heartbeat, so these checks come first.
+        probes = state.failure_domains.probes
         for worker in state.workers.values():
-            if not worker.heartbeat_in_flight and self._wants_heartbeat(worker):
+            settled = worker.heartbeat_in_flight or not (probes or worker.needs_heartbeat)
+            if not settled and self._wants_heartbeat(worker):
                 if now_s < worker.next_heartbeat_s:
                     self.next_heartbeat_s = min(self.next_heartbeat_s, worker.next_heartbeat_s)
                 elif worker.entry.address:
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -99,13 +99,21 @@
         """Discard the runs of unresponsive backend servers whose leases have expired."""
         state = self._state
         now_s = state.now_s
-        for worker in [*state.workers.values(), *state.former_boots]:
-            if worker.runs and worker.unresponsive and worker.lease_expired(now_s):
-                state.discard_runs(worker, "was unreachable until its lease expired")
+        gone: list[WorkerId] = []
+        for worker_id, worker in state.workers.items():
+            if worker.runs:
+                self._discard_if_expired(worker, now_s)
+            elif not worker.listed and not worker.uncommitted:
+                gone.append(worker_id)
+        for worker in state.former_boots:
+            self._discard_if_expired(worker, now_s)
         state.former_boots = [worker for worker in state.former_boots if worker.runs]
-        for worker_id, worker in list(state.workers.items()):
-            if not worker.listed and not worker.runs and not worker.uncommitted:
-                del state.workers[worker_id]
+        for worker_id in gone:
+            del state.workers[worker_id]
+
+    def _discard_if_expired(self, worker: WorkerView, now_s: float) -> None:
+        if worker.runs and worker.unresponsive and worker.lease_expired(now_s):
+            self._state.discard_runs(worker, "was unreachable until its lease expired")
 
     def unresponsive_leases_s(self) -> dict[Boot, float]:
         """Return the longest time, in s, until the lease of each unresponsive boot expires."""
