Repeat fewer checks in a placement pass

Cause: for each waiting step, a pass checked again whether each server of the pool is usable, listed all tasks before it knew whether any server had room, and looked up the steps before it. For each server it asked for the rack and for pauses though no server was suspected.

Excluded: taking steps that depend on others out of the waiting steps; their place among equal steps would change.

Change: servers are checked once per pass; tasks are listed once room is possible; a step whose earlier steps are done keeps that; suspicions are looked up only if there are any.

--- a/toucandoor/core/failure_domains/flapping.py
+++ b/toucandoor/core/failure_domains/flapping.py
@@ -47,6 +47,11 @@
             extra={"worker": worker_id, "failures": found.count, "pause_s": pause_s},
         )
 
+    @property
+    def empty(self) -> bool:
+        """Whether no server has come back recently."""
+        return not self._returns
+
     def paused(self, worker_id: WorkerId, now_s: float) -> bool:
         """Return whether a server waits before it gets tasks."""
         found = self._returns.get(worker_id)
--- a/toucandoor/core/failure_domains/racks.py
+++ b/toucandoor/core/failure_domains/racks.py
@@ -104,8 +104,10 @@
 
     def suspects(self, worker: WorkerView) -> bool:
         """Return whether new starts avoid a backend server for now."""
-        if worker.entry.rack in self._suspected:
+        if self._suspected and worker.entry.rack in self._suspected:
             return True
+        if self._flapping.empty:
+            return False
         return self._flapping.paused(worker.entry.worker_id, self._clock.monotonic_s())
 
     def rack_suspected(self, worker: WorkerView) -> bool:
--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -19,17 +19,26 @@
 
 def allowed_workers(
     workers: Iterable[WorkerView], step: StepProgress, now_s: float
-) -> list[WorkerView]:
+) -> Sequence[WorkerView]:
     """Return the backend servers that may run tasks of a step, regardless of free capacity."""
+    return matching_workers([worker for worker in workers if worker.usable(now_s)], step)
+
+
+def matching_workers(usable: Sequence[WorkerView], step: StepProgress) -> Sequence[WorkerView]:
+    """Return which of the usable backend servers may run tasks of a step.
+
+    Args:
+        usable: Servers that may get new tasks; returned as given if the step may run on all.
+        step: The step.
+    """
     label = step.step.required_label
     tickets = step.advice.tickets if step.advice is not None else None
     if not label and tickets is None:
-        return [worker for worker in workers if worker.usable(now_s)]
+        return usable
     return [
         worker
-        for worker in workers
-        if worker.usable(now_s)
-        and (not label or label in worker.entry.labels)
+        for worker in usable
+        if (not label or label in worker.entry.labels)
         and (tickets is None or worker.entry.worker_id in tickets)
     ]
 
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -11,7 +11,7 @@
 from toucandoor.core.scheduling.orders import Order, RequestAdvice
 from toucandoor.core.scheduling.placement import (
     ServerChoice,
-    allowed_workers,
+    matching_workers,
     tasks_by_worker,
 )
 from toucandoor.core.scheduling.state import MS_PER_S, run_fields
@@ -138,15 +138,17 @@
         now_s: float,
         orders: list[Order],
     ) -> None:
-        tasks = [task for task in step.tasks if task.waiting and now_s >= task.not_before_s]
-        if not tasks or not self._advice_ready(job, step, workers, now_s, orders):
+        if not any(task.waiting and now_s >= task.not_before_s for task in step.tasks):
+            return
+        if not self._advice_ready(job, step, workers, now_s, orders):
             return
         reserved = step.step.reserved
         if any(less.fits_in(reserved) for less in without_room):
             return
-        allowed = allowed_workers(workers, step, now_s)
+        allowed = matching_workers(workers, step)
         if not allowed:
             return
+        tasks = [task for task in step.tasks if task.waiting and now_s >= task.not_before_s]
         on_worker = tasks_by_worker(step)
         servers = ServerChoice(allowed, step, on_worker, now_s)
         if step.step.gang:
--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -61,6 +61,7 @@
         advice: Latest answer of the queue's adviser.
         advice_until_s: Time until which that answer is valid.
         advice_in_flight: Whether a request to the adviser awaits its answer.
+        unblocked: Whether all steps that it depends on are known to be done; a done step stays so.
     """
 
     key: StepKey
@@ -70,6 +71,7 @@
     advice: Advice | None = None
     advice_until_s: float = 0.0
     advice_in_flight: bool = False
+    unblocked: bool = False
 
     @property
     def done(self) -> bool:
@@ -143,8 +145,13 @@
 
     def runnable(self, step: StepProgress) -> bool:
         """Return whether all steps that a step depends on are done."""
-        occurrence = step.key.occurrence
-        return all(self.step(occurrence, earlier).done for earlier in step.step.after)
+        if not step.unblocked:
+            occurrence = step.key.occurrence
+            for earlier in step.step.after:
+                if not self.step(occurrence, earlier).done:
+                    return False
+            step.unblocked = True
+        return True
 
     @property
     def all_done(self) -> bool:
