Serve real nodes with one stand-in of store and servers

Cause: fakes/platform_http.py and fakes/platform_store.py both served the store and backend servers over HTTP to toucandoor-node.

Excluded: a single module, which would have had 402 lines; cheroot as the server, as it can't reset a connection.

Change: platform_store.py is the store with its outages, an empty VM list and the HTTP server; platform_servers.py is the backend servers. The outage test's server has an address of its own now. Both tests keep all their checks.

--- a/tests/programs/test_evacuation.py
+++ b/tests/programs/test_evacuation.py
@@ -17,7 +17,8 @@
 from toucandoor.clock import BootClock
 from toucandoor.core.jobs.models import Resources, TaskKey
 from toucandoor.core.scheduling.workers import WorkerEntry
-from toucandoor.fakes.platform_http import STORE_THREADS, HttpServers, HttpStore, HttpWorkers
+from toucandoor.fakes.platform_servers import FakeBackendServers
+from toucandoor.fakes.platform_store import FakePlatformStore
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import DataCentreId, PoolId, WorkerId
 from toucandoor.measures._deployment import free_address
@@ -57,13 +58,12 @@
 
     def setUp(self) -> None:
         self.clock = BootClock()
-        self.servers = HttpServers()
-        self.addCleanup(self.servers.close)
-        self.store = HttpStore(self.clock)
         self.store_address = free_address()
-        self.servers.serve(self.store_address, self.store.app, STORE_THREADS)
+        self.store = FakePlatformStore(self.store_address, self.clock)
+        self.addCleanup(self.store.stop)
         self.store.put("op/config", CONFIGURATION)
-        self.workers = HttpWorkers(self.clock, behave)
+        self.workers = FakeBackendServers(self.clock, behave)
+        self.addCleanup(self.workers.stop)
         for centre in ("a", "b"):
             for number in range(SERVERS):
                 entry = WorkerEntry(
@@ -76,7 +76,7 @@
                     False,
                     int(time.time() * 1000),
                 )
-                self.workers.boot(self.servers, self.store, entry)
+                self.workers.boot(entry, self.store)
         self.scratch = Path(self.enterContext(TemporaryDirectory()))
         self.callers = [self.start_node(centre) for centre in ("a", "b")]
         self.jobs: list[str] = []
--- a/tests/programs/test_store_outages.py
+++ b/tests/programs/test_store_outages.py
@@ -17,10 +17,10 @@
 from toucandoor.clock import SystemClock
 from toucandoor.core.jobs.models import Resources
 from toucandoor.core.jobs.records import job_key, progress_key
-from toucandoor.core.records import Transaction
 from toucandoor.core.scheduling.workers import WorkerEntry
+from toucandoor.fakes.platform_servers import FakeBackendServers
 from toucandoor.fakes.platform_store import FakePlatformStore, Outage
-from toucandoor.fakes.virtual_platform import Observations, TaskBehaviour, VirtualWorker
+from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import DataCentreId, PoolId, WorkerId
 from toucandoor.measures._deployment import HTTP, LocalProcess, free_address, stop_processes
 
@@ -35,15 +35,6 @@
     "routes": [{"name": "q", "prefix": "/q/", "service": "p", "public": True, "max_attempts": 3}],
     "services": [{"name": "p"}],
 }
-ENTRY = {
-    "service": "p",
-    "zone": "dc",
-    "state": "ready",
-    "capacity": {"cpu": 64_000, "mem_mb": 64_000},
-    "labels": ["a", "r"],
-    "sequence": 1,
-    "born": 1,
-}
 SETTINGS = """
 node_name = "{name}"
 zone = "dc"
@@ -69,19 +60,18 @@
     def setUp(self) -> None:
         folder = TemporaryDirectory()
         self.addCleanup(folder.cleanup)
+        clock = SystemClock()
         address = free_address()
-        worker_id = WorkerId("w")
+        self.store = FakePlatformStore(address, clock)
+        self.addCleanup(self.store.stop)
+        self.store.put("op/config", CONFIGURATION)
+        self.workers = FakeBackendServers(clock, lambda *_: TaskBehaviour(NEEDS, 0.1))
+        self.addCleanup(self.workers.stop)
+        worker_id, data_centre = WorkerId("w"), DataCentreId("dc")
         entry = WorkerEntry(
-            worker_id, PoolId("p"), address, DataCentreId("dc"), CAPACITY, ("a", "r"), False, 1
+            worker_id, PoolId("p"), free_address(), data_centre, CAPACITY, ("a", "r"), False, 1
         )
-        self.seen = Observations()
-        behaviour = TaskBehaviour(NEEDS, 0.1)
-        worker = VirtualWorker(entry, SystemClock(), self.seen, lambda *_: behaviour)
-        self.store = FakePlatformStore(address, worker)
-        self.addCleanup(self.store.stop)
-        records = {"op/config": CONFIGURATION, "servers/w": ENTRY | {"address": address}}
-        writes = {key: json.dumps(value).encode() for key, value in records.items()}
-        self.store.records.write(Transaction({}, writes))
+        self.workers.boot(entry, self.store)
         self.numbers = count(1)
         self.callers: list[str] = []
         self.ready: list[str] = []
@@ -156,7 +146,7 @@
         for outage in (Outage.REFUSES, Outage.SILENT, Outage.RESETS):
             with self.subTest(outage):
                 self.endure(outage)
-        self.assertEqual(self.seen.violations, [])
+        self.assertEqual(self.workers.observations.violations, [])
 
     def endure(self, outage: Outage) -> None:
         answers: list[tuple[str, int, str]] = []
