Refuse for evacuations only after a read of all data centres

Cause: a node took the data centres of the nodes that it had read, every 4 s, for all that exist. In the first 4 s after all nodes had started at once it knew its own alone, and refused submissions with "all data centres are evacuated" when only its own was.

Excluded: waiting for a second read of the nodes, which does not show data centres that have servers or VMs but no node; a read at an interval, which costs all servers' entries at every node without need.

Change: DataCentreDirectory reads the data centres of nodes, backend servers and VMs, only while each data centre that the node knows is evacuated and at most every 4 s; without an answer nothing is refused. What was found stays known in EvacuationRequests. PeerDirectory.data_centres is removed. test_evacuation makes its request without waiting for a second read, and checks at its end that submissions are refused once both data centres are evacuated.

A data centre whose first node, server or VM is listed within 4 s after a read is still missing until the next read.

--- a/tests/programs/test_evacuation.py
+++ b/tests/programs/test_evacuation.py
@@ -10,10 +10,10 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import TYPE_CHECKING
+from uuid import uuid4
 
 import urllib3
 
-from toucandoor.adapters.peers import NODE_RENEW_INTERVAL_S
 from toucandoor.clock import BootClock
 from toucandoor.core.jobs.models import Resources, TaskKey
 from toucandoor.core.scheduling.workers import WorkerEntry
@@ -122,6 +122,13 @@
             self.assertEqual(answer.status, 200, answer.data)
             self.jobs.append(job_id)
 
+    def is_refused(self) -> bool:
+        """Return whether both nodes refuse a job because no data centre may run it."""
+        # A job that is stored already is accepted again, so each has a new id.
+        urls = [f"http://{caller}/q/{uuid4().hex[:16]}" for caller in self.callers]
+        answers = [HTTP.request("POST", url, json=JOB) for url in urls]
+        return all(each.status == 503 and b"evacuated" in each.data for each in answers)
+
     def submit_for(self, seconds: float) -> None:
         """Submit jobs for all servers at once, each second."""
         until_s = time.monotonic() + seconds
@@ -134,6 +141,11 @@
         started = list(self.workers.observations.started)
         return [at_s for at_s, entry in started if entry.data_centre == centre]
 
+    def logs(self) -> str:
+        """Return the last log lines of both nodes."""
+        logs = [(self.scratch / f"{centre}.log").read_text() for centre in ("a", "b")]
+        return "\n\n".join(log[-6000:] for log in logs)
+
     def open_jobs(self) -> list[str]:
         """Return the jobs that are not completed."""
         url = f"http://{self.callers[1]}/q/"
@@ -141,18 +153,20 @@
         return [each for each, answer in answers.items() if answer.get("state") != "completed"]
 
     def test_no_start_after_the_bound_until_the_record_is_removed(self) -> None:
-        """Guards against nodes that miss the record, or its removal, in the platform's store."""
-        # Until a node has read the others' records, it takes its data centre for the only one.
-        self.submit_for(NODE_RENEW_INTERVAL_S + 1.0)
-        self.assertTrue(self.starts("a") and self.starts("b"))
+        """Guards against nodes that miss the record, or its removal, in the platform's store.
+
+        The request follows within 4 s of the start of node a, which read its own record alone then
+        and refused submissions as if no other data centre existed.
+        """
         self.submit(10 * SERVERS)  # so that tasks wait when the request is made
+        self.wait_until(lambda: bool(self.starts("a") and self.starts("b")), "both are used")
         self.store.put("op/evacuate/a", {})
         confirmed_s = self.clock.monotonic_s()
         self.submit_for(EVACUATE_S + 2.0)
         last_s = max(self.starts("a")) - confirmed_s
         self.assertLess(last_s, EVACUATE_S)
         elsewhere = [at_s for at_s in self.starts("b") if at_s > confirmed_s + EVACUATE_S]
-        self.assertGreater(len(elsewhere), 0)
+        self.assertGreater(len(elsewhere), 0, self.logs())
         self.wait_until(lambda: not self.open_jobs(), "all jobs are completed")
         self.assertEqual(max(self.starts("a")), last_s + confirmed_s)
         removed_s = self.clock.monotonic_s()
@@ -160,6 +174,9 @@
         self.submit_for(1.0)
         self.wait_until(lambda: max(self.starts("a")) > removed_s, "a is used again")
         self.assertEqual(self.workers.observations.violations, [])
+        for centre in ("a", "b"):
+            self.store.put(f"op/evacuate/{centre}", {})
+        self.wait_until(self.is_refused, "submissions are refused, as both are evacuated")
 
 
 if __name__ == "__main__":
--- a/toucandoor/adapters/peers.py
+++ b/toucandoor/adapters/peers.py
@@ -101,7 +101,6 @@
         self._store = store
         self._this_node = this_node
         self._peers = tuple(seed for seed in seeds if seed.address != this_node.address)
-        self._data_centres: frozenset[DataCentreId] = frozenset()
         self._lease: StoreLease | None = None
         self._stop = threading.Event()
 
@@ -122,11 +121,6 @@
                 "peers: removing this node's record failed; it expires with its lease: %s", err
             )
 
-    @property
-    def data_centres(self) -> frozenset[DataCentreId]:
-        """All data centres in which a node has been listed; empty before the first read."""
-        return self._data_centres
-
     def nearest_first(self) -> list[Peer]:
         """Return the other nodes in random order, those of this data centre first."""
         peers = list(self._peers)
@@ -167,8 +161,6 @@
     def _read_peers(self) -> None:
         records = self._store.read_prefix(NODE_PREFIX).records
         self._peers = decode_peers(records, self._this_node.entry_id)
-        self._data_centres |= {self._this_node.data_centre}
-        self._data_centres |= {peer.data_centre for peer in self._peers}
 
 
 def decode_peers(records: Iterable[Record], this_node: EntryId) -> tuple[Peer, ...]:
--- a/toucandoor/core/evacuation/requests.py
+++ b/toucandoor/core/evacuation/requests.py
@@ -103,7 +103,7 @@
         return checked is not None and not self._known <= checked
 
     def add_known(self, data_centres: Iterable[DataCentreId]) -> None:
-        """Add data centres that have servers or VMs."""
+        """Add data centres that have servers, VMs or nodes."""
         with self._lock:
             new = sorted(set(data_centres) - self._known)
             if new:
--- a/toucandoor/core/evacuation/submissions.py
+++ b/toucandoor/core/evacuation/submissions.py
@@ -24,7 +24,8 @@
 
     Args:
         requests: Requests in force.
-        data_centres: Returns the data centres that exist; empty while they are not known.
+        data_centres: Returns all data centres that exist, as read recently; empty while they are
+            not known. It may call the store, so it is asked only where a rejection depends on it.
         clock: The clock.
     """
 
@@ -41,13 +42,14 @@
     def rejection(self, spec: JobSpec) -> Rejection | None:
         """Return a rejection if all data centres are evacuated, by fresh knowledge."""
         in_force = self._requests.in_force
-        if not in_force:
+        if not in_force or not self._requests.known <= in_force.keys():
             return None
-        existing = self._data_centres()
-        now_s = self._clock.monotonic_s()
-        if not existing or not existing <= in_force.keys():
+        if not self._requests.known_within(self._clock.monotonic_s(), self._requests.fresh_s):
             return None
-        if not self._requests.known_within(now_s, self._requests.fresh_s):
+        existing = self._data_centres()
+        # They stay known, so that a data centre that is cut off later still counts.
+        self._requests.add_known(existing)
+        if not existing or not existing | self._requests.known <= in_force.keys():
             return None
         reason = "all data centres are evacuated; this call has stored nothing"
         return Rejection(503, reason, RETRY_AFTER_S)
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -14,6 +14,7 @@
 from toucandoor.adapters.bounded_logs import set_up_bounded_logs
 from toucandoor.adapters.call_loop import CallLoop
 from toucandoor.adapters.configuration_watch import ConfigurationWatch
+from toucandoor.adapters.data_centres import DataCentreDirectory
 from toucandoor.adapters.job_callers import JobApi
 from toucandoor.adapters.job_service import StoreJobService
 from toucandoor.adapters.load_watch import LoadWatch
@@ -120,6 +121,7 @@
         self._jobs = RelayJobService(
             own_jobs, self._peers, self._clock, lambda: self._configuration.store_reachable
         )
+        vms = PlatformVms(http, settings.vm_list_address)
         self._owner = OwnerTask(
             OwnerDependencies(
                 entry_id=settings.entry_id,
@@ -128,13 +130,16 @@
                 store=self._store,
                 workers=PlatformWorkers(worker_http, self._clock),
                 call_loop=CallLoop(),
-                vms=PlatformVms(http, settings.vm_list_address),
+                vms=vms,
                 advice=PlatformAdvice(http, settings.advice_address),
                 configuration=self._configuration,
                 metrics=self._metrics,
             )
         )
         self._stopping = threading.Event()
+        data_centres = DataCentreDirectory(
+            self._store, vms if settings.vm_list_address else None, this_node, self._clock
+        )
         load = FollowedReport(self._clock)
         self._load_watch = LoadWatch(self._store, load, self._metrics)
         job_api = JobApi(
@@ -143,7 +148,7 @@
             self._clock,
             self._metrics,
             lambda: self._configuration.store_reachable,
-            FirstRejection(self._submission_policies(load)),
+            FirstRejection(self._submission_policies(load, data_centres)),
             self._configuration.outages,
         )
         self._configuration.add_listener(
@@ -198,14 +203,16 @@
         self._caller_http.stop()
         _LOGGER.info("node: stopped")
 
-    def _submission_policies(self, load: FollowedReport) -> list[SubmissionPolicy]:
+    def _submission_policies(
+        self, load: FollowedReport, data_centres: DataCentreDirectory
+    ) -> list[SubmissionPolicy]:
         """Return the policies that may reject a submission, in the order of their questions."""
         by_load = AdmissionByLoad(load, record_age=self._metrics.set_load_report_age)
         policies: list[SubmissionPolicy] = [by_load]
         evacuations = self._configuration.evacuations
         if evacuations is not None:
             policies.append(
-                RefuseWhileAllEvacuated(evacuations, lambda: self._peers.data_centres, self._clock)
+                RefuseWhileAllEvacuated(evacuations, data_centres.data_centres, self._clock)
             )
         return policies
 
