Keep the expected work of waiting jobs between passes

Cause: each pass of the fair order computed the objective, the remaining chain and the remaining work of every waiting step, though an event changes one or two jobs.

Excluded: keeping the rank itself, which depends on the time.

Change: the figures are kept by job until its progress or the expected run times change. The model of run times has a version for that; learned ones change with each refresh. At most one entry per open job is kept.

--- a/toucandoor/core/fair_order/order.py
+++ b/toucandoor/core/fair_order/order.py
@@ -10,11 +10,7 @@
 from toucandoor.core.fair_order.const import USEFUL_OBJECTIVES
 from toucandoor.core.fair_order.pool_shares import PoolShares
 from toucandoor.core.overload.models import RateStatus
-from toucandoor.core.scheduling.queue_order import (
-    objective_s,
-    remaining_chain_s,
-    remaining_core_s,
-)
+from toucandoor.core.scheduling.queue_order import ExpectedWorkCache
 from toucandoor.core.scheduling.step_order import StepOrder, TeamFigures, WaitingStep
 from toucandoor.core.scheduling.worker_view import RunState
 
@@ -158,6 +154,7 @@
     def __init__(self, run_times: RunTimeModel, rates: RateStatusTracker) -> None:
         self._run_times = run_times
         self._rates = rates
+        self._expected = ExpectedWorkCache(run_times)
         self._pools: dict[PoolId, PoolShares] = {}
         self._pool_of_run: dict[RunKey, PoolId] = {}
         self._given_core_s = 0.0
@@ -182,6 +179,7 @@
     def on_job_closed(self, job: JobProgress, now_unix_ms: float) -> None:
         """Forget the rate status of a job."""
         self._rates.remove_job(job.spec.job_id, now_unix_ms)
+        self._expected.forget(job.spec.job_id)
 
     def on_attached(self, job: JobProgress, run: Run, now_s: float) -> None:
         """Charge a run to its team from now on; long-running tasks don't compete by share."""
@@ -313,23 +311,22 @@
         occurrence = step.key.occurrence
         due_ms = spec.first_due_unix_ms + occurrence * spec.interval_ms if spec.timed else 0
         begin_ms = float(due_ms or spec.accepted_unix_ms)
-        objective_ms = objective_s(spec, self._run_times) * _MS
-        left_ms = remaining_chain_s(job, occurrence, self._run_times) * _MS
+        expected = self._expected.of(job, occurrence)
+        objective_ms = expected.objective_s * _MS
+        left_ms = expected.chain_s * _MS
         latest_start_ms = begin_ms + objective_ms - left_ms
         if now_unix_ms <= latest_start_ms:
             within = status is RateStatus.WITHIN
             step_class = StepClass.WITHIN if within else StepClass.BEYOND
-            work = remaining_core_s(job, occurrence, self._run_times)
-            return _Ranked(
-                each, step_class, status, (work,), (1.0, latest_start_ms) if within else None
-            )
+            deadline_rank = (1.0, latest_start_ms) if within else None
+            return _Ranked(each, step_class, status, (expected.core_s,), deadline_rank)
         useful_until_ms = begin_ms + USEFUL_OBJECTIVES * objective_ms
         useless = now_unix_ms + left_ms > useful_until_ms
         step_class = StepClass.USELESS if useless else StepClass.LATE
         rank = (float(status is RateStatus.BEYOND), priority, begin_ms)
         deadline_rank = None
         if job.started and status is RateStatus.WITHIN and not useless:
-            deadline_rank = (0.0, remaining_core_s(job, occurrence, self._run_times))
+            deadline_rank = (0.0, expected.core_s)
         return _Ranked(each, step_class, status, rank, deadline_rank)
 
     def _reserved_core_s(self, job: JobProgress, run: Run) -> float:
--- a/toucandoor/core/run_times/learned.py
+++ b/toucandoor/core/run_times/learned.py
@@ -214,6 +214,7 @@
 
     def refresh(self, open_runs: Iterable[OpenRun]) -> None:
         """Compute the ratios anew."""
+        self.version += 1
         now_s = self._clock.monotonic_s()
         by_key: dict[RatioKey, list[OpenRun]] = {}
         for run in open_runs:
@@ -252,6 +253,7 @@
         """Take over the samples that a former owner has learned; more recently used keys last."""
         self._use(*key)
         self._keys[key] = known
+        self.version += 1
         known.refresh(self._clock.monotonic_s(), [])
 
     def _use(self, queue: str, image: str) -> KeyRatios:
@@ -262,6 +264,7 @@
             known = self._keys[key] = KeyRatios(self._clock.monotonic_s())
             if len(self._keys) > KEYS_MAX:
                 self._keys.popitem(last=False)
+                self.version += 1
         else:
             self._keys.move_to_end(key)
         return known
--- a/toucandoor/core/run_times/models.py
+++ b/toucandoor/core/run_times/models.py
@@ -53,9 +53,11 @@
 
     Attributes:
         dropped: Number of run times that were implausible and not used.
+        version: Changes whenever an expected run time may have changed.
     """
 
     dropped: int = 0
+    version: int = 0
 
     @abstractmethod
     def expected_s(self, step: Step, queue: QueueId) -> float:
--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -90,7 +90,7 @@
         cancelled: Whether its caller has cancelled it.
         steps: Steps of the due occurrences, by occurrence and step number.
         opened: Number of occurrences that have become due.
-        version: Version of the progress in memory.
+        version: Version of the progress in memory; differs after each change of what is left.
         committed_version: Latest version that is known to be in the store.
         ends_version: Version that first contained the latest reported end of one of its runs.
         revision: Revision of its record in the store; 0 before it exists.
--- a/toucandoor/core/scheduling/queue_order.py
+++ b/toucandoor/core/scheduling/queue_order.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from toucandoor.core.run_times.models import CALLER_ESTIMATES
 
@@ -14,6 +14,7 @@
     from toucandoor.core.jobs.models import JobSpec
     from toucandoor.core.run_times.models import RunTimeModel
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress
+    from toucandoor.ids import JobId
 
 _MS = 1000.0
 
@@ -58,6 +59,58 @@
     return total
 
 
+class ExpectedWork(NamedTuple):
+    """What is expected of an occurrence of a job.
+
+    Attributes:
+        objective_s: Time within which it should be done, as by `objective_s`.
+        chain_s: Remaining chain, as by `remaining_chain_s`.
+        core_s: Remaining work, as by `remaining_core_s`.
+    """
+
+    objective_s: float
+    chain_s: float
+    core_s: float
+
+
+class ExpectedWorkCache:
+    """Keeps the expected work until a job's progress or the expected run times change.
+
+    A pass ranks all waiting steps of a pool, of which an event changes one or two.
+
+    Args:
+        run_times: Expected run times of tasks.
+    """
+
+    def __init__(self, run_times: RunTimeModel) -> None:
+        self._run_times = run_times
+        # By job: the versions of its progress and of the run times, and the work by occurrence.
+        self._known: dict[JobId, tuple[int, int, dict[int, ExpectedWork]]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of jobs that are kept."""
+        return len(self._known)
+
+    def of(self, job: JobProgress, occurrence: int) -> ExpectedWork:
+        """Return the expected work of an occurrence of a job."""
+        run_times, job_id = self._run_times, job.spec.job_id
+        known = self._known.get(job_id)
+        if known is None or known[0] != job.version or known[1] != run_times.version:
+            known = self._known[job_id] = (job.version, run_times.version, {})
+        work = known[2].get(occurrence)
+        if work is None:
+            work = known[2][occurrence] = ExpectedWork(
+                objective_s(job.spec, run_times),
+                remaining_chain_s(job, occurrence, run_times),
+                remaining_core_s(job, occurrence, run_times),
+            )
+        return work
+
+    def forget(self, job_id: JobId) -> None:
+        """Drop a job that has ended."""
+        self._known.pop(job_id, None)
+
+
 def job_core_ms(spec: JobSpec, run_times: RunTimeModel = CALLER_ESTIMATES) -> float:
     """Return the expected processor time of a job, in thousandths of a core-second."""
     return sum(
