Keep estimates of waiting jobs between overload reports

Cause: each report of the owner estimated the remaining work, chain and objective of every waiting job anew, and once more for each pool and ceiling that it looked at.

Change: ScheduleLoad collects runs and waiting work once for a report. Estimates of a job whose progress has not changed are taken from the former report, for up to 2.5 s, so that learned run times still take effect. They are bounded by the waiting jobs.

--- a/toucandoor/core/overload/backlog.py
+++ b/toucandoor/core/overload/backlog.py
@@ -2,21 +2,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from toucandoor.core.overload.const import BUSY_S_MIN, LATE_OBJECTIVES_MAX
+from toucandoor.core.overload.models import RateStatus
+from toucandoor.ids import JobId, TeamId
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
     from toucandoor.core.jobs.models import Resources
-    from toucandoor.core.overload.models import RateStatus
-    from toucandoor.ids import JobId, TeamId
 
 
-@dataclass(frozen=True, slots=True)
-class Work:
+class Work(msgspec.Struct, frozen=True):
     """An amount of resources times seconds; unlike `Resources` it isn't rounded."""
 
     cpu: float = 0.0
@@ -32,8 +32,7 @@
         return Work(self.cpu + other.cpu, self.memory + other.memory, self.gpus + other.gpus)
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingWork:
+class WaitingWork(msgspec.Struct, frozen=True):
     """What an occurrence of a job still waits for.
 
     Attributes:
--- a/toucandoor/core/overload/const.py
+++ b/toucandoor/core/overload/const.py
@@ -29,3 +29,5 @@
 tasks that use room into which no other task fits."""
 NUMBER_MAX: Final = 1e6
 """Largest plausible number of seconds or core-seconds in a report."""
+ESTIMATES_AGE_S_MAX: Final = 2.5
+"""Age up to which the owner uses its estimates of a job that has not changed: four reports."""
--- a/toucandoor/core/overload/reporter.py
+++ b/toucandoor/core/overload/reporter.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from toucandoor.core.jobs.models import NO_RESOURCES, Resources
-from toucandoor.core.overload.backlog import WaitingWork, Work, late_wait_s
+from toucandoor.core.overload.backlog import late_wait_s
 from toucandoor.core.overload.const import (
     LATE_OBJECTIVES_MAX,
     NUMBER_MAX,
@@ -22,42 +21,21 @@
     WaitCause,
 )
 from toucandoor.core.overload.rates import AllWithin, RateStatuses
+from toucandoor.core.overload.schedule_load import Running, ScheduleLoad, WaitingStep
 from toucandoor.core.overload.starts import RecentStarts
-from toucandoor.core.scheduling.queue_order import (
-    objective_s,
-    remaining_chain_s,
-    remaining_core_s,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Sequence
 
     from toucandoor.core.jobs.configuration import JobConfiguration, JobQueue
-    from toucandoor.core.scheduling.progress import JobProgress, StepProgress
     from toucandoor.core.scheduling.state import ScheduleState
-    from toucandoor.core.scheduling.worker_view import Run
-    from toucandoor.ids import JobId, PoolId, TeamId
+    from toucandoor.ids import PoolId, TeamId
 
 _LOGGER = logging.getLogger(__name__)
 
 MS_PER_S = 1000.0
 
 
-@dataclass(slots=True)
-class _Running:
-    """Runs of a team or pool.
-
-    Attributes:
-        long_running: Resources of its long-running tasks, unless they are being stopped.
-        all: Resources of all its tasks.
-        left: Work that the tasks that end by themselves still need.
-    """
-
-    long_running: Resources = NO_RESOURCES
-    all: Resources = NO_RESOURCES
-    left: Work = field(default_factory=Work)
-
-
 class LoadReporter:
     """Builds the reports of one term of ownership.
 
@@ -70,6 +48,7 @@
         self._state = state
         self._rates = rates or AllWithin()
         self._starts = RecentStarts(state)
+        self._former: ScheduleLoad | None = None
         self._sequence = 0
         self._next_s = 0.0
         self._reported = False
@@ -105,25 +84,27 @@
 
     def _build(self, configuration: JobConfiguration, fleet_capacity: Resources) -> LoadReport:
         state = self._state
-        now_s, now_unix_ms = state.now_s, state.now_unix_ms
+        now_s = state.now_s
         pools: list[PoolReport] = []
         waits: list[TeamWait] = []
         beyond: frozenset[TeamId] = frozenset()
         if any(team.jobs_per_s > 0 for team in configuration.teams.values()):
             beyond = self._rates.teams_beyond(now_s)
-            by_team, by_pool = self._running(now_s)
-            waiting = self._waiting_steps()
+            load = ScheduleLoad(state, self._rates, self._former)
+            self._former = load
             self._starts.begin_report(now_s)
-            waits += self._ceiling_waits(configuration, waiting, by_team, beyond)
-            if beyond:
-                # Without such teams nobody is refused for the load of a pool.
-                for pool, steps in waiting.items():
-                    found = self._pool_waits(
-                        configuration, pool, steps, by_pool, fleet_capacity, beyond
-                    )
+            waits += self._ceiling_waits(configuration, load, beyond)
+            for pool in load.waiting:
+                queues = _queues_of(configuration, pool)
+                room = _room_of_pool(load, pool, fleet_capacity)
+                if not queues or room is None or not room.cpu_millicores:
+                    continue
+                if beyond:
+                    found = self._pool_waits(load, pool, queues, room, beyond)
                     if found is not None:
                         pools.append(found[0])
                         waits += found[1]
+            load.forget_former()
         ceiling_wait_s: dict[TeamId, float] = {}
         for wait in waits:
             if wait.cause is WaitCause.CEILING:
@@ -132,95 +113,19 @@
         return LoadReport(
             token=int(state.settings.token),
             sequence=self._sequence + 1,
-            written_unix_ms=int(now_unix_ms),
+            written_unix_ms=int(state.now_unix_ms),
             pools=tuple(pools),
             beyond=tuple(sorted(beyond)) if pools or waits else (),
             ceiling_wait_s=ceiling_wait_s,
             waits=tuple(waits),
         )
 
-    # Work that waits and work that runs
-
-    def _running(self, now_s: float) -> tuple[dict[TeamId, _Running], dict[PoolId, _Running]]:
-        state = self._state
-        by_team: dict[TeamId, _Running] = {}
-        by_pool: dict[PoolId, _Running] = {}
-        for worker in (*state.workers.values(), *state.former_boots):
-            in_pool = by_pool.setdefault(worker.entry.pool, _Running())
-            for run in worker.runs.values():
-                spec = state.jobs[run.task.key.job_id].spec
-                of_team = by_team.setdefault(spec.team, _Running())
-                step = run.task.step
-                for each, needs in ((of_team, step.needs), (in_pool, step.reserved)):
-                    each.all = each.all + needs
-                    if not step.long_running:
-                        left_s = self._left_s(run, now_s)
-                        each.left = each.left + Work.of(needs, left_s)
-                    elif not run.stop_requested:
-                        each.long_running = each.long_running + needs
-        return by_team, by_pool
-
-    def _left_s(self, run: Run, now_s: float) -> float:
-        """Return the time that a run still takes at least, by its expected run time.
-
-        At most half of it, which many runs still take on average: a recovered run may have begun
-        long before this owner's term.
-        """
-        if run.stop_requested:
-            return 0.0
-        queue = self._state.jobs[run.task.key.job_id].spec.queue
-        expected_s = self._state.run_times.expected_s(run.task.step, queue)
-        return max(0.0, min(expected_s / 2, expected_s - (now_s - run.created_s)))
-
-    def _waiting_steps(self) -> dict[PoolId, list[tuple[JobProgress, StepProgress]]]:
-        state = self._state
-        found: dict[PoolId, list[tuple[JobProgress, StepProgress]]] = {}
-        for key, step in state.waiting_steps.items():
-            job = state.jobs[key.job_id]
-            if step.step.long_running or job.state.final:
-                continue
-            if any(task.waiting for task in step.tasks):
-                found.setdefault(state.pool_of(job), []).append((job, step))
-        return found
-
-    def _waiting_work(
-        self, steps: Sequence[tuple[JobProgress, StepProgress]]
-    ) -> Iterator[WaitingWork]:
-        """Yield the work that waits, by occurrence of a job."""
-        state = self._state
-        now_unix_ms = state.now_unix_ms
-        work: dict[tuple[JobId, int], Work] = {}
-        jobs: dict[JobId, JobProgress] = {}
-        for job, step in steps:
-            key = (job.spec.job_id, step.key.occurrence)
-            jobs[job.spec.job_id] = job
-            tasks = sum(task.waiting for task in step.tasks)
-            run_s = state.run_times.expected_s(step.step, job.spec.queue)
-            work[key] = work.get(key, Work()) + Work.of(step.step.needs, tasks * run_s)
-        for (job_id, occurrence), waiting in work.items():
-            job = jobs[job_id]
-            spec = job.spec
-            due_unix_ms = spec.first_due_unix_ms + occurrence * spec.interval_ms
-            begin_unix_ms = due_unix_ms if spec.timed else spec.accepted_unix_ms
-            yield WaitingWork(
-                job_id=job_id,
-                team=spec.team,
-                status=self._rates.of_job(job),
-                priority=spec.terms.priority,
-                work=waiting,
-                core_s=remaining_core_s(job, occurrence, state.run_times),
-                age_s=(now_unix_ms - begin_unix_ms) / MS_PER_S,
-                chain_s=remaining_chain_s(job, occurrence, state.run_times),
-                objective_s=objective_s(spec, state.run_times),
-            )
-
     # Teams at their ceilings
 
     def _ceiling_waits(
         self,
         configuration: JobConfiguration,
-        waiting: dict[PoolId, list[tuple[JobProgress, StepProgress]]],
-        by_team: dict[TeamId, _Running],
+        load: ScheduleLoad,
         beyond: frozenset[TeamId],
     ) -> Iterator[TeamWait]:
         """Yield the waits of teams whose ceilings delay their work.
@@ -228,15 +133,15 @@
         Room under a ceiling is given to whichever pool is reviewed first. So only the work that
         waits in the same pool is sure to have its turn before a new job.
         """
-        for pool, steps in waiting.items():
-            of_teams: dict[TeamId, list[tuple[JobProgress, StepProgress]]] = {}
-            for pair in steps:
-                of_teams.setdefault(pair[0].spec.team, []).append(pair)
+        for pool, steps in load.waiting.items():
+            of_teams: dict[TeamId, list[WaitingStep]] = {}
+            for waiting in steps:
+                of_teams.setdefault(waiting.job.spec.team, []).append(waiting)
             queues = _queues_of(configuration, pool)
             for team, own in of_teams.items():
-                if not queues or not any(self._delayed(*pair) for pair in own):
+                if not queues or not any(map(self._delayed, own)):
                     continue
-                running = by_team.get(team, _Running())
+                running = load.by_team.get(team, Running())
                 room = _room(configuration.teams[team].ceiling, running.long_running)
                 if room is None:
                     # No work starts before a long-running job is cancelled, and when that will be
@@ -244,7 +149,7 @@
                     continue
                 items = [
                     each
-                    for each in self._waiting_work(own)
+                    for each in load.work_of(own)
                     if team in beyond or each.status is RateStatus.WITHIN
                 ]
                 for queue in queues:
@@ -255,44 +160,31 @@
                         team, queue, WaitCause.CEILING, late_s, max(1e-6, least_core_s)
                     )
 
-    def _delayed(self, job: JobProgress, step: StepProgress) -> bool:
+    def _delayed(self, waiting: WaitingStep) -> bool:
         """Return whether a step waits because of its team's ceiling."""
+        job, step = waiting.job, waiting.step
         return job.runnable(step) and not self._state.within_ceiling(job, step.step.needs)
 
     # Overloaded pools
 
     def _pool_waits(
         self,
-        configuration: JobConfiguration,
+        load: ScheduleLoad,
         pool: PoolId,
-        steps: Sequence[tuple[JobProgress, StepProgress]],
-        by_pool: dict[PoolId, _Running],
-        fleet_capacity: Resources,
+        queues: Sequence[JobQueue],
+        room: Resources,
         beyond: frozenset[TeamId],
     ) -> tuple[PoolReport, list[TeamWait]] | None:
         """Return the report on a pool, and the waits of teams beyond their rate.
 
-        None if the pool isn't overloaded. The pool is assumed to get all VMs at once that no other
-        pool uses.
+        None if the pool isn't overloaded.
         """
-        queues = _queues_of(configuration, pool)
-        running = by_pool.get(pool, _Running())
-        others = NO_RESOURCES
-        for other, load in by_pool.items():
-            others = others + (load.all if other != pool else load.long_running)
-        room = _room(fleet_capacity, others)
-        if not queues or room is None or not room.cpu_millicores:
-            return None
-        run_times = self._state.run_times
-        waiting_cpu = running.left.cpu + sum(
-            sum(task.waiting for task in step.tasks)
-            * step.step.needs.cpu_millicores
-            * run_times.expected_s(step.step, job.spec.queue)
-            for job, step in steps
-        )
+        steps = load.waiting[pool]
+        running = load.by_pool.get(pool, Running())
+        waiting_cpu = running.left.cpu + sum(waiting.work.cpu for waiting in steps)
         if waiting_cpu / room.cpu_millicores <= min(map(_refused_above_s, queues)):
             return None
-        items = list(self._waiting_work(steps))
+        items = load.work_of(steps)
         within = [each for each in items if each.status is RateStatus.WITHIN]
         waits: list[TeamWait] = []
         for queue in queues:
@@ -338,6 +230,14 @@
     return LATE_OBJECTIVES_MAX * queue.target_duration_s
 
 
+def _room_of_pool(load: ScheduleLoad, pool: PoolId, fleet_capacity: Resources) -> Resources | None:
+    """Return what a pool has once it gets all VMs that no other pool uses; None for nothing."""
+    others = NO_RESOURCES
+    for other, running in load.by_pool.items():
+        others = others + (running.all if other != pool else running.long_running)
+    return _room(fleet_capacity, others)
+
+
 def _queues_of(configuration: JobConfiguration, pool: PoolId) -> list[JobQueue]:
     return [queue for queue in configuration.queues.values() if queue.pool == pool]
 
