Refuse jobs within the rates that a pool can't do in time

Cause: jobs within their team's rate were never refused for the load of a pool.

Change: the owner reports a pool while it loses accepted work within the rates. The report has the wait by job size in time, the wait once late, and what teams may still be given of their weighted shares. A node adds what all nodes have accepted since, by its own part of the accepted jobs, and refuses what is late by both waits. Work beyond the rates doesn't count.

--- a/tests/core/overload/test_admission.py
+++ b/tests/core/overload/test_admission.py
@@ -6,13 +6,20 @@
 
 import msgspec
 
-from tests.core.scheduling.common import NEEDS, QUEUE, TEAM, job
+from tests.core.scheduling.common import NEEDS, POOL, QUEUE, TEAM, job
 from toucandoor.clock import ManualClock
 from toucandoor.core.jobs.models import Step
 from toucandoor.core.overload.admission import AdmissionByLoad
 from toucandoor.core.overload.const import REPORT_BYTES_MAX
 from toucandoor.core.overload.followed_report import FollowedReport
-from toucandoor.core.overload.models import LoadReport, TeamWait, WaitCause
+from toucandoor.core.overload.models import (
+    LoadReport,
+    QueueWait,
+    SizeWait,
+    TeamWait,
+    WaitCause,
+    WithinWait,
+)
 from toucandoor.core.overload.outages import StoreOutages
 from toucandoor.core.overload.records import decode_report, encode_report
 from toucandoor.ids import JobId, QueueId, TeamId
@@ -48,6 +55,38 @@
         self.report(msgspec.structs.replace(CEILING_WAIT, late_s=9.5 - 3.9), sequence=2)
         self.assertIsNone(self.policy.rejection(JOB))
 
+    def within(self, *sizes: SizeWait, share_left_core_s: float = 0.0) -> WithinWait:
+        wait = QueueWait(QUEUE, 20.0, 1.0, sizes)
+        return WithinWait(POOL, {TEAM: share_left_core_s}, 1.0, (wait,))
+
+    def test_within_the_rate_the_wait_of_the_job_s_size_decides(self) -> None:
+        # A job that has its turn in time must not be refused for the larger ones that wait.
+        large = SizeWait(4.0, 10.0, 8.0)
+        self.report(within=(self.within(SizeWait(1.0, 0.0, 8.0), large),))
+        self.assertIsNone(self.policy.rejection(job(3, Step(1, NEEDS, estimate_ms=500))))
+        rejection = self.policy.rejection(JOB)
+        assert rejection is not None
+        # 10 s, half a second until its last task starts and 1 s of run time are 9.3 s too many.
+        self.assertIn(rejection.retry_after_s, (10, 11))
+        later = msgspec.structs.replace(large, wait_s=10.0 - 9.31)
+        self.report(within=(self.within(later),), sequence=2)
+        self.assertIsNone(self.policy.rejection(JOB))
+
+    def test_a_team_below_its_share_is_not_refused(self) -> None:
+        wait = SizeWait(1.0, 10.0, 2.0)
+        self.report(within=(self.within(wait, share_left_core_s=6.0),))
+        self.assertIsNone(self.policy.rejection(JOB))
+        self.report(within=(self.within(wait, share_left_core_s=5.0),), sequence=2)
+        self.assertIsNotNone(self.policy.rejection(JOB))
+
+    def test_what_was_accepted_since_the_report_counts(self) -> None:
+        # Nodes would accept all jobs until the next report shows what these made of the pool.
+        self.report(within=(self.within(SizeWait(1.0, 0.0, 20.0)),))
+        self.clock.advance(0.1)
+        found = [self.policy.rejection(job(number)) is None for number in range(20)]
+        self.assertEqual(found, sorted(found, reverse=True))
+        self.assertEqual(found.count(True), 4)
+
     def test_retry_after_is_spread_by_the_job(self) -> None:
         # Callers that are refused at once must not all return at once.
         self.report(CEILING_WAIT)
@@ -107,6 +146,9 @@
         ]
         value = encode_report(LoadReport(1, 1, 1, waits=tuple(waits)))
         self.assertLessEqual(len(value), REPORT_BYTES_MAX)
+        within = self.within(*(SizeWait(float(n), 9.0, 9.0) for n in range(10)))
+        many = LoadReport(1, 1, 1, waits=tuple(waits), within=(within,) * 200)
+        self.assertLessEqual(len(encode_report(many)), REPORT_BYTES_MAX)
         kept = decode_report(value).waits
         self.assertGreater(len(kept), 100)
         self.assertEqual(kept[0].late_s, 98)
--- a/toucandoor/core/overload/admission.py
+++ b/toucandoor/core/overload/admission.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import logging
+import threading
 from typing import TYPE_CHECKING, Final
 
 from toucandoor.core.admission.submission import Rejection, SubmissionPolicy
 from toucandoor.core.overload.const import LATE_OBJECTIVES_MAX
 from toucandoor.core.overload.models import WaitCause
 from toucandoor.core.overload.spread import spread_retry_after_s
+from toucandoor.core.overload.within_admission import WithinAdmission
 from toucandoor.core.run_times.models import CALLER_ESTIMATES
 from toucandoor.core.scheduling.queue_order import job_core_ms, longest_chain_s, objective_s
 
@@ -49,18 +51,24 @@
         self._record_age = record_age
         self._followed = followed
         self._run_times = run_times
+        self._within = WithinAdmission(run_times)
+        self._lock = threading.Lock()
 
     def rejection(self, spec: JobSpec) -> Rejection | None:
         """Return why a job must be rejected now; None to accept it."""
         current = self._followed.current()
         self._record_age(None if current is None else current[1])
-        if current is None or spec.timed or spec.long_running:
+        if spec.timed or spec.long_running:
+            return None
+        core_s = job_core_ms(spec, self._run_times) / MS_PER_S
+        if current is None:
+            with self._lock:
+                self._within.on_accepted(spec, core_s, self._followed.now_s())
             return None
         report, age_s = current
         # The schedule's order and the caller may count the objective by different run times.
         objective = max(objective_s(spec), objective_s(spec, self._run_times))
         chain_s = longest_chain_s(spec, self._run_times)
-        core_s = job_core_ms(spec, self._run_times) / MS_PER_S
         excess_s = 0.0
         for wait in _applicable(report, spec):
             late_s = max(0.0, wait.late_s - age_s)
@@ -82,8 +90,15 @@
                     "report_age_s": round(age_s, 3),
                 },
             )
-        if not excess_s:
-            return None
+        with self._lock:
+            now_s = self._followed.now_s()
+            excess_s = max(
+                excess_s,
+                self._within.excess_s(report, age_s, spec, core_s, chain_s, objective, now_s),
+            )
+            if not excess_s:
+                self._within.on_accepted(spec, core_s, now_s)
+                return None
         return Rejection(STATUS, REASON, spread_retry_after_s(excess_s, spec.job_id))
 
 
--- a/toucandoor/core/overload/backlog.py
+++ b/toucandoor/core/overload/backlog.py
@@ -45,6 +45,7 @@
         age_s: Time since its acceptance, or since its due time.
         chain_s: Expected run time of its longest chain of unfinished steps.
         objective_s: Time from its acceptance within which it should be done.
+        begun: Whether any of its tasks has ever started.
     """
 
     job_id: JobId
@@ -56,6 +57,7 @@
     age_s: float
     chain_s: float
     objective_s: float
+    begun: bool
 
     def done_within(self, objectives: float, wait_s: float) -> bool:
         """Return whether it is done within some objectives if it starts after a wait."""
--- a/toucandoor/core/overload/const.py
+++ b/toucandoor/core/overload/const.py
@@ -29,5 +29,33 @@
 tasks that use room into which no other task fits."""
 NUMBER_MAX: Final = 1e6
 """Largest plausible number of seconds or core-seconds in a report."""
+ARRIVALS_WINDOW_S: Final = 2.0
+"""Time over which the accepted jobs of a pool are counted to expect those that follow."""
+ARRIVALS_MAX: Final = 4096
+"""Most jobs of a pool kept for that."""
+DEADLINE_SHARE: Final = 0.25
+"""Share of the capacity that the fair order gives by the time left, to jobs of any size."""
+UNCLAIMED_SHARE_MIN: Final = 0.05
+"""Least share of a pool that is expected to be left for late jobs."""
+LOST_S_MIN: Final = 0.5
+"""Time of a pool that accepted work must need which has become useless within the window, or will,
+before jobs within their teams' rates are refused. At a load of 1.0 it was up to 0.42 s."""
+LOST_S_LEFT: Final = 0.05
+"""Time of a pool that useless work must still need for refusals to go on. The pool starts it last;
+once it has done so, it has room for new jobs."""
+SHARE_WINDOW_S: Final = 4.0
+"""Time over which the teams' shares are counted: with 2 s, teams below their share were above it by
+chance often enough to be refused."""
+SHARED_PART: Final = 0.9
+"""Part of a pool that is divided into the teams' shares. A team isn't refused below its share; the
+rest goes to whoever has jobs that can be started in time."""
+SIZES_MAX: Final = 10
+"""Most sizes of jobs for which a report has the wait in a queue."""
+ACCEPTED_MAX: Final = 1024
+"""Most jobs that a node keeps which it has accepted itself."""
+NODES_MAX: Final = 64.0
+"""Most nodes as which a node extrapolates what it has accepted."""
+POOLS_MAX: Final = 128
+"""Most pools for which a node keeps its share of the accepted jobs; a deployment has up to 35."""
 ESTIMATES_AGE_S_MAX: Final = 2.5
 """Age up to which the owner uses its estimates of a job that has not changed: four reports."""
--- a/toucandoor/core/overload/followed_report.py
+++ b/toucandoor/core/overload/followed_report.py
@@ -35,6 +35,10 @@
         self._invalid_logged = False
         self.ignored = 0
 
+    def now_s(self) -> float:
+        """Return the monotonic time by which the age of reports is counted."""
+        return self._clock.monotonic_s()
+
     def on_record(self, value: bytes) -> None:
         """Process a record that was read from the store."""
         try:
--- a/toucandoor/core/overload/models.py
+++ b/toucandoor/core/overload/models.py
@@ -61,6 +61,53 @@
     started_core_s: float
 
 
+class SizeWait(msgspec.Struct, frozen=True, array_like=True):
+    """Wait of the jobs of at least some size that can still meet their objective.
+
+    Attributes:
+        core_s: The size, as processor time.
+        wait_s: Time until one that is accepted now starts.
+        drain_cores: Cores that reduce this wait.
+    """
+
+    core_s: float
+    wait_s: float
+    drain_cores: float
+
+
+class QueueWait(msgspec.Struct, frozen=True, array_like=True):
+    """Wait in a queue of jobs within their teams' rates.
+
+    Attributes:
+        queue: The queue.
+        late_s: Time until a job that is accepted now starts once it can't meet its objective.
+        drain_cores: Cores that reduce this time.
+        sizes: Waits until then, by ascending size.
+    """
+
+    queue: QueueId
+    late_s: float
+    drain_cores: float
+    sizes: tuple[SizeWait, ...]
+
+
+class WithinWait(msgspec.Struct, frozen=True, array_like=True):
+    """Wait in a pool in which jobs within their teams' rates can't all be done.
+
+    Attributes:
+        pool: The pool.
+        share_left_core_s: What each team that has lately been given some of it may still be given
+            of its share; teams aren't refused up to this, and others never.
+        accepted_per_s: Jobs that were accepted in a second.
+        queues: Waits in its queues.
+    """
+
+    pool: PoolId
+    share_left_core_s: dict[TeamId, float]
+    accepted_per_s: float
+    queues: tuple[QueueWait, ...]
+
+
 class LoadReport(msgspec.Struct, frozen=True, omit_defaults=True):
     """Overloaded pools, and the teams that are beyond their rate.
 
@@ -73,6 +120,7 @@
         ceiling_wait_s: For each team whose own ceiling delays its work, the time until work that is
             accepted now would start, in the queue where that takes longest.
         waits: For each queue in which jobs of a team may be refused, how long they wait.
+        within: Pools in which jobs within their teams' rates may be refused.
     """
 
     token: int
@@ -82,8 +130,9 @@
     beyond: tuple[TeamId, ...] = ()
     ceiling_wait_s: dict[TeamId, float] = {}
     waits: tuple[TeamWait, ...] = ()
+    within: tuple[WithinWait, ...] = ()
 
     @property
     def empty(self) -> bool:
         """Whether no pool is overloaded and no team is delayed by its ceiling."""
-        return not self.pools and not self.waits
+        return not self.pools and not self.waits and not self.within
--- a/toucandoor/core/overload/records.py
+++ b/toucandoor/core/overload/records.py
@@ -26,14 +26,20 @@
     """Encode a report within its size limit; the shortest waits are left out if need be."""
     value = msgspec.json.encode(report)
     waits = sorted(report.waits, key=lambda wait: -wait.late_s)
-    while len(value) > REPORT_BYTES_MAX and waits:
+    within = sorted(report.within, key=lambda pool: -max(each.late_s for each in pool.queues))
+    while len(value) > REPORT_BYTES_MAX and (waits or within):
         waits = waits[: len(waits) * 3 // 4]
+        within = within[: len(within) * 3 // 4]
         teams = {wait.team for wait in waits}
         ceilings = {team: s for team, s in report.ceiling_wait_s.items() if team in teams}
         beyond = tuple(team for team in report.beyond if team in teams)
         value = msgspec.json.encode(
             msgspec.structs.replace(
-                report, waits=tuple(waits), ceiling_wait_s=ceilings, beyond=beyond
+                report,
+                waits=tuple(waits),
+                ceiling_wait_s=ceilings,
+                beyond=beyond,
+                within=tuple(within),
             )
         )
     return value
@@ -62,3 +68,10 @@
     for pool in report.pools:
         yield from (pool.wait_within_s, pool.wait_beyond_s)
     yield from report.ceiling_wait_s.values()
+    for within in report.within:
+        yield within.accepted_per_s
+        yield from within.share_left_core_s.values()
+        for queue in within.queues:
+            yield from (queue.late_s, queue.drain_cores)
+            for size in queue.sizes:
+                yield from (size.core_s, size.wait_s, size.drain_cores)
--- a/toucandoor/core/overload/reporter.py
+++ b/toucandoor/core/overload/reporter.py
@@ -19,10 +19,12 @@
     RateStatus,
     TeamWait,
     WaitCause,
+    WithinWait,
 )
 from toucandoor.core.overload.rates import AllWithin, RateStatuses
 from toucandoor.core.overload.schedule_load import Running, ScheduleLoad, WaitingStep
 from toucandoor.core.overload.starts import RecentStarts
+from toucandoor.core.overload.within_waits import WithinWaits
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Sequence
@@ -48,6 +50,7 @@
         self._state = state
         self._rates = rates or AllWithin()
         self._starts = RecentStarts(state)
+        self._within = WithinWaits(state, self._rates)
         self._former: ScheduleLoad | None = None
         self._sequence = 0
         self._next_s = 0.0
@@ -72,7 +75,11 @@
             _LOGGER.info(
                 "overload: %s",
                 "no pool or team is overloaded any more" if report.empty else "reported",
-                extra={"pools": len(report.pools), "teams": len(report.ceiling_wait_s)},
+                extra={
+                    "pools": len(report.pools),
+                    "pools_within": len(report.within),
+                    "teams": len(report.ceiling_wait_s),
+                },
             )
         self._sequence = report.sequence
         self._reported = not report.empty
@@ -87,6 +94,7 @@
         now_s = state.now_s
         pools: list[PoolReport] = []
         waits: list[TeamWait] = []
+        within: list[WithinWait] = []
         beyond: frozenset[TeamId] = frozenset()
         if any(team.jobs_per_s > 0 for team in configuration.teams.values()):
             beyond = self._rates.teams_beyond(now_s)
@@ -94,6 +102,7 @@
             self._former = load
             self._starts.begin_report(now_s)
             waits += self._ceiling_waits(configuration, load, beyond)
+            self._within.begin_report(load)
             for pool in load.waiting:
                 queues = _queues_of(configuration, pool)
                 room = _room_of_pool(load, pool, fleet_capacity)
@@ -104,6 +113,9 @@
                     if found is not None:
                         pools.append(found[0])
                         waits += found[1]
+                reported = self._within.in_pool(load, pool, queues, room)
+                if reported is not None:
+                    within.append(reported)
             load.forget_former()
         ceiling_wait_s: dict[TeamId, float] = {}
         for wait in waits:
@@ -118,6 +130,7 @@
             beyond=tuple(sorted(beyond)) if pools or waits else (),
             ceiling_wait_s=ceiling_wait_s,
             waits=tuple(waits),
+            within=tuple(within),
         )
 
     # Teams at their ceilings
--- a/toucandoor/core/overload/schedule_load.py
+++ b/toucandoor/core/overload/schedule_load.py
@@ -174,7 +174,9 @@
         age_s = (self._now_unix_ms - begin_unix_ms) / MS_PER_S
         former = self._former.get(key)
         if former is not None and former.valid(job, self._now_s):
-            made = msgspec.structs.replace(former.waiting, work=work, age_s=age_s)
+            made = msgspec.structs.replace(
+                former.waiting, work=work, age_s=age_s, begun=job.started
+            )
             self._known[key] = _Estimated(former.version, former.at_s, made)
             return made
         run_times = self._state.run_times
@@ -188,6 +190,7 @@
             age_s=age_s,
             chain_s=remaining_chain_s(job, occurrence, run_times),
             objective_s=objective_s(spec, run_times),
+            begun=job.started,
         )
         self._known[key] = _Estimated(job.version, self._now_s, made)
         return made
