Keep the expected work of jobs once, for the order and the overload reports

Excluded: keeping the one with an age; the figures of the other are exact. Change: ScheduleState owns ExpectedWorkCache, and closing a job drops its entry.

--- a/toucandoor/core/failure_domains/run_speed.py
+++ b/toucandoor/core/failure_domains/run_speed.py
@@ -101,10 +101,7 @@
 
     def any_above(self, worker_id: WorkerId, ratio: float) -> bool:
         """Return whether any job of a server had a higher ratio; if not, the median has none."""
-        for each in self._servers.get(worker_id, ()):
-            if each.ratio > ratio:
-                return True
-        return False
+        return any(each.ratio > ratio for each in self._servers.get(worker_id, ()))
 
     def slowness(self, worker_id: WorkerId, now_s: float) -> float:
         """Return the weighted median of a server's jobs; the lower one if two are as good."""
--- a/toucandoor/core/fair_order/order.py
+++ b/toucandoor/core/fair_order/order.py
@@ -10,7 +10,6 @@
 from toucandoor.core.fair_order.const import USEFUL_OBJECTIVES
 from toucandoor.core.fair_order.pool_shares import PoolShares
 from toucandoor.core.overload.models import RateStatus
-from toucandoor.core.scheduling.queue_order import ExpectedWorkCache
 from toucandoor.core.scheduling.step_order import StepOrder, TeamFigures, WaitingStep
 from toucandoor.core.scheduling.worker_view import RunState
 
@@ -21,6 +20,7 @@
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.run_times.models import RunTimeModel
     from toucandoor.core.scheduling.progress import JobProgress
+    from toucandoor.core.scheduling.queue_order import ExpectedWorkCache
     from toucandoor.core.scheduling.worker_view import Run
     from toucandoor.core.scheduling.workers import RunKey
     from toucandoor.ids import PoolId, TeamId
@@ -149,12 +149,18 @@
     Args:
         run_times: Expected run times of tasks.
         rates: Rate status of the jobs.
+        expected_work: Expected work of the jobs.
     """
 
-    def __init__(self, run_times: RunTimeModel, rates: RateStatusTracker) -> None:
+    def __init__(
+        self,
+        run_times: RunTimeModel,
+        rates: RateStatusTracker,
+        expected_work: ExpectedWorkCache,
+    ) -> None:
         self._run_times = run_times
         self._rates = rates
-        self._expected = ExpectedWorkCache(run_times)
+        self._expected_work = expected_work
         self._pools: dict[PoolId, PoolShares] = {}
         self._pool_of_run: dict[RunKey, PoolId] = {}
         self._given_core_s = 0.0
@@ -179,7 +185,6 @@
     def on_job_closed(self, job: JobProgress, now_unix_ms: float) -> None:
         """Forget the rate status of a job."""
         self._rates.remove_job(job.spec.job_id, now_unix_ms)
-        self._expected.forget(job.spec.job_id)
 
     def on_attached(self, job: JobProgress, run: Run, now_s: float) -> None:
         """Charge a run to its team from now on; long-running tasks don't compete by share."""
@@ -311,7 +316,7 @@
         occurrence = step.key.occurrence
         due_ms = spec.first_due_unix_ms + occurrence * spec.interval_ms if spec.timed else 0
         begin_ms = float(due_ms or spec.accepted_unix_ms)
-        expected = self._expected.of(job, occurrence)
+        expected = self._expected_work.of(job, occurrence)
         objective_ms = expected.objective_s * _MS
         left_ms = expected.chain_s * _MS
         latest_start_ms = begin_ms + objective_ms - left_ms
--- a/toucandoor/core/overload/const.py
+++ b/toucandoor/core/overload/const.py
@@ -57,5 +57,3 @@
 """Most nodes as which a node extrapolates what it has accepted."""
 POOLS_MAX: Final = 128
 """Most pools for which a node keeps its share of the accepted jobs; a deployment has up to 35."""
-ESTIMATES_AGE_S_MAX: Final = 2.5
-"""Age up to which the owner uses its estimates of a job that has not changed: four reports."""
--- a/toucandoor/core/overload/reporter.py
+++ b/toucandoor/core/overload/reporter.py
@@ -51,7 +51,6 @@
         self._rates = rates or AllWithin()
         self._starts = RecentStarts(state)
         self._within = WithinWaits(state, self._rates)
-        self._former: ScheduleLoad | None = None
         self._sequence = 0
         self._next_s = 0.0
         self._reported = False
@@ -98,8 +97,7 @@
         beyond: frozenset[TeamId] = frozenset()
         if any(team.jobs_per_s > 0 for team in configuration.teams.values()):
             beyond = self._rates.teams_beyond(now_s)
-            load = ScheduleLoad(state, self._rates, self._former)
-            self._former = load
+            load = ScheduleLoad(state, self._rates)
             self._starts.begin_report(now_s)
             waits += self._ceiling_waits(configuration, load, beyond)
             self._within.begin_report(load)
@@ -116,7 +114,6 @@
                 reported = self._within.in_pool(load, pool, queues, room)
                 if reported is not None:
                     within.append(reported)
-            load.forget_former()
         ceiling_wait_s: dict[TeamId, float] = {}
         for wait in waits:
             if wait.cause is WaitCause.CEILING:
--- a/toucandoor/core/overload/schedule_load.py
+++ b/toucandoor/core/overload/schedule_load.py
@@ -9,12 +9,6 @@
 
 from toucandoor.core.jobs.models import NO_RESOURCES, Resources
 from toucandoor.core.overload.backlog import WaitingWork, Work
-from toucandoor.core.overload.const import ESTIMATES_AGE_S_MAX
-from toucandoor.core.scheduling.queue_order import (
-    objective_s,
-    remaining_chain_s,
-    remaining_core_s,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -57,31 +51,12 @@
     work: Work
 
 
-class _Estimated(NamedTuple):
-    """Estimates of a waiting job.
-
-    Attributes:
-        version: Version of its progress.
-        at_s: When they were made, on the monotonic clock.
-        waiting: The estimates.
-    """
-
-    version: int
-    at_s: float
-    waiting: WaitingWork
-
-    def valid(self, job: JobProgress, now_s: float) -> bool:
-        """Return whether they need not be made again; expected run times change slowly."""
-        return self.version == job.version and now_s - self.at_s < ESTIMATES_AGE_S_MAX
-
-
 class ScheduleLoad:
     """Runs and waiting work of the schedule at one time.
 
     Args:
         state: The schedule; it is only read.
         rates: Rate status of jobs and teams.
-        former: What was waiting at the last report, so that it need not be estimated again.
 
     Attributes:
         by_team: Runs of each team.
@@ -89,25 +64,18 @@
         waiting: Steps of each pool that wait, but for long-running ones.
     """
 
-    def __init__(
-        self, state: ScheduleState, rates: RateStatuses, former: ScheduleLoad | None = None
-    ) -> None:
+    def __init__(self, state: ScheduleState, rates: RateStatuses) -> None:
         self._state = state
         self._rates = rates
         self._now_s = state.now_s
         self._now_unix_ms = state.now_unix_ms
-        self._known: dict[tuple[JobId, int], _Estimated] = {}
-        self._former = {} if former is None else former._known
+        self._known: dict[tuple[JobId, int], WaitingWork] = {}
         self.by_team: dict[TeamId, Running] = {}
         self.by_pool: dict[PoolId, Running] = {}
         self.waiting: dict[PoolId, list[WaitingStep]] = {}
         self._add_runs()
         self._add_waiting_steps()
 
-    def forget_former(self) -> None:
-        """Drop the estimates that this report hasn't used."""
-        self._former = {}
-
     def _add_runs(self) -> None:
         state = self._state
         for worker in (*state.workers.values(), *state.former_boots):
@@ -166,31 +134,22 @@
         key = (spec.job_id, occurrence)
         known = self._known.get(key)
         if known is not None:
-            if known.waiting.work == work:
-                return known.waiting
-            return msgspec.structs.replace(known.waiting, work=work)
+            return known if known.work == work else msgspec.structs.replace(known, work=work)
         due_unix_ms = spec.first_due_unix_ms + occurrence * spec.interval_ms
         begin_unix_ms = due_unix_ms if spec.timed else spec.accepted_unix_ms
         age_s = (self._now_unix_ms - begin_unix_ms) / MS_PER_S
-        former = self._former.get(key)
-        if former is not None and former.valid(job, self._now_s):
-            made = msgspec.structs.replace(
-                former.waiting, work=work, age_s=age_s, begun=job.started
-            )
-            self._known[key] = _Estimated(former.version, former.at_s, made)
-            return made
-        run_times = self._state.run_times
+        expected = self._state.expected_work.of(job, occurrence)
         made = WaitingWork(
             job_id=spec.job_id,
             team=spec.team,
             status=self._rates.of_job(job),
             priority=spec.terms.priority,
             work=work,
-            core_s=remaining_core_s(job, occurrence, run_times),
+            core_s=expected.core_s,
             age_s=age_s,
-            chain_s=remaining_chain_s(job, occurrence, run_times),
-            objective_s=objective_s(spec, run_times),
+            chain_s=expected.chain_s,
+            objective_s=expected.objective_s,
             begun=job.started,
         )
-        self._known[key] = _Estimated(job.version, self._now_s, made)
+        self._known[key] = made
         return made
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -55,6 +55,7 @@
                 del state.closing_jobs[job_id]
                 state.open_jobs.discard(job_id)
                 state.order.on_job_closed(job, now_ms)
+                state.expected_work.forget(job_id)
         for job_id in list(state.unopened_jobs):
             job = state.jobs[job_id]
             self._open(job, now_ms)
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -15,7 +15,7 @@
 from toucandoor.core.run_times.learned import LearnedRunTimes
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.activity import Activity
-from toucandoor.core.scheduling.queue_order import objective_s
+from toucandoor.core.scheduling.queue_order import ExpectedWorkCache, objective_s
 from toucandoor.core.scheduling.step_order import LeastWorkFirst, StepOrder
 from toucandoor.core.scheduling.worker_view import RunState
 
@@ -96,6 +96,7 @@
         finished: Jobs that have ended since `Scheduler.pop_finished` was last called.
         activity: Counts of what this owner has done.
         run_times: Expected run times of tasks.
+        expected_work: Expected work of open jobs.
         order: Order in which waiting steps get room.
         rates: Rate status of the jobs; all are within their rate while no team has a weight.
         failure_domains: Evidence on silent and slow backend servers.
@@ -110,6 +111,7 @@
         self.settings = settings
         self.clock = clock
         self.run_times: RunTimeModel = run_times or LearnedRunTimes(clock)
+        self.expected_work = ExpectedWorkCache(self.run_times)
         self.order: StepOrder = LeastWorkFirst(self.run_times)
         self.failure_domains: FailureDomains = ObservedFailureDomains(clock)
         self.may_start: Callable[[Run], bool] = lambda _run: True
@@ -154,7 +156,9 @@
             self.rates.clear()
         if fair != isinstance(self.order, FairOrder):
             self.order = (
-                FairOrder(self.run_times, self.rates) if fair else LeastWorkFirst(self.run_times)
+                FairOrder(self.run_times, self.rates, self.expected_work)
+                if fair
+                else LeastWorkFirst(self.run_times)
             )
             for job in self.jobs.values():
                 self.order.on_job_added(job, self.now_s)
