Judge the speed of a server at less cost

Cause: each run that ended sorted the latest 32 ratios of its queue for their median and computed the weighted median of its server's jobs, though most servers have no slow job at all.

Excluded: judging a server less often than after each run, as a slow one would be found later.

Change: the ratios of a queue are kept in sorted order as well, in at most 32 entries. The weighted median is computed only if the server counts as slow or one of its jobs was above the limit; otherwise the median, of these and the usual speed, cannot be above it.

--- a/tests/core/failure_domains/test_slow_servers.py
+++ b/tests/core/failure_domains/test_slow_servers.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import random
 import unittest
+from statistics import median
 
 from tests.core.failure_domains.common import domains, rack_fleet
 from tests.core.scheduling.common import NEEDS, QUEUE, job
 from toucandoor.core.failure_domains.models import SLOW_RATIO
-from toucandoor.core.failure_domains.run_speed import RunSpeed
+from toucandoor.core.failure_domains.run_speed import QUEUE_SAMPLES_MAX, RecentRatios, RunSpeed
 from toucandoor.core.jobs.models import Step, TaskKey
 from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.fakes.virtual_platform import TaskBehaviour
@@ -50,6 +52,15 @@
 class RunSpeedTest(unittest.TestCase):
     """The robust ratio of a server."""
 
+    def test_the_median_of_a_queue_is_that_of_its_latest_runs(self) -> None:
+        """Guards against ratios that are dropped from one of the two orders only."""
+        rng, ratios = random.Random(1), RecentRatios()
+        added: list[float] = []
+        for _ in range(3 * QUEUE_SAMPLES_MAX):
+            added.append(rng.choice([0.5, 1.0, rng.random()]))
+            ratios.add(added[-1])
+            self.assertEqual(ratios.median(), median(added[-QUEUE_SAMPLES_MAX:]))
+
     def test_a_wrong_estimate_of_a_queue_makes_no_server_slow(self) -> None:
         """Guards against blaming all servers for estimates that are wrong by a factor of ten."""
         speed = RunSpeed()
--- a/toucandoor/core/failure_domains/racks.py
+++ b/toucandoor/core/failure_domains/racks.py
@@ -179,8 +179,10 @@
         self.silent_workers = tuple(found)
 
     def _judge_speed(self, worker_id: WorkerId, now_s: float) -> None:
-        ratio = self._speed.slowness(worker_id, now_s)
         was_slow = worker_id in self._slow
+        if not was_slow and not self._speed.any_above(worker_id, SLOW_RATIO):
+            return
+        ratio = self._speed.slowness(worker_id, now_s)
         if ratio > SLOW_RATIO:
             self._slow[worker_id] = ratio
         else:
--- a/toucandoor/core/failure_domains/run_speed.py
+++ b/toucandoor/core/failure_domains/run_speed.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from collections import deque
-from statistics import median
 from typing import TYPE_CHECKING, Final, NamedTuple
 
 from toucandoor.core.failure_domains.models import USUAL_SPEED
@@ -34,6 +34,31 @@
     ratio: float
 
 
+class RecentRatios:
+    """Latest ratios of a queue, also in sorted order: a median is needed for each run that ends."""
+
+    def __init__(self) -> None:
+        self._latest: deque[float] = deque()
+        self._sorted: list[float] = []
+
+    def __len__(self) -> int:
+        return len(self._latest)
+
+    def add(self, ratio: float) -> None:
+        """Add a ratio; the oldest one is dropped beyond the limit."""
+        if len(self._latest) == QUEUE_SAMPLES_MAX:
+            del self._sorted[bisect_left(self._sorted, self._latest.popleft())]
+        self._latest.append(ratio)
+        insort(self._sorted, ratio)
+
+    def median(self) -> float:
+        """Return the median; there must be a ratio."""
+        middle = len(self._sorted) // 2
+        if len(self._sorted) % 2:
+            return self._sorted[middle]
+        return (self._sorted[middle - 1] + self._sorted[middle]) / 2
+
+
 class RunSpeed:
     """Median over the latest jobs on each server, relative to the runs of the same queue.
 
@@ -44,7 +69,7 @@
     """
 
     def __init__(self) -> None:
-        self._queues: dict[QueueId, deque[float]] = {}
+        self._queues: dict[QueueId, RecentRatios] = {}
         self._servers: dict[WorkerId, deque[_Sample]] = {}
 
     def record(
@@ -59,12 +84,12 @@
             ratio: Its run time divided by the expected one.
             now_s: When it ended.
         """
-        found = self._queues.setdefault(queue, deque(maxlen=QUEUE_SAMPLES_MAX))
+        found = self._queues.setdefault(queue, RecentRatios())
         if len(self._queues) > QUEUES_MAX:
             del self._queues[next(iter(self._queues))]
         if len(found) >= QUEUE_SAMPLES_MIN:
-            self._add(worker_id, _Sample(job_id, now_s, ratio / median(found)))
-        found.append(ratio)
+            self._add(worker_id, _Sample(job_id, now_s, ratio / found.median()))
+        found.add(ratio)
 
     def _add(self, worker_id: WorkerId, sample: _Sample) -> None:
         samples = self._servers.setdefault(worker_id, deque(maxlen=SAMPLES_MAX))
@@ -74,6 +99,10 @@
                 return
         samples.append(sample)
 
+    def any_above(self, worker_id: WorkerId, ratio: float) -> bool:
+        """Return whether any job of a server had a higher ratio; if not, the median has none."""
+        return any(each.ratio > ratio for each in self._servers.get(worker_id, ()))
+
     def slowness(self, worker_id: WorkerId, now_s: float) -> float:
         """Return the weighted median of a server's jobs; the lower one if two are as good."""
         samples = self._servers.get(worker_id)
