--- a/toucandoor/core/overload/backlog.py
+++ b/toucandoor/core/overload/backlog.py
@@ -2,21 +2,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from toucandoor.core.overload.const import BUSY_S_MIN, LATE_OBJECTIVES_MAX
+from toucandoor.core.overload.models import RateStatus
+from toucandoor.ids import JobId, TeamId
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
     from toucandoor.core.jobs.models import Resources
-    from toucandoor.core.overload.models import RateStatus
-    from toucandoor.ids import JobId, TeamId
 
 
-@dataclass(frozen=True, slots=True)
-class Work:
+class Work(msgspec.Struct, frozen=True):
     """An amount of resources times seconds; unlike `Resources` it isn't rounded."""
 
     cpu: float = 0.0
@@ -32,8 +32,7 @@
         return Work(self.cpu + other.cpu, self.memory + other.memory, self.gpus + other.gpus)
 
 
-@dataclass(frozen=True, slots=True)
-class WaitingWork:
+class WaitingWork(msgspec.Struct, frozen=True):
     """What an occurrence of a job still waits for.
 
     Attributes:
@@ -46,6 +45,7 @@
         age_s: Time since its acceptance, or since its due time.
         chain_s: Expected run time of its longest chain of unfinished steps.
         objective_s: Time from its acceptance within which it should be done.
+        begun: Whether any of its tasks has ever started.
     """
 
     job_id: JobId
@@ -57,6 +57,7 @@
     age_s: float
     chain_s: float
     objective_s: float
+    begun: bool
 
     def done_within(self, objectives: float, wait_s: float) -> bool:
         """Return whether it is done within some objectives if it starts after a wait."""
