Move the stand-ins of the platform's wire into the platform package

Cause: toucandoor/fakes/platform_store.py and platform_servers.py speak the platform's words (kv-txn, fencing_token), which stay in toucandoor/platform. Excluded: translating them at the stand-ins, which would hide faults of the real client.

--- a/tests/programs/test_evacuation.py
+++ b/tests/programs/test_evacuation.py
@@ -17,11 +17,11 @@
 from toucandoor.clock import BootClock
 from toucandoor.core.jobs.models import Resources, TaskKey
 from toucandoor.core.scheduling.workers import WorkerEntry
-from toucandoor.fakes.platform_servers import FakeBackendServers
-from toucandoor.fakes.platform_store import FakePlatformStore
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import DataCentreId, PoolId, WorkerId
 from toucandoor.measures._deployment import free_address
+from toucandoor.platform.fakes.servers import FakeBackendServers
+from toucandoor.platform.fakes.store import FakePlatformStore
 from toucandoor.platform.settings import SETTINGS_FILE_VARIABLE
 
 if TYPE_CHECKING:
--- a/tests/programs/test_store_outages.py
+++ b/tests/programs/test_store_outages.py
@@ -18,11 +18,11 @@
 from toucandoor.core.jobs.models import Resources
 from toucandoor.core.jobs.records import job_key, progress_key
 from toucandoor.core.scheduling.workers import WorkerEntry
-from toucandoor.fakes.platform_servers import FakeBackendServers
-from toucandoor.fakes.platform_store import FakePlatformStore, Outage
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import DataCentreId, PoolId, WorkerId
 from toucandoor.measures._deployment import HTTP, LocalProcess, free_address, stop_processes
+from toucandoor.platform.fakes.servers import FakeBackendServers
+from toucandoor.platform.fakes.store import FakePlatformStore, Outage
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/toucandoor/fakes/platform_servers.py
+++ b/toucandoor/platform/fakes/servers.py
@@ -18,9 +18,9 @@
     RunKey,
     StartOrder,
 )
-from toucandoor.fakes.platform_store import POLL_S, HttpServer
 from toucandoor.fakes.virtual_platform import Observations, VirtualWorker
 from toucandoor.ids import FencingToken, JobId
+from toucandoor.platform.fakes.store import POLL_S, HttpServer
 from toucandoor.platform.operator_records import WORKER_PREFIX
 from toucandoor.platform.workers import task_name
 
@@ -29,9 +29,9 @@
 
     from toucandoor.clock import Clock
     from toucandoor.core.scheduling.workers import WorkerEntry
-    from toucandoor.fakes.platform_store import Answer, FakePlatformStore
     from toucandoor.fakes.virtual_platform import TaskBehaviour
     from toucandoor.ids import WorkerId
+    from toucandoor.platform.fakes.store import Answer, FakePlatformStore
 
 _REFUSALS = {
     OrderRefusal.FENCED: "fence",
