Split the totals of a simulated fleet into a module

Excluded: splitting its checks, which use the simulation's whole state. Change: the figures that are known at the end are functions over records and VMs; two tests call them by public names.

--- a/tests/core/maintenance/test_promises.py
+++ b/tests/core/maintenance/test_promises.py
@@ -57,7 +57,7 @@
     for _ in range(500):
         run.clock.advance(1.0)
         run.step()
-    run._update_totals()
+    run.update_totals()
 
 
 class FaultsTest(unittest.TestCase):
@@ -157,7 +157,7 @@
 
     @invariant()
     def promises_hold(self) -> None:
-        self.run._update_totals()
+        self.run.update_totals()
         assert breaches(self.run.figures) == 0, self.run.figures
 
 
--- a/tests/core/maintenance/test_session.py
+++ b/tests/core/maintenance/test_session.py
@@ -62,7 +62,7 @@
         settings = RunSettings(store_outages_s=((250.0, 400.0),), end_s=1_500.0)
         run = RecordedRun(SMALL, settings, "golden")
         killed = False
-        while run.clock.monotonic_s() < settings.end_s and not run._all_maintained():
+        while run.clock.monotonic_s() < settings.end_s and not run.all_maintained():
             run.clock.advance(1.0)
             run.step()
             if not killed and any(line.get("decision") == "DrainVm" for line in run.lines):
@@ -71,7 +71,7 @@
                 names = [controller.name for controller in run.controllers]
                 run.kill(names.index(by))
                 run.lines.append({"at_s": run.clock.monotonic_s(), "killed": by})
-        self.assertTrue(run._all_maintained())
+        self.assertTrue(run.all_maintained())
         self.assertEqual(run.figures.budget_breaches + run.figures.over_held, 0)
         verify_session(run.lines)
 
--- a/toucandoor/measures/_fleet_run.py
+++ b/toucandoor/measures/_fleet_run.py
@@ -41,6 +41,7 @@
 from toucandoor.fakes.virtual_store import StoreFault, VirtualStore
 from toucandoor.fakes.virtual_vm import VirtualVm, VmFault
 from toucandoor.ids import DataCentreId, VmId
+from toucandoor.measures import _fleet_totals
 from toucandoor.measures._fleet_models import RunFigures, RunSettings
 
 if TYPE_CHECKING:
@@ -157,12 +158,23 @@
         while self.clock.monotonic_s() < self._settings.end_s:
             self.clock.advance(self._settings.tick_s)
             self.step()
-            if self.figures.rollout_s is None and self._all_maintained():
+            if self.figures.rollout_s is None and self.all_maintained():
                 self.figures.rollout_s = self.clock.monotonic_s()
                 break
-        self._update_totals()
+        self.update_totals()
         return self.figures
 
+    def all_maintained(self) -> bool:
+        """Return whether all VMs are maintained that can be."""
+        now_s = self.clock.monotonic_s()
+        return _fleet_totals.all_maintained(self._maps.values(), self.vms, now_s)
+
+    def update_totals(self) -> None:
+        """Set the figures that are known only at the end."""
+        now_s = self.clock.monotonic_s()
+        _fleet_totals.set_totals(self.figures, self._maps.values(), self.vms, now_s)
+        self.figures.store_calls = self.store.calls
+
     def step(self) -> None:
         """Simulate one step: faults, new tasks, then each controller in random order."""
         now_s = self.clock.monotonic_s()
@@ -380,40 +392,3 @@
             if vm_id not in vm_list.live:
                 return listed_s
         return float("inf")
-
-    def _all_maintained(self) -> bool:
-        now_s = self.clock.monotonic_s()
-        maintained = self._maintained()
-        return not any(
-            self.vms[vm_id].fault is None
-            and vm_id not in maintained
-            and (vm.planned_out or self.vms[vm_id].is_up(now_s))
-            for record in self._maps.values()
-            for vm_id, vm in record.vms.items()
-        )
-
-    def _maintained(self) -> set[VmId]:
-        return {
-            vm_id
-            for record in self._maps.values()
-            for vm_id, vm in record.vms.items()
-            if vm.maintained_at is not None
-        }
-
-    def _update_totals(self) -> None:
-        figures = self.figures
-        figures.maintained = len(self._maintained())
-        figures.tasks_cut = sum(vm.tasks_cut for vm in self.vms.values())
-        figures.refused_acts = sum(vm.refused for vm in self.vms.values())
-        figures.store_calls = self.store.calls
-        stopped = [
-            vm_id
-            for record in self._maps.values()
-            for vm_id, vm in record.vms.items()
-            if vm.planned_out
-        ]
-        figures.failed = len(stopped)
-        now_s = self.clock.monotonic_s()
-        figures.stuck = sum(
-            self.vms[vm_id].fault is None and self.vms[vm_id].is_up(now_s) for vm_id in stopped
-        )
