Print what a known red test has shown

Change: the error is printed with the name, at most 600 characters; verdicts are as before. Shown by script/test tests.programs.test_ceilings.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -10,6 +10,8 @@
 
 from nose2 import events
 
+ERROR_LENGTH_MAX = 600
+"""Most characters of a listed test's error that are printed; some errors hold whole logs."""
 _KNOWN_RED_PATH = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 
 
@@ -27,7 +29,7 @@
 
     def __init__(self) -> None:
         self._known_red = _known_test_ids()
-        self._seen_red: list[str] = []
+        self._seen_red: dict[str, str] = {}
         self._counts = {"passed": 0, "failed": 0, "skipped": 0}
 
     def setTestOutcome(self, event: events.TestOutcomeEvent) -> None:  # noqa: N802
@@ -35,7 +37,8 @@
         if event.outcome in ("failed", "error") and event.test.id() in self._known_red:
             event.outcome = "failed"
             event.expected = True
-            self._seen_red.append(event.test.id())
+            error = event.exc_info[1] if event.exc_info else None
+            self._seen_red[event.test.id()] = repr(error)[:ERROR_LENGTH_MAX]
 
     def testOutcome(self, event: events.TestOutcomeEvent) -> None:  # noqa: N802
         """Count an outcome."""
@@ -49,8 +52,9 @@
 
     def afterSummaryReport(self, event: events.ReportSummaryEvent) -> None:  # noqa: N802
         """Print the listed tests that failed, and the summary line."""
-        for name in self._seen_red:
+        for name, error in self._seen_red.items():
             event.stream.writeln(f"known red: {name}")
+            event.stream.writeln(f"known red, seen: {error}")
         counts = self._counts
         event.stream.writeln(
             f"{counts['passed']} passed, {counts['failed']} failed, {counts['skipped']} skipped"
