Log each run that is lost with its server

Cause: a lost run left no line that names its task; only the number of runs on the server was logged. So the log could not say which task was there at each crash, nor whether its server had confirmed the run. Change: a line for each lost run with its age since the confirmation and the number of runs beside it, and a count in the owner's activity. No decision changes.

--- a/toucandoor/core/scheduling/activity.py
+++ b/toucandoor/core/scheduling/activity.py
@@ -16,6 +16,7 @@
         runs_planned: Runs assigned to a backend server.
         runs_started: Starts that a backend server has confirmed.
         runs_ended: Ends of runs that a backend server has reported.
+        runs_lost: Runs that were lost with their backend server, without a reported end.
         jobs_ended: Jobs that have reached a final state.
         jobs_late: Those of them that were completed after their objective.
         first_planned_s: When the first run was planned, on the monotonic clock; None before that.
@@ -25,6 +26,7 @@
     runs_planned: int = 0
     runs_started: int = 0
     runs_ended: int = 0
+    runs_lost: int = 0
     jobs_ended: int = 0
     jobs_late: int = 0
     first_planned_s: float | None = None
@@ -43,6 +45,7 @@
             "planned": self.runs_planned,
             "started": self.runs_started,
             "ended": self.runs_ended,
+            "lost": self.runs_lost,
             "jobs_ended": self.jobs_ended,
             "jobs_late": self.jobs_late,
         }
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -317,8 +317,18 @@
                 extra={"worker": worker.entry.worker_id, "runs": len(worker.runs)},
             )
         for run in list(worker.runs.values()):
+            self.activity.runs_lost += 1
+            _LOGGER.info(
+                "runs: lost with its server", extra=run_fields(run) | self._lost_fields(run)
+            )
             self.discard_run(run)
 
+    def _lost_fields(self, run: Run) -> dict[str, object]:
+        """Return what tells whether a lost run may have crashed its server."""
+        confirmed = run.confirmed_s is not None
+        since_s = self.now_s - run.confirmed_s if run.confirmed_s is not None else 0.0
+        return {"confirmed": confirmed, "age_s": round(since_s, 3), "runs": len(run.worker.runs)}
+
     def ceiling_of(self, team_id: TeamId) -> Resources | None:
         """Return the most that a team may have running; None for no ceiling."""
         if not team_id or self.configuration is None:
