Give up tasks that crash the servers that start them

Cause: only ends that a server reports counted as attempts. A run that was lost with its server left nothing in its task, which was planned again at once, with copies twice as often. Change: lost runs are counted in the job's record, separately where a later boot proves the crash. A counted task runs apart from others and gets no copies; its job fails at the third crash that it alone can have caused, or at the fifth loss. Why it works: the count is in the same record as the next planned run, so no start is sent before it is stored, and every owner reads it. A run that its server has reported for three seconds clears its task, so that jobs which lose their servers for other reasons do not fail: 20 seeds of random crashes, and 20 of tasks beside crashing ones, in the tests.

--- a/tests/core/scheduling/test_server_crashes.py
+++ b/tests/core/scheduling/test_server_crashes.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 import unittest
+from typing import TYPE_CHECKING
 
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job
 from toucandoor.core.jobs.models import JobState, Step, TaskKey
@@ -10,9 +12,15 @@
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import JobId, WorkerId
 
+if TYPE_CHECKING:
+    from toucandoor.core.jobs.models import JobSpec
+
 CRASH_AFTER_S = 0.01
 BACK_AFTER_S = 3.3
 RACKS = 3
+SUBMIT_INTERVAL_S = 0.8
+CRASH_INTERVAL_S = 30.0
+"""Mean time between crashes of one server that no task causes."""
 STARTS_MAX = 5
 """Starts of a task that crashes its servers: three, and two after three servers have crashed."""
 
@@ -22,15 +30,20 @@
 
     Attributes:
         crashing: Jobs with such a task.
+        specs: All jobs.
         task_starts: Number of starts of each task.
         back_after_s: Time after which a crashed server starts again; None if it stays away.
+        durations_s: Run times of tasks, of which one is drawn for each run.
     """
 
     def __init__(self, workers: int = 6) -> None:
         super().__init__(configuration(), self._behave)
         self.crashing: set[JobId] = set()
+        self.specs: dict[JobId, JobSpec] = {}
         self.task_starts: dict[TaskKey, int] = {}
         self.back_after_s: float | None = BACK_AFTER_S
+        self.durations_s = [1.0]
+        self._random = random.Random(0)
         for number in range(workers):
             self.boot_number(number)
         self.take_over()
@@ -44,10 +57,19 @@
     def _behave(self, task: TaskKey, worker: WorkerId) -> TaskBehaviour:
         self.task_starts[task] = self.task_starts.get(task, 0) + 1
         if self.crashes(task):
-            self.schedule(CRASH_AFTER_S, lambda: self._crash(worker))
-        return TaskBehaviour(NEEDS, 1.0)
-
-    def _crash(self, worker: WorkerId) -> None:
+            self.schedule(CRASH_AFTER_S, lambda: self.crash_and_restart(worker))
+        lasting = self.specs[task.job_id].steps[task.step].long_running
+        return TaskBehaviour(
+            NEEDS, float("inf") if lasting else self._random.choice(self.durations_s)
+        )
+
+    def submit(self, spec: JobSpec, *, former_build: bool = False) -> None:
+        self.specs[spec.job_id] = spec
+        super().submit(spec, former_build=former_build)
+
+    def crash_and_restart(self, worker: WorkerId) -> None:
+        if not self.workers[worker].alive:
+            return
         self.crash(worker)
         if self.back_after_s is not None:
             number = int(worker.removeprefix("w"))
@@ -74,6 +96,105 @@
         states = [virtual.state(each.job_id) for each in others]
         self.assertEqual(states, [JobState.COMPLETED] * len(others))
 
+    # Guards against copies that carry the crash to further servers before it is known.
+    def test_a_task_that_crashes_its_servers_gets_no_copies_without_end(self) -> None:
+        virtual = CrashingFleet()
+        virtual.observations.copies_allowed = lambda _task: True
+        crashing = job(1, Step(2, NEEDS, estimate_ms=1000, copies_allowed=True))
+        virtual.crashing.add(crashing.job_id)
+        virtual.submit(crashing)
+        virtual.run(60.0)
+        self.assert_given_up(virtual, crashing.job_id)
+
+    # Guards against crashes that a new owner forgets, whatever the former one had time to record.
+    def test_a_new_owner_knows_the_crashes_of_a_task(self) -> None:
+        for pause_s in (0.05, 1.0, 3.31, 3.4):
+            with self.subTest(pause_s=pause_s):
+                virtual = CrashingFleet()
+                crashing = job(1, Step(2, NEEDS, estimate_ms=1000))
+                virtual.crashing.add(crashing.job_id)
+                virtual.submit(crashing)
+                for _ in range(12):
+                    virtual.run(pause_s)
+                    virtual.take_over()
+                virtual.run(120.0)
+                self.assert_given_up(virtual, crashing.job_id)
+
+    # Guards against a task that ends its servers for good, so that no later boot proves the crash.
+    def test_a_task_whose_servers_stay_away_is_given_up(self) -> None:
+        virtual = CrashingFleet(workers=8)
+        virtual.back_after_s = None
+        crashing = job(1, Step(2, NEEDS, estimate_ms=1000))
+        virtual.crashing.add(crashing.job_id)
+        virtual.submit(crashing)
+        virtual.run(90.0)
+        self.assert_given_up(virtual, crashing.job_id)
+
+    # Guards against a long-running task that is restarted without end.
+    def test_a_long_running_task_that_crashes_its_servers_is_given_up(self) -> None:
+        virtual = CrashingFleet()
+        crashing = job(1, Step(2, NEEDS, long_running=True))
+        virtual.crashing.add(crashing.job_id)
+        virtual.submit(crashing)
+        virtual.run(60.0)
+        self.assert_given_up(virtual, crashing.job_id)
+
+    # Guards against giving up the tasks that ran beside the one that crashed their servers.
+    def test_tasks_beside_those_that_crash_servers_are_not_given_up(self) -> None:
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                chooser = random.Random(seed)
+                virtual = CrashingFleet(workers=8)
+                virtual.durations_s = [0.3, 1.0, 3.0]
+                lasting = job(1, Step(4, NEEDS, long_running=True))
+                virtual.submit(lasting)
+                crashing = {JobId(f"{number:016x}") for number in range(5, 40, 9)}
+                virtual.crashing |= crashing
+                others = []
+                for number in range(2, 40):
+                    spec = job(number, Step(chooser.randint(1, 4), NEEDS, estimate_ms=1000))
+                    virtual.submit(spec)
+                    others += [spec.job_id] if spec.job_id not in crashing else []
+                    virtual.run(chooser.uniform(0.1, 0.8))
+                virtual.run(90.0)
+                for job_id in crashing:
+                    self.assert_given_up(virtual, job_id)
+                for job_id in others:
+                    self.assertEqual(virtual.state(job_id), JobState.COMPLETED, job_id)
+                self.assertEqual(virtual.state(lasting.job_id), JobState.RUNNING)
+
+    # Guards against giving up jobs whose servers crash again and again for other reasons.
+    def test_servers_that_crash_by_themselves_cost_no_job(self) -> None:
+        for seed in range(20):
+            with self.subTest(seed=seed):
+                chooser = random.Random(seed)
+                servers = 6
+                virtual = CrashingFleet(servers)
+                lasting = job(1, Step(4, NEEDS, long_running=True))
+                specs = [lasting, *(job(number) for number in range(2, 40))]
+                for spec in specs:
+                    virtual.submit(spec)
+                    virtual.run(chooser.uniform(0.0, 2 * SUBMIT_INTERVAL_S))
+                    if chooser.random() < SUBMIT_INTERVAL_S * servers / CRASH_INTERVAL_S:
+                        virtual.crash_and_restart(WorkerId(f"w{chooser.randrange(servers)}"))
+                virtual.run(60.0)
+                states = [virtual.state(spec.job_id) for spec in specs]
+                self.assertEqual(
+                    states, [JobState.RUNNING] + [JobState.COMPLETED] * (len(specs) - 1)
+                )
+
+    # Guards against giving up long-running tasks for crashes that lie far apart.
+    def test_a_task_that_has_run_for_a_while_is_cleared(self) -> None:
+        virtual = CrashingFleet(workers=4)
+        lasting = job(1, Step(1, NEEDS, long_running=True))
+        virtual.submit(lasting)
+        for _ in range(8):
+            virtual.run(2.0)
+            (place,) = virtual.observations.running[TaskKey(lasting.job_id, 0, 0, 0)]
+            virtual.crash_and_restart(place)
+            virtual.run(15.0)
+        self.assertEqual(virtual.state(lasting.job_id), JobState.RUNNING)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/core/copies/spare_capacity.py
+++ b/toucandoor/core/copies/spare_capacity.py
@@ -90,7 +90,7 @@
     def _reason(self, run: Run, now_s: float) -> CopyReason | None:
         """Return why a run needs a copy now; None if it needs none or may have none."""
         task = run.task
-        if len(task.runs) != 1 or task.done or run.stop_requested:
+        if len(task.runs) != 1 or task.done or task.suspect or run.stop_requested:
             return None
         if run.state is RunState.PLANNED or not run.worker.entry.rack:
             return None
--- a/toucandoor/core/jobs/records.py
+++ b/toucandoor/core/jobs/records.py
@@ -70,6 +70,24 @@
     runs: tuple[RunRecord, ...]
 
 
+class LossRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Runs of a task that were lost with their backend servers.
+
+    Attributes:
+        occurrence: Number of the occurrence.
+        step: Number of the step.
+        index: Number of the task in the step.
+        crashes: Backend servers that crashed with a run of it.
+        unexplained: Further runs that were lost.
+    """
+
+    occurrence: int
+    step: int
+    index: int
+    crashes: int
+    unexplained: int
+
+
 class DoneRecord(msgspec.Struct, frozen=True, array_like=True):
     """Numbers of the tasks of a step that are done."""
 
@@ -90,6 +108,7 @@
         done: Tasks that are done, by step.
         tasks: Tasks that have had a planned run, and are not done or may still have runs.
         finished_unix_ms: When it reached a final state; 0 before that.
+        losses: Tasks that may crash their backend servers.
     """
 
     state: JobState
@@ -100,6 +119,7 @@
     done: tuple[DoneRecord, ...] = ()
     tasks: tuple[TaskRecord, ...] = ()
     finished_unix_ms: int = 0
+    losses: tuple[LossRecord, ...] = ()
 
 
 class CancelRecord(msgspec.Struct, frozen=True):
--- a/toucandoor/core/scheduling/activity.py
+++ b/toucandoor/core/scheduling/activity.py
@@ -18,6 +18,7 @@
         runs_ended: Ends of runs that a backend server has reported.
         runs_lost: Runs that were lost with their backend server, without a reported end.
         jobs_ended: Jobs that have reached a final state.
+        jobs_given_up: Those of them that were given up, as a task crashed its servers.
         jobs_late: Those of them that were completed after their objective.
         first_planned_s: When the first run was planned, on the monotonic clock; None before that.
     """
@@ -28,6 +29,7 @@
     runs_ended: int = 0
     runs_lost: int = 0
     jobs_ended: int = 0
+    jobs_given_up: int = 0
     jobs_late: int = 0
     first_planned_s: float | None = None
 
@@ -47,5 +49,6 @@
             "ended": self.runs_ended,
             "lost": self.runs_lost,
             "jobs_ended": self.jobs_ended,
+            "jobs_given_up": self.jobs_given_up,
             "jobs_late": self.jobs_late,
         }
--- a/toucandoor/core/scheduling/const.py
+++ b/toucandoor/core/scheduling/const.py
@@ -59,5 +59,12 @@
 FAILING_JOBS_TO_SUSPECT: Final = 2
 """Different jobs with failed runs within the window at which a backend server is suspected and gets
 no new tasks."""
+HARMLESS_AFTER_S: Final = 3.0
+"""Time for which a server must report a run to show that the run does not crash it. Most tasks take
+no longer, so that one that crashes its server at its end counts as well."""
+LOSSES_TO_ISOLATE: Final = 2
+"""Lost runs after which a task gets a server without other runs that may crash it."""
+ISOLATION_WAIT_S: Final = 2.0
+"""Longest wait for such a server; a task that can run must have a run within three seconds."""
 SUSPECT_PAUSE_S: Final = 3.0
 """Time without new tasks for a suspected backend server."""
--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.core.failure_domains.rack_spread import tasks_beyond_promise
+from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.pacing import latency_sensitive_runs
 
 if TYPE_CHECKING:
@@ -90,6 +91,8 @@
         now_s: The monotonic time.
     """
     fitting = [worker for worker in allowed if _fits(worker, step.step, on_worker)]
+    if task.isolated and now_s < task.lost_s + const.ISOLATION_WAIT_S:
+        fitting = [each for each in fitting if all(run.harmless for run in each.runs.values())]
     if not fitting:
         return None
     beyond = tasks_beyond_promise(step, task)
@@ -132,8 +135,8 @@
 
     def choose(self, task: Task) -> WorkerView | None:
         """Return the best server with free capacity; None if there is none."""
-        if self._spread or task.failed_on:
-            # Its own order: the racks of the other tasks count, or where it has failed.
+        if self._spread or task.failed_on or task.suspect:
+            # Its own order: the racks of the other tasks count, or what happened to it before.
             self._sorted = None
             return choose_worker(self._allowed, self._step, task, self._on_worker, self._now_s)
         if self._sorted is None:
@@ -150,27 +153,33 @@
 
 
 def _fits(worker: WorkerView, step: Step, on_worker: dict[WorkerId, int]) -> bool:
-    """Return whether a server has room for a task; a slow one runs one task at a time."""
+    """Return whether a server has room for a task.
+
+    A slow one runs one task at a time, and one with an isolated run gets no other.
+    """
     limit = step.per_worker_max
     return (
         step.reserved.fits_in(worker.free)
         and not (limit and on_worker.get(worker.entry.worker_id, 0) >= limit)
         and not (worker.slow and worker.runs)
+        and not worker.isolated_runs
     )
 
 
-def _cost(
-    worker: WorkerView, step: Step, task: Task, now_s: float
-) -> tuple[bool, bool, bool, bool, int, float]:
+def _cost(worker: WorkerView, step: Step, task: Task, now_s: float) -> tuple[float, ...]:
     """Return the sort key of a server for a task; lower is better.
 
-    In this order: the server is not slow, the task has not failed there, the server is not cold,
-    the task's data is on its rack, a best-effort task slows down few latency-sensitive runs, and
-    the server has the largest share of its capacity in use.
+    In this order: the server is not slow, it has no run of a task that may crash it, the task has
+    not failed there, the server is not cold, the task's data is on its rack, a best-effort task
+    slows down few latency-sensitive runs, and the server has the largest share of its capacity in
+    use. A task that may crash its server goes where the fewest runs would be lost instead.
     """
+    if task.suspect:
+        return (worker.slow, worker.suspect_runs, len(worker.runs))
     failed_there = worker.entry.worker_id in task.failed_on
     far = bool(step.data_rack) and step.data_rack not in worker.entry.labels
     slowed = len(latency_sensitive_runs(worker)) if step.uses_leftovers else 0
     # The fullest server comes first, so that others stay empty and their VMs can be lent.
     cold = now_s < worker.cold_until_s
-    return (worker.slow, failed_there, cold, far, slowed, -worker.used_ratio)
+    beside_suspect = worker.suspect_runs > 0
+    return (worker.slow, beside_suspect, failed_there, cold, far, slowed, -worker.used_ratio)
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -160,6 +160,8 @@
                 return
             chosen = servers.choose(task)
             if chosen is None:
+                if task.isolated:
+                    continue  # others may fit where it may not run
                 if len(allowed) == len(workers) and not step.step.per_worker_max:
                     without_room.append(reserved)
                 return
--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -6,7 +6,14 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.core.jobs.models import JobState, StepKey, TaskKey
-from toucandoor.core.jobs.records import DoneRecord, ProgressRecord, RunRecord, TaskRecord
+from toucandoor.core.jobs.records import (
+    DoneRecord,
+    LossRecord,
+    ProgressRecord,
+    RunRecord,
+    TaskRecord,
+)
+from toucandoor.core.scheduling import const
 
 if TYPE_CHECKING:
     from toucandoor.core.jobs.models import JobSpec, Step
@@ -29,6 +36,10 @@
         checkpoint: Latest saved progress.
         runs: Runs that may exist; at most one unless the step allows copies.
         failed_on: Backend servers on which it has failed.
+        crashes: Backend servers that crashed with a run of it, since one last ran it for a while.
+        unexplained_losses: Further runs of it that were lost in that time; their servers may only
+            have been unreachable, or may have crashed before they got the start.
+        lost_s: When the latest of these runs was lost, on the monotonic clock.
         not_before_s: Earliest time of its next start.
     """
 
@@ -41,6 +52,9 @@
     checkpoint: str = ""
     runs: list[Run] = field(default_factory=list)
     failed_on: set[WorkerId] = field(default_factory=set)
+    crashes: int = 0
+    unexplained_losses: int = 0
+    lost_s: float = 0.0
     not_before_s: float = 0.0
 
     @property
@@ -48,6 +62,20 @@
         """Whether it needs a run."""
         return not self.done and not self.runs
 
+    @property
+    def suspect(self) -> bool:
+        """Whether it may crash the backend servers that start it."""
+        return self.crashes + self.unexplained_losses > 0
+
+    @property
+    def isolated(self) -> bool:
+        """Whether it has to run apart from others that may crash a server.
+
+        The tasks of a gang can only be placed together.
+        """
+        losses = self.crashes + self.unexplained_losses
+        return losses >= const.LOSSES_TO_ISOLATE and not self.step.gang
+
 
 @dataclass(slots=True, eq=False)
 class StepProgress:
@@ -173,6 +201,12 @@
             for task in step.tasks:
                 if task.runs or (task.attempt and not task.done and not self.state.final):
                     tasks.append(_task_record(task))
+        losses = tuple(
+            LossRecord(*task.key[1:], task.crashes, task.unexplained_losses)
+            for step in self.steps.values()
+            for task in step.tasks
+            if task.suspect and not task.done and not self.state.final
+        )
         return ProgressRecord(
             state=self.state,
             queue=self.spec.queue,
@@ -182,6 +216,7 @@
             done=tuple(done),
             tasks=tuple(tasks),
             finished_unix_ms=self.finished_unix_ms,
+            losses=losses,
         )
 
     def restore(self, record: ProgressRecord, revision: int) -> list[tuple[Task, RunRecord]]:
@@ -201,6 +236,9 @@
             for index in done.indexes:
                 step.tasks[index].done = True
             step.remaining = sum(not task.done for task in step.tasks)
+        for lost in record.losses:
+            task = self.step(lost.occurrence, lost.step).tasks[lost.index]
+            task.crashes, task.unexplained_losses = lost.crashes, lost.unexplained
         runs: list[tuple[Task, RunRecord]] = []
         for stored in record.tasks:
             task = self.step(stored.occurrence, stored.step).tasks[stored.index]
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from toucandoor.core.scheduling.progress import JobProgress, Task
+    from toucandoor.core.scheduling.server_crashes import ServerCrashes
     from toucandoor.core.scheduling.state import ScheduleState
     from toucandoor.core.scheduling.workers import ActiveRun, EndedRun, StatusReport
 
@@ -27,8 +28,9 @@
         samples: Measures the run times of the runs that end.
     """
 
-    def __init__(self, state: ScheduleState) -> None:
+    def __init__(self, state: ScheduleState, crashes: ServerCrashes) -> None:
         self._state = state
+        self._crashes = crashes
         self.samples = RunSamples(state)
 
     def process_report(self, worker: WorkerView, report: StatusReport, sent_s: float) -> None:
@@ -169,6 +171,7 @@
             run.task.checkpoint = seen.checkpoint
         run.speed_percent = seen.speed_percent
         run.recent_metric = seen.recent_metric
+        self._crashes.on_reported(run)
 
     def _stop_unplanned_run(self, worker: WorkerView, seen: ActiveRun, now_s: float) -> None:
         """Stop a reported run that this owner has not planned; its start was carried out late."""
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -83,7 +83,7 @@
         self._state.may_start = self.evacuation.may_start
         self.registry = WorkerRegistry(self._state)
         self.run_orders = RunOrders(self._state, self.registry)
-        self._ends = RunEnds(self._state)
+        self._ends = RunEnds(self._state, self.registry.crashes)
         self._placer = Placer(self._state)
         self._writer = ProgressWriter(self._state)
         self.retention = Retention(self._state, settings.status_retention_s)
@@ -238,6 +238,7 @@
             self.registry.boot_ended(worker, "restarted")
             return
         worker.answered_s = state.now_s
+        worker.lost_runs.clear()
         worker.acknowledgement_confirmed = worker.acknowledgement_in_flight
         worker.update_clock(report.clock_ms, state.now_s)
         if not worker.contacted:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -252,6 +252,7 @@
 
     def attach(self, run: Run) -> None:
         """Add a run to its task and backend server, and count it for its team."""
+        run.suspect, run.isolated = run.task.suspect, run.task.isolated
         run.worker.add(run)
         run.task.runs.append(run)
         if may_be_copied(run.task.step):
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.core.jobs.models import NO_RESOURCES
+from toucandoor.core.scheduling.server_crashes import ServerCrashes
 from toucandoor.core.scheduling.state import at_full_speed
 from toucandoor.core.scheduling.worker_view import WorkerView
 from toucandoor.core.scheduling.workers import WorkerEntry
@@ -21,10 +22,15 @@
 
 
 class WorkerRegistry:
-    """Adds, updates and removes the backend servers of a schedule."""
+    """Adds, updates and removes the backend servers of a schedule.
+
+    Attributes:
+        crashes: Counts the runs that were lost with their servers.
+    """
 
     def __init__(self, state: ScheduleState) -> None:
         self._state = state
+        self.crashes = ServerCrashes(state)
 
     def listed(self, entry: WorkerEntry) -> None:
         """Process a new or changed entry of a backend server in the platform's list."""
@@ -90,7 +96,10 @@
             worker: The boot.
             reason: End of the log message; says how the boot ended.
         """
+        lost = [*worker.lost_runs, *worker.runs.values()]
+        worker.lost_runs.clear()
         self._state.discard_runs(worker, reason)
+        self.crashes.on_lost(worker, lost, ended=True)
         worker.listed = False
         worker.ended = True
         worker.uncommitted.clear()
@@ -105,16 +114,25 @@
                 self._discard_if_expired(worker, now_s)
             elif not worker.listed and not worker.uncommitted:
                 gone.append(worker_id)
+            if worker.lost_runs and not worker.listed:
+                self._count_lost_runs(worker)
         for worker in state.former_boots:
             self._discard_if_expired(worker, now_s)
+            self._count_lost_runs(worker)
         state.former_boots = [worker for worker in state.former_boots if worker.runs]
         for worker_id in gone:
             del state.workers[worker_id]
 
     def _discard_if_expired(self, worker: WorkerView, now_s: float) -> None:
         if worker.runs and worker.unresponsive and worker.lease_expired(now_s):
+            worker.lost_runs += worker.runs.values()
             self._state.discard_runs(worker, "was unreachable until its lease expired")
 
+    def _count_lost_runs(self, worker: WorkerView) -> None:
+        """Count the lost runs of a boot that is treated as gone."""
+        lost, worker.lost_runs = worker.lost_runs, []
+        self.crashes.on_lost(worker, lost, ended=False)
+
     def unresponsive_leases_s(self) -> dict[Boot, float]:
         """Return the longest time, in s, until the lease of each unresponsive boot expires."""
         now_s = self._state.now_s
@@ -201,5 +219,5 @@
 def _unlisted_entry(worker_id: WorkerId, booted_unix_ms: int) -> WorkerEntry:
     """Return an entry for a boot that is known only from the record of a run."""
     return WorkerEntry(
-        worker_id, PoolId(""), "", DataCentreId(""), NO_RESOURCES, (), True, booted_unix_ms
+        worker_id, PoolId(""), "", DataCentreId(""), NO_RESOURCES, (), False, booted_unix_ms
     )
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -52,6 +52,8 @@
         speed_limit_percent: Share of its full speed that it was last limited to.
         recent_metric: Last reported `ActiveRun.recent_metric`.
         checkpoint: Saved progress from which it starts.
+        suspect: Whether its task may crash the server, by the runs before this one.
+        isolated: Whether no other run is placed beside it.
     """
 
     key: RunKey
@@ -71,6 +73,15 @@
     speed_limit_percent: int = 100
     recent_metric: int = 0
     checkpoint: str = ""
+    suspect: bool = False
+    isolated: bool = False
+
+    @property
+    def harmless(self) -> bool:
+        """Whether the server has reported it for so long that it is not what crashes the server."""
+        if self.confirmed_s is None:
+            return False
+        return self.worker.reported_s - self.confirmed_s >= const.HARMLESS_AFTER_S
 
     @property
     def is_copy(self) -> bool:
@@ -91,6 +102,10 @@
         contacted: Whether it has answered a heartbeat of this owner; reset when it must answer
             another one before it gets new tasks.
         runs: Runs that exist or may exist on it.
+        lost_runs: Runs that were discarded because its lease expired, until it answers or is known
+            to have ended.
+        suspect_runs: Number of its runs whose tasks may crash it.
+        isolated_runs: Number of those that no other run is placed beside.
         unknown_runs: Runs that it has reported and whose jobs are not in the schedule, with the
             earliest time of the next order to stop each.
         used: Capacity reserved by these runs.
@@ -132,6 +147,9 @@
     ended: bool = False
     contacted: bool = False
     runs: dict[RunKey, Run] = field(default_factory=dict)
+    lost_runs: list[Run] = field(default_factory=list)
+    suspect_runs: int = 0
+    isolated_runs: int = 0
     unknown_runs: dict[RunKey, float] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
     free: Resources = field(init=False)
@@ -176,14 +194,24 @@
         """Add a run and reserve its capacity."""
         self.runs[run.key] = run
         self.used = self.used + run.task.step.reserved
+        self.suspect_runs += run.suspect
+        self.isolated_runs += run.isolated
         self._update_free()
 
     def remove(self, run: Run) -> None:
         """Remove a run and free its capacity."""
         if self.runs.pop(run.key, None) is not None:
             self.used = self.used - run.task.step.reserved
+            self.suspect_runs -= run.suspect
+            self.isolated_runs -= run.isolated
             self._update_free()
 
+    def clear_suspect(self, run: Run) -> None:
+        """Record that the task of one of its runs does not crash it."""
+        self.suspect_runs -= run.suspect
+        self.isolated_runs -= run.isolated
+        run.suspect = run.isolated = False
+
     def hold(self, amount: Resources) -> None:
         """Keep capacity free for a task that is being stopped elsewhere."""
         self.held = self.held + amount
