--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -235,6 +235,11 @@
             used.memory_mb / capacity.memory_mb if capacity.memory_mb else 0.0,
         )
 
+    @property
+    def overcommitted(self) -> bool:
+        """Whether its runs have reserved more than its capacity, which has shrunk."""
+        return not self.used.fits_in(self.entry.capacity)
+
     def update_clock(self, clock_ms: int, now_s: float) -> None:
         """Store the server's clock from an answer that has just arrived."""
         self.clock_ms = clock_ms
