Start nothing beside runs whose jobs have ended until they have ended too

Callers would see tasks on a server that doesn't check its capacity beyond what it has (LIMIT: what is being stopped still counts). Cause: runs that a server reports and whose jobs are not in the schedule are stopped, but reserve nothing, as their size is unknown. Evidence: test_runs_of_ended_jobs_use_capacity_until_they_have_ended failed before: the stand-in refused a start for want of room. Change: such a server gets no new tasks until it reports no such run. tests.core.scheduling passes.

--- a/tests/core/scheduling/test_capacity_changes.py
+++ b/tests/core/scheduling/test_capacity_changes.py
@@ -1,15 +1,18 @@
-"""Backend servers whose capacity shrinks and grows, and that do not check it themselves."""
+"""Backend servers that do not check their capacity themselves."""
 
 from __future__ import annotations
 
 import unittest
 from dataclasses import replace
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from tests.core.scheduling.common import CAPACITY, NEEDS, fleet, job, never_ends
-from toucandoor.core.jobs.models import Resources, Step
+from toucandoor.core.jobs.models import Resources, Step, TaskKey
+from toucandoor.core.scheduling.workers import OrderRefusedError, RunKey, StartOrder
 from toucandoor.fakes.virtual_calls import CallOutcome
-from toucandoor.ids import WorkerId
+from toucandoor.fakes.virtual_platform import VirtualWorker
+from toucandoor.ids import JobId, WorkerId
 
 if TYPE_CHECKING:
     from toucandoor.fakes.virtual_fleet import VirtualFleet
@@ -46,6 +49,32 @@
         virtual.run(3.0)
         self.assertEqual(virtual.workers[WorkerId("w0")].used(), NEEDS.times(4))
 
+    # Guards against tasks beside runs that are being stopped and whose jobs the owner doesn't know.
+    def test_runs_of_ended_jobs_use_capacity_until_they_have_ended(self) -> None:
+        virtual = fleet(workers=1, behaviour=never_ends)
+        owner = virtual.take_over()
+        virtual.run(0.5)
+        worker = virtual.workers[WorkerId("w0")]
+        key = RunKey(TaskKey(JobId("f" * 16), 0, 0, 0), 1)
+        until_ms = worker.clock_ms() + 5000
+        worker.start(StartOrder(key, "payload", until_ms, owner.scheduler.token, "", ""))
+        refused: list[OrderRefusedError] = []
+        start = worker.start
+
+        def observed_start(order: StartOrder) -> int:
+            try:
+                return start(order)
+            except OrderRefusedError as err:
+                refused.append(err)
+                raise
+
+        virtual.submit(job(1, Step(4, NEEDS, long_running=True)))
+        with mock.patch.object(VirtualWorker, "start", lambda _self, order: observed_start(order)):
+            virtual.take_over()
+            virtual.run(3.0)
+        self.assertEqual(refused, [])
+        self.assertEqual(worker.used(), NEEDS.times(4))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -297,6 +297,7 @@
             self.listed
             and not self.ended
             and not self.unresponsive
+            and not self.unknown_runs  # they use an unknown part of the capacity
             and not self.entry.draining
             and not self.cordoned
             and not self.leaving
