--- a/tests/core/scheduling/test_machine.py
+++ b/tests/core/scheduling/test_machine.py
@@ -10,6 +10,7 @@
 import os
 import random
 import unittest
+from functools import partial
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -21,7 +22,7 @@
 from toucandoor.core.scheduling.workers import EndReason
 from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.fakes.virtual_fleet import VirtualFleet
-from toucandoor.fakes.virtual_platform import TaskBehaviour
+from toucandoor.fakes.virtual_platform import TaskBehaviour, VirtualWorker
 from toucandoor.ids import JobId, WorkerId
 
 LONG_RUN = bool(os.environ.get("TOUCANDOOR_LONG_RUN"))
@@ -30,6 +31,8 @@
 SLOW_S = 8.0
 """Run time on one server of tasks that allow copies, so that copies end before the first run."""
 ATTEMPTS_MAX = 3
+CRASHING_STARTS_MAX = 5
+"""Starts of a task that crashes its servers: three, and two after three servers have crashed."""
 
 
 class SchedulerMachine(RuleBasedStateMachine):
@@ -50,6 +53,8 @@
         self.fleet.take_over()
         self.jobs: list[JobId] = []
         self.specs: list[JobSpec] = []
+        self.crashing: set[JobId] = set()
+        self.crashing_starts: dict[TaskKey, int] = {}
 
     def boot(self, number: int, *, clock_rate: float = 1.0) -> None:
         labels = ("a", f"r{number % RACKS}")
@@ -60,20 +65,45 @@
         return spec.steps[task.step].copies_allowed
 
     def behave(self, task: TaskKey, worker: WorkerId) -> TaskBehaviour:
+        if task.job_id in self.crashing and task.number == 0:
+            self.crashing_starts[task] = self.crashing_starts.get(task, 0) + 1
+            self.fleet.schedule(0.01, partial(self.crash_and_restart, self.fleet.workers[worker]))
         failed = worker in self.bad
         reason = EndReason.FAILED if failed else EndReason.DONE
         if worker == "w0" and self.copies_allowed(task):
             return TaskBehaviour(NEEDS, SLOW_S, reason)
         return TaskBehaviour(NEEDS, self.random.choice([0.3, 1.0, 4.0]), reason)
 
+    def crash_and_restart(self, worker: VirtualWorker) -> None:
+        worker_id = worker.entry.worker_id
+        if not worker.alive:
+            return
+        self.fleet.crash(worker_id)
+
+        def restart() -> None:
+            if self.fleet.workers[worker_id] is worker:
+                self.boot(int(worker_id.removeprefix("w")))
+
+        self.fleet.schedule(3.3, restart)
+
     def choose_outcome(self, kind: str) -> CallOutcome:
         if self.random.random() >= self.trouble.get(kind, 0.0):
             return CallOutcome.ANSWERED
         return self.random.choice([CallOutcome.ANSWER_LOST, CallOutcome.LATE, CallOutcome.NOT_SENT])
 
-    @rule(tasks=st.integers(1, 4), steps=st.integers(1, 2), copied=st.sampled_from([0, 1, 2, 3]))
-    def submit(self, tasks: int, steps: int, copied: int) -> None:
-        """Submit a job; `copied` is a set of bits, one for each step that allows copies."""
+    @rule(
+        tasks=st.integers(1, 4),
+        steps=st.integers(1, 2),
+        copied=st.sampled_from([0, 1, 2, 3]),
+        crashing=st.sampled_from([False, False, False, True]),
+    )
+    def submit(self, tasks: int, steps: int, copied: int, crashing: bool) -> None:
+        """Submit a job.
+
+        Args:
+            copied: Set of bits, one for each step that allows copies.
+            crashing: Whether the first task of each step crashes the servers that start it.
+        """
         made = [
             Step(
                 tasks,
@@ -85,9 +115,11 @@
             for number in range(steps)
         ]
         spec = job(len(self.jobs) + 1, *made)
-        self.fleet.submit(spec)
+        if crashing:
+            self.crashing.add(spec.job_id)
         self.jobs.append(spec.job_id)
         self.specs.append(spec)
+        self.fleet.submit(spec)
 
     @rule(which=st.integers(0, 20), former_build=st.booleans())
     def repeat_submission(self, which: int, former_build: bool) -> None:
@@ -149,6 +181,8 @@
         assert self.fleet.observations.violations == []
         for task, attempts in self.fleet.observations.failed.items():
             assert len(attempts) <= ATTEMPTS_MAX, (task, attempts)
+        for task, starts in self.crashing_starts.items():
+            assert starts <= CRASHING_STARTS_MAX, (task, starts)
 
     def no_run_is_left_behind(self) -> None:
         """Guards against other runs of a task that go on once it is done."""
