Log whether a boot had listed a run that is lost with it

Cause: the line of a lost run did not tell a run that the earlier boot is known to have begun from one whose start may have reached the later boot under the same id; the hypotheses on the incident differ in just that. Change: reported and starts in 'runs: lost with its server'. No decision changes.

--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -165,6 +165,7 @@
     def _confirm_run(self, run: Run, seen: ActiveRun, now_s: float) -> None:
         if run.state in (RunState.STARTING, RunState.RECOVERED):
             run.state = RunState.RUNNING
+        run.reported = True
         if run.confirmed_s is None:
             run.confirmed_s = now_s
         if seen.checkpoint:
@@ -184,7 +185,7 @@
         task = find_task(job, seen.run.task)
         if task is None:
             return
-        run = Run(seen.run, task, worker, RunState.RUNNING, now_s, confirmed_s=now_s)
+        run = Run(seen.run, task, worker, RunState.RUNNING, now_s, confirmed_s=now_s, reported=True)
         run.checkpoint = seen.checkpoint
         task.attempt = max(task.attempt, seen.run.attempt)
         state.attach(run)
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -328,7 +328,13 @@
         """Return what tells whether a lost run may have crashed its server."""
         confirmed = run.confirmed_s is not None
         since_s = self.now_s - run.confirmed_s if run.confirmed_s is not None else 0.0
-        return {"confirmed": confirmed, "age_s": round(since_s, 3), "runs": len(run.worker.runs)}
+        return {
+            "confirmed": confirmed,
+            "reported": run.reported,
+            "starts": run.starts_sent,
+            "age_s": round(since_s, 3),
+            "runs": len(run.worker.runs),
+        }
 
     def ceiling_of(self, team_id: TeamId) -> Resources | None:
         """Return the most that a team may have running; None for no ceiling."""
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -41,6 +41,7 @@
         state: Progress of the run.
         created_s: When it was planned or recovered, on the monotonic clock.
         confirmed_s: When the server first confirmed it; None before that.
+        reported: Whether this boot of the server has listed it in a status report.
         stop_requested: Whether it is to be stopped before its work is done.
         stop_answered_s: When a stop was last confirmed, on the monotonic clock; None before that.
         stop_acknowledged: Whether the server refuses this attempt number from now on.
@@ -62,6 +63,7 @@
     state: RunState
     created_s: float
     confirmed_s: float | None = None
+    reported: bool = False
     stop_requested: bool = False
     stop_answered_s: float | None = None
     stop_acknowledged: bool = False
