Reproduce two runs of a task around a restart in place

The stand-ins let the list name a server late, and a late order reach the boot that is there when it arrives.

--- /dev/null
+++ b/tests/core/scheduling/test_restarts_in_place.py
@@ -0,0 +1,101 @@
+"""Backend servers that start again under their ids: an order for one boot may reach the next."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, fleet, job
+from toucandoor.core.jobs.models import JobState, Step
+from toucandoor.fakes.virtual_calls import CallOutcome
+from toucandoor.fakes.virtual_platform import TaskBehaviour
+from toucandoor.ids import WorkerId
+
+if TYPE_CHECKING:
+    from toucandoor.core.jobs.models import JobSpec
+    from toucandoor.fakes.virtual_fleet import VirtualFleet
+
+RUN_S = 4.0
+LISTED_AFTER_S = 0.4
+
+
+class RestartsInPlaceTest(unittest.TestCase):
+    """Fleets with two idle servers, which get no heartbeats, so that a restart goes unnoticed."""
+
+    def setUp(self) -> None:
+        self.fleet = self.idle_fleet()
+        self.job = job(1, Step(1, NEEDS, estimate_ms=int(RUN_S * 1000)))
+
+    def idle_fleet(self) -> VirtualFleet:
+        virtual = fleet(workers=2, behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, RUN_S))
+        virtual.run(1.0)
+        return virtual
+
+    def restart(self, virtual: VirtualFleet, listed_after_s: float = LISTED_AFTER_S) -> None:
+        """Restart, in place, the server that gets the next task."""
+        virtual.workers[WorkerId("w0")].crash()
+        virtual.boot("w0", POOL, CAPACITY, listed_after_s=listed_after_s)
+
+    def assert_runs_once(self, virtual: VirtualFleet, spec: JobSpec, *, starts: int = 1) -> None:
+        self.assertEqual(virtual.observations.violations, [])
+        self.assertEqual(virtual.state(spec.job_id), JobState.COMPLETED)
+        self.assertEqual(virtual.observations.starts, starts)
+
+    # Guards against a second run of a task beside one that the later boot has taken.
+    def test_a_start_that_a_later_boot_has_taken_is_not_repeated_elsewhere(self) -> None:
+        self.restart(self.fleet)
+        self.fleet.submit(self.job)
+        self.fleet.run(12.0)
+        self.assert_runs_once(self.fleet, self.job)
+
+    # Guards against the same where the list names the later boot before it has reported anything.
+    def test_a_start_in_flight_when_a_later_boot_is_listed_is_not_repeated_elsewhere(self) -> None:
+        for delay_s in (0.001, 0.005, 0.05, 0.2):
+            virtual = self.idle_fleet()
+            virtual.calls.choose_send_delay_s = lambda delay_s=delay_s: delay_s
+            virtual.submit(self.job)
+            virtual.run(0.02)
+            self.restart(virtual, listed_after_s=delay_s / 2)
+            virtual.run(16.0)
+            self.assertEqual(virtual.observations.violations, [], delay_s)
+            self.assertEqual(virtual.state(self.job.job_id), JobState.COMPLETED, delay_s)
+
+    # Guards against the same after a change of owner: the record names the earlier boot.
+    def test_a_new_owner_finds_the_run_that_a_later_boot_has_taken(self) -> None:
+        self.restart(self.fleet, listed_after_s=60.0)
+        self.fleet.submit(self.job)
+        self.fleet.run(0.017)
+        self.assertEqual(self.fleet.observations.starts, 1)
+        self.fleet.take_over()
+        self.fleet.run(12.0)
+        self.assert_runs_once(self.fleet, self.job)
+
+    # Guards against a start without an answer that a later boot carries out seconds later.
+    def test_a_late_start_that_reaches_a_later_boot_does_not_run_beside_another(self) -> None:
+        outcomes = iter([CallOutcome.LATE])
+        self.fleet.calls.choose_outcome = lambda kind: (
+            next(outcomes, CallOutcome.ANSWERED) if kind == "start" else CallOutcome.ANSWERED
+        )
+        self.fleet.submit(self.job)
+        self.fleet.run(0.1)
+        self.restart(self.fleet)
+        self.fleet.run(20.0)
+        self.assertEqual(self.fleet.observations.violations, [])
+        self.assertEqual(self.fleet.state(self.job.job_id), JobState.COMPLETED)
+
+    # Guards against a lease that a later boot got by an order for the earlier one and that is
+    # taken for expired.
+    def test_a_run_on_a_later_boot_counts_until_its_own_lease_has_expired(self) -> None:
+        self.fleet.run(20.0)
+        self.restart(self.fleet)
+        self.fleet.submit(self.job)
+        self.fleet.run(0.02)
+        (place,) = next(iter(self.fleet.observations.running.values()))
+        self.fleet.workers[WorkerId(place)].reachable = False
+        self.fleet.run(16.0)
+        self.assertEqual(self.fleet.observations.violations, [])
+        self.assertEqual(self.fleet.state(self.job.job_id), JobState.COMPLETED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/toucandoor/fakes/virtual_calls.py
+++ b/toucandoor/fakes/virtual_calls.py
@@ -204,7 +204,7 @@
                 self._schedule_event(owner, 0.5, unanswered)
                 return
             if outcome is CallOutcome.LATE:
-                self._schedule(self.choose_delay_s(), partial(self._execute_late, worker, execute))
+                self._schedule(self.choose_delay_s(), partial(self._execute_late, view, execute))
                 self._schedule_event(owner, 1.0, unanswered)
                 return
             try:
@@ -220,9 +220,10 @@
 
         self._schedule(CALL_S / 2, arrive)
 
-    def _execute_late(self, worker: VirtualWorker, execute: Callable[[VirtualWorker], int]) -> None:
-        """Carry out an order that reached a boot late; it is lost if that boot has ended."""
-        if not worker.alive:
+    def _execute_late(self, view: WorkerView, execute: Callable[[VirtualWorker], int]) -> None:
+        """Carry out an order late; a later boot under the same id takes it as its own."""
+        worker = self._workers.get(view.entry.worker_id)
+        if worker is None or not worker.alive:
             return
         try:
             execute(worker)
@@ -244,7 +245,7 @@
             if worker is not None and outcome is CallOutcome.LATE:
                 late = partial(
                     self._execute_late,
-                    worker,
+                    order.worker,
                     lambda each: each.heartbeat(
                         order.token, order.lease_until_ms, order.acknowledged
                     ).clock_ms,
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -134,8 +134,13 @@
         vm_id: str | None = None,
         data_centre: str = "dc",
         cold_s: float = 0.0,
+        listed_after_s: float = 0.0,
     ) -> VirtualWorker:
-        """Start a backend server, or restart it under the same id."""
+        """Start a backend server, or restart it under the same id.
+
+        Args:
+            listed_after_s: Time until an owner reads its entry in the platform's list.
+        """
         booted_unix_ms = int(self.clock.now().timestamp() * 1000)
         entry = WorkerEntry(
             WorkerId(worker_id),
@@ -154,9 +159,16 @@
         )
         self.workers[entry.worker_id] = worker
         if self.owner is not None:
-            self.owner.scheduler.worker_listed(entry)
+            if listed_after_s > 0:
+                self.schedule(listed_after_s, lambda: self._list(worker))
+            else:
+                self.owner.scheduler.worker_listed(entry)
         return worker
 
+    def _list(self, worker: VirtualWorker) -> None:
+        if worker.alive and self.owner is not None:
+            self.owner.scheduler.worker_listed(worker.entry)
+
     def crash(self, worker_id: str) -> None:
         """End a backend server at once; the platform's list drops it 4.5 s later."""
         worker = self.workers[WorkerId(worker_id)]
