Find runs on the later boot of a server that has started again under its id

Cause: orders name a server by its id. A server that starts again under its id takes a start that was sent for its earlier boot, before the owner has learned of the restart. When the owner learned of the later boot, it discarded all runs of the earlier one, also those that this boot had never reported, and started their tasks elsewhere while the later boot worked on them. Change: when a later boot is known, by its entry or by its answer, runs that it may have taken move to its view: those with a start that is not answered, and those that the earlier boot has not reported. The next status report decides on answered ones; a start that may still arrive is ruled out by a stop first. A new owner attaches a recorded run to the later boot in the same way, in place of discarding it. The later boot's lease is counted from the restart, as orders for the earlier one may have extended it. Answers to orders for an ended boot are ignored, and outdated entries no longer replace a later boot. Why it works: a run leaves the schedule only once the boot that may have it has reported without it, or can't take it any more.

--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -159,15 +159,17 @@
                 self._confirm_run(run, seen, now_s)
             elif _cannot_exist(run, sent_s):
                 self._state.discard_run(run)
+                if run.from_former_boot and not run.reported:
+                    self._crashes.on_lost(worker, [run], ended=False)
         for unknown in active.values():
             self._stop_unplanned_run(worker, unknown, now_s)
 
     def _confirm_run(self, run: Run, seen: ActiveRun, now_s: float) -> None:
         if run.state in (RunState.STARTING, RunState.RECOVERED):
             run.state = RunState.RUNNING
-        run.reported = True
-        if run.confirmed_s is None:
+        if run.confirmed_s is None or (run.from_former_boot and not run.reported):
             run.confirmed_s = now_s
+        run.reported = True
         if seen.checkpoint:
             run.task.checkpoint = seen.checkpoint
         run.speed_percent = seen.speed_percent
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -118,6 +118,7 @@
             deadline_ms = run.worker.lease_end_ms(const.COPIED_START_DEADLINE_S, now_s)
             until_ms = min(until_ms, deadline_ms) if deadline_ms is not None else until_ms
         run.starts_sent += 1
+        run.starts_unanswered += 1
         step = self._state.step_of(run.task)
         ticket = ""
         if step.advice is not None:
@@ -218,8 +219,9 @@
         """Process a backend server's confirmation of a start."""
         now_s = self._state.now_s
         run.order_in_flight = False
+        run.starts_unanswered -= 1
         run.worker.answered_s = now_s
-        if clock_ms:
+        if clock_ms and run.order_sent_s >= run.worker.known_since_s:
             run.worker.update_clock(clock_ms, now_s)
         if run.key not in run.worker.runs:
             return
@@ -232,6 +234,7 @@
         """Process a backend server's refusal of a start."""
         now_s = self._state.now_s
         run.order_in_flight = False
+        run.starts_unanswered -= 1
         worker = run.worker
         worker.answered_s = now_s
         if run.key not in worker.runs or self._handle_common_refusal(worker, refusal):
@@ -263,6 +266,7 @@
         """Process a start that was not sent because the ownership was not valid at that moment."""
         run.order_in_flight = False
         run.starts_sent -= 1
+        run.starts_unanswered -= 1
         run.next_order_s = self._state.now_s
 
     def start_unanswered(self, run: Run) -> None:
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -196,7 +196,8 @@
         for task, stored in runs:
             worker = self.registry.boot_of_run(stored.worker_id, stored.worker_booted_unix_ms)
             key = RunKey(task.key, stored.attempt)
-            run = Run(key, task, worker, RunState.RECOVERED, state.now_s)
+            run = Run(key, task, worker, RunState.RECOVERED, state.now_s, starts_unanswered=1)
+            run.from_former_boot = worker.entry.booted_unix_ms != stored.worker_booted_unix_ms
             state.attach(run)
             if job.state.final or task.done:
                 state.request_stop(run)
@@ -234,8 +235,10 @@
         state = self._state
         worker.heartbeat_in_flight = False
         worker.heartbeat_failures = 0
+        if worker.ended:
+            return
         if report.booted_unix_ms > worker.entry.booted_unix_ms > 0:
-            self.registry.boot_ended(worker, "restarted")
+            self.registry.later_boot_answered(worker, report.booted_unix_ms)
             return
         worker.answered_s = state.now_s
         worker.lost_runs.clear()
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -279,6 +279,25 @@
         if not job.state.final and not run.task.done:
             self.mark_step_waiting(job, self.step_of(run.task))
 
+    def move_to_later_boot(self, run: Run, worker: WorkerView) -> None:
+        """Move a run to the view of a later boot, which may have taken its start."""
+        job = self.jobs[run.task.key.job_id]
+        self.order.on_detached(job, run, self.now_s)
+        run.worker.remove(run)
+        self.changed_pools.add(run.worker.entry.pool)
+        run.harmless_before = run.harmless
+        run.worker = worker
+        run.from_former_boot = True
+        run.reported = run.stop_acknowledged = False
+        worker.add(run)
+        self.order.on_attached(job, run, self.now_s)
+        self.mark_changed(job)
+        if run.state is not RunState.RECOVERED and run.starts_unanswered > 0:
+            # One of its starts may still arrive; only a stop rules that out.
+            run.state = RunState.STARTING
+            run.confirmed_s = None
+            self.request_stop(run)
+
     def drop_planned(self, job: JobProgress) -> None:
         """Remove the runs of a job whose record is not in the store yet."""
         self.planned.pop(job.spec.job_id, None)
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from toucandoor.core.jobs.models import NO_RESOURCES
+from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.server_crashes import ServerCrashes
 from toucandoor.core.scheduling.state import at_full_speed
 from toucandoor.core.scheduling.worker_view import WorkerView
@@ -40,10 +42,9 @@
             state.workers[entry.worker_id] = self._known_boot(entry) or self._new_view(entry)
             return
         if entry.booted_unix_ms > known.entry.booted_unix_ms > 0:
-            self.boot_ended(known, "restarted")
-            state.workers[entry.worker_id] = self._new_view(entry)
+            self._replace_by_later_boot(known, entry)
             return
-        if known.ended:
+        if known.ended or 0 < entry.booted_unix_ms < known.entry.booted_unix_ms:
             return  # the entry is outdated: this boot has already ended
         if entry.draining and not known.entry.draining:
             _LOGGER.info(
@@ -72,21 +73,48 @@
             )
 
     def boot_of_run(self, worker_id: WorkerId, booted_unix_ms: int) -> WorkerView:
-        """Return the boot that a recovered run is on; add one if the list doesn't contain it."""
+        """Return the boot that a recovered run may be on; add one if the list doesn't contain it.
+
+        A later boot under the same id may have taken the run's start.
+        """
         state = self._state
         known = state.workers.get(worker_id)
         entry = _unlisted_entry(worker_id, booted_unix_ms)
         for view in [*([known] if known is not None else []), *state.former_boots]:
             if view.entry.boot == entry.boot:
                 return view
+        if known is not None and known.entry.booted_unix_ms > booted_unix_ms:
+            return known
         missing = self._new_view(entry)
         missing.listed = False
-        if known is not None and known.entry.booted_unix_ms > booted_unix_ms:
-            # A later boot of the same server is listed, so this one and its runs have ended.
-            missing.former_lease_until_s = 0.0
         state.former_boots.append(missing)
         return missing
 
+    def later_boot_answered(self, worker: WorkerView, booted_unix_ms: int) -> None:
+        """Process an answer of a later boot under the same id, which is not listed yet.
+
+        Args:
+            worker: The boot that the order was meant for.
+            booted_unix_ms: Start of the boot that answered.
+        """
+        entry = replace(worker.entry, booted_unix_ms=booted_unix_ms)
+        self._replace_by_later_boot(worker, entry).listed = False
+
+    def _replace_by_later_boot(self, worker: WorkerView, entry: WorkerEntry) -> WorkerView:
+        """End a boot, and move the runs to the later one that it may have taken."""
+        state = self._state
+        later = self._new_view(entry)
+        # Orders for the earlier boot may have given the later one a lease.
+        slowest_lease_s = state.settings.lease_s * (1 + const.WORKER_CLOCK_DRIFT_RATIO)
+        until_s = state.now_s + slowest_lease_s + const.LEASE_EXPIRY_MARGIN_S
+        later.former_lease_until_s = max(later.former_lease_until_s, until_s)
+        state.workers[entry.worker_id] = later
+        for run in list(worker.runs.values()):
+            if run.may_be_on_later_boot:
+                state.move_to_later_boot(run, later)
+        self.boot_ended(worker, "restarted")
+        return later
+
     def boot_ended(self, worker: WorkerView, reason: str) -> None:
         """Mark a boot as ended and discard its runs; it gets no acknowledgements any more.
 
@@ -202,6 +230,7 @@
             entry,
             former_lease_until_s=state.started_s + lease_s,
             cold_until_s=state.now_s + entry.cold_s,
+            known_since_s=state.now_s,
         )
 
     def _known_boot(self, entry: WorkerEntry) -> WorkerView | None:
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -46,6 +46,10 @@
         stop_answered_s: When a stop was last confirmed, on the monotonic clock; None before that.
         stop_acknowledged: Whether the server refuses this attempt number from now on.
         starts_sent: Number of start orders sent.
+        starts_unanswered: Number of them without an answer: in flight, or carried out late or not
+            at all. A run of a former owner counts as one.
+        from_former_boot: Whether its starts were sent to an earlier boot of the server.
+        harmless_before: Whether it was `harmless` on that boot.
         order_sent_s: When the latest start or stop was sent.
         order_in_flight: Whether a start or stop awaits its answer.
         next_order_s: Earliest time of the next start or stop.
@@ -68,6 +72,9 @@
     stop_answered_s: float | None = None
     stop_acknowledged: bool = False
     starts_sent: int = 0
+    starts_unanswered: int = 0
+    from_former_boot: bool = False
+    harmless_before: bool = False
     order_sent_s: float = 0.0
     order_in_flight: bool = False
     next_order_s: float = 0.0
@@ -81,10 +88,22 @@
     @property
     def harmless(self) -> bool:
         """Whether the server has reported it for so long that it is not what crashes the server."""
-        if self.confirmed_s is None:
+        if self.harmless_before:
+            return True
+        if self.confirmed_s is None or not self.reported:
             return False
         return self.worker.reported_s - self.confirmed_s >= const.HARMLESS_AFTER_S
 
+    @property
+    def may_be_on_later_boot(self) -> bool:
+        """Whether a later boot under the same id may run it, now or later.
+
+        Orders name a server by its id, so that a later boot takes those for an earlier one.
+        """
+        if self.starts_unanswered > 0:
+            return True
+        return self.starts_sent > 0 and not self.reported
+
     @property
     def is_copy(self) -> bool:
         """Whether an earlier run of the task exists or may exist."""
@@ -104,6 +123,7 @@
         contacted: Whether it has answered a heartbeat of this owner; reset when it must answer
             another one before it gets new tasks.
         runs: Runs that exist or may exist on it.
+        known_since_s: When this owner first knew of this boot, on the monotonic clock.
         lost_runs: Runs that were discarded because its lease expired, until it answers or is known
             to have ended.
         suspect_runs: Number of its runs whose tasks may crash it.
@@ -148,6 +168,7 @@
     listed: bool = True
     ended: bool = False
     contacted: bool = False
+    known_since_s: float = 0.0
     runs: dict[RunKey, Run] = field(default_factory=dict)
     lost_runs: list[Run] = field(default_factory=list)
     suspect_runs: int = 0
