Acknowledge each end of a run once, and only to a server that answers

Callers would see a task run again after its end was acknowledged (TWICE). Cause: each heartbeat repeated the highest acknowledged number. A later boot under the same id numbers its ends from 1 again; it would forget those up to that number, among them the end of a run whose start it had taken for the earlier boot. Evidence: test_acknowledged_ends_of_an_earlier_boot_are_not_acknowledged_again failed before with the violation 'started after its task's end as done was acknowledged'.

--- a/tests/core/scheduling/test_restarts_in_place.py
+++ b/tests/core/scheduling/test_restarts_in_place.py
@@ -83,6 +83,18 @@
         self.assertEqual(self.fleet.observations.violations, [])
         self.assertEqual(self.fleet.state(self.job.job_id), JobState.COMPLETED)
 
+    # Guards against an acknowledgement for the earlier boot, by which the later one forgets an end
+    # that was never stored, so that the task runs again.
+    def test_acknowledged_ends_of_an_earlier_boot_are_not_acknowledged_again(self) -> None:
+        virtual = fleet(workers=2, behaviour=lambda _task, _worker: TaskBehaviour(NEEDS, 0.1))
+        virtual.submit(job(2, Step(2, NEEDS, estimate_ms=100)))
+        virtual.run(3.0)
+        self.assertEqual(virtual.observations.starts, 2)
+        self.restart(virtual)
+        virtual.submit(self.job)
+        virtual.run(12.0)
+        self.assert_runs_once(virtual, self.job, starts=3)
+
     # Guards against a lease that a later boot got by an order for the earlier one and that is
     # taken for expired.
     def test_a_run_on_a_later_boot_counts_until_its_own_lease_has_expired(self) -> None:
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -129,14 +129,14 @@
     def _heartbeat(self, worker: WorkerView, now_s: float) -> SendHeartbeat:
         worker.heartbeat_in_flight = True
         worker.heartbeat_sent_s = now_s
-        worker.acknowledgement_in_flight = worker.ends_committed
+        acknowledged = self._acknowledge(worker)
         until_ms = self._extend_lease(worker, now_s) if worker.runs else None
         up_to_date = not worker.unresponsive and not worker.uncommitted
         if worker.heartbeat_lost:
             # The answer to the other order may be older than a fault, so it is not waited for long.
             up_to_date = worker.heartbeat_lost = False
         if needs_short_heartbeats(worker):
-            return self._short_heartbeat(worker, until_ms)
+            return self._short_heartbeat(worker, until_ms, acknowledged)
         recovered = any(run.state is RunState.RECOVERED for run in worker.runs.values())
         wait_s = const.HEARTBEAT_WAIT_S if up_to_date and worker.runs and not recovered else 0.0
         if any(run.stop_acknowledged for run in worker.runs.values()):
@@ -145,13 +145,27 @@
         token = self._state.settings.token
         wait_s = self._state.failure_domains.poll_wait_s(worker, wait_s)
         worker.heartbeat_wait_s = wait_s
-        return SendHeartbeat(worker, token, until_ms, worker.ends_committed, wait_s)
+        return SendHeartbeat(worker, token, until_ms, acknowledged, wait_s)
 
-    def _short_heartbeat(self, worker: WorkerView, until_ms: int | None) -> SendHeartbeat:
+    def _acknowledge(self, worker: WorkerView) -> int:
+        """Return the highest end to acknowledge in a heartbeat; 0 if there is nothing new.
+
+        A later boot under the same id numbers its ends from 1 again, and would forget those up to
+        the acknowledged number. So nothing is acknowledged again, nor to a server that has just
+        failed to answer.
+        """
+        confirmed = worker.acknowledgement_confirmed
+        due = worker.ends_committed if worker.heartbeat_failures == 0 else confirmed
+        worker.acknowledgement_in_flight = due
+        return due if due > confirmed else 0
+
+    def _short_heartbeat(
+        self, worker: WorkerView, until_ms: int | None, acknowledged: int
+    ) -> SendHeartbeat:
         token = self._state.settings.token
         wait_s = 0.0 if worker.uncommitted else const.SHORT_HEARTBEAT_WAIT_S
         worker.heartbeat_wait_s = wait_s
-        return SendHeartbeat(worker, token, until_ms, worker.ends_committed, wait_s)
+        return SendHeartbeat(worker, token, until_ms, acknowledged, wait_s)
 
     def _extend_lease(self, worker: WorkerView, now_s: float) -> int | None:
         """Return the end of the lease to send with an order; None if the server's clock is unknown.
