Keep the later boot's view when a dropped one is answered late

Cause: the answer put a new view in place of the later boot's, whose runs then got no heartbeats; their jobs never ended. Evidence: test_a_late_answer_to_an_earlier_boot_does_not_replace_the_later_one failed before with the job still running after 12 s. Change: such an answer only ends the view that it was for. test_restarts_in_place: 7 passed.

--- a/tests/core/scheduling/test_restarts_in_place.py
+++ b/tests/core/scheduling/test_restarts_in_place.py
@@ -7,6 +7,7 @@
 
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, fleet, job
 from toucandoor.core.jobs.models import JobState, Step
+from toucandoor.core.scheduling.workers import StatusReport
 from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import WorkerId
@@ -95,6 +96,24 @@
         virtual.run(12.0)
         self.assert_runs_once(virtual, self.job, starts=3)
 
+    # Guards against a boot that is forgotten with its runs when a heartbeat for an earlier one that
+    # had left the list is answered late.
+    def test_a_late_answer_to_an_earlier_boot_does_not_replace_the_later_one(self) -> None:
+        scheduler = self.fleet.scheduler
+        earlier = scheduler.workers[WorkerId("w0")]
+        for worker_id in list(self.fleet.workers):
+            self.fleet.crash(worker_id)
+            scheduler.worker_unlisted(worker_id)
+        self.fleet.run(1.0)
+        later = self.fleet.boot("w0", POOL, CAPACITY)
+        self.fleet.run(0.1)
+        self.fleet.submit(self.job)
+        self.fleet.run(0.1)
+        report = StatusReport(100, later.entry.booted_unix_ms, (), ())
+        scheduler.heartbeat_answered(earlier, report, earlier.heartbeat_sent_s)
+        self.fleet.run(12.0)
+        self.assert_runs_once(self.fleet, self.job)
+
     # Guards against a lease that a later boot got by an order for the earlier one and that is
     # taken for expired.
     def test_a_run_on_a_later_boot_counts_until_its_own_lease_has_expired(self) -> None:
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -97,6 +97,10 @@
             worker: The boot that the order was meant for.
             booted_unix_ms: Start of the boot that answered.
         """
+        if self._state.workers.get(worker.entry.worker_id) is not worker:
+            # It had left the list, and the later boot may have been listed since.
+            self.boot_ended(worker, "restarted")
+            return
         entry = replace(worker.entry, booted_unix_ms=booted_unix_ms)
         self._replace_by_later_boot(worker, entry).listed = False
 
