Count an unexplained loss as no proven crash when a task is given up

Found by reading: a task with three crashes that others may have caused was given up by a loss that may be a cut connection. Evidence: test_a_loss_that_is_no_proven_crash_does_not_count_as_one failed before. Change: only a proven crash gives up a task that ran alone; the bound of five losses stays. test_server_crashes: 9 passed.

--- a/tests/core/scheduling/test_server_crashes.py
+++ b/tests/core/scheduling/test_server_crashes.py
@@ -8,6 +8,7 @@
 
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job
 from toucandoor.core.jobs.models import JobState, Step, TaskKey
+from toucandoor.core.scheduling.server_crashes import CRASHES_MAX
 from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import JobId, WorkerId
@@ -183,6 +184,21 @@
                     states, [JobState.RUNNING] + [JobState.COMPLETED] * (len(specs) - 1)
                 )
 
+    # Guards against giving up a task because its server was unreachable after crashes that other
+    # tasks may have caused.
+    def test_a_loss_that_is_no_proven_crash_does_not_count_as_one(self) -> None:
+        virtual = CrashingFleet(workers=2)
+        virtual.durations_s = [60.0]
+        spec = job(1, Step(1, NEEDS))
+        virtual.submit(spec)
+        virtual.run(0.5)
+        (run,) = virtual.scheduler.workers[WorkerId("w0")].runs.values()
+        run.task.crashes = CRASHES_MAX
+        virtual.scheduler.registry.crashes.on_lost(run.worker, [run], ended=False)
+        self.assertEqual(run.task.unexplained_losses, 1)
+        virtual.run(1.0)
+        self.assertEqual(virtual.state(spec.job_id), JobState.RUNNING)
+
     # Guards against giving up long-running tasks for crashes that lie far apart.
     def test_a_task_that_has_run_for_a_while_is_cleared(self) -> None:
         virtual = CrashingFleet(workers=4)
--- a/toucandoor/core/scheduling/server_crashes.py
+++ b/toucandoor/core/scheduling/server_crashes.py
@@ -60,7 +60,7 @@
                 task.unexplained_losses += 1
             task.lost_s = self._state.now_s
             self._state.mark_changed(job)
-            if _must_give_up(task, alone=len(suspects) == 1):
+            if _must_give_up(task, alone=ended and len(suspects) == 1):
                 self._give_up(job, run)
 
     def on_reported(self, run: Run) -> None:
