Count a lost run when it is moved to a later boot

Callers would see a task that crashes its servers started a sixth time (BUDGET). Cause: a run that may be on a later boot was counted when that boot's report showed that it was not there. Its record named the later boot by then, so that a new owner took it for a run of that boot and discarded it without a count. Change: it is counted when it is moved, in the same record; a new owner counts runs that are recorded on an earlier boot.

--- a/tests/core/scheduling/test_server_crashes.py
+++ b/tests/core/scheduling/test_server_crashes.py
@@ -9,6 +9,7 @@
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job
 from toucandoor.core.jobs.models import JobState, Step, TaskKey
 from toucandoor.core.scheduling.server_crashes import CRASHES_MAX
+from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import JobId, WorkerId
@@ -121,6 +122,22 @@
                 virtual.run(120.0)
                 self.assert_given_up(virtual, crashing.job_id)
 
+    # Guards against an uncounted crash of a run that the former owner had moved to the later boot.
+    def test_a_new_owner_knows_a_crash_that_came_before_the_answer_to_the_start(self) -> None:
+        for hundredths in range(2, 60, 4):
+            virtual = CrashingFleet()
+            outcomes = iter([CallOutcome.ANSWER_LOST])
+            virtual.calls.choose_outcome = lambda kind, outcomes=outcomes: (
+                next(outcomes, CallOutcome.ANSWERED) if kind == "start" else CallOutcome.ANSWERED
+            )
+            crashing = job(1, Step(1, NEEDS, estimate_ms=1000))
+            virtual.crashing.add(crashing.job_id)
+            virtual.submit(crashing)
+            virtual.run(BACK_AFTER_S + hundredths / 100)
+            virtual.take_over()
+            virtual.run(60.0)
+            self.assert_given_up(virtual, crashing.job_id)
+
     # Guards against a task that ends its servers for good, so that no later boot proves the crash.
     def test_a_task_whose_servers_stay_away_is_given_up(self) -> None:
         virtual = CrashingFleet(workers=8)
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -159,8 +159,6 @@
                 self._confirm_run(run, seen, now_s)
             elif _cannot_exist(run, sent_s):
                 self._state.discard_run(run)
-                if run.from_former_boot and not run.reported:
-                    self._crashes.on_lost(worker, [run], ended=False)
         for unknown in active.values():
             self._stop_unplanned_run(worker, unknown, now_s)
 
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -199,6 +199,8 @@
             run = Run(key, task, worker, RunState.RECOVERED, state.now_s, starts_unanswered=1)
             run.from_former_boot = worker.entry.booted_unix_ms != stored.worker_booted_unix_ms
             state.attach(run)
+            if run.from_former_boot:
+                self.registry.crashes.on_lost(worker, [run], ended=False)
             if job.state.final or task.done:
                 state.request_stop(run)
 
--- a/toucandoor/core/scheduling/server_crashes.py
+++ b/toucandoor/core/scheduling/server_crashes.py
@@ -43,8 +43,8 @@
 
         Args:
             worker: The boot.
-            runs: The runs; they have been discarded.
-            ended: Whether the boot has certainly ended; otherwise it may only be unreachable.
+            runs: The runs; they have been discarded, or may be on a later boot under the same id.
+            ended: Whether they have certainly ended with the boot.
         """
         if worker.entry.draining or worker.cordoned or worker.leaving:
             return  # its end was planned
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -113,9 +113,11 @@
         until_s = state.now_s + slowest_lease_s + const.LEASE_EXPIRY_MARGIN_S
         later.former_lease_until_s = max(later.former_lease_until_s, until_s)
         state.workers[entry.worker_id] = later
-        for run in list(worker.runs.values()):
-            if run.may_be_on_later_boot:
-                state.move_to_later_boot(run, later)
+        moved = [run for run in worker.runs.values() if run.may_be_on_later_boot]
+        for run in moved:
+            state.move_to_later_boot(run, later)
+        # Counted now, as the next owner finds them recorded on the later boot.
+        self.crashes.on_lost(worker, moved, ended=False)
         self.boot_ended(worker, "restarted")
         return later
 
