Test that a task which crashes its servers is given up at the third crash that it alone can have caused

The test replaces servers by others at their addresses, and checks that nothing is placed beside the task.

--- a/tests/core/scheduling/common.py
+++ b/tests/core/scheduling/common.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.core.jobs.configuration import JobConfiguration, JobPool, JobQueue, JobTeam
-from toucandoor.core.jobs.models import NO_RESOURCES, JobSpec, Resources, Step
-from toucandoor.core.scheduling.workers import EndReason
+from toucandoor.core.jobs.models import NO_RESOURCES, JobSpec, Resources, Step, TaskKey
+from toucandoor.core.scheduling.workers import EndReason, RunKey, StartOrder
 from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import ConfigVersion, JobId, PoolId, QueueId, TeamId, WorkerId
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from toucandoor.core.jobs.models import TaskKey
+    from toucandoor.fakes.virtual_platform import VirtualWorker
 
 QUEUE = QueueId("north")
 POOL = PoolId("pool")
@@ -72,6 +72,21 @@
     return made
 
 
+def start_run_of_unknown_job(virtual: VirtualFleet) -> VirtualWorker:
+    """Start a run, as a former owner did, of a job that is not in the store any more.
+
+    Returns:
+        Its backend server.
+    """
+    owner = virtual.take_over()
+    virtual.run(0.5)
+    worker = virtual.workers[WorkerId("w0")]
+    key = RunKey(TaskKey(JobId("f" * 16), 0, 0, 0), 1)
+    until_ms = worker.clock_ms() + 5000
+    worker.start(StartOrder(key, "payload", until_ms, owner.scheduler.token, "", ""))
+    return worker
+
+
 def succeeds_after_1s(_task: TaskKey, _worker: WorkerId) -> TaskBehaviour:
     """Return the behaviour of a task that succeeds after a second."""
     return TaskBehaviour(NEEDS, 1.0)
--- a/tests/core/scheduling/test_capacity_changes.py
+++ b/tests/core/scheduling/test_capacity_changes.py
@@ -7,14 +7,22 @@
 from typing import TYPE_CHECKING
 from unittest import mock
 
-from tests.core.scheduling.common import CAPACITY, NEEDS, fleet, job, never_ends
-from toucandoor.core.jobs.models import Resources, Step, TaskKey
-from toucandoor.core.scheduling.workers import OrderRefusedError, RunKey, StartOrder
+from tests.core.scheduling.common import (
+    CAPACITY,
+    NEEDS,
+    fleet,
+    job,
+    never_ends,
+    start_run_of_unknown_job,
+)
+from toucandoor.core.jobs.models import Resources, Step
+from toucandoor.core.scheduling.workers import OrderRefusedError
 from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.fakes.virtual_platform import VirtualWorker
-from toucandoor.ids import JobId, WorkerId
+from toucandoor.ids import WorkerId
 
 if TYPE_CHECKING:
+    from toucandoor.core.scheduling.workers import StartOrder
     from toucandoor.fakes.virtual_fleet import VirtualFleet
 
 SHRUNK = Resources(6000, 16000, 0)
@@ -52,12 +60,7 @@
     # Guards against tasks beside runs that are being stopped and whose jobs the owner doesn't know.
     def test_runs_of_ended_jobs_use_capacity_until_they_have_ended(self) -> None:
         virtual = fleet(workers=1, behaviour=never_ends)
-        owner = virtual.take_over()
-        virtual.run(0.5)
-        worker = virtual.workers[WorkerId("w0")]
-        key = RunKey(TaskKey(JobId("f" * 16), 0, 0, 0), 1)
-        until_ms = worker.clock_ms() + 5000
-        worker.start(StartOrder(key, "payload", until_ms, owner.scheduler.token, "", ""))
+        worker = start_run_of_unknown_job(virtual)
         refused: list[OrderRefusedError] = []
         start = worker.start
 
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -15,17 +15,18 @@
     fleet,
     job,
     never_ends,
+    start_run_of_unknown_job,
     succeeds_after_1s,
 )
-from toucandoor.core.jobs.models import JobState, Resources, Step, TaskKey
+from toucandoor.core.jobs.models import JobState, Resources, Step
 from toucandoor.core.jobs.records import JOB_PREFIX, job_key, progress_key
 from toucandoor.core.records import Transaction, TransactionConflictError
 from toucandoor.core.scheduling.orders import SendHeartbeat
 from toucandoor.core.scheduling.worker_view import WorkerView
-from toucandoor.core.scheduling.workers import EndReason, RunKey, StartOrder, StatusReport
+from toucandoor.core.scheduling.workers import EndReason, StatusReport
 from toucandoor.fakes.virtual_calls import CallOutcome, OwnerTerm
 from toucandoor.fakes.virtual_platform import TaskBehaviour, VirtualWorker
-from toucandoor.ids import JobId, WorkerId
+from toucandoor.ids import WorkerId
 
 if TYPE_CHECKING:
     from toucandoor.core.scheduling.orders import Order
@@ -176,12 +177,7 @@
 
     def test_a_run_of_a_job_that_ended_under_a_former_owner_is_stopped(self) -> None:
         virtual = fleet(workers=1, behaviour=never_ends)
-        owner = virtual.take_over()
-        virtual.run(0.5)
-        worker = virtual.workers[WorkerId("w0")]
-        key = RunKey(TaskKey(JobId("f" * 16), 0, 0, 0), 1)
-        until_ms = worker.clock_ms() + 5000
-        worker.start(StartOrder(key, "payload", until_ms, owner.scheduler.token, "", ""))
+        start_run_of_unknown_job(virtual)
         virtual.take_over()
         virtual.run(1.0)
         self.assertFalse(any(virtual.observations.running.values()))
--- a/tests/core/scheduling/test_server_crashes.py
+++ b/tests/core/scheduling/test_server_crashes.py
@@ -9,6 +9,7 @@
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job
 from toucandoor.core.jobs.models import JobState, Step, TaskKey
 from toucandoor.core.scheduling.server_crashes import CRASHES_MAX
+from toucandoor.core.scheduling.workers import OrderRefusal
 from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.fakes.virtual_platform import TaskBehaviour
@@ -201,6 +202,36 @@
                     states, [JobState.RUNNING] + [JobState.COMPLETED] * (len(specs) - 1)
                 )
 
+    # Guards against a fourth crashed server where it is clear which task crashed the others, and
+    # against tasks that are lost beside it.
+    def test_a_task_is_given_up_at_the_third_crash_that_it_alone_can_have_caused(self) -> None:
+        virtual = CrashingFleet(workers=8)
+        virtual.durations_s = [60.0]
+        spec = job(1, Step(1, NEEDS))
+        virtual.submit(spec)
+        virtual.run(0.5)
+        for _ in range(CRASHES_MAX - 1):
+            self.assertEqual(virtual.state(spec.job_id), JobState.RUNNING)
+            self.replace(virtual, self.place(virtual, spec))
+            virtual.run(0.5)
+        virtual.submit(job(2, Step(7, NEEDS, per_worker_max=1)))
+        virtual.run(0.5)
+        self.assertEqual(len(virtual.workers[self.place(virtual, spec)].runs), 1)
+        self.replace(virtual, self.place(virtual, spec))
+        virtual.run(0.5)
+        self.assertEqual(virtual.state(spec.job_id), JobState.FAILED)
+
+    def place(self, virtual: CrashingFleet, spec: JobSpec) -> WorkerId:
+        """Return the server that runs the first task of a job."""
+        (place,) = virtual.observations.running[TaskKey(spec.job_id, 0, 0, 0)]
+        return place
+
+    def replace(self, virtual: CrashingFleet, worker_id: WorkerId) -> None:
+        """Crash a server; another one, under another id, answers at its address at once."""
+        worker = virtual.scheduler.workers[worker_id]
+        virtual.workers[worker_id].crash()
+        virtual.scheduler.run_orders.heartbeat_failed(worker, OrderRefusal.OTHER_BOOT)
+
     # Guards against giving up a task because its server was unreachable after crashes that other
     # tasks may have caused.
     def test_a_loss_that_is_no_proven_crash_does_not_count_as_one(self) -> None:
