Let a waiting heartbeat of the stand-ins be lost with its boot

A long run of the state machine test found a task that ran again after its end was acknowledged. Traced: a heartbeat that waited at a server which restarted at once went on to wait at its later boot in the stand-ins, and acknowledged ends there. A call in flight is lost with the process that holds it; one that arrives later reaches the later boot, as before.

--- a/toucandoor/fakes/virtual_calls.py
+++ b/toucandoor/fakes/virtual_calls.py
@@ -241,10 +241,17 @@
         sent_s: float,
         outcome: CallOutcome,
         arrived_s: float,
+        waits_at: VirtualWorker | None = None,
     ) -> None:
-        """Carry out a heartbeat; it answers once a run has ended, or when its wait is over."""
+        """Carry out a heartbeat; it answers once a run has ended, or when its wait is over.
+
+        Args:
+            waits_at: Boot at which it waits; the call is lost with it.
+        """
         scheduler = owner.scheduler
         worker = self._reachable_boot(order.worker)
+        if waits_at is not None and worker is not waits_at:
+            worker = None
         if worker is None or outcome is not CallOutcome.ANSWERED:
             if worker is not None and outcome is CallOutcome.LATE:
                 late = partial(
@@ -278,5 +285,5 @@
             )
             return
         self._schedule(
-            0.02, lambda: self._heartbeat_arrives(owner, order, sent_s, outcome, arrived_s)
+            0.02, lambda: self._heartbeat_arrives(owner, order, sent_s, outcome, arrived_s, worker)
         )
