Let the tasks of review case 1 run longer before the outage

On a slower machine, tasks could end before the outage began, and fewer than 500 ends would have waited after it. They now run for 2 to 3.5 s in place of 1.5 to 3 s.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -28,7 +28,7 @@
 """Work items of a job; 624 in all fit on one worker of 64 cores."""
 CPU = 100
 MEM_MB = 100
-RUN_S = 1.5
+RUN_S = 2.0
 SPREAD_S = 1.5
 OUTAGE_S = 4.5
 """Length of the entry `platform_down` in the site file."""
