Keep an entry of another writer from ending the owner's term

Cause: the address was interpreted when it was called, by code that handles the errors of the network alone; the ValueError ended the term, and the next owner read the same entry. Evidence: "unhandled error in a call; ending the term" with the trace of int("127.0.0.1") below _async_send_heartbeat, 715 claims of the ownership in 30 s on; no "ownership lost", and nothing planned for that server.

Change: entries are checked when they are read, and an ignored one is logged once with key, field and fault, and counted. A call with an invalid address or body counts as not sent. Implausible numbers and incomplete rows in a status report make it no answer. An unexpected error in one order counts as that order's lost answer, and one in a record leaves that record unused; both are counted and logged with the trace. Entries that name neither a pool of the configuration nor a VM are not called. An unknown state of a VM no longer counts as down.

Why this works: what another writer can put there is either valid for all that is calculated, stored and sent with it, or is never used; and an error that is not foreseen reaches the schedule as the result of its one order.

The former test that an unhandled error in a start ends the term asked for the fault: it now asks that the term goes on and the job completes; that an unhandled error elsewhere ends the term is tested with an error in a write instead. The test of the time for which a server is cold used an address that is invalid, and has a valid one now.

--- a/tests/adapters/test_node_metrics.py
+++ b/tests/adapters/test_node_metrics.py
@@ -28,6 +28,8 @@
     "toucandoor_team_jobs": {"team", "rate_status"},
     "toucandoor_invalid_weights": set(),
     "toucandoor_plans_discarded": {"reason"},
+    "toucandoor_invalid_server_entries": set(),
+    "toucandoor_unexpected_errors": {"part"},
 }
 HISTOGRAMS = {name for name in LABELS if name.endswith("_seconds")}
 SAMPLE = re.compile(r"^(\w+?)(_bucket|_sum|_count)?(?:\{(.*)\})? \S+$")
@@ -48,6 +50,8 @@
         metrics.set_team(TeamFigures(TeamId("t"), 1.5, 2, 3, 4))
         metrics.set_invalid_weights(1)
         metrics.set_discarded_plans({DiscardReason.SERVER_LOST: 1})
+        metrics.set_invalid_entries(2)
+        metrics.add_unexpected_error("heartbeat")
         seen: dict[str, set[str]] = {}
         buckets: set[str] = set()
         for line in b"".join(metrics_app({}, lambda *_: lambda _data: None)).decode().splitlines():
--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -63,6 +63,7 @@
         self._changed = changed
         self._leases: dict[StoreLeaseId, list[str]] = {}
         self.unavailable = False
+        self.fail_next_write = False
 
     def _check(self) -> None:
         if self.unavailable:
@@ -90,6 +91,9 @@
 
     def write(self, transaction: Transaction) -> int:
         self._check()
+        if self.fail_next_write:
+            self.fail_next_write = False
+            raise RuntimeError("bug in the client")
         with self._changed:
             revision = self._records.write(transaction)
             if transaction.lease_id is not None:
@@ -242,7 +246,7 @@
         self.changed = threading.Condition(threading.RLock())
         self.seen = Observations()
         entry = WorkerEntry(
-            WorkerId("w"), POOL, "w:1", DataCentreId("d"), CAPACITY, ("a", "r"), False, 1
+            WorkerId("w"), POOL, "127.0.0.1:1", DataCentreId("d"), CAPACITY, ("a", "r"), False, 1
         )
         behaviour = TaskBehaviour(NEEDS, 0.6)
         worker = VirtualWorker(entry, clock, self.seen, lambda _task, _worker: behaviour)
@@ -309,18 +313,48 @@
         wait_for(self, lambda: self.state(spec) is JobState.COMPLETED)
         self.assertEqual(self.seen.violations, [])
 
-    def test_an_unhandled_error_ends_the_term_and_the_next_completes_the_job(self) -> None:
+    def test_an_unexpected_error_in_an_order_leaves_the_term_and_the_job_at_work(self) -> None:
         self.tasks[0].start()
         wait_for(self, lambda: self.tasks[0].is_owner)
         self.tasks[1].start()
         self.workers.fail_next_start = True
         spec = job(3)
+        with (
+            self.assertLogs("toucandoor.adapters.term_orders", "ERROR") as logs,
+            self.assertNoLogs("toucandoor.adapters.owner_term", "ERROR"),
+        ):
+            self.submit(spec)
+            wait_for(self, lambda: self.state(spec) is JobState.COMPLETED)
+        self.assertIn("bug in the client", logs.output[0])
+        self.assertTrue(self.tasks[0].is_owner)
+        self.assertEqual(self.seen.violations, [])
+
+    def test_an_unhandled_error_ends_the_term_and_the_next_completes_the_job(self) -> None:
+        self.tasks[0].start()
+        wait_for(self, lambda: self.tasks[0].is_owner)
+        self.tasks[1].start()
+        self.stores[0].fail_next_write = True
+        spec = job(3)
         with self.assertLogs("toucandoor.adapters.owner_term", "ERROR") as logs:
             self.submit(spec)
             wait_for(self, lambda: self.state(spec) is JobState.COMPLETED)
         self.assertIn("bug in the client", logs.output[0])
         self.assertEqual(self.seen.violations, [])
 
+    # Guards against an entry of another writer that ends the term of each owner that reads it.
+    def test_an_entry_that_cannot_be_called_ends_no_term(self) -> None:
+        entry = msgspec.json.decode(self.records.records["servers/w"].value)
+        other = msgspec.json.encode(entry | {"address": "127.0.0.1"})
+        self.records.write(Transaction(writes={"servers/resolver-1": other}))
+        for task in self.tasks:
+            task.start()
+        wait_for(self, lambda: any(task.is_owner for task in self.tasks))
+        token = self.records.records[OWNER_KEY].revision
+        spec = job(5)
+        self.submit(spec)
+        wait_for(self, lambda: self.state(spec) is JobState.COMPLETED)
+        self.assertEqual(self.records.records[OWNER_KEY].revision, token)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/adapters/test_term_intake.py
+++ b/tests/adapters/test_term_intake.py
@@ -13,17 +13,18 @@
 from toucandoor.adapters.term_context import TermContext
 from toucandoor.adapters.term_intake import TermIntake
 from toucandoor.core.evacuation.requests import EvacuationRequests
-from toucandoor.core.jobs.models import JobState, Step
+from toucandoor.core.jobs.models import JobSpec, JobState, Step
 from toucandoor.core.jobs.records import progress_key
-from toucandoor.core.records import Record, RecordStore, Snapshot, Transaction
+from toucandoor.core.records import Changes, Record, RecordStore, Snapshot, Transaction
 from toucandoor.core.run_times.snapshots import RUN_TIMES_KEY
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
 from toucandoor.ids import FencingToken
+from toucandoor.platform.operator_records import WORKER_PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from toucandoor.core.records import Changes, StoreLease
+    from toucandoor.core.records import StoreLease
     from toucandoor.fakes.virtual_platform import VirtualRecords
     from toucandoor.ids import StoreLeaseId
 
@@ -95,7 +96,7 @@
         clock = self.fleet.clock
         settings = SchedulerSettings("owner", 1, FencingToken(1), 6.0)
         scheduler = Scheduler(settings, clock)
-        dependencies = mock.Mock(store=store, clock=clock)
+        self.dependencies = dependencies = mock.Mock(store=store, clock=clock)
         dependencies.configuration.evacuations = requests
         term = TermContext(
             dependencies, scheduler, lambda event: event(), mock.Mock(), mock.Mock(), lambda: True
@@ -190,6 +191,60 @@
         assert removal is not None
         self.assertEqual(removal.removals, (progress_key(ended.job_id),))
 
+    # Guards against one entry of another writer that ends the term of each owner that reads it.
+    def test_entries_that_cannot_be_used_are_logged_and_counted_and_the_others_hold(self) -> None:
+        records = type(self.fleet.records)()
+        entry = {
+            "service": POOL,
+            "address": "10.0.0.1:80",
+            "zone": "z",
+            "state": "ready",
+            "sequence": 1,
+            "capacity": {"cpu": 1, "mem_mb": 1},
+            "labels": [],
+        }
+        records.write(
+            Transaction(
+                writes={
+                    "servers/a": b"\xff",
+                    "servers/b": msgspec.json.encode(entry | {"address": "127.0.0.1"}),
+                    "servers/c": msgspec.json.encode(entry),
+                }
+            )
+        )
+        with self.assertLogs("toucandoor.adapters.term_intake", "WARNING") as logs:
+            scheduler, intake = self.load(CountingStore(records))
+        self.assertEqual(set(scheduler.workers), {"c"})
+        self.assertEqual(len(logs.output), 2)
+        self.assertIn("servers/b is ignored: address:", logs.output[1])
+        metrics = self.dependencies.metrics
+        metrics.set_invalid_entries.assert_called_with(2)
+        changes = Changes(tuple(records.below("servers/")), (), records.revision)
+        with self.assertNoLogs("toucandoor.adapters.term_intake", "WARNING"):
+            intake.apply_changes(WORKER_PREFIX, changes)
+        intake.apply_changes(WORKER_PREFIX, Changes((), ("servers/a",), records.revision))
+        metrics.set_invalid_entries.assert_called_with(1)
+
+    def test_an_unexpected_error_with_one_record_leaves_the_others_in_use(self) -> None:
+        made = self.fleet
+        for number in (1, 2):
+            made.submit(job(number))
+        add_job = Scheduler.add_job
+
+        def fail_first(scheduler: Scheduler, spec: JobSpec) -> None:
+            if spec.job_id == job(1).job_id:
+                raise IndexError("a task that its step does not have")
+            add_job(scheduler, spec)
+
+        with (
+            mock.patch.object(Scheduler, "add_job", fail_first),
+            self.assertLogs("toucandoor.adapters.term_intake", "ERROR") as logs,
+        ):
+            scheduler, _ = self.load(CountingStore(made.records))
+        self.assertEqual(set(scheduler.jobs), {job(2).job_id})
+        self.assertIn(f"record work/job/{job(1).job_id} is not used", logs.output[0])
+        self.dependencies.metrics.add_unexpected_error.assert_called_once_with("work")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/adapters/test_term_orders.py
+++ b/tests/adapters/test_term_orders.py
@@ -12,7 +12,7 @@
 from toucandoor.adapters.term_orders import TermOrders
 from toucandoor.clock import ManualClock
 from toucandoor.core.jobs.models import JobState, Step
-from toucandoor.core.scheduling.orders import StartRun
+from toucandoor.core.scheduling.orders import SendHeartbeat, StartRun
 from toucandoor.fakes.virtual_calls import OwnerTerm
 from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.platform.async_http import CallWithheldError
@@ -83,6 +83,48 @@
         virtual.calls.send = carry_out  # type: ignore[method-assign]
 
 
+class UnexpectedErrorTest(unittest.TestCase):
+    """An unexpected error in an order affects the server of that order alone."""
+
+    # Guards against one server that ends the term of each owner, and stops the whole schedule.
+    def test_errors_in_the_orders_to_one_server_leave_the_others_at_work(self) -> None:
+        virtual = fleet(workers=2)
+        owner = virtual.owner
+        assert owner is not None
+        send, metrics = virtual.calls.send, mock.Mock()
+        workers = mock.Mock()
+        for name in ("async_heartbeat", "async_start", "async_stop", "async_limit_speed"):
+            getattr(workers, name).side_effect = RuntimeError("cannot be encoded")
+        term = TermContext(
+            mock.Mock(clock=ManualClock(), workers=workers, metrics=metrics),
+            owner.scheduler,
+            lambda event: virtual.schedule(0.0, event),
+            lambda action: action(),
+            lambda calls: [asyncio.run(_async_run(call)) for call in calls] and None,
+            lambda: True,
+        )
+        orders = TermOrders(term)
+
+        def carry_out(sender: OwnerTerm, order: object) -> None:
+            worker = order.worker if isinstance(order, SendHeartbeat) else order.run.worker  # type: ignore[attr-defined]
+            if worker.entry.worker_id == "w0":
+                orders.carry_out([order])  # type: ignore[list-item]
+            else:
+                send(sender, order)  # type: ignore[arg-type]
+
+        virtual.run(1.0)
+        virtual.calls.send = carry_out  # type: ignore[method-assign]
+        with self.assertLogs("toucandoor.adapters.term_orders", "ERROR") as logs:
+            for number in range(1, 5):
+                virtual.submit(job(number, Step(2, NEEDS)))
+            virtual.run(30.0)
+        self.assertIn("cannot be encoded", logs.output[0])
+        metrics.add_unexpected_error.assert_any_call("start")
+        self.assertEqual(virtual.observations.violations, [])
+        for number in range(1, 5):
+            self.assertEqual(virtual.state(job(number).job_id), JobState.COMPLETED)
+
+
 async def _async_run(call: Callable[[], Awaitable[None]]) -> None:
     await call()
 
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -18,6 +18,7 @@
     start_run_of_unknown_job,
     succeeds_after_1s,
 )
+from toucandoor.core.jobs.configuration import JobPool
 from toucandoor.core.jobs.models import JobState, Resources, Step
 from toucandoor.core.jobs.records import JOB_PREFIX, job_key, progress_key
 from toucandoor.core.records import Transaction, TransactionConflictError
@@ -26,7 +27,7 @@
 from toucandoor.core.scheduling.workers import EndReason, StatusReport
 from toucandoor.fakes.virtual_calls import CallOutcome, OwnerTerm
 from toucandoor.fakes.virtual_platform import TaskBehaviour, VirtualWorker
-from toucandoor.ids import WorkerId
+from toucandoor.ids import ConfigVersion, PoolId, WorkerId
 
 if TYPE_CHECKING:
     from toucandoor.core.scheduling.orders import Order
@@ -43,6 +44,35 @@
     return virtual, virtual.workers[place]
 
 
+class ListedServersTest(unittest.TestCase):
+    """Which entries in the list of backend servers are called."""
+
+    # Guards against calls to servers of other kinds that are in the platform's list.
+    def test_a_server_of_a_pool_that_no_configuration_names_is_not_called(self) -> None:
+        virtual = fleet(workers=1)
+        called: set[str] = set()
+        send = virtual.calls.send
+
+        def count(owner: OwnerTerm, order: Order) -> None:
+            if isinstance(order, SendHeartbeat):
+                called.add(order.worker.entry.worker_id)
+            send(owner, order)
+
+        virtual.calls.send = count  # type: ignore[method-assign]
+        virtual.boot("w1", POOL, CAPACITY)
+        virtual.boot("other", "resolver", CAPACITY)
+        virtual.boot("on-vm", "resolver", CAPACITY, vm_id="m1")
+        virtual.run(3.0)
+        self.assertEqual(called, {"w1", "on-vm"})
+        pool = JobPool(PoolId("resolver"), True, False)
+        known = virtual.configuration
+        virtual.scheduler.set_configuration(
+            replace(known, version=ConfigVersion(2), pools=known.pools | {pool.name: pool})
+        )
+        virtual.run(1.0)
+        self.assertEqual(called, {"w1", "on-vm", "other"})
+
+
 class NoFaultTest(unittest.TestCase):
     """Course of jobs on a fleet without faults."""
 
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 from typing import Any
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from tests.platform.stub_server import Answer, StubServer
 from toucandoor.clock import SystemClock
 from toucandoor.core.jobs.models import TaskKey
@@ -18,11 +22,28 @@
     WorkerTarget,
 )
 from toucandoor.ids import FencingToken, JobId, WorkerId
+from toucandoor.platform.address import parse_address
 from toucandoor.platform.async_http import AsyncPlatformHttp
-from toucandoor.platform.workers import PlatformWorkers, decode_worker
+from toucandoor.platform.workers import (
+    InvalidEntryError,
+    PlatformWorkers,
+    decode_worker,
+    parse_worker,
+)
 
 RUN = RunKey(TaskKey(JobId("5c0e7a21d94b36f8"), 0, 1, 17), 2)
 TOKEN = FencingToken(7)
+ENTRY: dict[str, Any] = {
+    "service": "p",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "state": "ready",
+    "sequence": 1,
+    "capacity": {"cpu": 1, "mem_mb": 1},
+    "labels": [],
+    "born": 5,
+}
+"""A valid entry of a backend server."""
 
 
 class OrdersTest(unittest.IsolatedAsyncioTestCase):
@@ -101,11 +122,34 @@
         self.assertEqual(report.booted_unix_ms, 1700000000000)
 
     async def test_invalid_status_report_counts_as_no_answer(self) -> None:
-        self.answers = [(200, {"clock_ms": 5, "finished": [[1, "not a task", 1, "done", ""]]})]
-        with self.assertRaises(OrderUnansweredError):
-            await self.workers.async_heartbeat(
-                self.target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=0
-            )
+        task = "5c0e7a21d94b36f8.0.1.9"
+        answers: list[dict[str, Any]] = [
+            {"clock_ms": 5, "finished": [[1, "not a task", 1, "done", ""]]},
+            {"clock_ms": 5, "finished": [[]]},
+            {"clock_ms": 5, "finished": [[1, task, 1, ["done"], ""]]},
+            {"clock_ms": 5, "finished": [[1, task, 10**30, "done", ""]]},
+            {"clock_ms": 5, "finished": [[1, 7, 1, "done", ""]]},
+            {"clock_ms": 5, "active": [["5c0e7a21d94b36f8.0.-1.9", 1, "", 100]]},
+            {"clock_ms": 5, "active": [[task, None, "", 100]]},
+            {"clock_ms": 5, "active": [[task, 1, ""]]},
+            {"clock_ms": 10**30},
+            {"clock_ms": -1},
+        ]
+        for answer in answers:
+            self.answers = [(200, answer)]
+            with self.subTest(answer=answer), self.assertRaises(OrderUnansweredError):
+                await self.workers.async_heartbeat(
+                    self.target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=0
+                )
+
+    # Guards against a malformed address that ends the term of each owner that calls it.
+    async def test_a_server_that_cannot_be_called_counts_as_no_answer(self) -> None:
+        for address in ("127.0.0.1", "127.0.0.1:99999", "127.0.0.1:x", "a..b:80", ""):
+            target = WorkerTarget(WorkerId("i-1"), address)
+            with self.subTest(address=address), self.assertRaises(OrderUnansweredError):
+                await self.workers.async_heartbeat(
+                    target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=0
+                )
 
 
 class EntryTest(unittest.TestCase):
@@ -126,7 +170,7 @@
         # An implausible value must not take the server out of use.
         for text, expected_s in (("2500", 2.5), ('"2500"', 0), ("-1", 0), ("1e9", 0), ("null", 0)):
             value = (
-                b'{"service":"p","address":"a","zone":"z","state":"ready","sequence":1,'
+                b'{"service":"p","address":"10.0.0.1:80","zone":"z","state":"ready","sequence":1,'
                 b'"capacity":{"cpu":1,"mem_mb":1},"labels":[],"cold_left_ms":'
             )
             with self.subTest(text=text):
@@ -150,3 +194,57 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+    # Guards against an entry of another writer that ends each owner's term, as it cannot be called.
+    def test_an_entry_that_cannot_be_called_or_counted_with_names_its_field(self) -> None:
+        addresses = (
+            "127.0.0.1",
+            ":80",
+            "10.0.0.1:",
+            "10.0.0.1:0",
+            "10.0.0.1:65536",
+            "10.0.0.1: 80",
+            "10.0.0.1:8_0",
+            "10.0.0.1:\u0663",
+            "a..b:80",
+            "host:80",
+            "10.0.0.1:80\r\nX: y",
+        )
+        changes: list[tuple[str, dict[str, Any]]] = [
+            *(("address", {"address": address}) for address in addresses),
+            ("capacity.cpu", {"capacity": {"cpu": -1, "mem_mb": 1}}),
+            ("capacity.mem_mb", {"capacity": {"cpu": 1, "mem_mb": 10**400}}),
+            ("born", {"born": 10**30}),
+            ("service", {"service": ""}),
+            ("state", {"state": "odd"}),
+        ]
+        for field, change in changes:
+            with self.subTest(change=change):
+                with self.assertRaises(InvalidEntryError) as raised:
+                    parse_worker("i-1", json.dumps(ENTRY | change).encode())
+                self.assertIn(field, raised.exception.reason)
+
+    def test_an_id_that_cannot_be_sent_in_a_header_is_invalid(self) -> None:
+        value = json.dumps(ENTRY).encode()
+        self.assertEqual(parse_worker("i-1", value).address, "10.0.0.1:80")
+        for worker_id in ("", "a b", "a\r\nX: y", "\u00e9", "a" * 201):
+            with self.subTest(worker_id=worker_id), self.assertRaises(InvalidEntryError):
+                parse_worker(worker_id, value)
+
+    @given(
+        field=st.sampled_from([*ENTRY, "cold_left_ms", "remaining_ms", "machine", "more"]),
+        value=st.recursive(
+            st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+            lambda each: st.lists(each, max_size=3) | st.dictionaries(st.text(), each, max_size=3),
+        ),
+    )
+    @settings(max_examples=300, derandomize=True, deadline=None, database=None)
+    def test_an_entry_with_any_value_in_a_field_is_used_or_names_its_fault(
+        self, field: str, value: object
+    ) -> None:
+        try:
+            entry = parse_worker("i-1", json.dumps(ENTRY | {field: value}).encode())
+        except InvalidEntryError as err:
+            self.assertTrue(err.reason)
+        else:
+            self.assertEqual(parse_address(entry.address)[0].count("."), 3)
--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -68,6 +68,8 @@
     "lasting_mb": int,
     "lasting_runs": int,
     "listing_age_s": (int, float),
+    "order": str,
+    "receiver": str,
     "load_s": (int, float),
     "longest_step_s": (int, float),
     "lost": int,
--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -104,6 +104,14 @@
             "Runs of the owner's term that were discarded before they had begun, by reason",
         )
         self._suspected = Gauge("toucandoor_suspected_servers", "Servers that starts avoid")
+        self._invalid_entries = Gauge(
+            "toucandoor_invalid_server_entries",
+            "Entries in the list of backend servers that name no server to use",
+        )
+        self._unexpected_errors = Counter(
+            "toucandoor_unexpected_errors",
+            "Unexpected errors that were confined to one order or record, by what it was",
+        )
 
     def record_caller_call(
         self, queue: str, team: str, method: str, status: int, seconds: float
@@ -213,6 +221,18 @@
         """Set the number of teams whose weight is ignored."""
         self._invalid_weights.set({}, count)
 
+    def set_invalid_entries(self, count: int) -> None:
+        """Set the number of entries in the list of backend servers that are ignored."""
+        self._invalid_entries.set({}, count)
+
+    def add_unexpected_error(self, part: str) -> None:
+        """Count an unexpected error that was confined to one order or record.
+
+        Args:
+            part: Kind of order or record.
+        """
+        self._unexpected_errors.add({"part": part}, 1)
+
 
 def metrics_app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
     """WSGI application that serves the metrics at any path."""
--- a/toucandoor/adapters/term_intake.py
+++ b/toucandoor/adapters/term_intake.py
@@ -30,11 +30,11 @@
     WORKER_PREFIX,
     decode_evacuation,
 )
-from toucandoor.platform.workers import decode_worker
+from toucandoor.platform.workers import InvalidEntryError, parse_worker
 
 if TYPE_CHECKING:
     import threading
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from toucandoor.adapters.term_context import TermContext
     from toucandoor.adapters.term_vms import TermVms
@@ -75,6 +75,7 @@
         self._term = term
         self._vms = vms
         self._term_ended = ended
+        self._invalid_entries: dict[str, str] = {}
 
     def load(self) -> tuple[int, int]:
         """Load all records that the scheduler needs: those of jobs that have not ended.
@@ -101,11 +102,13 @@
             progress = self._read_progress(jobs, readers)
             evacuations.result()
         read_s = clock.monotonic_s() - started_s
+        self._term.dependencies.metrics.set_invalid_entries(0)
         self._restore_run_times(run_times)
         for record in workers.records:
-            self._apply_worker_entry(record)
+            self._apply_record(WORKER_PREFIX, record)
         for record in jobs:
-            self._load_job(record, progress.get(record.key.removeprefix(JOB_PREFIX)))
+            found = progress.get(record.key.removeprefix(JOB_PREFIX))
+            self._confine(record.key, partial(self._load_job, record, found))
         for record in intake.records:
             if record.key.startswith(CANCEL_PREFIX):
                 scheduler.cancel_job(JobId(record.key.removeprefix(CANCEL_PREFIX)))
@@ -233,7 +236,7 @@
                 changes = store.watch(prefix, after_revision, WATCH_WAIT_S)
                 after_revision = changes.revision
                 if changes.written or changes.deleted:
-                    self._term.post(lambda seen=changes: self._apply_changes(prefix, seen))  # type: ignore[misc]
+                    self._term.post(lambda seen=changes: self.apply_changes(prefix, seen))  # type: ignore[misc]
                 if prefix == WORKER_PREFIX:
                     # Entries change continuously; a pause returns several changes in one call.
                     self._term_ended.wait(WORKER_WATCH_PAUSE_S)
@@ -250,21 +253,37 @@
             for record in snapshot.records:
                 self._apply_record(prefix, record)
             if prefix == WORKER_PREFIX:
-                present = {record.key.removeprefix(prefix) for record in snapshot.records}
-                for worker_id in self._term.scheduler.workers.keys() - present:
-                    self._term.scheduler.worker_unlisted(WorkerId(worker_id))
+                present = {record.key for record in snapshot.records}
+                known = {prefix + worker_id for worker_id in self._term.scheduler.workers}
+                for key in (known | self._invalid_entries.keys()) - present:
+                    self._remove_worker_entry(key)
 
         self._term.post(apply)
         return snapshot.revision
 
-    def _apply_changes(self, prefix: str, changes: Changes) -> None:
+    def apply_changes(self, prefix: str, changes: Changes) -> None:
+        """Pass changes below a prefix to the scheduler."""
         for record in changes.written:
             self._apply_record(prefix, record)
         if prefix == WORKER_PREFIX:
             for key in changes.deleted:
-                self._term.scheduler.worker_unlisted(WorkerId(key.removeprefix(prefix)))
+                self._remove_worker_entry(key)
+
+    def _confine(self, key: str, apply: Callable[[], None]) -> None:
+        """Apply a record to the schedule; an unexpected error affects that record alone.
+
+        Otherwise a single record that cannot be handled ends the term, and each one after it.
+        """
+        try:
+            apply()
+        except Exception:
+            self._term.dependencies.metrics.add_unexpected_error(key.partition("/")[0])
+            _LOGGER.exception("owner: unexpected error; record %s is not used", key)
 
     def _apply_record(self, prefix: str, record: Record) -> None:
+        self._confine(record.key, partial(self._apply_present, prefix, record))
+
+    def _apply_present(self, prefix: str, record: Record) -> None:
         if prefix == WORKER_PREFIX:
             self._apply_worker_entry(record)
         elif record.key.startswith(CANCEL_PREFIX):
@@ -276,6 +295,26 @@
                 _LOGGER.error("jobs: record %s cannot be decoded: %s", record.key, err)
 
     def _apply_worker_entry(self, record: Record) -> None:
-        entry = decode_worker(record.key.removeprefix(WORKER_PREFIX), record.value)
-        if entry is not None:
-            self._term.scheduler.worker_listed(entry)
+        try:
+            entry = parse_worker(record.key.removeprefix(WORKER_PREFIX), record.value)
+        except InvalidEntryError as err:
+            if self._invalid_entries.get(record.key) != err.reason:
+                _LOGGER.warning("workers: entry %s is ignored: %s", record.key, err.reason)
+            self._set_invalid(record.key, err.reason)
+            return
+        self._set_invalid(record.key, None)
+        self._term.scheduler.worker_listed(entry)
+
+    def _remove_worker_entry(self, key: str) -> None:
+        self._set_invalid(key, None)
+        self._term.scheduler.worker_unlisted(WorkerId(key.removeprefix(WORKER_PREFIX)))
+
+    def _set_invalid(self, key: str, reason: str | None) -> None:
+        """Store why an entry is ignored; None if it is valid or has been removed."""
+        before = len(self._invalid_entries)
+        if reason is None:
+            self._invalid_entries.pop(key, None)
+        else:
+            self._invalid_entries[key] = reason
+        if before != len(self._invalid_entries):
+            self._term.dependencies.metrics.set_invalid_entries(len(self._invalid_entries))
--- a/toucandoor/adapters/term_orders.py
+++ b/toucandoor/adapters/term_orders.py
@@ -1,4 +1,8 @@
-"""Sends the scheduler's orders to backend servers and its requests to the adviser of queues."""
+"""Sends the scheduler's orders to backend servers and its requests to the adviser of queues.
+
+An unexpected error in an order counts as an order without an answer, so that a bad entry or answer
+of one server does not end the term, in which all the others are scheduled.
+"""
 
 from __future__ import annotations
 
@@ -69,6 +73,9 @@
         except OrderUnansweredError as err:
             _LOGGER.info("workers: heartbeat not answered: %s", err)
             self._term.post(lambda: scheduler.run_orders.heartbeat_failed(worker, None))
+        except Exception:
+            self._record_error("heartbeat", worker.entry.worker_id)
+            self._term.post(lambda: scheduler.run_orders.heartbeat_failed(worker, None))
         else:
             self._term.post(lambda: scheduler.heartbeat_answered(worker, report, sent_s))
 
@@ -94,6 +101,9 @@
                 "runs: start order not answered: %s", err, extra={"job": run.task.key.job_id}
             )
             self._term.post(lambda: scheduler.run_orders.start_unanswered(run))
+        except Exception:
+            self._record_error("start", run.worker.entry.worker_id)
+            self._term.post(lambda: scheduler.run_orders.start_unanswered(run))
         else:
             self._term.post(lambda: scheduler.run_orders.start_answered(run, clock_ms))
 
@@ -111,6 +121,9 @@
                 "runs: stop order not answered: %s", err, extra={"job": run.task.key.job_id}
             )
             self._term.post(lambda: scheduler.run_orders.stop_failed(run, None))
+        except Exception:
+            self._record_error("stop", run.worker.entry.worker_id)
+            self._term.post(lambda: scheduler.run_orders.stop_failed(run, None))
         else:
             self._term.post(lambda: scheduler.run_orders.stop_answered(run))
 
@@ -124,6 +137,8 @@
             _LOGGER.info(
                 "runs: changing the speed limit failed: %s", err, extra={"job": run.task.key.job_id}
             )
+        except Exception:
+            self._record_error("speed_limit", run.worker.entry.worker_id)
         else:
             self._term.post(
                 lambda: self._term.scheduler.run_orders.speed_limit_answered(run, order.percent)
@@ -138,5 +153,16 @@
                 "advice: request to the adviser failed: %s", err, extra={"job": order.step.job_id}
             )
             self._term.post(lambda: scheduler.advice_answered(order.step, None))
+        except Exception:
+            self._record_error("advice", order.step.job_id)
+            self._term.post(lambda: scheduler.advice_answered(order.step, None))
         else:
             self._term.post(lambda: scheduler.advice_answered(order.step, advice))
+
+    def _record_error(self, order: str, receiver: str) -> None:
+        """Log and count an unexpected error in an order, while it is being handled."""
+        self._term.dependencies.metrics.add_unexpected_error(order)
+        _LOGGER.exception(
+            "owner: unexpected error in an order; it counts as not answered",
+            extra={"order": order, "receiver": receiver},
+        )
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -82,10 +82,21 @@
         domains = self._state.failure_domains
         if domains.probes and worker.entry.worker_id in domains.probes:
             return not worker.ended
-        if not worker.needs_heartbeat:
+        if not worker.needs_heartbeat or not (worker.contacted or self._in_use(worker)):
             return False
         return not domains.held_back or worker.entry.worker_id not in domains.held_back
 
+    def _in_use(self, worker: WorkerView) -> bool:
+        """Return whether a server may get tasks or have runs, or whether a wave waits for its VM.
+
+        An entry that names neither a pool of the configuration nor a VM may be of another kind of
+        server, which does not expect calls.
+        """
+        configuration = self._state.configuration
+        if worker.runs or worker.entry.vm_id is not None or configuration is None:
+            return True
+        return worker.entry.pool in configuration.pools
+
     def _run_order(self, run: Run, now_s: float) -> Order | None:
         token = self._state.settings.token
         if run.stop_requested:
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -39,6 +39,12 @@
         state = self._state
         known = state.workers.get(entry.worker_id)
         if known is None:
+            if state.configuration is not None and entry.pool not in state.configuration.pools:
+                _LOGGER.info(
+                    "workers: %s is listed with a pool that the configuration does not name",
+                    entry.worker_id,
+                    extra={"worker": entry.worker_id, "pool": entry.pool},
+                )
             state.workers[entry.worker_id] = self._known_boot(entry) or self._new_view(entry)
             return
         if entry.booted_unix_ms > known.entry.booted_unix_ms > 0:
--- a/toucandoor/core/scheduling/workers.py
+++ b/toucandoor/core/scheduling/workers.py
@@ -271,6 +271,8 @@
     MOVING = "moving"
     MAINTENANCE = "maintenance"
     DOWN = "down"
+    UNKNOWN = "unknown"
+    """A state of a later version of the platform; what runs on the VM may go on."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/toucandoor/platform/async_http.py
+++ b/toucandoor/platform/async_http.py
@@ -14,6 +14,7 @@
 import httptools
 import msgspec
 
+from toucandoor.platform.address import parse_address
 from toucandoor.platform.http import (
     CONNECT_TIMEOUT_S,
     KEEP_ALIVE_OPTIONS,
@@ -85,15 +86,19 @@
 
         Raises:
             CallWithheldError: `may_send` returned false.
-            CallNotSentError: No connection was free, or could be made, in time.
+            CallNotSentError: The address or the body is invalid, or no connection was free or could
+                be made in time.
             CallUnansweredError: No complete answer came in time.
         """
         started_s = time.monotonic()
         outcome = "unanswered"
         try:
-            answer = await self._async_post(
-                address, _encode_request(address, path, body, headers), step, timeout_s, may_send
-            )
+            try:
+                host = self._host(address)
+                request = _encode_request(address, path, body, headers)
+            except (ValueError, OverflowError, TypeError) as err:
+                raise CallNotSentError(_reason(err), step=step, peer=address) from err
+            answer = await self._async_post(host, request, step, timeout_s, may_send)
             outcome = str(answer.status)
             return answer
         except CallNotSentError:
@@ -108,18 +113,23 @@
         for host in self._hosts.values():
             host.close()
 
+    def _host(self, address: str) -> _Host:
+        host = self._hosts.get(address)
+        if host is None:
+            made = _Host(address)
+            self._forget_unused_hosts()
+            host = self._hosts[address] = made
+        return host
+
     async def _async_post(
         self,
-        address: str,
+        host: _Host,
         request: bytes,
         step: str,
         timeout_s: float,
         may_send: Callable[[], bool] | None,
     ) -> Answer:
-        host = self._hosts.get(address)
-        if host is None:
-            self._forget_unused_hosts()
-            host = self._hosts[address] = _Host(address)
+        address = host.address
         connection: _Connection | None = None
         sent = False
         host.calls += 1
@@ -131,10 +141,9 @@
                 sent = True
                 status, body = await connection.async_exchange(request)
         except (OSError, httptools.HttpParserError) as err:
-            reason = f"{type(err).__name__}: {err}"[:200]
             if sent:
-                raise CallUnansweredError(reason, step=step, peer=address) from err
-            raise CallNotSentError(reason, step=step, peer=address) from err
+                raise CallUnansweredError(_reason(err), step=step, peer=address) from err
+            raise CallNotSentError(_reason(err), step=step, peer=address) from err
         finally:
             host.calls -= 1
             if connection is not None:
@@ -154,15 +163,21 @@
 class _Host:
     """Connections to one address.
 
+    Args:
+        address: ``IP:port`` of the service.
+
+    Raises:
+        ValueError: The address is invalid.
+
     Attributes:
+        address: That address.
         free_calls: Limits the calls in flight.
         calls: Calls in flight or waiting.
     """
 
     def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self._port = int(port)
+        self.address = address
+        self._host, self._port = parse_address(address)
         self._idle: list[_Connection] = []
         self.free_calls = asyncio.Semaphore(CALLS_PER_ADDRESS_MAX)
         self.calls = 0
@@ -306,6 +321,10 @@
             self._answer.set_exception(error)
 
 
+def _reason(err: Exception) -> str:
+    return f"{type(err).__name__}: {err}"[:200]
+
+
 def _encode_request(address: str, path: str, body: Any, headers: Mapping[str, str]) -> bytes:
     data = msgspec.json.encode(body)
     lines = [
--- a/toucandoor/platform/machines.py
+++ b/toucandoor/platform/machines.py
@@ -179,7 +179,7 @@
     return VmEntry(
         vm_id=VmId(machine.machine),
         pool=PoolId(machine.pool),
-        state=_STATES.get(machine.state, VmState.DOWN),
+        state=_STATES.get(machine.state, VmState.UNKNOWN),
         data_centre=DataCentreId(machine.zone),
         labels=tuple(machine.labels),
         capacity=machine.capacity.resources,
--- a/toucandoor/platform/workers.py
+++ b/toucandoor/platform/workers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Any, Final
+import re
+from typing import TYPE_CHECKING, Annotated, Any, Final
 
 import msgspec
 
@@ -25,6 +26,7 @@
     WorkerTarget,
 )
 from toucandoor.ids import DataCentreId, FencingToken, JobId, PoolId, VmId, WorkerId
+from toucandoor.platform.address import parse_address
 from toucandoor.platform.async_http import AsyncPlatformHttp, CallWithheldError
 from toucandoor.platform.http import (
     Answer,
@@ -48,6 +50,10 @@
 """Longest time-out, while answers are slow; a tenth of a backend server's lease."""
 COLD_MS_MAX: Final = 600_000
 """Longest plausible time for which a server is slow after its start."""
+NUMBER_MAX: Final = 2**53
+"""Largest plausible number of a server: all up to it can be stored and calculated with."""
+WORKER_ID_PATTERN: Final = re.compile(r"[!-~]{1,200}")
+"""Ids that can be sent in a header; a key of the store has at most 200 bytes."""
 INSTANCE_HEADER: Final = "X-Toucandoor-Expected-Instance"
 
 _REFUSALS = {
@@ -92,8 +98,11 @@
     cold_left_ms: Any = 0
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, le=NUMBER_MAX)]
+
+
 class _Reply(msgspec.Struct, frozen=True):
-    clock_ms: int | None = None
+    clock_ms: _Number | None = None
     reason: str = ""
 
 
@@ -108,21 +117,44 @@
         born: Start of this boot, in Unix ms; 0 if not given.
     """
 
-    clock_ms: int
+    clock_ms: _Number
     active: list[list[Any]] = []
     finished: list[list[Any]] = []
-    born: int = 0
+    born: _Number = 0
+
+
+class InvalidEntryError(Exception):
+    """An entry in the list of backend servers names no server to use.
+
+    Args:
+        reason: The field at fault and what is wrong with it.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
 
 
 def decode_worker(worker_id: str, value: bytes) -> WorkerEntry | None:
     """Decode a backend server's entry in the store; None if it is invalid or cannot be used."""
+    try:
+        return parse_worker(worker_id, value)
+    except InvalidEntryError as err:
+        _LOGGER.debug("workers: entry of %s cannot be used: %s", worker_id, err.reason)
+        return None
+
+
+def parse_worker(worker_id: str, value: bytes) -> WorkerEntry:
+    """Decode a backend server's entry in the store, which may come from any writer.
+
+    Raises:
+        InvalidEntryError: It is invalid or cannot be used.
+    """
     try:
         entry = msgspec.json.decode(value, type=_StoreEntry)
     except (msgspec.MsgspecError, UnicodeDecodeError) as err:
-        _LOGGER.debug("workers: entry of %s cannot be decoded: %s", worker_id, err)
-        return None
-    if entry.state not in ("ready", "draining") or not entry.address or not worker_id:
-        return None
+        raise InvalidEntryError(str(err)) from err
+    _check_entry(worker_id, entry)
     return WorkerEntry(
         worker_id=WorkerId(worker_id),
         pool=PoolId(entry.service),
@@ -138,6 +170,28 @@
     )
 
 
+def _check_entry(worker_id: str, entry: _StoreEntry) -> None:
+    if not WORKER_ID_PATTERN.fullmatch(worker_id):
+        raise InvalidEntryError("the id has characters that cannot be sent in a header")
+    if entry.state not in ("ready", "draining"):
+        raise InvalidEntryError(f"state: {entry.state[:20]!r} is unknown")
+    if not entry.service:
+        raise InvalidEntryError("service: is empty")
+    try:
+        parse_address(entry.address)
+    except ValueError as err:
+        raise InvalidEntryError(f"address: {err}") from err
+    numbers = {
+        "capacity.cpu": entry.capacity.cpu,
+        "capacity.mem_mb": entry.capacity.mem_mb,
+        "capacity.gpu": entry.capacity.gpu,
+        "born": entry.born,
+    }
+    for field, number in numbers.items():
+        if not 0 <= number <= NUMBER_MAX:
+            raise InvalidEntryError(f"{field}: is not from 0 to {NUMBER_MAX}")
+
+
 def _cold_s(cold_left_ms: Any) -> float:
     """Return the time for which a server remains slow; 0 if it is missing or implausible."""
     plausible = isinstance(cold_left_ms, int | float) and 0 <= cold_left_ms <= COLD_MS_MAX
@@ -149,9 +203,18 @@
     return f"{task.job_id}.{task.occurrence}.{task.step}.{task.number}"
 
 
-def _task_key(name: str) -> TaskKey:
-    job_id, occurrence, step, index = name.split(".")
-    return TaskKey(JobId(job_id), int(occurrence), int(step), int(index))
+def _run_key(name: str, attempt: int) -> RunKey:
+    """Return the key of a run in a status report.
+
+    Raises:
+        ValueError: A number is missing, negative or implausibly large.
+        TypeError: The attempt is not a number.
+    """
+    job_id, occurrence, step, index = str(name).split(".")
+    task = TaskKey(JobId(job_id), int(occurrence), int(step), int(index))
+    if min(task[1:]) < 0 or not 0 <= attempt <= NUMBER_MAX:
+        raise ValueError("a number is out of range")
+    return RunKey(task, int(attempt))
 
 
 class PlatformWorkers(WorkerPort):
@@ -215,7 +278,7 @@
         answer = await self._async_call(target, "hold", "/-/hold", body, timeout_s)
         try:
             return _status_report(answer.decode(_HoldAnswer))
-        except (AnswerUnreadableError, ValueError, TypeError, KeyError) as err:
+        except (AnswerUnreadableError, ValueError, TypeError, LookupError, OverflowError) as err:
             raise OrderUnansweredError(str(err), step=answer.step, peer=answer.peer) from err
 
     async def _async_order(
@@ -297,7 +360,7 @@
 def _status_report(answer: _HoldAnswer) -> StatusReport:
     active = tuple(
         ActiveRun(
-            run=RunKey(_task_key(row[0]), int(row[1])),
+            run=_run_key(row[0], row[1]),
             checkpoint=str(row[2]),
             speed_percent=int(row[3]),
             # Only sent where tasks share resources that a backend server's capacity does not
@@ -309,7 +372,7 @@
     ended = tuple(
         EndedRun(
             sequence=int(row[0]),
-            run=RunKey(_task_key(row[1]), int(row[2])),
+            run=_run_key(row[1], row[2]),
             reason=_END_REASONS[row[3]],
             checkpoint=str(row[4]) if len(row) > 4 else "",
         )
