Discard runs only by status reports that list all ends

Cause: a server lists 500 ends in an answer; a run that is neither among them nor active counted as gone (run_ends._reconcile) and its task was planned again. The same held for runs that a new owner reads from the store.

Change: a status report says whether it is complete, and an incomplete one confirms runs but discards none. An incomplete report is logged. On a related path, an empty page of the store that is not the last was read as the end of the list; it is an error now.

Why this works: the server forgets an end only once it is acknowledged, and lists the earliest first, so that each later report has the next ones; the first complete report decides about what is left.

--- a/tests/core/scheduling/test_machine.py
+++ b/tests/core/scheduling/test_machine.py
@@ -52,6 +52,8 @@
         self.trouble: dict[str, float] = {}
         self.fleet.calls.choose_outcome = self.choose_outcome
         self.fleet.calls.choose_delay_s = lambda: self.random.uniform(2.0, 12.0)
+        # Reports that list few ended runs at a time stand for servers with hundreds of them.
+        self.fleet.ends_per_report_max = self.random.choice([1, 3, 500])
         for number in range(WORKERS):
             rate = self.random.choice([0.98, 1.0])
             self.boot(number, clock_rate=rate)
--- a/tests/core/scheduling/test_restarts_in_place.py
+++ b/tests/core/scheduling/test_restarts_in_place.py
@@ -110,7 +110,7 @@
         self.fleet.run(0.1)
         self.fleet.submit(self.job)
         self.fleet.run(0.1)
-        report = StatusReport(100, later.entry.booted_unix_ms, (), ())
+        report = StatusReport(100, later.entry.booted_unix_ms, (), (), True)
         scheduler.heartbeat_answered(earlier, report, earlier.heartbeat_sent_s)
         self.fleet.run(12.0)
         self.assert_runs_once(self.fleet, self.job)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -17,7 +17,11 @@
 from toucandoor.exceptions import StoreAnswerLostError, StoreUnavailableError
 from toucandoor.ids import StoreLeaseId
 from toucandoor.platform.http import Answer as HttpAnswer
-from toucandoor.platform.http import CallUnansweredError, PlatformHttp
+from toucandoor.platform.http import (
+    AnswerUnreadableError,
+    CallUnansweredError,
+    PlatformHttp,
+)
 from toucandoor.platform.store import PlatformStore
 
 
@@ -60,6 +64,15 @@
         self.assertEqual(snapshot.revision, 7)
         self.assertEqual(self.calls[1][2], {"prefix": "p/", "after": "p/1"})
 
+    # Guards against records that count as removed, as they come after a page without any.
+    def test_an_empty_page_that_is_not_the_last_is_an_error(self) -> None:
+        self.answers = [
+            (200, {"items": [item("p/1", b"", 2)], "has_more": True, "at": 7}),
+            (200, {"items": [], "has_more": True, "at": 9}),
+        ]
+        with self.assertRaises(AnswerUnreadableError):
+            self.store.read_prefix("p/")
+
     def test_watch_separates_writes_from_removals(self) -> None:
         removal = {"key": "p/2", "revision": 9, "deleted": True}
         self.answers = [(200, {"events": [item("p/1", b"v", 8), removal], "at": 9}), (410, {})]
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -121,6 +121,17 @@
         self.assertEqual(report.ended[0].reason, EndReason.LEASE_EXPIRED)
         self.assertEqual(report.booted_unix_ms, 1700000000000)
 
+    # Guards against tasks that run twice, as ends beyond the limit of an answer were not seen.
+    async def test_a_report_with_as_many_ends_as_an_answer_can_list_is_not_complete(self) -> None:
+        for count, complete in ((499, True), (500, False)):
+            rows = [[n + 1, f"5c0e7a21d94b36f8.0.0.{n}", 1, "done", ""] for n in range(count)]
+            self.answers = [(200, {"clock_ms": 5, "active": [], "finished": rows})]
+            report = await self.workers.async_heartbeat(
+                self.target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=0
+            )
+            self.assertEqual(len(report.ended), count)
+            self.assertIs(report.complete, complete)
+
     async def test_invalid_status_report_counts_as_no_answer(self) -> None:
         task = "5c0e7a21d94b36f8.0.1.9"
         answers: list[dict[str, Any]] = [
--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -45,6 +45,7 @@
     "copies_won": int,
     "crashes": int,
     "data_centre": str,
+    "ends": int,
     "deposed": bool,
     "discarded": int,
     "down_max": int,
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -46,6 +46,12 @@
                 worker.ends_processed = ended.sequence
                 self._process_end(worker, ended, sent_s)
         worker.reported_s = self._state.now_s
+        if not report.complete:
+            _LOGGER.info(
+                "workers: the status report of %s lists only its first ended runs",
+                worker.entry.worker_id,
+                extra={"worker": worker.entry.worker_id, "ends": len(report.ended)},
+            )
         self._reconcile(worker, report, sent_s)
 
     def _process_end(self, worker: WorkerView, ended: EndedRun, sent_s: float) -> None:
@@ -147,7 +153,10 @@
             )
 
     def _reconcile(self, worker: WorkerView, report: StatusReport, sent_s: float) -> None:
-        """Confirm the runs in a status report, and discard runs that can't exist any more."""
+        """Confirm the runs in a status report, and discard runs that can't exist any more.
+
+        A report that doesn't list all ended runs shows which runs exist, but not which don't.
+        """
         now_s = self._state.now_s
         active = {each.run: each for each in report.active}
         worker.unknown_runs = {
@@ -157,7 +166,7 @@
             seen = active.pop(run.key, None)
             if seen is not None:
                 self._confirm_run(run, seen, now_s)
-            elif _cannot_exist(run, sent_s):
+            elif report.complete and _cannot_exist(run, sent_s):
                 self._state.discard_run(run, DiscardReason.NOT_REPORTED)
         for unknown in active.values():
             self._stop_unplanned_run(worker, unknown, now_s)
@@ -196,7 +205,7 @@
 
 
 def _cannot_exist(run: Run, sent_s: float) -> bool:
-    """Return whether a run that is missing in a status report cannot exist now or later."""
+    """Return whether a run that is missing in a complete report cannot exist now or later."""
     # The server reported under this owner's fencing token, so it refuses the former owner's orders.
     fenced = run.state is RunState.RECOVERED
     was_there = (
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -293,6 +293,11 @@
         """Remove a run that cannot exist any more and whose result is unknown."""
         if run.confirmed_s is None and run.state is not RunState.RECOVERED:
             self._count_discarded_plan(run, reason)
+        elif reason is DiscardReason.NOT_REPORTED:
+            _LOGGER.info(
+                "runs: discarded without a reported end",
+                extra=run_fields(run) | {"reason": reason.value},
+            )
         self.detach(run)
         self.mark_changed(self.jobs[run.task.key.job_id])
 
--- a/toucandoor/core/scheduling/workers.py
+++ b/toucandoor/core/scheduling/workers.py
@@ -126,13 +126,16 @@
         clock_ms: Its steady clock at the time of the answer.
         booted_unix_ms: Start of the boot that answered; 0 if not given.
         active: Runs in progress.
-        ended: Ended runs that have not been acknowledged yet.
+        ended: Ended runs that have not been acknowledged yet, the earliest first.
+        complete: Whether it lists all of these; otherwise a run that it does not contain may have
+            ended as well.
     """
 
     clock_ms: int
     booted_unix_ms: int
     active: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    complete: bool
 
 
 class OrderRefusal(Enum):
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -75,6 +75,7 @@
         operators: Requests evacuations; faults of reading them are set there.
         run_times: Expected run times that the next owner uses; None for learned ones.
         policies: Creates the next owner's policies; None if none is switched off.
+        ends_per_report_max: Most ended runs that the status report of a backend server lists.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         self.owner: OwnerTerm | None = None
         self.run_times: RunTimeModel | None = None
         self.policies: Policies | None = None
+        self.ends_per_report_max = 500
         self.calls = VirtualCalls(
             self.clock, self.records, self.workers, self.schedule, self._schedule_event
         )
@@ -158,7 +160,12 @@
             cold_s=cold_s,
         )
         worker = VirtualWorker(
-            entry, self.clock, self.observations, self._behaviour, clock_rate=clock_rate
+            entry,
+            self.clock,
+            self.observations,
+            self._behaviour,
+            clock_rate=clock_rate,
+            ends_per_report_max=self.ends_per_report_max,
         )
         self.workers[entry.worker_id] = worker
         if self.owner is not None:
--- a/toucandoor/fakes/virtual_platform.py
+++ b/toucandoor/fakes/virtual_platform.py
@@ -125,6 +125,7 @@
         running: Backend servers on which each task is running.
         acknowledged: Tasks whose end as done has been acknowledged.
         acknowledged_s: When that was, on the virtual clock.
+        last_start_s: When each task last started.
         copies_allowed: Returns whether a task allows copies.
         copies: Number of runs that have started beside another run of their task.
         failed: Attempt numbers of the acknowledged failed runs of each task.
@@ -139,6 +140,7 @@
     running: dict[TaskKey, set[WorkerId]] = field(default_factory=dict)
     acknowledged: set[TaskKey] = field(default_factory=set)
     acknowledged_s: dict[TaskKey, float] = field(default_factory=dict)
+    last_start_s: dict[TaskKey, float] = field(default_factory=dict)
     copies_allowed: Callable[[TaskKey], bool] = lambda task: False
     copies: int = 0
     failed: dict[TaskKey, set[int]] = field(default_factory=dict)
@@ -156,6 +158,7 @@
         behaviour: Returns how a task runs on a backend server.
         lease_s_max: Longest lease that it accepts, in seconds.
         clock_rate: Rate of its clock, relative to the virtual clock.
+        ends_per_report_max: Most ended runs that a status report lists.
 
     Attributes:
         entry: Its entry in the platform's list.
@@ -173,6 +176,7 @@
         *,
         lease_s_max: float = 6.0,
         clock_rate: float = 1.0,
+        ends_per_report_max: int = 500,
     ) -> None:
         self.entry = entry
         self.alive = True
@@ -182,6 +186,7 @@
         self._behaviour = behaviour
         self._lease_s_max = lease_s_max
         self._rate = clock_rate
+        self._ends_per_report_max = ends_per_report_max
         self._booted_s = clock.monotonic_s()
         self._lease_until_ms = 0
         self._token = 0
@@ -189,6 +194,8 @@
         self._highest_attempt: dict[TaskKey, int] = {}
         self._ended: list[EndedRun] = []
         self._last_end_sequence = 0
+        self._ended_s: dict[int, float] = {}
+        self._lease_lapsed_s = float("-inf")
         observations.boots.append(self)
 
     # Calls of owners
@@ -238,9 +245,9 @@
             ActiveRun(run.key, "", 100 if now_s - run.started_s >= STARTUP_DURATION_S else 50, 0)
             for run in self.runs.values()
         )
-        return StatusReport(
-            self.clock_ms(), self.entry.booted_unix_ms, active, tuple(self._ended[:500])
-        )
+        ended = tuple(self._ended[: self._ends_per_report_max])
+        complete = len(ended) < self._ends_per_report_max
+        return StatusReport(self.clock_ms(), self.entry.booted_unix_ms, active, ended, complete)
 
     @property
     def has_ended_runs(self) -> bool:
@@ -305,6 +312,7 @@
                 f"{key} started after its task's end as done was acknowledged"
             )
         others.add(self.entry.worker_id)
+        self._observations.last_start_s[key.task] = now_s
         self._observations.starts += 1
         self._observations.started.append((now_s, self.entry))
         self.runs[key] = _VirtualRun(
@@ -337,6 +345,7 @@
             if run.ends_at_s <= min(now_s, lease_until_s):
                 self._end(run, run.outcome)
         if now_s > lease_until_s:
+            self._lease_lapsed_s = lease_until_s
             for run in list(self.runs.values()):
                 self._end(run, EndReason.LEASE_EXPIRED)
 
@@ -346,6 +355,7 @@
         highest = self._highest_attempt.get(run.key.task, 0)
         self._highest_attempt[run.key.task] = max(highest, run.key.attempt)
         self._ended.append(EndedRun(self._last_end_sequence, run.key, reason, ""))
+        self._ended_s[self._last_end_sequence] = min(run.ends_at_s, self._clock.monotonic_s())
         if reason is not EndReason.DONE:
             self._count_as_wasted(run)
 
@@ -361,7 +371,9 @@
         for ended in self._ended:
             if ended.sequence > sequence:
                 continue
+            ended_s = self._ended_s.pop(ended.sequence)
             if ended.reason is EndReason.DONE:
+                self._check_done(ended.run, ended_s)
                 self._observations.acknowledged.add(ended.run.task)
                 now_s = self._clock.monotonic_s()
                 self._observations.acknowledged_s.setdefault(ended.run.task, now_s)
@@ -369,6 +381,17 @@
                 self._observations.failed.setdefault(ended.run.task, set()).add(ended.run.attempt)
         self._ended = [ended for ended in self._ended if ended.sequence > sequence]
 
+    def _check_done(self, run: RunKey, ended_s: float) -> None:
+        """Record a violation if a task started again after an end as done that is acknowledged.
+
+        An end does not count if the lease has expired between it and its acknowledgement.
+        """
+        observations = self._observations
+        if self._lease_lapsed_s > ended_s or observations.copies_allowed(run.task):
+            return
+        if observations.last_start_s[run.task] > ended_s:
+            observations.violations.append(f"{run} was done before a later start of its task")
+
 
 def _runs(boot: VirtualWorker, task: TaskKey) -> bool:
     return any(run.task == task for run in boot.runs)
--- a/toucandoor/platform/store.py
+++ b/toucandoor/platform/store.py
@@ -109,8 +109,12 @@
             page = answer.decode(_Range)
             records = tuple(_record(answer, item) for item in page.items)
             yield Snapshot(records, page.at, len(answer.body))
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return
+            if not page.items:
+                # Otherwise the records that follow would count as removed.
+                reason = f"a page below {prefix} is empty, but not the last"
+                raise AnswerUnreadableError(reason, step=answer.step, peer=answer.peer)
             query = {"prefix": prefix, "after": page.items[-1].key}
 
     def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
--- a/toucandoor/platform/workers.py
+++ b/toucandoor/platform/workers.py
@@ -48,6 +48,8 @@
 server answers in milliseconds."""
 ORDER_TIMEOUT_S_MAX: Final = 0.6
 """Longest time-out, while answers are slow; a tenth of a backend server's lease."""
+ENDS_PER_ANSWER_MAX: Final = 500
+"""Most ended runs in an answer to a heartbeat, by the platform's protocol."""
 COLD_MS_MAX: Final = 600_000
 """Longest plausible time for which a server is slow after its start."""
 NUMBER_MAX: Final = 2**53
@@ -378,4 +380,5 @@
         )
         for row in answer.finished
     )
-    return StatusReport(answer.clock_ms, answer.born, active, ended)
+    complete = len(ended) < ENDS_PER_ANSWER_MAX
+    return StatusReport(answer.clock_ms, answer.born, active, ended, complete)
