Send a backend server only as many starts at once as it takes

Callers of a job with thousands of tasks saw it stand still.

Change: at most 16 starts and stops to one server are in flight; the others are sent as answers arrive.

Test: test_starts_beyond_what_a_server_takes_at_once_wait_for_answers; 200 starts to one server are at most 16 at a time.

--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -4,7 +4,7 @@
 
 import unittest
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 from unittest import mock
 
 from tests.core.scheduling.common import (
@@ -22,6 +22,7 @@
 from toucandoor.core.jobs.models import JobState, Resources, Step
 from toucandoor.core.jobs.records import JOB_PREFIX, job_key, progress_key
 from toucandoor.core.records import Transaction, TransactionConflictError
+from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.orders import SendHeartbeat
 from toucandoor.core.scheduling.worker_view import MOVE_CORDON, DiscardReason, WorkerView
 from toucandoor.core.scheduling.workers import EndReason, StatusReport
@@ -73,6 +74,38 @@
         self.assertEqual(called, {"w1", "on-vm", "other"})
 
 
+class OrdersInFlightTest(unittest.TestCase):
+    """How many orders are sent to one server at once."""
+
+    # Guards against orders whose time-outs pass while they wait in line, so that all are repeated.
+    def test_starts_beyond_what_a_server_takes_at_once_wait_for_answers(self) -> None:
+        small = Resources(10, 10, 0)
+        virtual = fleet(workers=1, behaviour=lambda _task, _worker: TaskBehaviour(small, 1.0))
+        most, in_flight = 0, 0
+        send_order = virtual.calls._send_order
+
+        def count(*arguments: Any) -> None:
+            nonlocal most, in_flight
+            in_flight += 1
+            most = max(most, in_flight)
+            answered = arguments[4]
+
+            def count_answer(clock_ms: int) -> None:
+                nonlocal in_flight
+                in_flight -= 1
+                answered(clock_ms)
+
+            send_order(*arguments[:4], count_answer, *arguments[5:])
+
+        virtual.calls._send_order = count  # type: ignore[method-assign]
+        spec = job(1, Step(200, small))
+        virtual.submit(spec)
+        virtual.run(5.0)
+        self.assertIs(virtual.state(spec.job_id), JobState.COMPLETED)
+        self.assertEqual(virtual.observations.starts, 200)
+        self.assertEqual(most, const.RUN_ORDERS_IN_FLIGHT_MAX)
+
+
 class NoFaultTest(unittest.TestCase):
     """Course of jobs on a fleet without faults."""
 
--- a/toucandoor/core/scheduling/const.py
+++ b/toucandoor/core/scheduling/const.py
@@ -23,6 +23,9 @@
 UNCOMMITTED_HEARTBEAT_PAUSE_S: Final = 1.0
 """Pause between heartbeats while the effects of reported ends of runs are not yet in the store; a
 status report would only repeat those ends."""
+RUN_ORDERS_IN_FLIGHT_MAX: Final = 16
+"""Most starts and stops in flight to one backend server. It takes calls on a few connections, so
+that the time-outs of further ones would pass while they wait to be sent."""
 START_RETRY_S: Final = 0.05
 """Pause before an unanswered start is sent again under the same attempt number. It is short because
 the time-out of the first call has already passed."""
@@ -49,6 +52,15 @@
 COMMITS_IN_FLIGHT_MAX: Final = 3
 """Most progress writes in flight at once; several, so that a slow answer does not delay other
 jobs."""
+LARGE_RECORD_BYTES: Final = 64 * 1024
+"""Size from which a job's record is not written with each change, as it takes a while to encode and
+to send."""
+LARGE_RECORD_BYTES_PER_S: Final = 1_000_000
+"""Bytes per second that such a record is written with, at most."""
+REJECTED_WRITE_PAUSE_S: Final = 0.1
+"""Pause before a job's record is written again that the store has rejected as invalid."""
+REJECTED_WRITES_MAX: Final = 9
+"""Rejected writes up to each of which that pause doubles, to about half a minute."""
 DUE_TIME_MARGIN_S: Final = 0.02
 """Delay of an occurrence after its due time, since the clocks of VMs differ slightly."""
 PENDING_WRITE_INTERVAL_S: Final = 0.7
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from toucandoor.core.copies.models import may_be_copied
@@ -40,14 +41,21 @@
         now_s = state.now_s
         orders = self._speed_limits
         self._speed_limits = []
+        in_flight = Counter(
+            run.worker.entry.worker_id for run in state.runs_awaiting_orders if run.order_in_flight
+        )
         for run in list(state.runs_awaiting_orders):
+            worker_id = run.worker.entry.worker_id
             if run.key not in run.worker.runs:
                 del state.runs_awaiting_orders[run]
-            elif not run.order_in_flight and now_s >= run.next_order_s and run.worker.entry.address:
+            elif run.order_in_flight or now_s < run.next_order_s or not run.worker.entry.address:
+                continue
+            elif in_flight[worker_id] < const.RUN_ORDERS_IN_FLIGHT_MAX:
                 order = self._run_order(run, now_s)
                 if order is not None:
                     run.order_in_flight = True
                     run.order_sent_s = now_s
+                    in_flight[worker_id] += 1
                     orders.append(order)
         self.next_heartbeat_s = float("inf")
         # Most servers await an answer or need no heartbeat, so these checks come first.
