Keep the progress of a job within a value of the store

Cause: each planned task has an entry in the one record of its job, and all that the servers have room for were planned at once; the store rejects the record of 1.13 MB. Its client made no difference between "invalid" and "out of service": the write was repeated unchanged, and the job that has waited longest is part of each write, with whatever jobs are chosen beside it.

Change: a job gets no further first runs while its record is a quarter of the largest value, and goes on as its tasks are done. Consecutive numbers of done tasks and occurrences are stored as a pair. After a write that is invalid jobs are written one by one; a record that is rejected alone gives up its planned runs and is tried again ever more rarely. A write has no more records than one value has room for, and the time that sending takes. Large records are not written with each change. Jobs that cannot be stored are refused at their submission.

--- a/tests/adapters/test_job_callers.py
+++ b/tests/adapters/test_job_callers.py
@@ -22,6 +22,9 @@
 BODY = b'{"spec":"x","phases":[{"count":1,"cpu":5}]}'
 
 
+VALUE_BYTES_MAX = 3000
+
+
 class CallersTest(unittest.TestCase):
     """Calls to the API on a job service with fixed outcomes."""
 
@@ -45,6 +48,7 @@
             lambda: self.store_reachable,
             self.submissions,
             self.outages,
+            VALUE_BYTES_MAX,
         )
 
     def call(
@@ -94,6 +98,15 @@
                 self.assertEqual(self.call(*call, **options)[0], status)
         self.service.submit.assert_not_called()
 
+    # Guards against a job that is refused as if the store were out of service, each time anew.
+    def test_a_job_that_is_too_large_for_the_store_is_refused_for_good(self) -> None:
+        for length, status in ((2400, 200), (3200, 413)):
+            body = json.dumps({"spec": "x" * length, "phases": [{"count": 1}]}).encode()
+            answered, headers, _ = self.call("POST", f"/n/{JOB}", body)
+            self.assertEqual(answered, status)
+            self.assertNotIn("Retry-After", headers)
+        self.service.submit.assert_called_once()
+
     def test_unknown_jobs_and_jobs_of_other_queues(self) -> None:
         for status in (None, JobStatus(QueueId("other"), TEAM, JobState.RUNNING)):
             self.service.status.return_value = status
--- a/tests/adapters/test_node_metrics.py
+++ b/tests/adapters/test_node_metrics.py
@@ -30,6 +30,7 @@
     "toucandoor_plans_discarded": {"reason"},
     "toucandoor_invalid_server_entries": set(),
     "toucandoor_unexpected_errors": {"part"},
+    "toucandoor_unwritable_jobs": set(),
 }
 HISTOGRAMS = {name for name in LABELS if name.endswith("_seconds")}
 SAMPLE = re.compile(r"^(\w+?)(_bucket|_sum|_count)?(?:\{(.*)\})? \S+$")
@@ -51,6 +52,7 @@
         metrics.set_invalid_weights(1)
         metrics.set_discarded_plans({DiscardReason.SERVER_LOST: 1})
         metrics.set_invalid_entries(2)
+        metrics.set_unwritable_jobs(1)
         metrics.add_unexpected_error("heartbeat")
         seen: dict[str, set[str]] = {}
         buckets: set[str] = set()
--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -207,6 +207,7 @@
         vm_maintenance_s=2.0,
         vm_move_s=1.5,
         status_retention_s=120.0,
+        store_value_bytes_max=1024 * 1024,
         switched_off=frozenset(),
     )
     watch = mock.Mock(waves={}, evacuations=None)
--- a/tests/platform/test_caller_routes.py
+++ b/tests/platform/test_caller_routes.py
@@ -46,6 +46,10 @@
             b'{"spec":"x","phases":[{"count":1,"cpu":-5}]}',
             b'{"spec":"x","phases":[{"count":1,"after":[0]}]}',
             b'{"spec":"x","phases":[{"count":99999999}]}',
+            b'{"spec":"x","phases":[{"count":5001,"gang":true}]}',
+            b'{"spec":"x","phases":[{"count":1,"cpu":99999999999999999999}]}',
+            b'{"spec":"x","phases":[{"count":1}],"repeat_count":1,"start_at_ms":-1}',
+            b'{"spec":"x","phases":[{"count":1}],"interval_ms":99999999999999999999}',
             b'{"spec":"x","phases":[{"count":1}],"repeat_count":-1}',
             b'{"spec":"' + b"x" * 4001 + b'","phases":[{"count":1}]}',
         ):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -56,6 +56,7 @@
         self.assertEqual(settings.peer_port_last, 7015)  # type: ignore[attr-defined]
         self.assertEqual(settings.processor_cores, 1.5)  # type: ignore[attr-defined]
         self.assertEqual(settings.link_mbps, 200.0)  # type: ignore[attr-defined]
+        self.assertEqual(settings.store_value_bytes_max, 1048576)  # type: ignore[attr-defined]
 
     def test_evacuations_are_supported_where_they_have_a_bound(self) -> None:
         self.assertIsNone(self.load(GOOD).evacuate_s)  # type: ignore[attr-defined]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,7 +14,11 @@
     Transaction,
     TransactionConflictError,
 )
-from toucandoor.exceptions import StoreAnswerLostError, StoreUnavailableError
+from toucandoor.exceptions import (
+    StoreAnswerLostError,
+    StoreRejectedError,
+    StoreUnavailableError,
+)
 from toucandoor.ids import StoreLeaseId
 from toucandoor.platform.http import Answer as HttpAnswer
 from toucandoor.platform.http import (
@@ -119,6 +123,24 @@
             with self.assertRaises(StoreUnavailableError):
                 self.store.write(transaction)
 
+    # Guards against a write that is repeated without end, as its refusal counts as an outage.
+    def test_a_write_that_is_invalid_is_rejected_and_an_outage_is_not(self) -> None:
+        transaction = Transaction({}, {"a": b"x"})
+        for status, rejected in ((400, True), (403, True), (413, True), (429, False), (500, False)):
+            self.answers = [(status, {})]
+            with self.subTest(status=status), self.assertRaises(StoreUnavailableError) as raised:
+                self.store.write(transaction)
+            self.assertIs(isinstance(raised.exception, StoreRejectedError), rejected)
+
+    def test_a_value_that_is_too_large_is_not_sent(self) -> None:
+        store = PlatformStore(PlatformHttp(), self.server.address, 0.5, value_bytes_max=10)
+        self.answers = [(200, {"revision": 1})]
+        store.write(Transaction({}, {"a": b"x" * 10}))
+        with self.assertRaises(StoreRejectedError) as raised:
+            store.write(Transaction({}, {"a": b"x" * 11}))
+        self.assertIn("value of a has 11 bytes", str(raised.exception))
+        self.assertEqual(len(self.calls), 1)
+
     def test_leases(self) -> None:
         self.answers = [(200, {"lease_id": 7, "ttl_ms": 3000}), (200, {"ttl_ms": 3000}), (404, {})]
         lease = self.store.grant_lease(3.0)
@@ -162,6 +184,16 @@
         self.assertEqual(sorted(self.timeouts_s[20:]), self.timeouts_s[20:])
         self.assertEqual(self.timeouts_s[-1], 0.9)
 
+    # Guards against a large write that never succeeds, as sending it takes longer than it may.
+    def test_a_large_write_is_given_the_time_that_sending_it_takes(self) -> None:
+        http = mock.Mock()
+        http.call.side_effect = self.call
+        store = PlatformStore(http, "store:1", 0.9, link_bytes_per_s=625_000)
+        for size in (100, 100, 100, 300_000):
+            store.write(Transaction({}, {"a": b"x" * size}))
+        self.assertLess(self.timeouts_s[-2], 0.2)
+        self.assertGreater(self.timeouts_s[-1], 300_000 * 4 / 3 / 625_000)
+
     def test_a_renewal_is_waited_for_no_longer_than_its_own_limit(self) -> None:
         self.store.renew_lease(StoreLeaseId(1), 0.4)
         self.assertEqual(self.timeouts_s, [0.4])
--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -46,6 +46,7 @@
     "crashes": int,
     "data_centre": str,
     "ends": int,
+    "retry_s": (int, float),
     "deposed": bool,
     "discarded": int,
     "down_max": int,
--- a/toucandoor/adapters/job_callers.py
+++ b/toucandoor/adapters/job_callers.py
@@ -10,7 +10,9 @@
 from toucandoor.adapters.job_service import WriteOutcome
 from toucandoor.adapters.wsgi import respond, respond_json
 from toucandoor.core.admission.submission import AcceptAll
+from toucandoor.core.jobs.records import encode
 from toucandoor.core.overload.outages import StoreOutages
+from toucandoor.core.records import DEFAULT_VALUE_BYTES_MAX
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.ids import JobId, TeamId
 from toucandoor.platform.caller_routes import (
@@ -46,6 +48,8 @@
 RETRY_AFTER_S: Final = 1
 """Retry-After if this node could not store a job although the store has answered it recently. A
 retry goes to another entry VM, which may reach the store."""
+RECORD_TO_BODY_RATIO: Final = 2
+"""Size of a job's record to that of its submission, at most; the record has longer names."""
 UNKNOWN_REASON: Final = "overloaded; whether it is stored is unknown"
 """Reason of a refusal if the store doesn't tell whether an earlier try was stored."""
 
@@ -78,6 +82,7 @@
         store_reachable: Whether the store has answered this node recently.
         submissions: Decides whether a job is accepted; None to accept all.
         outages: Lengths of the store's outages; None if they aren't known.
+        value_bytes_max: Largest value of the store.
     """
 
     def __init__(
@@ -89,7 +94,9 @@
         store_reachable: Callable[[], bool],
         submissions: SubmissionPolicy | None = None,
         outages: StoreOutages | None = None,
+        value_bytes_max: int = DEFAULT_VALUE_BYTES_MAX,
     ) -> None:
+        self._value_bytes_max = value_bytes_max
         self._outages = outages or StoreOutages()
         self._submissions = submissions or AcceptAll()
         self._store_reachable = store_reachable
@@ -174,6 +181,10 @@
             spec = decode_job_body(body, job_id, queue, team, accepted_unix_ms)
         except InvalidJobError as fault:
             raise _HttpError(400, fault.reason) from fault
+        large = RECORD_TO_BODY_RATIO * length > self._value_bytes_max
+        if large and len(encode(spec)) > self._value_bytes_max:
+            # The store would refuse it each time that the caller repeats the submission.
+            raise _HttpError(413, "the job is too large to be stored")
         rejection = self._submissions.rejection(spec)
         if rejection is None:
             outcome = self._jobs.submit(spec, until_s)
--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -108,6 +108,9 @@
             "toucandoor_invalid_server_entries",
             "Entries in the list of backend servers that name no server to use",
         )
+        self._unwritable_jobs = Gauge(
+            "toucandoor_unwritable_jobs", "Jobs whose latest record was rejected by the store"
+        )
         self._unexpected_errors = Counter(
             "toucandoor_unexpected_errors",
             "Unexpected errors that were confined to one order or record, by what it was",
@@ -225,6 +228,10 @@
         """Set the number of entries in the list of backend servers that are ignored."""
         self._invalid_entries.set({}, count)
 
+    def set_unwritable_jobs(self, count: int) -> None:
+        """Set the number of jobs whose latest record was rejected by the store."""
+        self._unwritable_jobs.set({}, count)
+
     def add_unexpected_error(self, part: str) -> None:
         """Count an unexpected error that was confined to one order or record.
 
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -29,7 +29,7 @@
 from toucandoor.core.run_times.models import CALLER_ESTIMATES
 from toucandoor.core.scheduling.policies import Policies
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
-from toucandoor.exceptions import ToucandoorError
+from toucandoor.exceptions import StoreRejectedError, ToucandoorError
 from toucandoor.platform.operator_records import WORKER_PREFIX
 
 if TYPE_CHECKING:
@@ -90,6 +90,7 @@
             lease_s=dependencies.settings.lease_s_max,
             status_retention_s=dependencies.settings.status_retention_s,
             handed_over_leases_s=handed_over_leases_s,
+            value_bytes_max=dependencies.settings.store_value_bytes_max,
         )
         # Learned run times are not in force: in a trial on a deployment with long tasks, fewer jobs
         # were served with them than with the callers' estimates.
@@ -269,6 +270,13 @@
                 extra={"jobs": len(commit.jobs)},
             )
             self._post(lambda: scheduler.commit_failed(commit, present))
+        except StoreRejectedError as err:
+            _LOGGER.warning(
+                "progress: the store rejects a write of the progress of jobs: %s",
+                err,
+                extra={"jobs": len(commit.jobs)},
+            )
+            self._post(lambda: scheduler.commit_rejected(commit))
         except ToucandoorError as err:
             _LOGGER.info(
                 "progress: writing the progress of jobs failed: %s",
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -54,6 +54,7 @@
         self._record_evacuations(now_s)
         self._record_teams()
         self._set_failure_domains()
+        self._dependencies.metrics.set_unwritable_jobs(self._scheduler.unwritable_jobs)
         self._dependencies.metrics.set_discarded_plans(self._scheduler.activity.plans_discarded)
         self._log_activity(now_s)
         self._log_traffic()
--- a/toucandoor/core/jobs/records.py
+++ b/toucandoor/core/jobs/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from toucandoor.core.jobs.models import JobSpec, JobState
+from toucandoor.core.jobs.ranges import NumberRanges
 from toucandoor.ids import JobId, QueueId, TeamId, WorkerId
 
 INTAKE_PREFIX: Final = "work/"
@@ -89,11 +90,18 @@
 
 
 class DoneRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Numbers of the tasks of a step that are done."""
+    """Tasks that are done.
 
-    occurrence: int
+    Attributes:
+        occurrence: Number of the occurrence; a pair stands for all from its first to its last, of
+            which all tasks are done.
+        step: Number of the step; not used with a pair.
+        indexes: Numbers of the tasks in the step; empty with a pair.
+    """
+
+    occurrence: int | tuple[int, int]
     step: int
-    indexes: tuple[int, ...]
+    indexes: NumberRanges
 
 
 class ProgressRecord(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/toucandoor/core/records.py
+++ b/toucandoor/core/records.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from toucandoor.exceptions import StoreConflictError, StoreError
 
@@ -13,6 +13,9 @@
 
     from toucandoor.ids import StoreLeaseId
 
+DEFAULT_VALUE_BYTES_MAX: Final = 1024 * 1024
+"""Largest value of the store if the settings do not name it."""
+
 
 @dataclass(frozen=True, slots=True)
 class Record:
@@ -148,6 +151,7 @@
         Raises:
             TransactionConflictError: A key did not have the expected revision.
             LeaseEndedError: The lease has ended.
+            StoreRejectedError: The transaction is invalid, such as with a value that is too large.
         """
 
     @abstractmethod
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -15,6 +15,7 @@
     matching_workers,
     tasks_by_worker,
 )
+from toucandoor.core.scheduling.record_budget import may_plan, run_bytes
 from toucandoor.core.scheduling.state import MS_PER_S
 from toucandoor.core.scheduling.step_order import WaitingStep
 from toucandoor.core.scheduling.worker_view import Run, RunState, WorkerView
@@ -140,7 +141,12 @@
         now_s: float,
         orders: list[Order],
     ) -> None:
-        if not any(task.waiting and now_s >= task.not_before_s for task in step.tasks):
+        waiting = (task for task in step.tasks if task.waiting and now_s >= task.not_before_s)
+        first = next(waiting, None)
+        if first is None:
+            return
+        value_bytes_max = self._state.settings.value_bytes_max
+        if not step.step.gang and not may_plan(job, first, value_bytes_max):
             return
         if not self._advice_ready(job, step, workers, now_s, orders):
             return
@@ -161,6 +167,8 @@
         for task in tasks:
             if not self._state.within_ceiling(job, step.step.needs):
                 return
+            if not may_plan(job, task, value_bytes_max):
+                return
             chosen = servers.choose(task)
             if chosen is None:
                 if task.isolated:
@@ -214,6 +222,7 @@
         run = Run(RunKey(task.key, attempt), task, worker, RunState.PLANNED, now_s)
         run.checkpoint = task.checkpoint
         task.attempt = attempt
+        job.record_bytes += run_bytes(run)
         state.attach(run)
         state.planned.setdefault(job.spec.job_id, []).append(run)
         if not job.started:
--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from toucandoor.core.jobs.models import JobState, StepKey, TaskKey
+from toucandoor.core.jobs.ranges import RANGE_NUMBERS_MIN, NumberRanges, from_ranges, to_ranges
 from toucandoor.core.jobs.records import (
     DoneRecord,
     LossRecord,
@@ -129,6 +131,12 @@
         finished_unix_ms: When it reached a final state; 0 before that.
         spec_stored: Whether the store may still have the record of its specification.
         arrived_s: When this owner first saw it, on the monotonic clock.
+        record_bytes: Size of its latest record, and of the runs planned since then.
+        rejected_writes: Writes of its record alone that the store has rejected as invalid, one
+            after the other.
+        written_alone: Whether its record is written without others, as the store has rejected a
+            write with it.
+        next_write_s: Earliest time of its next write, on the monotonic clock.
     """
 
     spec: JobSpec
@@ -146,6 +154,10 @@
     finished_unix_ms: int = 0
     spec_stored: bool = True
     arrived_s: float = 0.0
+    record_bytes: int = 0
+    rejected_writes: int = 0
+    written_alone: bool = False
+    next_write_s: float = 0.0
 
     @property
     def has_runs(self) -> bool:
@@ -195,10 +207,7 @@
         done: list[DoneRecord] = []
         tasks: list[TaskRecord] = []
         if not self.state.final:
-            for step in self.steps.values():
-                finished = tuple(task.key.number for task in step.tasks if task.done)
-                if finished:
-                    done.append(DoneRecord(step.key.occurrence, step.key.step, finished))
+            done = self._done_records()
         for step in self.steps.values():
             for task in step.tasks:
                 if task.runs or (task.attempt and not task.done and not self.state.final):
@@ -221,6 +230,41 @@
             losses=losses,
         )
 
+    def _done_records(self) -> list[DoneRecord]:
+        whole = [each for each in to_ranges(self._done_occurrences()) if not isinstance(each, int)]
+        made = [DoneRecord(each, 0, ()) for each in whole]
+        left_out = set(from_ranges(tuple(whole)))
+        for step in self.steps.values():
+            if step.key.occurrence not in left_out:
+                finished = to_ranges(task.key.number for task in step.tasks if task.done)
+                if finished:
+                    made.append(DoneRecord(step.key.occurrence, step.key.step, finished))
+        return made
+
+    def _done_occurrences(self) -> list[int]:
+        """Return the numbers of the occurrences of which all tasks are done."""
+        if self.opened < RANGE_NUMBERS_MIN:
+            return []
+        done = Counter(step.key.occurrence for step in self.steps.values() if step.done)
+        return sorted(each for each, steps in done.items() if steps == len(self.spec.steps))
+
+    def _restore_done(self, done: DoneRecord) -> None:
+        if isinstance(done.occurrence, int):
+            steps: dict[StepProgress, NumberRanges] = {
+                self.step(done.occurrence, done.step): done.indexes
+            }
+        else:
+            occurrences = range(done.occurrence[0], done.occurrence[1] + 1)
+            steps = {
+                step: tuple(range(len(step.tasks)))
+                for occurrence in occurrences
+                for step in self.open_occurrence(occurrence)
+            }
+        for step, indexes in steps.items():
+            for index in from_ranges(indexes):
+                step.tasks[index].done = True
+            step.remaining = sum(not task.done for task in step.tasks)
+
     def restore(self, record: ProgressRecord, revision: int) -> list[tuple[Task, RunRecord]]:
         """Apply a record from the store, and return the runs that may exist.
 
@@ -234,10 +278,7 @@
         self.revision = revision
         self.finished_unix_ms = record.finished_unix_ms
         for done in record.done:
-            step = self.step(done.occurrence, done.step)
-            for index in done.indexes:
-                step.tasks[index].done = True
-            step.remaining = sum(not task.done for task in step.tasks)
+            self._restore_done(done)
         for lost in record.losses:
             task = self.step(lost.occurrence, lost.step).tasks[lost.index]
             task.crashes, task.unexplained_losses = lost.crashes, lost.unexplained
--- a/toucandoor/core/scheduling/progress_writer.py
+++ b/toucandoor/core/scheduling/progress_writer.py
@@ -64,6 +64,8 @@
             job.spec_stored = job.spec_stored and job_key(job.spec.job_id) not in removed
             job.revision = revision
             job.committed_version = max(job.committed_version, version)
+            job.rejected_writes = 0
+            job.written_alone = False
             if job.dirty:
                 state.dirty[job.spec.job_id] = None
         for run in commit.planned:
@@ -79,17 +81,55 @@
             present: The expected records as the store has them, if the write met a conflict; None
                 if the write was not made or may have been made.
         """
-        state = self._state
-        self._in_flight -= 1
         found = {record.key: record for record in present} if present is not None else None
         if found is not None:
-            owner = found.get(state.settings.owner_key)
-            if owner is None or owner.revision != state.settings.owner_revision:
-                state.superseded = True
+            owner = found.get(self._state.settings.owner_key)
+            if owner is None or owner.revision != self._state.settings.owner_revision:
+                self._state.superseded = True
+            for job, _ in commit.jobs:
+                self._adopt_present(job, found.get(progress_key(job.spec.job_id)))
+        self._write_again(commit)
+
+    def rejected(self, commit: Commit) -> None:
+        """Process a write that the store rejects as invalid, and would reject again.
+
+        The jobs of the write are written one by one. A job whose record alone is rejected gives up
+        its planned runs, so that its record gets smaller, and is written again after a delay.
+
+        Args:
+            commit: The write.
+        """
+        self._write_again(commit)
+        if len(commit.jobs) > 1:
+            for job, _ in commit.jobs:
+                job.written_alone = True
+            return
+        ((job, _),) = commit.jobs
+        job.rejected_writes = min(job.rejected_writes + 1, const.REJECTED_WRITES_MAX)
+        delay_s = const.REJECTED_WRITE_PAUSE_S * 2 ** (job.rejected_writes - 1)
+        job.next_write_s = self._state.now_s + delay_s
+        _LOGGER.error(
+            "progress: the store rejects the record of %s; trying it again without planned runs",
+            job.spec.job_id,
+            extra={
+                "job": job.spec.job_id,
+                "queue": job.spec.queue,
+                "bytes": job.record_bytes,
+                "retry_s": delay_s,
+            },
+        )
+        self._state.drop_planned(job)
+
+    @property
+    def unwritable_jobs(self) -> int:
+        """Number of jobs whose latest record was rejected by the store."""
+        return sum(self._state.jobs[each].rejected_writes > 0 for each in self._state.dirty)
+
+    def _write_again(self, commit: Commit) -> None:
+        state = self._state
+        self._in_flight -= 1
         for job, _ in commit.jobs:
             job.write_in_flight = False
-            if found is not None:
-                self._adopt_present(job, found.get(progress_key(job.spec.job_id)))
             state.mark_dirty(job)
         for run in commit.planned:
             if run.state is RunState.PLANNED and run.key in run.worker.runs:
@@ -133,13 +173,23 @@
         removals: list[str] = []
         planned: list[Run] = []
         versions: list[tuple[JobProgress, int]] = []
+        size_bytes = 0
         for job in chosen:
+            value = encode(job.record())
+            size_bytes += len(value)
+            if writes and size_bytes > state.settings.value_bytes_max:
+                break
+            if len(value) < job.record_bytes:
+                state.changed_pools.add(state.pool_of(job))
+            job.record_bytes = len(value)
+            if len(value) > const.LARGE_RECORD_BYTES:
+                job.next_write_s = state.now_s + len(value) / const.LARGE_RECORD_BYTES_PER_S
             del state.dirty[job.spec.job_id]
             job.dirty = False
             job.write_in_flight = True
             key = progress_key(job.spec.job_id)
             expected[key] = job.revision
-            writes[key] = encode(job.record())
+            writes[key] = value
             if _spec_removable(job):
                 removals.append(job_key(job.spec.job_id))
             versions.append((job, job.version))
@@ -147,6 +197,12 @@
         transaction = Transaction(expected, writes, tuple(removals))
         return Commit(transaction, tuple(versions), tuple(planned))
 
+    def _is_delayed(self, job: JobProgress) -> bool:
+        """Return whether a job is to be written later; its end waits after a rejection only."""
+        if job.state.final and not job.rejected_writes:
+            return False
+        return self._state.now_s < job.next_write_s
+
     def _choose_jobs(self) -> list[JobProgress]:
         """Return changed jobs for one write, as many as the store accepts in a transaction.
 
@@ -161,7 +217,11 @@
         others: list[JobProgress] = []
         for job_id in self._state.dirty:
             job = self._state.jobs[job_id]
-            if job.write_in_flight:
+            if job.write_in_flight or self._is_delayed(job):
+                continue
+            if job.written_alone:
+                if not oldest:
+                    return [job]
                 continue
             if not oldest:
                 oldest.append(job)
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -296,6 +296,15 @@
         """
         self._writer.failed(commit, present)
 
+    def commit_rejected(self, commit: Commit) -> None:
+        """Process a progress write that the store rejects as invalid."""
+        self._writer.rejected(commit)
+
+    @property
+    def unwritable_jobs(self) -> int:
+        """Number of jobs whose latest record was rejected by the store."""
+        return self._writer.unwritable_jobs
+
     def pending_commit(self) -> Transaction | None:
         """Return the write of the count of waiting jobs; None while the stored count is current."""
         return self._writer.pending_commit()
--- a/toucandoor/core/scheduling/settings.py
+++ b/toucandoor/core/scheduling/settings.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.core.ownership.lease import OWNER_TTL_S
+from toucandoor.core.records import DEFAULT_VALUE_BYTES_MAX
 from toucandoor.core.scheduling import const
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
         status_retention_s: Time for which callers may ask for the state of a finished job.
         handed_over_leases_s: Longest time, in seconds, until the leases of a boot have expired, as
             handed over by the former owner; boots that it did not name are missing.
+        value_bytes_max: Largest value of the store.
     """
 
     owner_key: str
@@ -35,6 +37,7 @@
     lease_s: float
     status_retention_s: float = 120.0
     handed_over_leases_s: Mapping[Boot, float] = field(default_factory=dict)
+    value_bytes_max: int = DEFAULT_VALUE_BYTES_MAX
 
     @property
     def former_lease_s(self) -> float:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -276,12 +276,16 @@
             self.request_stop(run)
 
     def drop_planned(self, job: JobProgress) -> None:
-        """Remove the runs of a job whose record is not in the store yet."""
+        """Remove the runs of a job whose record is not in the store yet.
+
+        Their attempt numbers have not been used either.
+        """
         self.planned.pop(job.spec.job_id, None)
         for step in job.steps.values():
             for task in step.tasks:
                 for run in list(task.runs):
                     if run.state is RunState.PLANNED:
+                        task.attempt = min(task.attempt, run.key.attempt - 1)
                         self.detach(run)
 
     def mark_step_waiting(self, job: JobProgress, step: StepProgress) -> None:
--- a/toucandoor/exceptions.py
+++ b/toucandoor/exceptions.py
@@ -35,6 +35,10 @@
     """The store did not process the call; nothing was written."""
 
 
+class StoreRejectedError(StoreUnavailableError):
+    """The store rejects the call as invalid; it would reject the same call again."""
+
+
 class StoreAnswerLostError(StoreError):
     """The call was sent but no answer came; the write may have taken effect."""
 
--- a/toucandoor/fakes/virtual_calls.py
+++ b/toucandoor/fakes/virtual_calls.py
@@ -17,6 +17,7 @@
     StopRun,
 )
 from toucandoor.core.scheduling.workers import OrderRefusedError
+from toucandoor.exceptions import StoreRejectedError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -127,6 +128,11 @@
                     owner, STORE_CALL_S / 2, lambda: scheduler.commit_failed(commit, present)
                 )
                 return
+            except StoreRejectedError:
+                self._schedule_event(
+                    owner, STORE_CALL_S / 2, lambda: scheduler.commit_rejected(commit)
+                )
+                return
             if outcome is CallOutcome.ANSWER_LOST:
                 self._schedule_event(owner, 0.9, lambda: scheduler.commit_failed(commit, None))
             else:
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -28,7 +28,7 @@
     RENEW_RETRY_S,
     VALIDITY_MARGIN_S,
 )
-from toucandoor.core.records import Transaction
+from toucandoor.core.records import DEFAULT_VALUE_BYTES_MAX, Transaction
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
 from toucandoor.core.scheduling.workers import WorkerEntry
 from toucandoor.fakes.virtual_calls import STORE_CALL_S, OwnerTerm, VirtualCalls
@@ -76,6 +76,7 @@
         run_times: Expected run times that the next owner uses; None for learned ones.
         policies: Creates the next owner's policies; None if none is switched off.
         ends_per_report_max: Most ended runs that the status report of a backend server lists.
+        value_bytes_max: Largest value of the store, by the owners' settings.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         self.run_times: RunTimeModel | None = None
         self.policies: Policies | None = None
         self.ends_per_report_max = 500
+        self.value_bytes_max = DEFAULT_VALUE_BYTES_MAX
         self.calls = VirtualCalls(
             self.clock, self.records, self.workers, self.schedule, self._schedule_event
         )
@@ -238,6 +240,7 @@
             token=token,
             lease_s=LEASE_S,
             handed_over_leases_s=handed_over,
+            value_bytes_max=self.value_bytes_max,
         )
         requests = self._make_requests() if self._make_requests is not None else None
         owner = OwnerTerm(Scheduler(settings, self.clock, requests, self.run_times, self.policies))
--- a/toucandoor/fakes/virtual_platform.py
+++ b/toucandoor/fakes/virtual_platform.py
@@ -11,7 +11,12 @@
 from typing import TYPE_CHECKING
 
 from toucandoor.core.jobs.models import NO_RESOURCES, Resources
-from toucandoor.core.records import Record, Transaction, TransactionConflictError
+from toucandoor.core.records import (
+    DEFAULT_VALUE_BYTES_MAX,
+    Record,
+    Transaction,
+    TransactionConflictError,
+)
 from toucandoor.core.scheduling.workers import (
     ActiveRun,
     EndedRun,
@@ -22,6 +27,7 @@
     VmState,
     WorkerEntry,
 )
+from toucandoor.exceptions import StoreRejectedError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,6 +52,7 @@
         records: Present records.
         revision: Revision of the last change.
         writes: Number of calls of `write`.
+        value_bytes_max: Largest value that is accepted.
         on_change: Called with the key and record of each write, and with the key and None of each
             removal.
     """
@@ -54,11 +61,14 @@
         self.records: dict[str, Record] = {}
         self.revision = 1
         self.writes = 0
+        self.value_bytes_max = DEFAULT_VALUE_BYTES_MAX
         self.on_change: Callable[[str, Record | None], None] | None = None
 
     def write(self, transaction: Transaction) -> int:
         """Carry out a transaction in whole; raises the same errors as `RecordStore.write`."""
         self.writes += 1
+        if any(len(value) > self.value_bytes_max for value in transaction.writes.values()):
+            raise StoreRejectedError("a value is too large", step="write")
         mismatched = [
             key
             for key, revision in transaction.expected.items()
--- a/toucandoor/platform/caller_routes.py
+++ b/toucandoor/platform/caller_routes.py
@@ -17,7 +17,11 @@
 """Most steps of a job. It bounds the work of validating a job, and is far above the number in any
 real one."""
 TASKS_MAX: Final = 20_000
-"""Most tasks of an occurrence; a larger job would not fit into a record of the store."""
+"""Most tasks of an occurrence. It bounds the owner's work on a single job."""
+GANG_TASKS_MAX: Final = 5_000
+"""Most tasks of a step that can only be planned all at once, in one record of the store."""
+NUMBER_MAX: Final = 2**53
+"""Largest number in a job that can be stored and calculated with."""
 OCCURRENCES_MAX: Final = 100_000
 PAYLOAD_BYTES_MAX: Final = 4000
 """Largest payload of a job, by the platform's protocol."""
@@ -134,12 +138,16 @@
         raise InvalidJobError(f"phases must be 1 to {STEPS_MAX}")
     if not 0 <= job.repeat_count <= OCCURRENCES_MAX or job.interval_ms < 0:
         raise InvalidJobError("repeat_count or interval_ms is out of range")
+    if not 0 <= job.start_at_ms <= NUMBER_MAX or job.interval_ms > NUMBER_MAX:
+        raise InvalidJobError("start_at_ms or interval_ms is out of range")
     tasks = 0
     for number, phase in enumerate(job.phases):
         tasks += phase.count
         needs = (phase.cpu, phase.mem_mb, phase.gpu, phase.estimate_ms, phase.anti_affinity)
-        if phase.count < 1 or min(needs) < 0:
+        if phase.count < 1 or min(needs) < 0 or max(needs) > NUMBER_MAX:
             raise InvalidJobError(f"phase {number}: a number is out of range")
+        if phase.gang and phase.count > GANG_TASKS_MAX:
+            raise InvalidJobError(f"phase {number}: a gang of more than {GANG_TASKS_MAX}")
         if any(not 0 <= earlier < number for earlier in phase.after):
             raise InvalidJobError(f"phase {number}: after names no earlier phase")
     if tasks > TASKS_MAX:
--- a/toucandoor/platform/settings.py
+++ b/toucandoor/platform/settings.py
@@ -11,6 +11,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from toucandoor.core.mechanisms import Mechanism, parse_switched_off
+from toucandoor.core.records import DEFAULT_VALUE_BYTES_MAX
 from toucandoor.exceptions import SettingsError
 from toucandoor.ids import DataCentreId, EntryId
 
@@ -34,6 +35,7 @@
         peer_port_last: Last such port.
         seed_addresses: Control addresses of up to three entry VMs; may be stale.
         store_address: Address of the platform's store.
+        store_value_bytes_max: Largest value that it accepts.
         vm_list_address: Address of the platform's VM list; empty if there is none.
         advice_address: Address of the adviser of queues; empty if there is none.
         processor_cores: Processor of the VM that the process may use, in cores of standard speed.
@@ -89,6 +91,7 @@
     tail_excess_s: float
     speed_limit_delay_s: float
     vm_orders_per_s: float
+    store_value_bytes_max: int = DEFAULT_VALUE_BYTES_MAX
     evacuate_s: float | None = None
     switched_off: frozenset[Mechanism] = frozenset()
 
@@ -130,6 +133,7 @@
 
 class _Store(_Table):
     address: str = Field(pattern=_ADDRESS)
+    max_value_bytes: int = Field(default=DEFAULT_VALUE_BYTES_MAX, gt=0)
 
 
 class _CloudApi(_Table):
@@ -195,6 +199,7 @@
         peer_port_last=file.port_range[1],
         seed_addresses=tuple(file.seed_nodes),
         store_address=file.platform.address,
+        store_value_bytes_max=file.platform.max_value_bytes,
         vm_list_address=file.cloud_api.address,
         advice_address=file.recommendation,
         processor_cores=file.limits.cpu_quota * file.limits.cpu_cores,
--- a/toucandoor/platform/store.py
+++ b/toucandoor/platform/store.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from toucandoor.core.records import (
+    DEFAULT_VALUE_BYTES_MAX,
     Changes,
     HistoryLostError,
     LeaseEndedError,
@@ -22,7 +23,11 @@
     TransactionConflictError,
 )
 from toucandoor.core.response_times import ResponseTimes
-from toucandoor.exceptions import StoreAnswerLostError, StoreUnavailableError
+from toucandoor.exceptions import (
+    StoreAnswerLostError,
+    StoreRejectedError,
+    StoreUnavailableError,
+)
 from toucandoor.ids import StoreLeaseId
 from toucandoor.platform.http import (
     Answer,
@@ -46,6 +51,12 @@
 dead."""
 
 
+BASE64_RATIO: Final = 4 / 3
+"""Length of a value's text to that of the value."""
+LINK_SHARES: Final = 4
+"""Calls at once among which the link is shared when a large value is written."""
+
+
 class _Item(msgspec.Struct, frozen=True):
     key: str
     revision: int
@@ -86,9 +97,20 @@
         address: ``IP:port`` of the store.
         timeout_s: Longest wait for an answer. Answers to single reads, writes and renewals are
             waited for no longer than their usual time makes likely.
+        value_bytes_max: Largest value that the store accepts.
+        link_bytes_per_s: Rate of this VM's link, on which large writes take longer.
     """
 
-    def __init__(self, http: PlatformHttp, address: str, timeout_s: float) -> None:
+    def __init__(
+        self,
+        http: PlatformHttp,
+        address: str,
+        timeout_s: float,
+        value_bytes_max: int = DEFAULT_VALUE_BYTES_MAX,
+        link_bytes_per_s: float = float("inf"),
+    ) -> None:
+        self._value_bytes_max = value_bytes_max
+        self._link_bytes_per_s = link_bytes_per_s
         self._http = http
         self._address = address
         self._timeout_s = timeout_s
@@ -145,6 +167,7 @@
 
     def write(self, transaction: Transaction) -> int:
         """Write a transaction and return its revision."""
+        self._check_sizes(transaction)
         lease = {} if transaction.lease_id is None else {"lease_id": transaction.lease_id}
         body = {
             "expected_revision": [
@@ -156,7 +179,8 @@
             ],
             "remove": list(transaction.removals),
         }
-        answer = self._call_timed("write", "POST", "/-/kv-txn", body=body)
+        size_bytes = sum(map(len, transaction.writes.values()))
+        answer = self._call_timed("write", "POST", "/-/kv-txn", body=body, size_bytes=size_bytes)
         if answer.status == 412:
             present = tuple(
                 _record(answer, item)
@@ -173,6 +197,16 @@
             raise LeaseEndedError("the store has no such lease", step=answer.step, peer=answer.peer)
         return answer.decode(_Written).revision
 
+    def _check_sizes(self, transaction: Transaction) -> None:
+        for key, value in transaction.writes.items():
+            if len(value) > self._value_bytes_max:
+                raise StoreRejectedError(
+                    f"the value of {key} has {len(value)} bytes, of at most "
+                    f"{self._value_bytes_max}",
+                    step="store.write",
+                    peer=self._address,
+                )
+
     def grant_lease(self, ttl_s: float) -> StoreLease:
         """Grant a lease and return it."""
         body = {"ttl_ms": int(ttl_s * 1000)}
@@ -199,18 +233,25 @@
         body: Any = None,
         query: Mapping[str, str] | None = None,
         timeout_s_max: float | None = None,
+        size_bytes: int = 0,
     ) -> Answer:
-        """Make a call whose time-out follows the usual times of answers."""
+        """Make a call whose time-out follows the usual times of answers.
+
+        Args:
+            size_bytes: Size of the values that are written; they take time on the link.
+        """
         timeout_s = self._response_times.timeout_s
         if timeout_s_max is not None:
             timeout_s = min(timeout_s, timeout_s_max)
+        sending_s = size_bytes * BASE64_RATIO / self._link_bytes_per_s
+        timeout_s += LINK_SHARES * sending_s
         started_s = time.monotonic()
         try:
             answer = self._call(name, method, path, body=body, query=query, timeout_s=timeout_s)
         except StoreAnswerLostError:
             self._response_times.record_unanswered()
             raise
-        self._response_times.record(time.monotonic() - started_s)
+        self._response_times.record(max(0.0, time.monotonic() - started_s - sending_s))
         return answer
 
     def _call(
@@ -245,7 +286,8 @@
         if answer.status in (200, 404, 410, 412):
             return answer
         text = answer.body[:100].decode(errors="replace")
-        raise StoreUnavailableError(f"{answer.status} {text}", step=step, peer=answer.peer)
+        error = StoreRejectedError if 400 <= answer.status < 500 else StoreUnavailableError
+        raise error(f"{answer.status} {text}", step=step, peer=answer.peer)
 
 
 def _record(answer: Answer, item: _Item) -> Record:
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -63,6 +63,7 @@
 STORE_TIMEOUT_S: Final = 0.9
 """Time-out of a call to the store. An answer that is sixty times slower than usual takes 0.25 s.
 Renewals of the ownership have a shorter time-out, so that they can be tried again."""
+BYTES_PER_S_AND_MBPS: Final = 125_000
 CALLER_THREADS: Final = 24
 """Calls of callers served at once; each waits for a few answers of the store."""
 READY_THREADS: Final = 2
@@ -97,7 +98,13 @@
         worker_http = AsyncPlatformHttp(
             self._metrics.record_platform_call, self._metrics.record_platform_bytes
         )
-        self._store = PlatformStore(http, settings.store_address, STORE_TIMEOUT_S)
+        self._store = PlatformStore(
+            http,
+            settings.store_address,
+            STORE_TIMEOUT_S,
+            settings.store_value_bytes_max,
+            settings.link_mbps * BYTES_PER_S_AND_MBPS,
+        )
         peer_address = f"{settings.ip}:{settings.peer_port_first}"
         capacity = VmCapacity(settings.processor_cores, settings.link_mbps)
         this_node = Peer(settings.entry_id, peer_address, settings.data_centre, capacity)
@@ -150,6 +157,7 @@
             lambda: self._configuration.store_reachable,
             FirstRejection(self._submission_policies(load, data_centres)),
             self._configuration.outages,
+            settings.store_value_bytes_max,
         )
         self._configuration.add_listener(
             lambda current: self._metrics.set_configuration_version(current.version)
