Give calls to the adviser the time that they take

Cause: a call takes a time for each server that it names, 2.2 s for 40; its time-out was 2.0 s whatever the configuration says, and it was repeated at once, unchanged. Also up to 24 calls were sent at once to an adviser that handles those of a VM one after the other, so that they outlasted the time-out together.

Change: the time-out is what the call and those before it take, with a margin; at most two are in flight. A call names no more servers than take 2 s, those with room first; others are asked for when no approved one has room. After a call without an answer the step is asked for again later, for half as many servers, with more time. A refused ticket is forgotten alone, not with all tickets of the step.

Why this works: no call is sent that cannot be answered in its time by the configured times, and where the adviser is slower, each further call is smaller and waits longer.

--- a/tests/platform/test_machines.py
+++ b/tests/platform/test_machines.py
@@ -4,11 +4,20 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 from tests.platform.stub_server import Answer, StubServer
-from toucandoor.core.scheduling.workers import VmState
+from toucandoor.core.jobs.models import StepKey
+from toucandoor.core.scheduling.workers import (
+    Advice,
+    OrderRefusal,
+    OrderRefusedError,
+    VmState,
+)
+from toucandoor.ids import JobId, WorkerId
+from toucandoor.platform.http import Answer as HttpAnswer
 from toucandoor.platform.http import PlatformHttp
-from toucandoor.platform.machines import PlatformVms
+from toucandoor.platform.machines import PlatformAdvice, PlatformVms
 
 
 class MachinesTest(unittest.TestCase):
@@ -42,6 +51,28 @@
         )
         self.assertEqual(self.bodies, [{}, {"page_token": "2"}])
 
+    def test_advice(self) -> None:
+        answer = {"approved": [["w1", "t-1"], ["w3", "t-3"]], "validity_ms": 600}
+        self.answers = [(200, answer), (429, {}), (500, {})]
+        advice = PlatformAdvice(PlatformHttp(), self.address)
+        step = StepKey(JobId("5c0e7a21d94b36f8"), 0, 1)
+        workers = (WorkerId("w1"), WorkerId("w2"), WorkerId("w3"))
+        found = advice.advise(step, workers, 2.0)
+        self.assertEqual(found, Advice({workers[0]: "t-1", workers[2]: "t-3"}, 0.6))
+        self.assertEqual(self.bodies[0], {"phase": "5c0e7a21d94b36f8.0.1", "workers": [*workers]})
+        for refusal in (OrderRefusal.UNHEALTHY, OrderRefusal.REJECTED):
+            with self.assertRaises(OrderRefusedError) as raised:
+                advice.advise(step, workers, 2.0)
+            self.assertIs(raised.exception.refusal, refusal)
+
+    # Guards against a time-out that does not grow with the call.
+    def test_an_answer_is_waited_for_as_long_as_the_call_says(self) -> None:
+        http = mock.Mock()
+        http.call.return_value = HttpAnswer(200, b'{"approved":[]}', "advice.ask", "a:1")
+        step = StepKey(JobId("5c0e7a21d94b36f8"), 0, 1)
+        PlatformAdvice(http, "a:1").advise(step, (WorkerId("w1"),), 6.5)
+        self.assertEqual(http.call.call_args.kwargs["timeout_s"], 6.5)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/adapters/term_orders.py
+++ b/toucandoor/adapters/term_orders.py
@@ -147,7 +147,9 @@
     def _request_advice(self, order: RequestAdvice) -> None:
         scheduler = self._term.scheduler
         try:
-            advice = self._term.dependencies.advice.advise(order.step, order.workers)
+            advice = self._term.dependencies.advice.advise(
+                order.step, order.workers, order.timeout_s
+            )
         except (OrderRefusedError, OrderUnansweredError) as err:
             _LOGGER.info(
                 "advice: request to the adviser failed: %s", err, extra={"job": order.step.job_id}
--- a/toucandoor/core/copies/spare_capacity.py
+++ b/toucandoor/core/copies/spare_capacity.py
@@ -191,7 +191,8 @@
         job = state.jobs[run.task.key.job_id]
         queue = state.queue_of(job)
         advised = queue is not None and queue.adviser is not None
-        if advised and (step.advice is None or now_s >= step.advice_until_s):
+        step.forget_expired_tickets(now_s)
+        if advised and step.advice is None:
             return None
         if not state.within_ceiling(job, step.step.needs):
             return None
--- a/toucandoor/core/scheduling/const.py
+++ b/toucandoor/core/scheduling/const.py
@@ -44,6 +44,9 @@
 run frees capacity in less time."""
 UNHEALTHY_PAUSE_S: Final = 1.0
 """Time without new tasks for a backend server that refused an order as unhealthy."""
+REFUSED_TICKET_PAUSE_S: Final = 1.0
+"""Time for which the adviser is not asked for a server that has refused its ticket. The ticket may
+have expired, or the server may refuse each one."""
 DISCARDED_PLANS_TO_WARN: Final = 3
 """Runs of a task, one after the other, that were discarded before they had begun, after which a
 warning is logged for each further one."""
--- a/toucandoor/core/scheduling/orders.py
+++ b/toucandoor/core/scheduling/orders.py
@@ -60,10 +60,17 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class RequestAdvice:
-    """Ask the queue's adviser which of the given backend servers may run a step."""
+    """Ask the queue's adviser which of the given backend servers may run a step.
+
+    Attributes:
+        step: The step.
+        workers: The servers.
+        timeout_s: Longest wait for the answer.
+    """
 
     step: StepKey
     workers: tuple[WorkerId, ...]
+    timeout_s: float
 
 
 Order = StartRun | StopRun | LimitSpeed | SendHeartbeat | RequestAdvice
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -8,8 +8,8 @@
 from toucandoor.core.failure_domains.models import SLOW_RATIO
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.scheduling import const
+from toucandoor.core.scheduling.advice import AdviceRequests
 from toucandoor.core.scheduling.lookups import run_fields
-from toucandoor.core.scheduling.orders import Order, RequestAdvice
 from toucandoor.core.scheduling.placement import (
     ServerChoice,
     matching_workers,
@@ -22,9 +22,11 @@
 from toucandoor.core.scheduling.workers import RunKey
 
 if TYPE_CHECKING:
-    from toucandoor.core.jobs.models import Resources
+    from toucandoor.core.jobs.models import Resources, StepKey
+    from toucandoor.core.scheduling.orders import Order
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress, Task
     from toucandoor.core.scheduling.state import ScheduleState
+    from toucandoor.core.scheduling.workers import Advice
     from toucandoor.ids import PoolId, WorkerId
 
 _LOGGER = logging.getLogger(__name__)
@@ -35,8 +37,6 @@
 SEARCH_INTERVAL_S: Final = 0.05
 """Time after which waiting steps are searched for pools that are due for a review, though no pool
 has changed. Under overload thousands of steps wait, and most events change no pool."""
-ADVICE_WORKERS_MAX: Final = 100
-"""Most backend servers in one request to the adviser, by the platform's protocol."""
 
 
 class Placer:
@@ -46,6 +46,7 @@
         self._state = state
         self._reviewed_s: dict[PoolId, float] = {}
         self._searched_s = float("-inf")
+        self._advice = AdviceRequests()
 
     def open_occurrences(self) -> None:
         """Create the steps of occurrences that have become due, and close jobs that have ended."""
@@ -155,6 +156,7 @@
             return
         allowed = matching_workers(workers, step)
         if not allowed:
+            self._ask_for_others(job, step, workers, now_s, orders)
             return
         tasks = [task for task in step.tasks if task.waiting and now_s >= task.not_before_s]
         on_worker = tasks_by_worker(step)
@@ -163,6 +165,8 @@
         )
         if step.step.gang:
             self._place_gang(job, step, tasks, servers, on_worker, now_s)
+            if any(task.waiting for task in tasks):
+                self._ask_for_others(job, step, workers, now_s, orders)
             return
         for task in tasks:
             if not self._state.within_ceiling(job, step.step.needs):
@@ -175,6 +179,7 @@
                     continue  # others may fit where it may not run
                 if len(allowed) == len(workers) and not step.step.per_worker_max:
                     without_room.append(reserved)
+                self._ask_for_others(job, step, workers, now_s, orders)
                 return
             self.plan_run(job, task, chosen, task.attempt + 1, now_s)
             _count_task(on_worker, chosen)
@@ -252,6 +257,19 @@
         self._state.planned[run.task.key.job_id].remove(run)
         self._state.detach(run)
 
+    def advice_answered(self, key: StepKey, advice: Advice | None) -> None:
+        """Process the adviser's answer for a step; None if it did not answer."""
+        state = self._state
+        self._advice.ended(key, answered=advice is not None)
+        job = state.jobs.get(key.job_id)
+        if job is None:
+            return
+        step = job.step(key.occurrence, key.step)
+        self._advice.apply(step, advice, state.now_s)
+        state.changed_pools.add(state.pool_of(job))
+        if advice is not None:
+            state.mark_step_waiting(job, step)
+
     def _advice_ready(
         self,
         job: JobProgress,
@@ -264,16 +282,29 @@
         queue = self._state.queue_of(job)
         if queue is None or queue.adviser is None:
             return True
-        if step.advice is not None and now_s < step.advice_until_s:
+        step.forget_expired_tickets(now_s)
+        if step.advice is not None:
             return True
-        if not step.advice_in_flight:
-            step.advice = None
-            if workers:
-                step.advice_in_flight = True
-                asked = tuple(worker.entry.worker_id for worker in workers[:ADVICE_WORKERS_MAX])
-                orders.append(RequestAdvice(step.key, asked))
+        self._ask_for_others(job, step, workers, now_s, orders)
         return False
 
+    def _ask_for_others(
+        self,
+        job: JobProgress,
+        step: StepProgress,
+        workers: list[WorkerView],
+        now_s: float,
+        orders: list[Order],
+    ) -> None:
+        """Ask the queue's adviser, if there is one, for servers that it has not been asked for."""
+        queue = self._state.queue_of(job)
+        if queue is None or queue.adviser is None:
+            return
+        needs = step.step.reserved
+        order = self._advice.request(step, queue.adviser, workers, needs, now_s)
+        if order is not None:
+            orders.append(order)
+
 
 def _count_task(on_worker: dict[WorkerId, int], worker: WorkerView) -> None:
     worker_id = worker.entry.worker_id
--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -16,11 +16,12 @@
     TaskRecord,
 )
 from toucandoor.core.scheduling import const
+from toucandoor.core.scheduling.workers import Advice
 
 if TYPE_CHECKING:
     from toucandoor.core.jobs.models import JobSpec, Step
     from toucandoor.core.scheduling.worker_view import Run
-    from toucandoor.core.scheduling.workers import Advice
+    from toucandoor.core.scheduling.workers import Boot
     from toucandoor.ids import WorkerId
 
 
@@ -90,9 +91,14 @@
         step: Specification of the step.
         tasks: Its tasks.
         remaining: Number of tasks that are not done.
-        advice: Latest answer of the queue's adviser.
-        advice_until_s: Time until which that answer is valid.
-        advice_in_flight: Whether a request to the adviser awaits its answer.
+        advice: Answers of the queue's adviser, taken together; None without a valid ticket.
+        tickets_until_s: Time until which the ticket of each server in them is valid.
+        not_asked_until_s: Time until which the adviser is not asked for some boots of backend
+            servers; infinite for those that may not run the step.
+        advice_requested: Boots in the latest request to the adviser.
+        advice_in_flight: Whether that request awaits its answer.
+        advice_failures: Requests without an answer, one after the other.
+        next_advice_s: Earliest time of the next request.
         unblocked: Whether all steps that it depends on are known to be done; a done step stays so.
     """
 
@@ -101,8 +107,12 @@
     tasks: list[Task]
     remaining: int
     advice: Advice | None = None
-    advice_until_s: float = 0.0
+    tickets_until_s: dict[WorkerId, float] = field(default_factory=dict)
+    not_asked_until_s: dict[Boot, float] = field(default_factory=dict)
+    advice_requested: tuple[Boot, ...] = ()
     advice_in_flight: bool = False
+    advice_failures: int = 0
+    next_advice_s: float = 0.0
     unblocked: bool = False
 
     @property
@@ -110,6 +120,39 @@
         """Whether all its tasks are done."""
         return self.remaining == 0
 
+    def add_advice(self, advice: Advice, now_s: float) -> None:
+        """Add an answer of the adviser; what it says of a server's boot does not change."""
+        for boot in self.advice_requested:
+            if boot.worker_id in advice.tickets:
+                self.tickets_until_s[boot.worker_id] = now_s + advice.validity_s
+            else:
+                self.not_asked_until_s[boot] = float("inf")
+        known = self.advice.tickets if self.advice is not None else {}
+        self._set_tickets(known | advice.tickets)
+
+    def forget_expired_tickets(self, now_s: float) -> None:
+        """Forget the tickets that are not valid any more."""
+        if self.advice is not None and now_s >= min(self.tickets_until_s.values()):
+            self._set_tickets(
+                {
+                    worker_id: ticket
+                    for worker_id, ticket in self.advice.tickets.items()
+                    if now_s < self.tickets_until_s[worker_id]
+                }
+            )
+
+    def withdraw_ticket(self, boot: Boot, now_s: float) -> None:
+        """Forget a ticket that its backend server does not accept; others are used meanwhile."""
+        self.not_asked_until_s[boot] = now_s + const.REFUSED_TICKET_PAUSE_S
+        if self.advice is not None:
+            tickets = dict(self.advice.tickets)
+            tickets.pop(boot.worker_id, None)
+            self._set_tickets(tickets)
+
+    def _set_tickets(self, tickets: dict[WorkerId, str]) -> None:
+        self.tickets_until_s = {each: self.tickets_until_s[each] for each in tickets}
+        self.advice = Advice(tickets) if tickets else None
+
 
 @dataclass(slots=True, eq=False)
 class JobProgress:
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -284,7 +284,7 @@
         elif refusal is OrderRefusal.UNHEALTHY:
             worker.paused_until_s = max(worker.paused_until_s, now_s + const.UNHEALTHY_PAUSE_S)
         elif refusal is OrderRefusal.TICKET_INVALID:
-            self._state.step_of(run.task).advice = None
+            self._state.step_of(run.task).withdraw_ticket(worker.entry.boot, now_s)
         _LOGGER.info("runs: start refused", extra=run_fields(run) | {"reason": refusal.value})
         if run.starts_sent > 1:
             # An unanswered copy of the start may still be carried out; a stop prevents that.
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -263,15 +263,7 @@
 
     def advice_answered(self, key: StepKey, advice: Advice | None) -> None:
         """Process the adviser's answer for a step; None if it did not answer."""
-        job = self._state.jobs.get(key.job_id)
-        if job is None:
-            return
-        step = job.step(key.occurrence, key.step)
-        step.advice_in_flight = False
-        if advice is not None:
-            step.advice = advice
-            step.advice_until_s = self._state.now_s + advice.validity_s
-            self._state.mark_step_waiting(job, step)
+        self._placer.advice_answered(key, advice)
 
     # Writes to the store and their results
 
--- a/toucandoor/core/scheduling/workers.py
+++ b/toucandoor/core/scheduling/workers.py
@@ -336,11 +336,12 @@
 
     Attributes:
         tickets: Ticket for each allowed backend server.
-        validity_s: Time for which the tickets are valid.
+        validity_s: Time for which the tickets are valid from the answer on; 0 where it is known for
+            each ticket.
     """
 
     tickets: dict[WorkerId, str]
-    validity_s: float
+    validity_s: float = 0.0
 
 
 class AdvicePort(ABC):
@@ -350,5 +351,11 @@
     """
 
     @abstractmethod
-    def advise(self, step_key: StepKey, workers: tuple[WorkerId, ...]) -> Advice:
-        """Return which of the given backend servers may run a step."""
+    def advise(self, step_key: StepKey, workers: tuple[WorkerId, ...], timeout_s: float) -> Advice:
+        """Return which of the given backend servers may run a step.
+
+        Args:
+            step_key: The step.
+            workers: The servers; the answer takes some time for each of them.
+            timeout_s: Longest wait for the answer.
+        """
--- a/toucandoor/fakes/virtual_calls.py
+++ b/toucandoor/fakes/virtual_calls.py
@@ -16,7 +16,7 @@
     StartRun,
     StopRun,
 )
-from toucandoor.core.scheduling.workers import OrderRefusedError
+from toucandoor.core.scheduling.workers import Advice, OrderRefusedError
 from toucandoor.exceptions import StoreRejectedError
 
 if TYPE_CHECKING:
@@ -63,6 +63,38 @@
     valid_until_s: float = float("inf")
 
 
+class VirtualAdviser:
+    """Adviser of queues, which handles one call after the other.
+
+    Attributes:
+        decision_s: Fixed part of the time that a call takes.
+        per_worker_s: Additional time for each backend server.
+        validity_s: Time for which tickets are valid.
+        approves: Returns whether a backend server may run a step.
+        asked: Number of backend servers in each call.
+        unanswered: Number of calls whose time-out passed before their answer.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.decision_s = 0.6
+        self.per_worker_s = 0.04
+        self.validity_s = 10.0
+        self.approves: Callable[[WorkerId], bool] = lambda worker: True
+        self.asked: list[int] = []
+        self.unanswered = 0
+        self._clock = clock
+        self._busy_until_s = 0.0
+
+    def ask(self, workers: tuple[WorkerId, ...]) -> tuple[float, Advice]:
+        """Return the time until the answer, in seconds, and the answer."""
+        now_s = self._clock.monotonic_s()
+        took_s = self.decision_s + self.per_worker_s * len(workers)
+        self._busy_until_s = max(self._busy_until_s, now_s) + took_s
+        self.asked.append(len(workers))
+        tickets = {worker: f"t-{worker}" for worker in workers if self.approves(worker)}
+        return self._busy_until_s - now_s, Advice(tickets, self.validity_s)
+
+
 class VirtualCalls:
     """Carries out the owners' calls in virtual time.
 
@@ -75,12 +107,13 @@
 
     Attributes:
         choose_outcome: Returns the outcome of a call of the given kind: ``start``, ``stop``,
-            ``hold`` (a heartbeat) or ``write``.
+            ``hold`` (a heartbeat), ``advise`` or ``write``.
         choose_delay_s: Returns the delay of a late call, in seconds.
         choose_send_delay_s: Returns the time for which a start waits for a connection, in seconds.
         late_orders_survive_restarts: Whether a later boot under the same id takes a late order;
             otherwise it is lost with the boot that it was sent to.
         store_down_until_s: Time until which the store refuses all calls.
+        adviser: The queues' adviser.
     """
 
     def __init__(
@@ -96,6 +129,7 @@
         self.choose_send_delay_s: Callable[[], float] = lambda: 0.0
         self.late_orders_survive_restarts = False
         self.store_down_until_s = 0.0
+        self.adviser = VirtualAdviser(clock)
         self._clock = clock
         self._records = records
         self._workers = workers
@@ -172,9 +206,21 @@
                 lambda err: owner.scheduler.run_orders.stop_failed(order.run, err.refusal),
                 lambda: owner.scheduler.run_orders.stop_failed(order.run, None),
             )
-        elif isinstance(order, RequestAdvice | LimitSpeed):
+        elif isinstance(order, RequestAdvice):
+            self._request_advice(owner, order)
+        elif isinstance(order, LimitSpeed):
             raise NotImplementedError(type(order).__name__)
 
+    def _request_advice(self, owner: OwnerTerm, order: RequestAdvice) -> None:
+        advice: Advice | None
+        after_s, advice = self.adviser.ask(order.workers)
+        if self.choose_outcome("advise") is not CallOutcome.ANSWERED or after_s > order.timeout_s:
+            after_s, advice = order.timeout_s, None
+            self.adviser.unanswered += 1
+        self._schedule_event(
+            owner, after_s, lambda: owner.scheduler.advice_answered(order.step, advice)
+        )
+
     def _send_start(self, owner: OwnerTerm, order: StartRun) -> None:
         scheduler = owner.scheduler
         valid = self._clock.monotonic_s() < owner.valid_until_s
--- a/toucandoor/platform/machines.py
+++ b/toucandoor/platform/machines.py
@@ -36,9 +36,6 @@
 VM_ORDER_TIMEOUT_S: Final = 1.5
 """Time-out of a call about VMs; below the time within which two owners must not order the same VM
 in turn."""
-ADVICE_TIMEOUT_S: Final = 2.0
-"""Time-out of a request to the adviser, which takes some time for each backend server in the
-request."""
 HOLDER_HEADER: Final = "X-Toucandoor-Lease-Holder"
 TOKEN_HEADER: Final = "X-Toucandoor-Fencing-Token"
 
@@ -194,7 +191,7 @@
         self._http = http
         self._address = address
 
-    def advise(self, step_key: StepKey, workers: tuple[WorkerId, ...]) -> Advice:
+    def advise(self, step_key: StepKey, workers: tuple[WorkerId, ...], timeout_s: float) -> Advice:
         """Return which of the given backend servers may run a step."""
         step = "advice.ask"
         name = f"{step_key.job_id}.{step_key.occurrence}.{step_key.step}"
@@ -204,7 +201,7 @@
                 self._address,
                 "/-/advise",
                 step=step,
-                timeout_s=ADVICE_TIMEOUT_S,
+                timeout_s=timeout_s,
                 body={"phase": name, "workers": list(workers)},
             )
             if answer.status == 429:
