Give the answers to heartbeats the time that their runs take

On a slow link a server with thousands of runs would have lost all of them: the answer to a heartbeat lists each run, and its time-out did not depend on them, so that it was never complete in time and was asked for again, unchanged, until the lease had expired.

Change: the time-out grows with the runs on the server and the rate of this VM's link. With the usual number of runs and 1 Gbit/s it is the same as before.

Test: test_an_answer_with_many_runs_has_the_time_that_it_takes_on_the_link; before, both time-outs are the same.

--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -161,6 +161,7 @@
         lease_until_ms: int | None,
         acknowledged: int,
         wait_s: float,
+        runs: int,
     ) -> StatusReport:
         until_s = time.monotonic() + wait_s
         while True:
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -5,12 +5,13 @@
 import json
 import unittest
 from typing import Any
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from tests.platform.stub_server import Answer, StubServer
-from toucandoor.clock import SystemClock
+from toucandoor.clock import ManualClock, SystemClock
 from toucandoor.core.jobs.models import TaskKey
 from toucandoor.core.scheduling.workers import (
     EndReason,
@@ -24,6 +25,7 @@
 from toucandoor.ids import FencingToken, JobId, WorkerId
 from toucandoor.platform.address import parse_address
 from toucandoor.platform.async_http import AsyncPlatformHttp
+from toucandoor.platform.http import Answer as HttpAnswer
 from toucandoor.platform.workers import (
     InvalidEntryError,
     PlatformWorkers,
@@ -112,7 +114,7 @@
         }
         self.answers = [(200, answer)]
         report = await self.workers.async_heartbeat(
-            self.target, TOKEN, lease_until_ms=9, acknowledged=57, wait_s=0.1
+            self.target, TOKEN, lease_until_ms=9, acknowledged=57, wait_s=0.1, runs=1
         )
         self.assertEqual(report.active[0].run, RUN)
         self.assertEqual(
@@ -127,7 +129,7 @@
             rows = [[n + 1, f"5c0e7a21d94b36f8.0.0.{n}", 1, "done", ""] for n in range(count)]
             self.answers = [(200, {"clock_ms": 5, "active": [], "finished": rows})]
             report = await self.workers.async_heartbeat(
-                self.target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=0
+                self.target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=0, runs=0
             )
             self.assertEqual(len(report.ended), count)
             self.assertIs(report.complete, complete)
@@ -150,7 +152,7 @@
             self.answers = [(200, answer)]
             with self.subTest(answer=answer), self.assertRaises(OrderUnansweredError):
                 await self.workers.async_heartbeat(
-                    self.target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=0
+                    self.target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=0, runs=0
                 )
 
     # Guards against a malformed address that ends the term of each owner that calls it.
@@ -159,10 +161,31 @@
             target = WorkerTarget(WorkerId("i-1"), address)
             with self.subTest(address=address), self.assertRaises(OrderUnansweredError):
                 await self.workers.async_heartbeat(
-                    target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=0
+                    target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=0, runs=0
                 )
 
 
+class HeartbeatTimeoutTest(unittest.IsolatedAsyncioTestCase):
+    """How long the answer to a heartbeat is waited for."""
+
+    # Guards against runs that are lost with their lease, as the list of them never arrives in time.
+    async def test_an_answer_with_many_runs_has_the_time_that_it_takes_on_the_link(self) -> None:
+        timeouts_s: list[float] = []
+
+        async def answer(*_: Any, timeout_s: float, step: str, **__: Any) -> HttpAnswer:
+            timeouts_s.append(timeout_s)
+            return HttpAnswer(200, b'{"clock_ms": 1}', step, "w:1")
+
+        link_bytes_per_s = 625_000
+        workers = PlatformWorkers(mock.Mock(async_post=answer), ManualClock(), link_bytes_per_s)
+        target = WorkerTarget(WorkerId("i-1"), "10.0.0.1:80")
+        for runs in (0, 2000):
+            await workers.async_heartbeat(
+                target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=1.0, runs=runs
+            )
+        self.assertGreater(timeouts_s[1] - timeouts_s[0], 2000 * 50 / link_bytes_per_s)
+
+
 class EntryTest(unittest.TestCase):
     """Entries of backend servers in the store."""
 
--- a/toucandoor/adapters/term_orders.py
+++ b/toucandoor/adapters/term_orders.py
@@ -65,6 +65,7 @@
                 lease_until_ms=order.lease_until_ms,
                 acknowledged=order.acknowledged,
                 wait_s=order.wait_s,
+                runs=len(worker.runs),
             )
         except OrderRefusedError as err:
             refusal = err.refusal
--- a/toucandoor/core/scheduling/workers.py
+++ b/toucandoor/core/scheduling/workers.py
@@ -246,6 +246,7 @@
         lease_until_ms: int | None,
         acknowledged: int,
         wait_s: float,
+        runs: int,
     ) -> StatusReport:
         """Extend the lease, acknowledge ended runs, and wait for the next run to end.
 
@@ -255,6 +256,7 @@
             lease_until_ms: New end of the lease on the server's clock; None to leave it unchanged.
             acknowledged: Highest `EndedRun.sequence` that the server may forget.
             wait_s: Longest wait for a run to end before the server answers.
+            runs: Number of runs that the answer is expected to list.
 
         Returns:
             The server's status report.
--- a/toucandoor/platform/workers.py
+++ b/toucandoor/platform/workers.py
@@ -48,6 +48,10 @@
 server answers in milliseconds."""
 ORDER_TIMEOUT_S_MAX: Final = 0.6
 """Longest time-out, while answers are slow; a tenth of a backend server's lease."""
+RUN_BYTES: Final = 80
+"""Size of a run in the answer to a heartbeat, with a checkpoint."""
+LINK_SHARES: Final = 4
+"""Answers at once among which the link is shared."""
 ENDS_PER_ANSWER_MAX: Final = 500
 """Most ended runs in an answer to a heartbeat, by the platform's protocol."""
 COLD_MS_MAX: Final = 600_000
@@ -220,9 +224,18 @@
 
 
 class PlatformWorkers(WorkerPort):
-    """Client for backend servers over HTTP."""
+    """Client for backend servers over HTTP.
 
-    def __init__(self, http: AsyncPlatformHttp, clock: Clock) -> None:
+    Args:
+        http: The client.
+        clock: The clock.
+        link_bytes_per_s: Rate of this VM's link, on which answers with many runs take longer.
+    """
+
+    def __init__(
+        self, http: AsyncPlatformHttp, clock: Clock, link_bytes_per_s: float = float("inf")
+    ) -> None:
+        self._run_s = RUN_BYTES * LINK_SHARES / link_bytes_per_s
         self._http = http
         self._clock = clock
         self._response_times = ResponseTimes(ORDER_TIMEOUT_S_MIN, ORDER_TIMEOUT_S_MAX)
@@ -269,6 +282,7 @@
         lease_until_ms: int | None,
         acknowledged: int,
         wait_s: float,
+        runs: int,
     ) -> StatusReport:
         """Extend the lease, acknowledge ended runs, and wait for the next run to end."""
         body: dict[str, int] = {"fencing_token": token, "last_seen": acknowledged}
@@ -276,7 +290,7 @@
             body["deadline_ms"] = lease_until_ms
         if wait_s > 0:
             body["wait_ms"] = int(wait_s * 1000)
-        timeout_s = self._response_times.timeout_s + wait_s
+        timeout_s = self._response_times.timeout_s + wait_s + runs * self._run_s
         answer = await self._async_call(target, "hold", "/-/hold", body, timeout_s)
         try:
             return _status_report(answer.decode(_HoldAnswer))
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -98,12 +98,13 @@
         worker_http = AsyncPlatformHttp(
             self._metrics.record_platform_call, self._metrics.record_platform_bytes
         )
+        link_bytes_per_s = settings.link_mbps * BYTES_PER_S_AND_MBPS
         self._store = PlatformStore(
             http,
             settings.store_address,
             STORE_TIMEOUT_S,
             settings.store_value_bytes_max,
-            settings.link_mbps * BYTES_PER_S_AND_MBPS,
+            link_bytes_per_s,
         )
         peer_address = f"{settings.ip}:{settings.peer_port_first}"
         capacity = VmCapacity(settings.processor_cores, settings.link_mbps)
@@ -135,7 +136,7 @@
                 settings=settings,
                 clock=self._clock,
                 store=self._store,
-                workers=PlatformWorkers(worker_http, self._clock),
+                workers=PlatformWorkers(worker_http, self._clock, link_bytes_per_s),
                 call_loop=CallLoop(),
                 vms=vms,
                 advice=PlatformAdvice(http, settings.advice_address),
