Open at most 500 occurrences of a job from the first that is not done

A job that is handed in late, with thousands of occurrences that are due, would have had all of them considered in each placement, so that others waited for the owner.

--- a/tests/core/scheduling/test_large_records.py
+++ b/tests/core/scheduling/test_large_records.py
@@ -9,6 +9,7 @@
 from toucandoor.core.jobs.models import JobState, Resources, Step
 from toucandoor.core.jobs.records import PROGRESS_PREFIX, progress_key
 from toucandoor.core.records import Transaction
+from toucandoor.core.scheduling import const
 from toucandoor.exceptions import StoreRejectedError
 from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.fakes.virtual_platform import TaskBehaviour
@@ -152,6 +153,25 @@
         self.assertEqual(self.rejected, [])
         self.assertLess(self.largest_bytes[progress_key(repeated.job_id)], VALUE_BYTES_MAX / 8)
 
+    # Guards against a job whose thousands of due occurrences slow down each placement.
+    def test_a_job_that_is_handed_in_late_has_few_occurrences_open_at_once(self) -> None:
+        occurrences = 1500
+        late = job(1, Step(1, SMALL, 10), occurrences=occurrences, first_due_unix_ms=1)
+        other = job(2)
+        self.fleet.submit(late)
+        self.fleet.submit(other)
+        self.fleet.run(0.5)
+        self.assertLessEqual(
+            len(self.fleet.scheduler.state.waiting_steps), const.OPEN_OCCURRENCES_MAX + 1
+        )
+        for _ in range(4):
+            self.fleet.run(3.0)
+            self.fleet.take_over()
+        self.assert_completed(other)
+        self.fleet.run(20.0)
+        self.assert_completed(late)
+        self.assertEqual(self.fleet.observations.starts, occurrences + 3)
+
     def test_a_write_has_no_more_jobs_than_one_value_has_room_for(self) -> None:
         for number in range(1, 30):
             self.fleet.submit(job(number, Step(60, SMALL, 1000)))
--- a/toucandoor/core/scheduling/const.py
+++ b/toucandoor/core/scheduling/const.py
@@ -64,6 +64,9 @@
 """Pause before a job's record is written again that the store has rejected as invalid."""
 REJECTED_WRITES_MAX: Final = 9
 """Rejected writes up to each of which that pause doubles, to about half a minute."""
+OPEN_OCCURRENCES_MAX: Final = 500
+"""Occurrences of a job from the first that is not done to the last whose tasks may run. A job that
+is handed in late may have thousands that are due, of which each is considered in each placement."""
 DUE_TIME_MARGIN_S: Final = 0.02
 """Delay of an occurrence after its due time, since the clocks of VMs differ slightly."""
 PENDING_WRITE_INTERVAL_S: Final = 0.7
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -67,7 +67,7 @@
 
     def _open(self, job: JobProgress, now_ms: float) -> None:
         spec = job.spec
-        while job.opened < spec.occurrences:
+        while job.opened < spec.occurrences and job.may_open():
             due_ms = spec.first_due_unix_ms + job.opened * spec.interval_ms
             if spec.timed and now_ms < due_ms + const.DUE_TIME_MARGIN_S * MS_PER_S:
                 return
--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -164,7 +164,8 @@
         started: Whether any task has ever started.
         cancelled: Whether its caller has cancelled it.
         steps: Steps of the due occurrences, by occurrence and step number.
-        opened: Number of occurrences that have become due.
+        opened: Number of occurrences that have become due and whose tasks may run.
+        leading_done: Number of occurrences from the first on that are known to be done.
         version: Version of the progress in memory; differs after each change of what is left.
         committed_version: Latest version that is known to be in the store.
         ends_version: Version that first contained the latest reported end of one of its runs.
@@ -188,6 +189,7 @@
     cancelled: bool = False
     steps: dict[tuple[int, int], StepProgress] = field(default_factory=dict)
     opened: int = 0
+    leading_done: int = 0
     version: int = 0
     committed_version: int = 0
     ends_version: int = 0
@@ -224,6 +226,15 @@
         self.steps[(occurrence, number)] = made
         return made
 
+    def may_open(self) -> bool:
+        """Return whether another occurrence may be opened, beside those that are not done."""
+        while self.leading_done < self.opened and self._is_done(self.leading_done):
+            self.leading_done += 1
+        return self.opened - self.leading_done < const.OPEN_OCCURRENCES_MAX
+
+    def _is_done(self, occurrence: int) -> bool:
+        return all(self.step(occurrence, number).done for number in range(len(self.spec.steps)))
+
     def open_occurrence(self, occurrence: int) -> list[StepProgress]:
         """Return all steps of an occurrence that has become due."""
         return [self.step(occurrence, number) for number in range(len(self.spec.steps))]
