Review a pool after a write only if a record was full

Each write of a job's progress had its pool considered for new starts, since the estimate of a planned run is above its real size; that costs the owner processor time on every deployment. It is needed only for a job whose record was at its limit.

--- a/toucandoor/core/scheduling/progress_writer.py
+++ b/toucandoor/core/scheduling/progress_writer.py
@@ -19,6 +19,7 @@
 from toucandoor.core.records import Transaction
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.orders import Commit
+from toucandoor.core.scheduling.record_budget import budget_bytes
 from toucandoor.core.scheduling.worker_view import RunState
 
 if TYPE_CHECKING:
@@ -179,7 +180,8 @@
             size_bytes += len(value)
             if writes and size_bytes > state.settings.value_bytes_max:
                 break
-            if len(value) < job.record_bytes:
+            if job.record_bytes >= budget_bytes(job, state.settings.value_bytes_max):
+                # Its record may have room again.
                 state.changed_pools.add(state.pool_of(job))
             job.record_bytes = len(value)
             if len(value) > const.LARGE_RECORD_BYTES:
--- a/toucandoor/core/scheduling/record_budget.py
+++ b/toucandoor/core/scheduling/record_budget.py
@@ -27,6 +27,11 @@
     return task_bytes + RUN_BYTES + len(run.worker.entry.worker_id)
 
 
+def budget_bytes(job: JobProgress, value_bytes_max: int) -> float:
+    """Return the size of a job's record up to which its tasks get their first run."""
+    return value_bytes_max * BUDGET_RATIO * 0.5**job.rejected_writes
+
+
 def may_plan(job: JobProgress, task: Task, value_bytes_max: int) -> bool:
     """Return whether the record of a job has room for another run of one of its tasks.
 
@@ -37,8 +42,7 @@
         task: One of its tasks.
         value_bytes_max: Largest value of the store.
     """
-    budget_bytes = value_bytes_max * BUDGET_RATIO / 2**job.rejected_writes
-    if task.attempt > 0:
-        # Its entry exists already; otherwise it could wait for tasks that wait for it.
-        budget_bytes *= 2
-    return job.record_bytes < budget_bytes or not job.has_runs
+    # The entry of a task that has had a run exists already; such tasks must not wait for each
+    # other.
+    limit_bytes = budget_bytes(job, value_bytes_max) * (2 if task.attempt > 0 else 1)
+    return job.record_bytes < limit_bytes or not job.has_runs
