Keep configurations from filling the links of entry VMs

Cause: fixed times for answers that grow, repeated unchanged. Entry VMs that the store refuses ask up to three peers in turn, several times a second, for a configuration of 0.4 MB that takes longer than the time-out on a link of 10 Mbit/s; they looked for the store's return by reading that configuration, up to eight at once; and after the outage a watch returns each version that was missed. Evidence: "fetching the configuration failed: timed out" from 4.9 to 23.5 s, and no answered call of such a VM though the store serves it from 11.5 s on; version 35 in force at 33.8 s.

Change: nodes compress configurations for each other where the asking node says that it can read that; the return is looked for with a small record; a large configuration is read after an outage of over a second instead of watched. Each other failure of the store is logged, not the first alone.

--- a/tests/adapters/test_configuration_watch.py
+++ b/tests/adapters/test_configuration_watch.py
@@ -10,10 +10,11 @@
 
 import msgspec
 
-from toucandoor.adapters.configuration_watch import ConfigurationWatch
+from toucandoor.adapters.configuration_watch import LARGE_BYTES, ConfigurationWatch
 from toucandoor.adapters.peers import Peer, PeerDirectory
 from toucandoor.clock import BootClock, ManualClock
 from toucandoor.core.evacuation.requests import EvacuationRequests
+from toucandoor.core.ownership.lease import OWNER_KEY
 from toucandoor.core.records import Changes, Record, RecordStore, Snapshot, StoreLease, Transaction
 from toucandoor.exceptions import StoreAnswerLostError, StoreUnavailableError
 from toucandoor.ids import DataCentreId, EntryId, StoreLeaseId
@@ -27,8 +28,8 @@
 """Time within which submissions must be accepted again after an outage of the store."""
 
 
-def _configuration(version: int) -> bytes:
-    return msgspec.json.encode({"version": version})
+def _configuration(version: int, *, large: bool = False) -> bytes:
+    return msgspec.json.encode({"version": version, "padding": "x" * LARGE_BYTES * large})
 
 
 class _Store(RecordStore):
@@ -38,6 +39,10 @@
         self.down = False
         self.silent = False
         self.watch_waits_s: list[float] = []
+        self.version = 1
+        self.watch_outlasts_time_out = False
+        self.large = False
+        self.read_keys: list[str] = []
 
     def _check(self) -> None:
         if self.silent:
@@ -47,18 +52,22 @@
             raise StoreUnavailableError("503", step="store")
 
     def read(self, key: str) -> Record | None:
+        self.read_keys.append(key)
         self._check()
         return None
 
     def read_pages(self, prefix: str) -> Iterator[Snapshot]:
         self._check()
-        yield Snapshot((Record("op/config", _configuration(1), 5, 5),), 5)
+        value = _configuration(self.version, large=self.large)
+        yield Snapshot((Record("op/config", value, 5, 5),), 5)
 
     def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
         until_s = time.monotonic() + wait_s
         while time.monotonic() < until_s and not (self.down or self.silent):
             time.sleep(0.005)
         self._check()
+        if self.watch_outlasts_time_out:
+            raise StoreAnswerLostError("Read timed out", step="store")
         self.watch_waits_s.append(wait_s)
         return Changes((), (), after_revision)
 
@@ -135,6 +144,30 @@
         self.store.down = False
         self.assertTrue(_wait_until(lambda: watch.store_reachable, NOTICED_WITHIN_S))
 
+    # Guards against a node that keeps an old configuration, as the versions that it has missed take
+    # longer than a time-out on its link, and are asked for again and again.
+    def test_a_large_configuration_is_read_after_an_outage_instead_of_its_versions(self) -> None:
+        self.store.large = True
+        watch = self.watch()
+        self.assertTrue(_wait_until(lambda: watch.store_reachable, 5))
+        self.store.down = True
+        self.assertTrue(_wait_until(lambda: not watch.store_reachable, 5))
+        self.store.version, self.store.watch_outlasts_time_out = 9, True
+        self.store.down = False
+
+        def in_force() -> bool:
+            return watch.current is not None and watch.current.version == 9
+
+        self.assertTrue(_wait_until(in_force, 5))
+
+    # Guards against links full of configurations that are read to see whether the store is back.
+    def test_a_silent_store_is_probed_with_a_small_record(self) -> None:
+        watch = self.watch()
+        self.assertTrue(_wait_until(lambda: watch.store_reachable, 5))
+        self.store.silent = True
+        self.assertTrue(_wait_until(lambda: len(self.store.read_keys) > 3, 10))
+        self.assertEqual(set(self.store.read_keys), {OWNER_KEY})
+
     def test_a_node_that_starts_meanwhile_takes_the_configuration_of_a_peer(self) -> None:
         self.store.down = True
         watch = self.watch(lambda _newer_than: _configuration(7))
--- a/tests/adapters/test_relay_service.py
+++ b/tests/adapters/test_relay_service.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from unittest import mock
 
-from tests.core.scheduling.common import QUEUE, TEAM, job
+import msgspec
+
+from tests.core.scheduling.common import QUEUE, TEAM, configuration, job
 from toucandoor.adapters.job_service import JobService, JobStatus, StoreJobService, WriteOutcome
 from toucandoor.adapters.peers import Peer, PeerError, PeerNotReachedError
 from toucandoor.adapters.relay_service import PeerRequestHandler, RelayJobService
@@ -22,6 +25,7 @@
 from toucandoor.ids import DataCentreId, EntryId, JobId, QueueId
 from toucandoor.node_messages import (
     AskConfiguration,
+    Configuration,
     Failed,
     NodeMessage,
     SubmitJob,
@@ -147,6 +151,26 @@
         self.assertIsInstance(handler.answer(SubmitJob(b"", 1.0)), Failed)
         self.assertNotIsInstance(handler.answer(AskConfiguration(0)), Failed)
 
+    # Guards against a configuration that takes longer than its time-out on the links of all nodes
+    # that ask each other for it.
+    def test_a_configuration_is_compressed_for_those_who_can_read_it(self) -> None:
+        routes = [{"name": f"q{n}", "prefix": f"/q{n}/", "service": "p"} for n in range(1600)]
+        source = msgspec.json.encode({"version": 7, "routes": routes})
+        present = replace(configuration(version=7), source=source)
+        handler = PeerRequestHandler(
+            FixedJobService(WriteOutcome.STORED), lambda: present, self.clock, lambda: False
+        )
+        answer = handler.answer(AskConfiguration(6, compressed=True))
+        assert isinstance(answer, Configuration)
+        self.assertEqual(answer.record, source)
+        self.assertLess(len(answer.source), len(source) / 5)
+        former = handler.answer(AskConfiguration(6))
+        assert isinstance(former, Configuration)
+        self.assertEqual((former.record, former.source), (source, source))
+        none_newer = handler.answer(AskConfiguration(7, compressed=True))
+        assert isinstance(none_newer, Configuration)
+        self.assertEqual(none_newer.record, b"")
+
 
 class StoreJobServiceTest(unittest.TestCase):
     """Outcome of writes that are repeated, refused or whose answers are lost."""
--- a/toucandoor/adapters/configuration_watch.py
+++ b/toucandoor/adapters/configuration_watch.py
@@ -8,6 +8,7 @@
 
 from toucandoor.adapters.pauses import jittered_s
 from toucandoor.core.overload.outages import StoreOutages
+from toucandoor.core.ownership.lease import OWNER_KEY
 from toucandoor.core.records import HistoryLostError
 from toucandoor.exceptions import ToucandoorError
 from toucandoor.platform.operator_records import (
@@ -41,6 +42,11 @@
 RETRY_PAUSE_S: Final = 0.1
 """Pause after a failed call to the store. Callers give up within three seconds, so each tenth of a
 second for which a node does not notice the store's return costs jobs."""
+REREAD_AFTER_S: Final = 1.0
+"""Time without an answer after which records of a large configuration are read instead of watched:
+a watch returns each version that was missed, which takes long on a slow link."""
+LARGE_BYTES: Final = 64 * 1024
+"""Size from which a configuration is large."""
 PROBE_WAIT_S: Final = 0.01
 """Wait of a watch after a failed call: the store answers it at once when it is back."""
 PROBES_MAX: Final = 8
@@ -85,6 +91,7 @@
         self._fetch_from_peers = fetch_from_peers
         self._store_answered_s = -STORE_UNREACHABLE_AFTER_S
         self._store_failing = False
+        self._store_fault = ""
         self._call_sent_s = 0.0
         self._probes = threading.BoundedSemaphore(PROBES_MAX)
         self._stop = threading.Event()
@@ -97,7 +104,11 @@
     @property
     def store_reachable(self) -> bool:
         """Whether the store has answered this node recently."""
-        return self._clock.monotonic_s() - self._store_answered_s < STORE_UNREACHABLE_AFTER_S
+        return self._unanswered_s < STORE_UNREACHABLE_AFTER_S
+
+    @property
+    def _unanswered_s(self) -> float:
+        return self._clock.monotonic_s() - self._store_answered_s
 
     def start(self) -> None:
         """Start to watch the store in a thread, and in another one to ask peers in its place."""
@@ -178,22 +189,28 @@
                 self._on_answer()
                 revision = None
             except ToucandoorError as err:
-                if not self._store_failing:
+                if str(err) != self._store_fault:
                     _LOGGER.warning("configuration: reading or watching the store failed: %s", err)
-                self._store_failing = True
+                self._store_failing, self._store_fault = True, str(err)
                 self.outages.on_failure(self._clock.monotonic_s())
                 wait_s = PROBE_WAIT_S
+                if self._unanswered_s > REREAD_AFTER_S and self._is_large():
+                    revision = None
                 self._stop.wait(jittered_s(RETRY_PAUSE_S))
 
+    def _is_large(self) -> bool:
+        """Return whether several versions of the configuration take long on a slow link."""
+        return self._current is not None and len(self._current.source) >= LARGE_BYTES
+
     def _on_answer(self) -> None:
         self._store_answered_s = self._clock.monotonic_s()
         self.outages.on_answer(self._store_answered_s)
         if self._store_failing:
             _LOGGER.info("configuration: the store answers again")
-        self._store_failing = False
+        self._store_failing, self._store_fault = False, ""
 
     def _probe_silent_store(self) -> None:
-        """Read a record at an interval while a call after a failed one gets no answer.
+        """Read a small record at an interval while a call after a failed one gets no answer.
 
         Calls that a silent store has not received are lost: the first call after its return must
         not wait for the time-out of the last one before.
@@ -206,7 +223,7 @@
 
     def _probe(self) -> None:
         try:
-            self._store.read(CONFIGURATION_KEY)
+            self._store.read(OWNER_KEY)
         except ToucandoorError as err:
             _LOGGER.debug("configuration: a probe of the store failed: %s", err)
         else:
--- a/toucandoor/adapters/relay_service.py
+++ b/toucandoor/adapters/relay_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import zlib
 from typing import TYPE_CHECKING, Final
 
 from toucandoor.adapters.job_service import JobService, JobStatus, WriteOutcome
@@ -36,6 +37,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+COMPRESSION_LEVEL: Final = 1
+"""Routes resemble each other, so that the fastest level makes a configuration much smaller."""
+
 PEERS_TRIED_MAX: Final = 3
 """Most peers tried for one call. If a third of the nodes cannot reach the store, it is unlikely
 that three peers are all among them."""
@@ -193,6 +197,7 @@
         clock: Clock,
         store_reachable: Callable[[], bool],
     ) -> None:
+        self._latest_compressed: tuple[int, bytes] = (-1, b"")
         self._store_reachable = store_reachable
         self._own = own
         self._configuration = configuration
@@ -206,8 +211,11 @@
         """
         if isinstance(message, AskConfiguration):
             present = self._configuration()
-            newer = present is not None and present.version > message.newer_than
-            return Configuration(present.source if present is not None and newer else b"")
+            if present is None or present.version <= message.newer_than:
+                return Configuration(b"")
+            if message.compressed:
+                return Configuration(self._compressed(present), compressed=True)
+            return Configuration(present.source)
         if not self._store_reachable():
             return Failed(_STORE_UNREACHABLE.reason)
         now_s = self._clock.monotonic_s()
@@ -224,6 +232,14 @@
             return Pending(self._own.pending(message.queue))
         return Failed("not a question")
 
+    def _compressed(self, configuration: JobConfiguration) -> bytes:
+        """Return a configuration's record, compressed once for all peers that ask for it."""
+        version, source = self._latest_compressed
+        if version != configuration.version:
+            source = zlib.compress(configuration.source, COMPRESSION_LEVEL)
+            self._latest_compressed = configuration.version, source
+        return source
+
 
 _STORE_UNREACHABLE = StoreUnavailableError("the store does not answer", step="store")
 _UNKNOWN_JOB = Status(QueueId(""), TeamId(""), "")
--- a/toucandoor/node_messages.py
+++ b/toucandoor/node_messages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Any
 
 import cbor2
@@ -51,9 +52,11 @@
 
     Attributes:
         newer_than: Version that the sender has, 0 for none.
+        compressed: Whether the answer may be compressed.
     """
 
     newer_than: int
+    compressed: bool = False
 
 
 class Outcome(msgspec.Struct, frozen=True, tag="outcome"):
@@ -77,9 +80,24 @@
 
 
 class Configuration(msgspec.Struct, frozen=True, tag="configuration"):
-    """Encoded configuration record of the operators; empty if the peer has no newer one."""
+    """Encoded configuration record of the operators; empty if the peer has no newer one.
+
+    Attributes:
+        source: The record.
+        compressed: Whether it is compressed by zlib.
+    """
 
     source: bytes
+    compressed: bool = False
+
+    @property
+    def record(self) -> bytes:
+        """The record as operators wrote it.
+
+        Raises:
+            zlib.error: It is not valid.
+        """
+        return zlib.decompress(self.source) if self.compressed else self.source
 
 
 class Failed(msgspec.Struct, frozen=True, tag="failed"):
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -7,6 +7,7 @@
 import signal
 import threading
 import time
+import zlib
 from typing import TYPE_CHECKING, Annotated, Final
 
 import typer
@@ -237,12 +238,12 @@
         """Return the record of a peer's newer configuration; empty if none has one."""
         for peer in self._peers.nearest_first()[:PEERS_TRIED_MAX]:
             try:
-                answer = call_peer(peer, AskConfiguration(newer_than), PEER_CONNECT_TIMEOUT_S)
-            except PeerError as err:
+                question = AskConfiguration(newer_than, compressed=True)
+                answer = call_peer(peer, question, PEER_CONNECT_TIMEOUT_S)
+                if isinstance(answer, Configuration) and answer.source:
+                    return answer.record
+            except (PeerError, zlib.error) as err:
                 _LOGGER.info("peers: fetching the configuration failed: %s", err)
-                continue
-            if isinstance(answer, Configuration) and answer.source:
-                return answer.source
         return b""
 
     def _on_stop_signal(self, number: int, _frame: object) -> None:
