Lend VMs to long-running tasks before peaks elsewhere

Cause: borrowing always serves the pool that lacks the most VMs. A pool that lacks two gets none until all others lack as few, whatever waits there; nothing bounds that time.

VMs that long-running tasks need are now planned first, from pools with a surplus, from the spare pools, and at last from empty VMs of pools that lack some themselves. The need is that of the long-running tasks alone, so that a pool can't get more than these need ahead of the others.

Before, the plan of both new tests gave the pool no VM: the three spare VMs went to the peak, and the empty VM of the pool with the peak stayed.

--- a/tests/core/pools/test_lending.py
+++ b/tests/core/pools/test_lending.py
@@ -82,6 +82,27 @@
         self.assertEqual([move.pool for move in moves], [POOLS[0]] * 4)
         self.assertEqual([move.vm_id.partition("-")[0] for move in moves[:2]], [POOLS[1]] * 2)
 
+    # Guards against long-running tasks without a run for as long as a peak lasts in another pool.
+    def test_a_peak_elsewhere_does_not_delay_vms_for_long_running_tasks(self) -> None:
+        peak = PoolLoad(POOLS[0], waiting=VM_RESOURCES.times(40))
+        stopped = PoolLoad(
+            POOLS[1], waiting=VM_RESOURCES.times(1.5), long_running_waiting=VM_RESOURCES.times(1.5)
+        )
+        spare = [LendableVm(VmId(f"s{n}"), SPARE, True, False, VM_RESOURCES) for n in range(3)]
+        loads = {peak.pool: peak, stopped.pool: stopped}
+        moves = LendingPolicy().plan(loads, spare, POOLS[:2], frozenset({SPARE}), 0.0)
+        self.assertEqual([move.pool for move in moves], [POOLS[1], POOLS[1], POOLS[0]])
+
+    # Guards against the same where only the pool with the peak has an empty VM.
+    def test_long_running_tasks_get_an_empty_vm_of_a_pool_that_lacks_vms_itself(self) -> None:
+        peak = PoolLoad(POOLS[0], waiting=VM_RESOURCES.times(40))
+        stopped = PoolLoad(POOLS[1], long_running_spread_min=3, spread_workers_min=3)
+        vms = [LendableVm(VmId(f"a{n}"), POOLS[0], n == 0, False, VM_RESOURCES) for n in range(6)]
+        vms += [LendableVm(VmId(f"b{n}"), POOLS[1], False, False, VM_RESOURCES) for n in range(2)]
+        loads = {peak.pool: peak, stopped.pool: stopped}
+        moves = LendingPolicy().plan(loads, vms, POOLS[:2], frozenset({SPARE}), 0.0)
+        self.assertEqual(moves, [PoolMove(VmId("a0"), POOLS[1])])
+
     def test_slow_vms_are_returned_first_and_lent_last(self) -> None:
         """Otherwise a pool keeps its slow VMs, or borrows those of another pool."""
         vms = [
--- a/toucandoor/core/pools/lending.py
+++ b/toucandoor/core/pools/lending.py
@@ -5,9 +5,11 @@
 A pool's need is that at the time when a VM that is moved now gets tasks: tasks of jobs that have
 ended by then don't count, and jobs that arrive meanwhile do.
 A pool whose capacity is too small for its waiting tasks borrows empty VMs from pools with a
-surplus, then from the spare pools. A pool with a surplus returns empty VMs to a spare pool, but
-only after a while: the next peak often starts as the last one ends, and a move by way of the spare
-pool takes twice as long as a direct one.
+surplus, then from the spare pools. Pools with too few VMs for their long-running tasks come first:
+such a task must not be without a run for long, however many VMs a peak elsewhere could use.
+A pool with a surplus returns empty VMs to a spare pool, but only after a while: the next peak often
+starts as the last one ends, and a move by way of the spare pool takes twice as long as a direct
+one.
 """
 
 from __future__ import annotations
@@ -73,11 +75,13 @@
         size: Number of VMs of each pool, including those that move there.
         empty: VMs of each pool that could be moved now, the slow ones first.
         wanted: Number of VMs that each pool with queues should have.
+        needed: Part of `wanted` that its long-running tasks need.
     """
 
     size: dict[PoolId, int]
     empty: dict[PoolId, list[LendableVm]]
     wanted: dict[PoolId, int]
+    needed: dict[PoolId, int]
 
     def surplus(self, pool: PoolId) -> int:
         """Return the number of VMs of a pool beyond those wanted; negative if it has too few."""
@@ -87,6 +91,14 @@
         """Return whether a pool has a surplus and an empty VM."""
         return bool(self.empty.get(pool)) and self.surplus(pool) > 0
 
+    def missing(self, pool: PoolId) -> int:
+        """Return how many VMs the long-running tasks of a pool lack; 0 or less for none."""
+        return self.needed[pool] - self.size[pool]
+
+    def can_spare(self, pool: PoolId) -> bool:
+        """Return whether a pool has an empty VM that none of its long-running tasks needs."""
+        return bool(self.empty.get(pool)) and self.missing(pool) < 0
+
     def move(self, source: PoolId, target: PoolId, *, slow_first: bool = False) -> PoolMove:
         """Plan the move of an empty VM and update the state.
 
@@ -162,7 +174,8 @@
         """Return the moves to order now."""
         per_vm = _mean_capacity(vms)
         wanted = {pool: max(wanted_vms(loads.get(pool), per_vm), POOL_VMS_MIN) for pool in pools}
-        planned = _PlannedPools(dict.fromkeys([*pools, *spare_pools], 0), {}, wanted)
+        needed = {pool: long_running_vms(loads.get(pool), per_vm) for pool in pools}
+        planned = _PlannedPools(dict.fromkeys([*pools, *spare_pools], 0), {}, wanted, needed)
         for vm in vms:
             planned.size[vm.pool] = planned.size.get(vm.pool, 0) + 1
             if vm.empty:
@@ -170,7 +183,26 @@
         for empty in planned.empty.values():
             empty.sort(key=lambda vm: not vm.slow)
         spare = sorted(spare_pools)
-        return self._plan_borrowing(planned, spare) + self._plan_returns(planned, spare, now_s)
+        moves = self._plan_for_long_running(planned, spare) + self._plan_borrowing(planned, spare)
+        return moves + self._plan_returns(planned, spare, now_s)
+
+    def _plan_for_long_running(
+        self, planned: _PlannedPools, spare_pools: Sequence[PoolId]
+    ) -> list[PoolMove]:
+        """Plan moves to pools that lack VMs for long-running tasks, if need be from short pools."""
+        moves: list[PoolMove] = []
+        for pool in planned.wanted:
+            while planned.missing(pool) > 0:
+                lenders = sorted(
+                    filter(planned.can_spare, planned.wanted), key=planned.surplus, reverse=True
+                )
+                spare = [each for each in spare_pools if planned.empty.get(each)]
+                if not lenders or planned.surplus(lenders[0]) <= 0:
+                    lenders = spare + lenders
+                if not lenders:
+                    return moves
+                moves.append(planned.move(lenders[0], pool))
+        return moves
 
     def _plan_borrowing(
         self, planned: _PlannedPools, spare_pools: Sequence[PoolId]
@@ -215,6 +247,19 @@
     if needed != NO_RESOURCES:
         # The VMs of slow servers count as the pool's own, so others must make up for them.
         needed = needed + load.unusable.times(FILL_RATIO)
+    return max(_vms_for(needed, per_vm), load.spread_workers_min)
+
+
+def long_running_vms(load: PoolLoad | None, per_vm: Resources) -> int:
+    """Return the number of VMs that the long-running tasks of a pool need."""
+    if load is None:
+        return 0
+    needed = load.long_running + load.long_running_waiting
+    return max(_vms_for(needed, per_vm), load.long_running_spread_min)
+
+
+def _vms_for(needed: Resources, per_vm: Resources) -> int:
+    """Return the number of VMs for an amount of resources."""
     shares = [
         used / (room * FILL_RATIO)
         for used, room in (
@@ -224,7 +269,7 @@
         )
         if room
     ]
-    return max(math.ceil(max(shares, default=0.0)), load.spread_workers_min)
+    return math.ceil(max(shares, default=0.0))
 
 
 def _mean_capacity(vms: Sequence[LendableVm]) -> Resources:
--- a/toucandoor/core/scheduling/pool_load.py
+++ b/toucandoor/core/scheduling/pool_load.py
@@ -34,6 +34,8 @@
             its end, within their teams' ceilings.
         spread_workers_min: Backend servers needed because of limits on the tasks of one step per
             server.
+        long_running_waiting: Part of `waiting` that long-running tasks need.
+        long_running_spread_min: As `spread_workers_min`, because of long-running steps alone.
     """
 
     pool: PoolId
@@ -47,6 +49,8 @@
     arriving_cpu_millicores: float = 0.0
     arriving_later: Resources = NO_RESOURCES
     spread_workers_min: int = 0
+    long_running_waiting: Resources = NO_RESOURCES
+    long_running_spread_min: int = 0
 
     def add_worker(self, worker: WorkerView, *, slow: bool = False) -> None:
         """Add a backend server.
@@ -96,16 +100,20 @@
             leaving: Tasks of the step that must leave an evacuated data centre.
         """
         waiting = sum(task.waiting for task in step.tasks)
-        self.waiting = self.waiting + step.step.reserved.times(waiting * ratio + leaving)
+        needed = step.step.reserved.times(waiting * ratio + leaving)
+        self.waiting = self.waiting + needed
+        if step.step.long_running:
+            self.long_running_waiting = self.long_running_waiting + needed
         waiting += leaving
         if step.step.per_worker_max:
             apart = -(-step.remaining // step.step.per_worker_max)
-            self.spread_workers_min = max(self.spread_workers_min, apart)
             missing = 0 if room is None else max(0, waiting - room)
             if missing:
                 # The capacity that is free in all may be on servers with enough tasks of the step.
-                more = -(-missing // step.step.per_worker_max)
-                self.spread_workers_min = max(self.spread_workers_min, self.workers + more)
+                apart = max(apart, self.workers - (-missing // step.step.per_worker_max))
+            self.spread_workers_min = max(self.spread_workers_min, apart)
+            if step.step.long_running:
+                self.long_running_spread_min = max(self.long_running_spread_min, apart)
 
     def log_fields(self) -> dict[str, object]:
         """Return the load as fields of a log line."""
