Log and count long-running tasks and jobs that could run and have no run

No line or metric told that a task had no run although its turn had come, since when, how its last run had ended and what it waited for; a run that counts as live on a server that does not answer showed nowhere until its lease had expired. The owner now tracks this by the events of its schedule (opened, attached, stop confirmed, discarded, detached) and by the result of the last placement of each step, and reviews only tasks without a run four times a second. A gap gives a line at 1 s, 2 s, … and one with its parts when it ends; a job without any run gives one from 3 s on. A review logs at most 25 and 5 lines, those of tasks that have not been logged first.

Metrics: toucandoor_run_gap_seconds, toucandoor_tasks_without_run; fields without_run and longest_gap_s of "schedule: activity".

--- a/tests/adapters/test_node_metrics.py
+++ b/tests/adapters/test_node_metrics.py
@@ -8,6 +8,7 @@
 from toucandoor.adapters.node_metrics import NodeMetrics, metrics_app
 from toucandoor.core.run_times.models import QueueRatio
 from toucandoor.core.scheduling.pool_load import PoolLoad
+from toucandoor.core.scheduling.run_gap_models import EndedGap, LastEnd, WaitCause
 from toucandoor.core.scheduling.step_order import TeamFigures
 from toucandoor.core.scheduling.worker_view import DiscardReason
 from toucandoor.ids import PoolId, QueueId, TeamId
@@ -28,6 +29,8 @@
     "toucandoor_team_jobs": {"team", "rate_status"},
     "toucandoor_invalid_weights": set(),
     "toucandoor_plans_discarded": {"reason"},
+    "toucandoor_run_gap_seconds": {"ended_as", "waited_for"},
+    "toucandoor_tasks_without_run": {"waited_for"},
     "toucandoor_invalid_server_entries": set(),
     "toucandoor_unexpected_errors": {"part"},
     "toucandoor_unwritable_jobs": set(),
@@ -51,6 +54,8 @@
         metrics.set_team(TeamFigures(TeamId("t"), 1.5, 2, 3, 4))
         metrics.set_invalid_weights(1)
         metrics.set_discarded_plans({DiscardReason.SERVER_LOST: 1})
+        metrics.record_run_gap(EndedGap(1.5, LastEnd.DRAINING, WaitCause.NO_ROOM))
+        metrics.set_tasks_without_run({WaitCause.NO_ROOM: 2})
         metrics.set_invalid_entries(2)
         metrics.set_unwritable_jobs(1)
         metrics.add_unexpected_error("heartbeat")
--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -7,7 +7,15 @@
 import unittest
 from pathlib import Path
 
-from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, always_fails, fleet, job
+from tests.core.scheduling.common import (
+    CAPACITY,
+    NEEDS,
+    POOL,
+    always_fails,
+    fleet,
+    job,
+    never_ends,
+)
 from toucandoor.core.jobs.models import Step
 from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.ids import WorkerId
@@ -46,6 +54,7 @@
     "crashes": int,
     "data_centre": str,
     "ends": int,
+    "ended_as": str,
     "retry_s": (int, float),
     "deposed": bool,
     "discarded": int,
@@ -57,6 +66,9 @@
     "entry": str,
     "failures": int,
     "free_cpu": int,
+    "gap_s": (int, float),
+    "longest_gap_s": (int, float),
+    "long_running": bool,
     "host": str,
     "interval_s": (int, float),
     "job": str,
@@ -124,6 +136,9 @@
     "valid": bool,
     "vm": str,
     "vms": int,
+    "waited_for": str,
+    "waits": str,
+    "without_run": int,
     "waiting_cpu": int,
     "waiting_mb": int,
     "weight": (int, float),
@@ -139,6 +154,9 @@
     "jobs: ended as %s",
     "runs: lost with its server",
     "runs: discarded before it had begun",
+    "runs: a long-running task has had no run for a while",
+    "runs: a long-running task runs again",
+    "jobs: nothing of a job has run for a while",
     "workers: all runs on %s are lost, as it %s",
     "workers: %s gets no new tasks, as runs of several jobs failed on it",
     "workers: %s is no longer in the platform's list",
@@ -208,6 +226,7 @@
         plain_fields = set(vars(logging.makeLogRecord({}))) | {"message"}
         with self.assertLogs("toucandoor", "INFO") as logs:
             self.run_session_with_faults()
+            self.run_session_with_gaps()
             for load in self.last_loads:
                 logging.getLogger("toucandoor.load").info("load", extra=load.log_fields())
         kinds = {str(record.msg) for record in logs.records}
@@ -238,6 +257,16 @@
         assert virtual.owner is not None
         self.last_loads = list(virtual.owner.scheduler.pool_loads.current().values())
 
+    def run_session_with_gaps(self) -> None:
+        """Leave long-running tasks and a job without a run for a while."""
+        virtual = fleet(1, never_ends)
+        virtual.submit(job(1, Step(1, NEEDS, long_running=True)))
+        virtual.run(1.0)
+        virtual.crash("w0")
+        virtual.run(13.0)
+        virtual.boot("w1", POOL, CAPACITY)
+        virtual.run(1.0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus import REGISTRY, Counter, Gauge, Histogram, render
 
 from toucandoor.adapters.wsgi import respond
+from toucandoor.core.scheduling.run_gap_models import WaitCause
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -16,12 +17,14 @@
     from toucandoor.core.copies.models import CopyCounts
     from toucandoor.core.run_times.models import QueueRatio
     from toucandoor.core.scheduling.pool_load import PoolLoad
+    from toucandoor.core.scheduling.run_gap_models import EndedGap
     from toucandoor.core.scheduling.step_order import TeamFigures
     from toucandoor.core.scheduling.worker_view import DiscardReason
     from toucandoor.ids import DataCentreId
 
 _CALL_BUCKETS_S: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0]
 _JOB_BUCKETS_S: Final = [0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 8.0, 15.0, 60.0]
+_GAP_BUCKETS_S: Final = [0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0, 20.0]
 
 
 class NodeMetrics:
@@ -103,6 +106,14 @@
             "toucandoor_plans_discarded",
             "Runs of the owner's term that were discarded before they had begun, by reason",
         )
+        self._run_gaps_s = Histogram(
+            "toucandoor_run_gap_seconds",
+            "Ended time without a run of a long-running task, by its begin and its main cause",
+            buckets=_GAP_BUCKETS_S,
+        )
+        self._without_run = Gauge(
+            "toucandoor_tasks_without_run", "Long-running tasks without a run by what they wait for"
+        )
         self._suspected = Gauge("toucandoor_suspected_servers", "Servers that starts avoid")
         self._invalid_entries = Gauge(
             "toucandoor_invalid_server_entries",
@@ -193,6 +204,19 @@
         for reason, count in counts.items():
             self._plans_discarded.set({"reason": reason.name.lower()}, count)
 
+    def record_run_gap(self, gap: EndedGap) -> None:
+        """Record a time without a run of a long-running task, which has ended."""
+        labels = {
+            "ended_as": gap.last_end.name.lower(),
+            "waited_for": gap.waited_for.name.lower(),
+        }
+        self._run_gaps_s.observe(labels, gap.gap_s)
+
+    def set_tasks_without_run(self, counts: Mapping[WaitCause, int]) -> None:
+        """Set how many long-running tasks have no run now, by what they wait for."""
+        for cause in WaitCause:
+            self._without_run.set({"waited_for": cause.name.lower()}, counts.get(cause, 0))
+
     def set_pool_load(self, load: PoolLoad) -> None:
         """Set the load of a pool."""
         for use, amount in (
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -56,6 +56,7 @@
         self._set_failure_domains()
         self._dependencies.metrics.set_unwritable_jobs(self._scheduler.unwritable_jobs)
         self._dependencies.metrics.set_discarded_plans(self._scheduler.activity.plans_discarded)
+        self._record_run_gaps()
         self._log_activity(now_s)
         self._log_traffic()
 
@@ -114,6 +115,12 @@
             scheduler.copies, scheduler.suspected_servers()
         )
 
+    def _record_run_gaps(self) -> None:
+        gaps, metrics = self._scheduler.run_gaps, self._dependencies.metrics
+        metrics.set_tasks_without_run(gaps.open_by_cause())
+        for ended in gaps.pop_ended():
+            metrics.record_run_gap(ended)
+
     def _log_activity(self, now_s: float) -> None:
         counts = self._scheduler.activity.counts() | self._scheduler.copies.counts()
         workers = self._scheduler.workers.values()
@@ -126,6 +133,8 @@
                 "longest_step_s": round(self._longest_step_s, 3),
                 "workers": len(workers),
                 "answering": sum(not worker.unresponsive for worker in workers),
+                "without_run": self._scheduler.run_gaps.open_by_cause().total(),
+                "longest_gap_s": round(self._scheduler.run_gaps.pop_longest_s(), 3),
             },
         )
         self._counts = counts
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -16,12 +16,15 @@
     tasks_by_worker,
 )
 from toucandoor.core.scheduling.record_budget import may_plan, run_bytes
+from toucandoor.core.scheduling.run_gap_models import WaitCause
 from toucandoor.core.scheduling.state import MS_PER_S
 from toucandoor.core.scheduling.step_order import WaitingStep
 from toucandoor.core.scheduling.worker_view import Run, RunState, WorkerView
 from toucandoor.core.scheduling.workers import RunKey
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from toucandoor.core.jobs.models import Resources, StepKey
     from toucandoor.core.scheduling.orders import Order
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress, Task
@@ -73,6 +76,7 @@
                 return
             for step in job.open_occurrence(job.opened):
                 self._state.mark_step_waiting(job, step)
+                self._state.run_gaps.on_opened(job, step)
             job.opened += 1
 
     def place(self) -> list[Order]:
@@ -131,7 +135,9 @@
             # What no server of the pool has room for; during a pass, room only becomes less.
             without_room: list[Resources] = []
             for each in self._state.order.ordered(pool, steps, now_s, now_ms):
-                self._place_step(each.job, each.step, usable, without_room, now_s, orders)
+                each.step.wait = self._place_step(
+                    each.job, each.step, usable, without_room, now_s, orders
+                )
 
     def _place_step(
         self,
@@ -141,48 +147,59 @@
         without_room: list[Resources],
         now_s: float,
         orders: list[Order],
-    ) -> None:
+    ) -> WaitCause | None:
+        """Plan runs for the waiting tasks of a step; return what the others wait for."""
         waiting = (task for task in step.tasks if task.waiting and now_s >= task.not_before_s)
         first = next(waiting, None)
         if first is None:
-            return
+            return WaitCause.DELAYED
         value_bytes_max = self._state.settings.value_bytes_max
         if not step.step.gang and not may_plan(job, first, value_bytes_max):
-            return
+            return WaitCause.RECORD_SIZE
         if not self._advice_ready(job, step, workers, now_s, orders):
-            return
+            return WaitCause.ADVISER
         reserved = step.step.reserved
         if any(less.fits_in(reserved) for less in without_room):
-            return
+            return WaitCause.NO_ROOM
         allowed = matching_workers(workers, step)
         if not allowed:
             self._ask_for_others(job, step, workers, now_s, orders)
-            return
+            return WaitCause.NO_MATCH if workers else WaitCause.NO_SERVER
         tasks = [task for task in step.tasks if task.waiting and now_s >= task.not_before_s]
         on_worker = tasks_by_worker(step)
         servers = ServerChoice(
             allowed, step, on_worker, now_s, self._state.rack_spread, self._state.task_grouping
         )
         if step.step.gang:
-            self._place_gang(job, step, tasks, servers, on_worker, now_s)
+            wait = self._place_gang(job, step, tasks, servers, on_worker, now_s)
             if any(task.waiting for task in tasks):
                 self._ask_for_others(job, step, workers, now_s, orders)
-            return
+            return wait
+        wait = None
         for task in tasks:
             if not self._state.within_ceiling(job, step.step.needs):
-                return
+                return WaitCause.CEILING
             if not may_plan(job, task, value_bytes_max):
-                return
+                return WaitCause.RECORD_SIZE
             chosen = servers.choose(task)
             if chosen is None:
                 if task.isolated:
+                    wait = WaitCause.APART
                     continue  # others may fit where it may not run
                 if len(allowed) == len(workers) and not step.step.per_worker_max:
                     without_room.append(reserved)
                 self._ask_for_others(job, step, workers, now_s, orders)
-                return
+                return self._wait_for_room(step, allowed)
             self.plan_run(job, task, chosen, task.attempt + 1, now_s)
             _count_task(on_worker, chosen)
+        return wait
+
+    def _wait_for_room(self, step: StepProgress, allowed: Sequence[WorkerView]) -> WaitCause:
+        """Return what a task waits for that no server has room for."""
+        reserved = step.step.reserved
+        if step.step.per_worker_max and any(reserved.fits_in(each.free) for each in allowed):
+            return WaitCause.PER_SERVER_LIMIT
+        return WaitCause.NO_ROOM
 
     def _place_gang(
         self,
@@ -192,12 +209,12 @@
         servers: ServerChoice,
         on_worker: dict[WorkerId, int],
         now_s: float,
-    ) -> None:
-        """Place all tasks of a gang, or none."""
+    ) -> WaitCause | None:
+        """Place all tasks of a gang, or none; return what they wait for."""
         if len(tasks) < len(step.tasks):
-            return
+            return WaitCause.STOP
         if not self._state.within_ceiling(job, step.step.needs.times(len(tasks))):
-            return
+            return WaitCause.CEILING
         attempt = max(task.attempt for task in tasks) + 1
         checkpoint = max(task.checkpoint for task in tasks)
         planned: list[Run] = []
@@ -207,9 +224,10 @@
             if chosen is None:
                 for run in planned:
                     self._cancel_planned(run)
-                return
+                return WaitCause.NO_ROOM
             planned.append(self.plan_run(job, task, chosen, attempt, now_s))
             _count_task(on_worker, chosen)
+        return None
 
     def plan_run(
         self, job: JobProgress, task: Task, worker: WorkerView, attempt: int, now_s: float
--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from toucandoor.core.jobs.models import JobSpec, Step
+    from toucandoor.core.scheduling.run_gap_models import WaitCause
     from toucandoor.core.scheduling.worker_view import Run
     from toucandoor.core.scheduling.workers import Boot
     from toucandoor.ids import WorkerId
@@ -100,6 +101,7 @@
         advice_failures: Requests without an answer, one after the other.
         next_advice_s: Earliest time of the next request.
         unblocked: Whether all steps that it depends on are known to be done; a done step stays so.
+        wait: What its waiting tasks waited for at the last placement; None if all were placed.
     """
 
     key: StepKey
@@ -114,6 +116,7 @@
     advice_failures: int = 0
     next_advice_s: float = 0.0
     unblocked: bool = False
+    wait: WaitCause | None = None
 
     @property
     def done(self) -> bool:
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -320,6 +320,7 @@
         run.stop_acknowledged = True
         run.worker.answered_s = now_s
         run.stop_answered_s = now_s
+        self._state.run_gaps.on_stopped(run)
         self._state.runs_awaiting_orders.pop(run, None)
         run.worker.next_heartbeat_s = min(run.worker.next_heartbeat_s, now_s)
 
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -42,6 +42,7 @@
     from toucandoor.core.run_times.models import RunTimeModel
     from toucandoor.core.scheduling.activity import Activity
     from toucandoor.core.scheduling.orders import Commit, Order
+    from toucandoor.core.scheduling.run_gaps import RunGaps
     from toucandoor.core.scheduling.step_order import TeamFigures
     from toucandoor.core.scheduling.workers import Advice, StatusReport, WorkerEntry
     from toucandoor.ids import FencingToken, JobId, WorkerId
@@ -129,6 +130,11 @@
         """Counts of what this owner has done since its term began."""
         return self._state.activity
 
+    @property
+    def run_gaps(self) -> RunGaps:
+        """Long-running tasks and jobs that could run and have no run."""
+        return self._state.run_gaps
+
     @property
     def run_times(self) -> RunTimeModel:
         """Expected run times of tasks."""
@@ -330,6 +336,7 @@
             orders = self._placer.place()
             self._copies.plan(self._placer.plan_run)
         self.evacuation.advance()
+        self._state.run_gaps.review()
         return orders + self.run_orders.due()
 
     def next_wake_s(self) -> float:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -14,6 +14,7 @@
 from toucandoor.core.scheduling.activity import Activity
 from toucandoor.core.scheduling.lookups import run_fields
 from toucandoor.core.scheduling.queue_order import ExpectedWorkCache, objective_s
+from toucandoor.core.scheduling.run_gaps import RunGaps
 from toucandoor.core.scheduling.step_order import LeastWorkFirst, StepOrder
 from toucandoor.core.scheduling.worker_view import DiscardReason, RunState
 
@@ -73,6 +74,7 @@
         may_start: Returns whether the start of a run may be sent now.
         runs_to_copy: Runs of tasks that may have a second run, and these second runs.
         attach_listeners: Called with each run that has been planned or recovered.
+        run_gaps: Long-running tasks and jobs that could run and have no run.
     """
 
     def __init__(
@@ -112,6 +114,7 @@
         self.runs_to_copy: dict[Run, None] = {}
         self.activity = Activity(self.started_s)
         self.attach_listeners: list[Callable[[JobProgress, Run], None]] = []
+        self.run_gaps = RunGaps(self)
         self._team_used: dict[TeamId, Resources] = {}
 
     @property
@@ -238,6 +241,7 @@
         team = job.spec.team
         self._team_used[team] = self._team_used.get(team, NO_RESOURCES) + run.task.step.needs
         self.order.on_attached(job, run, self.now_s)
+        self.run_gaps.on_attached(job, run)
         for listener in self.attach_listeners:
             listener(job, run)
 
@@ -252,6 +256,7 @@
         job = self.jobs[run.task.key.job_id]
         self._team_used[job.spec.team] = self._team_used[job.spec.team] - run.task.step.needs
         self.order.on_detached(job, run, self.now_s)
+        self.run_gaps.on_detached(job, run)
         self.changed_pools.add(run.worker.entry.pool)
         if not job.state.final and not run.task.done:
             self.mark_step_waiting(job, self.step_of(run.task))
@@ -260,6 +265,7 @@
         """Move a run to the view of a later boot, which may have taken its start."""
         job = self.jobs[run.task.key.job_id]
         self.order.on_detached(job, run, self.now_s)
+        self.run_gaps.on_discarded(run, DiscardReason.SERVER_LOST)
         run.worker.remove(run)
         self.changed_pools.add(run.worker.entry.pool)
         run.harmless_before = run.harmless
@@ -302,6 +308,7 @@
                 "runs: discarded without a reported end",
                 extra=run_fields(run) | {"reason": reason.value},
             )
+        self.run_gaps.on_discarded(run, reason)
         self.detach(run)
         self.mark_changed(self.jobs[run.task.key.job_id])
 
