Count what callers got by kind of call, and the calls without an answer

toucandoor_caller_seconds has method and status, but not the state that a job was shown in, and counted an unexpected error of the program as status 200. A call whose answer could not be written, or that was left when the node stopped, showed nowhere. toucandoor_caller_outcomes counts calls by kind and outcome on each node, once the answer is written; toucandoor_jobs_ended tells at the owner how jobs ended (attempts exhausted, crashes its servers, cancelled). A job that is shown as failed or cancelled gives a line.

--- a/tests/adapters/test_job_callers.py
+++ b/tests/adapters/test_job_callers.py
@@ -40,11 +40,12 @@
         self.submissions = mock.Mock()
         self.submissions.rejection.return_value = None
         self.outages = StoreOutages()
+        self.metrics = mock.Mock()
         self.app = JobApi(
             self.service,
             lambda: self.configuration,
             self.clock,
-            mock.Mock(),
+            self.metrics,
             lambda: self.store_reachable,
             self.submissions,
             self.outages,
@@ -77,6 +78,40 @@
         data = b"".join(self.app(environ, start_response))
         return answered["status"], answered["headers"], json.loads(data)
 
+    # Guards against a job that is answered 410, or shown as failed, and shows in no metric.
+    def test_outcomes_are_counted_by_kind_of_call(self) -> None:
+        self.call("POST", f"/n/{JOB}", BODY)
+        self.call("GET", f"/n/{JOB}")
+        self.service.status.return_value = JobStatus(QUEUE, TEAM, JobState.FAILED)
+        with self.assertLogs("toucandoor.adapters.job_callers", "INFO") as logs:
+            self.call("GET", f"/n/{JOB}")
+        self.assertIn("a job is shown as failed", logs.output[0])
+        self.call("DELETE", f"/n/{JOB}")
+        self.service.status.return_value = None
+        self.call("GET", f"/n/{JOB}")
+        self.call("DELETE", f"/n/{JOB}")
+        counted = [each.args for each in self.metrics.add_caller_outcome.call_args_list]
+        self.assertEqual(
+            counted,
+            [
+                ("submission", "ok"),
+                ("state", "running"),
+                ("state", "failed"),
+                ("cancellation", "ok"),
+                ("state", "410"),
+                ("cancellation", "410"),
+            ],
+        )
+
+    # Guards against errors of the program that are counted as calls with status 200.
+    def test_an_unexpected_error_is_counted_as_status_500(self) -> None:
+        self.service.status.side_effect = ValueError
+        with self.assertRaises(ValueError):
+            self.call("GET", f"/n/{JOB}")
+        self.metrics.add_caller_outcome.assert_called_once_with("state", "500")
+        self.assertEqual(self.metrics.record_caller_call.call_args.args[3], 500)
+        self.assertEqual(self.app.outcomes.in_flight, 0)
+
     def test_valid_calls(self) -> None:
         self.assertEqual(self.call("POST", f"/n/{JOB}", BODY)[0], 200)
         self.assertEqual(self.call("GET", f"/n/{JOB}")[2], {"state": "in_progress"})
--- a/tests/adapters/test_node_metrics.py
+++ b/tests/adapters/test_node_metrics.py
@@ -29,6 +29,8 @@
     "toucandoor_team_jobs": {"team", "rate_status"},
     "toucandoor_invalid_weights": set(),
     "toucandoor_plans_discarded": {"reason"},
+    "toucandoor_caller_outcomes": {"call", "outcome"},
+    "toucandoor_jobs_ended": {"ended_as"},
     "toucandoor_run_gap_seconds": {"ended_as", "waited_for"},
     "toucandoor_tasks_without_run": {"waited_for"},
     "toucandoor_invalid_server_entries": set(),
@@ -54,6 +56,8 @@
         metrics.set_team(TeamFigures(TeamId("t"), 1.5, 2, 3, 4))
         metrics.set_invalid_weights(1)
         metrics.set_discarded_plans({DiscardReason.SERVER_LOST: 1})
+        metrics.add_caller_outcome("state", "410")
+        metrics.set_jobs_ended({"completed": 1})
         metrics.record_run_gap(EndedGap(1.5, LastEnd.DRAINING, WaitCause.NO_ROOM))
         metrics.set_tasks_without_run({WaitCause.NO_ROOM: 2})
         metrics.set_invalid_entries(2)
--- a/toucandoor/adapters/job_callers.py
+++ b/toucandoor/adapters/job_callers.py
@@ -7,9 +7,11 @@
 
 import msgspec
 
+from toucandoor.adapters.caller_outcomes import CallerOutcomes, CallKind
 from toucandoor.adapters.job_service import WriteOutcome
 from toucandoor.adapters.wsgi import respond, respond_json
 from toucandoor.core.admission.submission import AcceptAll
+from toucandoor.core.jobs.models import JobState
 from toucandoor.core.jobs.records import encode
 from toucandoor.core.overload.outages import StoreOutages
 from toucandoor.core.records import DEFAULT_VALUE_BYTES_MAX
@@ -65,10 +67,12 @@
 
 
 class _CallLabels:
-    """Queue and team of a call for its metrics; empty until they are known."""
+    """Queue, team, kind and outcome of a call for its metrics, as far as they are known."""
 
     queue: str = ""
     team: str = ""
+    kind: CallKind = CallKind.OTHER
+    outcome: str = "ok"
 
 
 class JobApi:
@@ -83,6 +87,9 @@
         submissions: Decides whether a job is accepted; None to accept all.
         outages: Lengths of the store's outages; None if they aren't known.
         value_bytes_max: Largest value of the store.
+
+    Attributes:
+        outcomes: Counts what callers got.
     """
 
     def __init__(
@@ -101,6 +108,7 @@
         self._submissions = submissions or AcceptAll()
         self._store_reachable = store_reachable
         self._metrics = metrics
+        self.outcomes = CallerOutcomes(metrics)
         self._jobs = jobs
         self._configuration = configuration
         self._clock = clock
@@ -109,9 +117,11 @@
         """Answer one call."""
         started_s = self._clock.monotonic_s()
         labels = _CallLabels()
-        status = 200
+        self.outcomes.begin()
+        status = 500
         try:
             body = self._answer(environ, labels)
+            status = 200
         except _HttpError as err:
             status = err.status
             fields = _log_fields(environ) | {"status": err.status, "reason": err.reason}
@@ -119,12 +129,18 @@
             headers = []
             if err.retry_after_s is not None:
                 headers.append(("Retry-After", str(err.retry_after_s)))
-            return respond_json(start_response, err.status, {"error": err.reason}, headers)
+            answer = respond_json(start_response, err.status, {"error": err.reason}, headers)
+            labels.outcome = str(status)
+        except Exception:
+            self.outcomes.abandon(labels.kind, str(status))
+            raise
+        else:
+            answer = respond(start_response, 200, body, "application/json")
         finally:
             seconds = self._clock.monotonic_s() - started_s
             method = str(environ.get("REQUEST_METHOD", ""))
             self._metrics.record_caller_call(labels.queue, labels.team, method, status, seconds)
-        return respond(start_response, 200, body, "application/json")
+        return self.outcomes.deliver(labels.kind, labels.outcome, _log_fields(environ), answer)
 
     def _answer(self, environ: Environ, labels: _CallLabels) -> bytes:
         configuration = self._configuration()
@@ -140,6 +156,7 @@
         method = str(environ["REQUEST_METHOD"])
         job_part = path.removeprefix(queue.path_prefix)
         if not job_part and method == "GET":
+            labels.kind = CallKind.WAITING_JOBS
             return encode_pending(self._read_store(lambda: self._jobs.pending(queue.name)))
         if not is_job_id(job_part):
             raise _HttpError(400, "the path ends in no job id")
@@ -147,10 +164,13 @@
         wait_s = _caller_timeout_s(environ) - ANSWER_MARGIN_S
         until_s = self._clock.monotonic_s() + wait_s
         if method == "POST":
+            labels.kind = CallKind.SUBMISSION
             return self._submit(environ, configuration, queue, team, job_id, until_s)
         if method == "GET":
-            return self._job_state(queue, job_id)
+            labels.kind = CallKind.STATE
+            return self._job_state(queue, job_id, labels)
         if method == "DELETE":
+            labels.kind = CallKind.CANCELLATION
             return self._cancel(queue, job_id, until_s)
         raise _HttpError(405, "no such method")
 
@@ -218,10 +238,17 @@
             self._metrics.record_refusal(spec.queue, spec.team, rejection.status, rejection.reason)
             raise _HttpError(rejection.status, rejection.reason, rejection.retry_after_s)
 
-    def _job_state(self, queue: JobQueue, job_id: JobId) -> bytes:
+    def _job_state(self, queue: JobQueue, job_id: JobId, labels: _CallLabels) -> bytes:
         status = self._read_store(lambda: self._jobs.status(job_id), job_id)
         if status is None or status.queue != queue.name:
             raise _HttpError(410, "no such job")
+        labels.outcome = status.state.value
+        if status.state in (JobState.FAILED, JobState.CANCELLED):
+            _LOGGER.info(
+                "callers: a job is shown as %s",
+                status.state.value,
+                extra={"job": job_id, "queue": queue.name, "team": labels.team},
+            )
         return encode_state(status.state)
 
     def _cancel(self, queue: JobQueue, job_id: JobId, until_s: float) -> bytes:
--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -106,6 +106,13 @@
             "toucandoor_plans_discarded",
             "Runs of the owner's term that were discarded before they had begun, by reason",
         )
+        self._caller_outcomes = Counter(
+            "toucandoor_caller_outcomes",
+            "Calls by kind and by what the caller got: a state, a status, or no answer",
+        )
+        self._jobs_ended = Gauge(
+            "toucandoor_jobs_ended", "Jobs that have ended in the owner's term by how they ended"
+        )
         self._run_gaps_s = Histogram(
             "toucandoor_run_gap_seconds",
             "Ended time without a run of a long-running task, by its begin and its main cause",
@@ -134,6 +141,16 @@
         labels = {"queue": queue, "team": team, "method": method, "status": str(status)}
         self._callers_s.observe(labels, seconds)
 
+    def add_caller_outcome(self, call: str, outcome: str, count: int = 1) -> None:
+        """Count what the callers of a kind of call got."""
+        with self._lock:
+            self._caller_outcomes.add({"call": call, "outcome": outcome}, count)
+
+    def set_jobs_ended(self, counts: Mapping[str, int]) -> None:
+        """Set how many jobs have ended in the owner's term, by how they ended."""
+        for ended_as, count in counts.items():
+            self._jobs_ended.set({"ended_as": ended_as}, count)
+
     def record_platform_call(self, step: str, outcome: str, seconds: float) -> None:
         """Record the duration and outcome of a call to the platform."""
         self._platform_s.observe({"step": step, "outcome": outcome}, seconds)
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -117,6 +117,7 @@
 
     def _record_run_gaps(self) -> None:
         gaps, metrics = self._scheduler.run_gaps, self._dependencies.metrics
+        metrics.set_jobs_ended(self._scheduler.activity.jobs_by_end())
         metrics.set_tasks_without_run(gaps.open_by_cause())
         for ended in gaps.pop_ended():
             metrics.record_run_gap(ended)
--- a/toucandoor/core/scheduling/activity.py
+++ b/toucandoor/core/scheduling/activity.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from toucandoor.core.jobs.models import JobState
+
 if TYPE_CHECKING:
     from toucandoor.core.scheduling.worker_view import DiscardReason
 
@@ -26,6 +28,8 @@
             reason.
         jobs_ended: Jobs that have reached a final state.
         jobs_given_up: Those of them that were given up, as a task crashed its servers.
+        jobs_failed: Those of them that failed for any reason.
+        jobs_cancelled: Those of them that were cancelled.
         jobs_late: Those of them that were completed after their objective.
         first_planned_s: When the first run was planned, on the monotonic clock; None before that.
     """
@@ -38,6 +42,8 @@
     plans_discarded: Counter[DiscardReason] = field(default_factory=Counter)
     jobs_ended: int = 0
     jobs_given_up: int = 0
+    jobs_failed: int = 0
+    jobs_cancelled: int = 0
     jobs_late: int = 0
     first_planned_s: float | None = None
 
@@ -49,6 +55,21 @@
         self.first_planned_s = now_s
         return True
 
+    def record_end(self, state: JobState) -> None:
+        """Count a job that has reached a final state."""
+        self.jobs_ended += 1
+        self.jobs_failed += state is JobState.FAILED
+        self.jobs_cancelled += state is JobState.CANCELLED
+
+    def jobs_by_end(self) -> dict[str, int]:
+        """Return the number of ended jobs by how they ended."""
+        return {
+            "completed": self.jobs_ended - self.jobs_failed - self.jobs_cancelled,
+            "cancelled": self.jobs_cancelled,
+            "attempts_exhausted": self.jobs_failed - self.jobs_given_up,
+            "crashes_servers": self.jobs_given_up,
+        }
+
     def counts(self) -> dict[str, int]:
         """Return all counts by name."""
         return {
@@ -59,5 +80,7 @@
             "discarded": self.plans_discarded.total(),
             "jobs_ended": self.jobs_ended,
             "jobs_given_up": self.jobs_given_up,
+            "jobs_failed": self.jobs_failed,
+            "jobs_cancelled": self.jobs_cancelled,
             "jobs_late": self.jobs_late,
         }
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -203,7 +203,7 @@
         self.mark_changed(job)
 
     def _count_finished(self, job: JobProgress, total_s: float) -> None:
-        self.activity.jobs_ended += 1
+        self.activity.record_end(job.state)
         completed = job.state is JobState.COMPLETED
         if completed and not job.spec.timed and total_s > objective_s(job.spec, self.run_times):
             self.activity.jobs_late += 1
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -151,7 +151,7 @@
         )
         load = FollowedReport(self._clock)
         self._load_watch = LoadWatch(self._store, load, self._metrics)
-        job_api = JobApi(
+        self._job_api = JobApi(
             self._jobs,
             lambda: self._configuration.current,
             self._clock,
@@ -165,7 +165,7 @@
             lambda current: self._metrics.set_configuration_version(current.version)
         )
         self._caller_http = make_server(
-            settings.caller_address, job_api, CALLER_THREADS, IDLE_TIMEOUT_S
+            settings.caller_address, self._job_api, CALLER_THREADS, IDLE_TIMEOUT_S
         )
         self._caller_http.max_request_body_size = BODY_BYTES_MAX
         self._ready_http = make_server(settings.ready_address, self._ready_app, READY_THREADS)
@@ -217,6 +217,7 @@
             0.1, self._settings.grace_s - BALANCER_REMOVAL_S - STOP_MARGIN_S
         )
         self._caller_http.stop()
+        self._job_api.outcomes.log_unanswered()
         _LOGGER.info("node: stopped")
 
     def _submission_policies(
