Keep all log lines about followed jobs and long-running tasks

The limit of 200 lines of a kind a second left out half of the lines about runs on a large deployment, and left them out of every job, so that no task could be followed. Lines about one job in 16, chosen by its id and so the same on all nodes, and about long-running tasks now pass up to a second limit of 1000 a second and kind. The number of lines that is left out is still told. A status is part of the kind, so that many refusals for the load leave out no 410. "toucandoor explain job" says when lines of the job may be missing.

--- a/tests/adapters/test_bounded_logs.py
+++ b/tests/adapters/test_bounded_logs.py
@@ -8,9 +8,16 @@
 import threading
 import time
 import unittest
+from collections import Counter
 from unittest import mock
 
-from toucandoor.adapters.bounded_logs import LINES_PER_S, QueuedLineHandler, RateLimitFilter
+from toucandoor.adapters.bounded_logs import (
+    KEPT_LINES_PER_S,
+    LINES_PER_S,
+    QueuedLineHandler,
+    RateLimitFilter,
+)
+from toucandoor.core.explain import is_followed
 
 
 class BlockedStream(io.StringIO):
@@ -27,8 +34,10 @@
         return len(text)
 
 
-def record(message: str) -> logging.LogRecord:
-    return logging.LogRecord("x", logging.INFO, "", 0, message, None, None)
+def record(message: str, **fields: object) -> logging.LogRecord:
+    made = logging.LogRecord("x", logging.INFO, "", 0, message, None, None)
+    vars(made).update(fields)
+    return made
 
 
 class BlockedReaderTest(unittest.TestCase):
@@ -73,6 +82,41 @@
         self.assertEqual(passed, 3 * LINES_PER_S + 1)
         self.assertEqual(left_out, 3 * 9 * LINES_PER_S)
 
+    # Guards against a log in which no job can be followed once lines are left out.
+    def test_all_lines_of_a_followed_job_pass_and_the_total_stays_bounded(self) -> None:
+        jobs = [f"{number:016x}" for number in range(2000)]
+        passed: Counter[str] = Counter()
+        limit_filter = RateLimitFilter()
+        with mock.patch("toucandoor.adapters.bounded_logs.time.monotonic") as clock:
+            for second in range(3):
+                clock.return_value = float(second)
+                for job in jobs:
+                    for kind in ("runs: planned", "runs: ended"):
+                        passed[job] += limit_filter.filter(record(kind, job=job))
+        followed = [job for job in jobs if is_followed(job)]
+        self.assertGreater(len(followed), 80)
+        self.assertEqual({passed[job] for job in followed}, {6})
+        self.assertLess(passed.total(), 6 * (LINES_PER_S + len(followed)))
+
+    # Guards against a long-running task whose stop or start is among the lines left out.
+    def test_lines_about_long_running_tasks_pass_up_to_the_second_limit(self) -> None:
+        limit_filter = RateLimitFilter()
+        with mock.patch("toucandoor.adapters.bounded_logs.time.monotonic", return_value=0.0):
+            for _ in range(LINES_PER_S):
+                limit_filter.filter(record("runs: ended"))
+            lasting = [record("runs: ended", long_running=True) for _ in range(3000)]
+            passed = [each for each in lasting if limit_filter.filter(each)]
+        self.assertEqual(len(passed), KEPT_LINES_PER_S - LINES_PER_S)
+
+    # Guards against answers 410 that are left out because many calls are refused for the load.
+    def test_refusals_with_one_status_leave_out_none_with_another(self) -> None:
+        limit_filter = RateLimitFilter()
+        with mock.patch("toucandoor.adapters.bounded_logs.time.monotonic", return_value=0.0):
+            for number in range(2 * LINES_PER_S):
+                limit_filter.filter(record("callers: call refused", status=429, path=f"/{number}"))
+            gone = record("callers: call refused", status=410, path="/n/1")
+            self.assertTrue(limit_filter.filter(gone))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/core/test_explain.py
+++ b/tests/core/test_explain.py
@@ -32,6 +32,28 @@
         self.assertIn("edge-2 runs: ended  reason=done", found[2])
         self.assertIn("status=410", found[3])
 
+    # Guards against a gap of a task that on-call cannot find by its job.
+    def test_lines_about_times_without_a_run_are_found(self) -> None:
+        found = list(
+            explain(
+                [
+                    line(
+                        "1",
+                        "runs: a long-running task has had no run for a while",
+                        job=JOB,
+                        task="0.0.17",
+                        gap_s=2.1,
+                        waited_for="room in its pool",
+                    ),
+                    line("2", "callers: a job is shown as failed", job=JOB),
+                ],
+                "job",
+                JOB,
+            )
+        )
+        self.assertEqual(len(found), 2)
+        self.assertIn("task=0.0.17 gap_s=2.1 waited_for=room in its pool", found[0])
+
     def test_a_machine_is_found_by_its_own_field(self) -> None:
         lines = [
             line("1", "pools: move of VM m-1 has begun", vm="m-1", pool="p"),
--- a/toucandoor/adapters/bounded_logs.py
+++ b/toucandoor/adapters/bounded_logs.py
@@ -13,6 +13,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 from toucandoor.adapters.logs import ErrorFieldsFilter
+from toucandoor.core.explain import is_followed
 
 if TYPE_CHECKING:
     from typing import TextIO
@@ -20,6 +21,9 @@
 LINES_PER_S: Final = 200
 """Most lines of one kind per second. A busy owner logs the ends of about a hundred runs per
 second."""
+KEPT_LINES_PER_S: Final = 1_000
+"""Most lines of one kind per second with those about followed jobs and long-running tasks. The
+threads that write them share a processor with the scheduler."""
 QUEUE_LINES_MAX: Final = 5_000
 """Most lines that wait for a slow reader, a few megabytes; further ones are dropped."""
 LOGGER_LEVELS: Final = {"websockets": logging.WARNING, "urllib3": logging.ERROR}
@@ -29,12 +33,21 @@
 class RateLimitFilter(logging.Filter):
     """Limits the lines of each kind per second, and counts those that it drops.
 
-    The kind of a line is its message without the arguments.
+    The kind of a line is its message without the arguments, and its status if it has one. Lines
+    about followed jobs and about long-running tasks pass up to a second, higher limit, so that
+    these jobs and tasks can be followed from their first line to their last.
+
+    Args:
+        lines_per_s: Limit of the other lines.
+        kept_lines_per_s: Limit of all lines.
     """
 
-    def __init__(self, lines_per_s: int = LINES_PER_S) -> None:
+    def __init__(
+        self, lines_per_s: int = LINES_PER_S, kept_lines_per_s: int = KEPT_LINES_PER_S
+    ) -> None:
         super().__init__()
         self._lines_per_s = lines_per_s
+        self._kept_lines_per_s = kept_lines_per_s
         self._lock = threading.Lock()
         self._second = 0
         self._passed: dict[str, int] = {}
@@ -45,14 +58,14 @@
 
         The next line that passes has the number of dropped ones of its kind as ``left_out``.
         """
-        kind = str(record.msg)
+        kind = f"{record.msg} {getattr(record, 'status', '')}"
         with self._lock:
             second = int(time.monotonic())
             if second != self._second:
                 self._second = second
                 self._passed.clear()
             seen = self._passed.get(kind, 0)
-            if seen >= self._lines_per_s:
+            if seen >= self._lines_per_s and (seen >= self._kept_lines_per_s or not _kept(record)):
                 self._dropped[kind] = self._dropped.get(kind, 0) + 1
                 return False
             self._passed[kind] = seen + 1
@@ -62,6 +75,14 @@
         return True
 
 
+def _kept(record: logging.LogRecord) -> bool:
+    """Return whether a line is about a long-running task or a followed job."""
+    if getattr(record, "long_running", False):
+        return True
+    job = getattr(record, "job", "") or str(getattr(record, "path", "")).rpartition("/")[2]
+    return bool(job) and is_followed(job)
+
+
 class QueuedLineHandler(logging.Handler):
     """Handler that writes in a thread; drops lines while its queue is full instead of blocking."""
 
--- a/toucandoor/core/explain.py
+++ b/toucandoor/core/explain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 from typing import TYPE_CHECKING, Any, Final
 
 if TYPE_CHECKING:
@@ -10,9 +11,16 @@
 
 SUBJECT_FIELDS: Final = {"job": ("job",), "server": ("worker",), "machine": ("vm",)}
 """Log fields that name the subject of a line, by kind of subject."""
+FOLLOWED_JOBS_RATIO: Final = 16
+"""One job in this many is followed: its lines are written where others are left out."""
 _HIDDEN_FIELDS: Final = {"time", "level", "logger", "program", "message"}
 
 
+def is_followed(job: str) -> bool:
+    """Return whether the lines about a job are complete at any load; all nodes agree on it."""
+    return zlib.crc32(job.encode()) % FOLLOWED_JOBS_RATIO == 0
+
+
 def explain(lines: Iterable[str], kind: str, name: str) -> Iterator[str]:
     """Yield one line of text for each log line about a subject, ordered by time.
 
--- a/toucandoor/core/scheduling/lookups.py
+++ b/toucandoor/core/scheduling/lookups.py
@@ -41,8 +41,9 @@
 
 
 def run_fields(run: Run) -> dict[str, object]:
-    """Return the log fields that identify a run."""
-    return {
+    """Return the log fields that identify a run; lines with ``long_running`` are not left out."""
+    lasting = {"long_running": True} if run.task.step.long_running else {}
+    return lasting | {
         "job": run.task.key.job_id,
         "task": task_text(run.task.key),
         "attempt": run.key.attempt,
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -82,7 +82,8 @@
                 "worker": worker.entry.worker_id,
                 "reason": ended.reason.value,
                 "known": run is not None,
-            },
+            }
+            | ({"long_running": True} if task.step.long_running else {}),
         )
         state.mark_changed(job)
         job.ends_version = job.version
--- a/toucandoor/programs/cli.py
+++ b/toucandoor/programs/cli.py
@@ -24,6 +24,7 @@
 from toucandoor.core.configuration.diff import differences
 from toucandoor.core.configuration.models import Configuration
 from toucandoor.core.explain import explain as explain_lines
+from toucandoor.core.explain import is_followed
 from toucandoor.exceptions import MessageError, PeerAuthenticationError, SettingsError
 
 app = typer.Typer(help="Manage a shared fleet of VMs.", no_args_is_help=True, rich_markup_mode=None)
@@ -232,6 +233,8 @@
     Example: cat node-*.log | toucandoor explain job 7ab4fbbd5169893e
     """
     _explain_from_logs("job", job)
+    if not is_followed(job):
+        typer.echo("lines about this job may have been left out under load", err=True)
 
 
 @explain_app.command("server")
