Start nothing for a job that ended before its adviser answered

Callers saw: on a queue with an adviser, a job that was cancelled while the adviser was asked for servers ran all the same, and was then shown as completed; one that had failed meanwhile ran on. Cause: the adviser's answer marks the step as waiting without a look at the job's state, and placement takes each waiting step for one of an open job. A cancelled job that had no run yet even went back to running. Evidence: by reading the paths by which a step gets into `waiting_steps`; no play has shown it. Why it works: this was the only path that marks a step as waiting without looking at the state of its job.

--- a/tests/core/scheduling/test_advice.py
+++ b/tests/core/scheduling/test_advice.py
@@ -163,6 +163,30 @@
         fleet.run(8.0)
         self.assert_completed(fleet, specs)
 
+    # Guards against a cancelled job that runs, and is shown as completed, as its adviser answered
+    # after the cancellation.
+    def test_advice_for_a_job_that_was_cancelled_meanwhile_starts_nothing(self) -> None:
+        fleet = self.make_fleet(30)
+        (spec,) = self.submit(fleet, 1, 1)
+        fleet.run(0.5)
+        self.assertEqual(fleet.calls.adviser.asked, [30])
+        fleet.cancel(spec.job_id)
+        fleet.run(10.0)
+        self.assertEqual(fleet.observations.starts, 0)
+        self.assertIs(fleet.state(spec.job_id), JobState.CANCELLED)
+
+    # Guards against the same where a task has failed for good while servers for others were asked
+    # for.
+    def test_advice_for_a_job_that_has_failed_meanwhile_starts_nothing(self) -> None:
+        fleet = self.make_fleet(30)
+        (spec,) = self.submit(fleet, 1, 1)
+        fleet.run(0.5)
+        (job_progress,) = fleet.scheduler.jobs.values()
+        fleet.scheduler.state.finish(job_progress, JobState.FAILED)
+        fleet.run(10.0)
+        self.assertEqual(fleet.observations.starts, 0)
+        self.assertIs(fleet.state(spec.job_id), JobState.FAILED)
+
     def test_a_new_owner_asks_again(self) -> None:
         fleet = self.make_fleet(40)
         specs = self.submit(fleet, 1, 2)
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -262,7 +262,7 @@
         state = self._state
         self._advice.ended(key, answered=advice is not None)
         job = state.jobs.get(key.job_id)
-        if job is None:
+        if job is None or job.state.final:
             return
         step = job.step(key.occurrence, key.step)
         self._advice.apply(step, advice, state.now_s)
