Stop long-running tasks for planned work only once another server has room

WorkerRegistry.vacate and _stop_movable_runs asked only whether the step's promise allows a stop, not whether another server has room, so that a task was stopped on a vacated or draining server and waited for a VM to arrive.

PlannedStops now plans every 0.2 s, as the evacuation does: it searches for room with the limits per server, labels and tickets, holds it until the run has ended, and only then stops the run. RoomSearch and HeldRoom are taken out of the evacuation and shared by all three, so that no two stops count on the same room, and it is released before waiting tasks are placed. Where no room is free, the room that is expected to become free first is held, as waiting tasks would otherwise take it part by part. A wave without room waits, also when it is overdue; of several vacated VMs that wait for the same kind of room all but one are given back, as they may be each other's only room. A draining server's tasks are stopped 1 s before the least time left ends, with or without room. A VM with held room is neither lent nor vacated.

--- a/tests/core/scheduling/test_planned_stops.py
+++ b/tests/core/scheduling/test_planned_stops.py
@@ -12,6 +12,7 @@
 from toucandoor.core.maintenance.vm_orders import VmOrderLog
 from toucandoor.core.pools.lending import PoolMove
 from toucandoor.core.pools.vm_lender import VmLender
+from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.worker_view import Cordon, CordonSource
 from toucandoor.core.scheduling.workers import VmEntry, VmState
 from toucandoor.fakes.virtual_fleet import VirtualFleet
@@ -136,6 +137,28 @@
         for worker in self.fleet.scheduler.workers.values():
             self.assertEqual(worker.held.cpu_millicores, 0)
 
+    # Guards against a job that is given up, as its task was moved before it had proved harmless
+    # after the loss of its server and the next server was lost as well.
+    def test_a_task_under_suspicion_stays_until_it_has_proved_harmless(self) -> None:
+        self.boot(0)
+        self.submit_lasting(1)
+        [worker] = self.fleet.scheduler.workers.values()
+        [run] = worker.runs.values()
+        run.harmless_before = run.reported = False
+        self.fleet.scheduler.registry.crashes.on_lost(worker, [run], ended=True)
+        self.fleet.scheduler.registry.boot_ended(worker, "was lost in this test")
+        self.fleet.crash("w0")
+        self.boot(1)
+        self.fleet.run(1.0)
+        [start] = [at_s for at_s, entry in self.fleet.observations.started if entry.vm_id == "m1"]
+        self.boot(2)
+        wave = self.waves.order([VmId("m1")], within_s=6.0, down_max=1)
+        self.longest_gap_s(start + const.HARMLESS_AFTER_S - self.fleet.clock.monotonic_s())
+        self.assertEqual(self.place_of(self.tasks[0]), "w1")
+        self.assertLess(self.longest_gap_s(4.0), MOVE_S)
+        self.assertIn(wave, self.waves.completed_s)
+        self.assertEqual(self.place_of(self.tasks[0]), "w2")
+
     # Servers that drain
 
     # Guards against a task that is stopped while its server has seconds left and no other has room.
--- a/toucandoor/core/evacuation/evacuator.py
+++ b/toucandoor/core/evacuation/evacuator.py
@@ -13,7 +13,6 @@
     EVACUATION_CORDON,
     Run,
     RunState,
-    WorkerView,
 )
 
 if TYPE_CHECKING:
@@ -82,7 +81,6 @@
         self._requests = requests
         self._policy = policy or LeaveWithoutLoss(requests.move_s if requests is not None else 0.0)
         self._applied: Mapping[DataCentreId, EvacuationRequest] = MappingProxyType({})
-        self._held: dict[Run, WorkerView] = {}
         self._statuses: dict[DataCentreId, DataCentreStatus] = {}
         self._next_plan_s = 0.0
         self._stale = False
@@ -114,14 +112,6 @@
         if self._requests is not None:
             self._requests.add_known(data_centres)
 
-    def leaving(self, worker: WorkerView) -> list[Run]:
-        """Return the runs of an evacuated server that need capacity elsewhere."""
-        return [
-            run
-            for run in worker.runs.values()
-            if run.task.step.long_running or run.task.step.checkpointing
-        ]
-
     # Before the placement of waiting tasks
 
     def prepare(self) -> bool:
@@ -134,9 +124,8 @@
             return True
         now_s = self._state.now_s
         in_force = self._requests.in_force
-        if in_force or self._applied or self._held:
+        if in_force or self._applied:
             self._mark_servers(in_force)
-            self._release_held()
             changed = in_force is not self._applied
             if changed:
                 self._update_statuses(in_force)
@@ -163,12 +152,6 @@
                     worker.cordons.discard(EVACUATION_CORDON)
                 self._state.changed_pools.add(worker.entry.pool)
 
-    def _release_held(self) -> None:
-        for run, target in list(self._held.items()):
-            if run.key not in run.worker.runs:
-                target.release(run.task.step.reserved)
-                del self._held[run]
-
     def _update_statuses(self, in_force: Mapping[DataCentreId, EvacuationRequest]) -> None:
         for data_centre, request in in_force.items():
             if data_centre not in self._statuses:
@@ -244,7 +227,6 @@
             made.count(run, Obstacle.STOPPING)
             if not run.stop_requested:
                 self._state.request_stop(run)
-        self._held |= made.targets
         left = Counter(run.worker.entry.data_centre for run in runs)
         lasting = Counter(
             run.worker.entry.data_centre for run in runs if run.task.step.long_running
--- a/toucandoor/core/maintenance/job_wave_models.py
+++ b/toucandoor/core/maintenance/job_wave_models.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import Final
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
 from toucandoor.ids import VmId
 
+if TYPE_CHECKING:
+    from toucandoor.core.scheduling.worker_view import WorkerView
+    from toucandoor.ids import WorkerId
+
 WAVE_PROGRESS_PREFIX: Final = "waves/"
 
 
@@ -75,3 +79,40 @@
         msgspec.MsgspecError: The bytes are not such a record.
     """
     return msgspec.json.decode(value, type=WaveRecord)
+
+
+@dataclass(slots=True)
+class WaveState:
+    """A wave under way.
+
+    Attributes:
+        order: What operators ordered.
+        ordered: Whether the operators' order is known, not only what a former owner has written.
+        vms_checked: Whether the VMs have been looked up in the VM list.
+        due_s: When the maintenance of all VMs must have begun, on the monotonic clock.
+        begun: VMs whose maintenance has begun.
+        down_since_s: VMs that are or may be down for maintenance, and since when.
+        vacating_since_s: VMs that get no new runs because they are maintained next, and since when.
+        cordoned: Backend servers that this wave keeps out of use.
+        ordered_on: Backend server that was on the VM when its maintenance was ordered, by VM.
+        in_flight: VMs whose order has no answer yet.
+        retry_at_s: Earliest time of a VM's next order.
+        saved: State in the store: number of VMs begun, and whether the wave is completed.
+        save_in_flight: Whether a write has no answer yet.
+        save_after_s: Earliest time of the next write.
+    """
+
+    order: VmWaveOrder
+    due_s: float
+    ordered: bool = True
+    vms_checked: bool = False
+    begun: set[VmId] = field(default_factory=set)
+    down_since_s: dict[VmId, float] = field(default_factory=dict)
+    vacating_since_s: dict[VmId, float] = field(default_factory=dict)
+    cordoned: set[WorkerView] = field(default_factory=set)
+    ordered_on: dict[VmId, WorkerId] = field(default_factory=dict)
+    in_flight: set[VmId] = field(default_factory=set)
+    retry_at_s: dict[VmId, float] = field(default_factory=dict)
+    saved: tuple[int, bool] | None = None
+    save_in_flight: bool = False
+    save_after_s: float = 0.0
--- a/toucandoor/core/maintenance/job_waves.py
+++ b/toucandoor/core/maintenance/job_waves.py
@@ -8,16 +8,19 @@
 
 import logging
 import math
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.core.jobs.models import NO_RESOURCES
 from toucandoor.core.maintenance.job_wave_models import (
     MaintainVm,
     SaveWaveProgress,
     VmWaveOrder,
     WaveAction,
     WaveRecord,
+    WaveState,
 )
+from toucandoor.core.maintenance.vacated_servers import blocked_beside_others, has_kind
 from toucandoor.core.scheduling.worker_view import Cordon, CordonSource
 from toucandoor.core.scheduling.workers import VmRefusal, VmState
 from toucandoor.ids import VmId
@@ -28,7 +31,7 @@
     from toucandoor.core.maintenance.vm_orders import VmOrderLog
     from toucandoor.core.scheduling.scheduler import Scheduler
     from toucandoor.core.scheduling.worker_view import WorkerView
-    from toucandoor.ids import PoolId, WorkerId
+    from toucandoor.ids import PoolId
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -44,43 +47,6 @@
 """Delay after the platform refused an order or did not answer."""
 
 
-@dataclass(slots=True)
-class _Wave:
-    """A wave under way.
-
-    Attributes:
-        order: What operators ordered.
-        ordered: Whether the operators' order is known, not only what a former owner has written.
-        vms_checked: Whether the VMs have been looked up in the VM list.
-        due_s: When the maintenance of all VMs must have begun, on the monotonic clock.
-        begun: VMs whose maintenance has begun.
-        down_since_s: VMs that are or may be down for maintenance, and since when.
-        vacating_since_s: VMs that get no new runs because they are maintained next, and since when.
-        cordoned: Backend servers that this wave keeps out of use.
-        ordered_on: Backend server that was on the VM when its maintenance was ordered, by VM.
-        in_flight: VMs whose order has no answer yet.
-        retry_at_s: Earliest time of a VM's next order.
-        saved: State in the store: number of VMs begun, and whether the wave is completed.
-        save_in_flight: Whether a write has no answer yet.
-        save_after_s: Earliest time of the next write.
-    """
-
-    order: VmWaveOrder
-    due_s: float
-    ordered: bool = True
-    vms_checked: bool = False
-    begun: set[VmId] = field(default_factory=set)
-    down_since_s: dict[VmId, float] = field(default_factory=dict)
-    vacating_since_s: dict[VmId, float] = field(default_factory=dict)
-    cordoned: set[WorkerView] = field(default_factory=set)
-    ordered_on: dict[VmId, WorkerId] = field(default_factory=dict)
-    in_flight: set[VmId] = field(default_factory=set)
-    retry_at_s: dict[VmId, float] = field(default_factory=dict)
-    saved: tuple[int, bool] | None = None
-    save_in_flight: bool = False
-    save_after_s: float = 0.0
-
-
 class WaveCoordinator:
     """Carries out waves while this process owns the schedule."""
 
@@ -107,7 +73,7 @@
         self._now_s = clock.monotonic_s
         self._order_log = order_log
         self._maintenance_s = maintenance_s
-        self._waves: dict[int, _Wave] = {}
+        self._waves: dict[int, WaveState] = {}
         self._vm_list = vm_list
 
     @property
@@ -122,7 +88,7 @@
         # This process may have seen the order late, after its own start.
         left_s = record.due_unix_ms / 1000 - self._clock.now().timestamp()
         due_s = now_s + left_s if record.due_unix_ms else math.inf
-        wave = self._waves.setdefault(number, _Wave(order, due_s, ordered=False))
+        wave = self._waves.setdefault(number, WaveState(order, due_s, ordered=False))
         wave.begun |= set(record.begun)
         wave.saved = (len(wave.begun), completed)
 
@@ -134,7 +100,7 @@
         order = replace(order, vms=tuple(dict.fromkeys(order.vms)))
         due_s = order.seen_at_s + order.within_s
         if wave is None:
-            wave = self._waves[order.number] = _Wave(order, due_s)
+            wave = self._waves[order.number] = WaveState(order, due_s)
         else:
             wave.order, wave.ordered = order, True
             wave.due_s = min(wave.due_s, due_s)
@@ -180,7 +146,7 @@
             for vm_id in wave.order.vms:
                 self._update_down(wave, vm_id, asked_at_s)
 
-    def _check_vms(self, wave: _Wave) -> None:
+    def _check_vms(self, wave: WaveState) -> None:
         """Warn once about VMs that don't exist; nothing is done for them."""
         if wave.vms_checked or not wave.ordered:
             return
@@ -193,7 +159,7 @@
                 extra={"wave": wave.order.number, "vms": len(unknown), "vm": unknown[0]},
             )
 
-    def _update_down(self, wave: _Wave, vm_id: VmId, asked_at_s: float) -> None:
+    def _update_down(self, wave: WaveState, vm_id: VmId, asked_at_s: float) -> None:
         vm = self._vm_list.vms.get(vm_id)
         down_since_s = wave.down_since_s.get(vm_id)
         if vm is not None and vm.state is VmState.MAINTENANCE:
@@ -266,7 +232,7 @@
             self._save(wave, now_s, orders)
         return orders
 
-    def _advance(self, wave: _Wave, now_s: float, orders: list[WaveAction]) -> None:
+    def _advance(self, wave: WaveState, now_s: float, orders: list[WaveAction]) -> None:
         remaining = [
             vm_id for vm_id in wave.order.vms if self._is_listed(vm_id) and vm_id not in wave.begun
         ]
@@ -275,6 +241,7 @@
         for vm_id in list(wave.vacating_since_s):
             if vm_id not in remaining:
                 del wave.vacating_since_s[vm_id]
+        self._give_back(wave, workers)
         for vm_id in self._next_to_vacate(wave, remaining, workers, now_s):
             wave.vacating_since_s[vm_id] = now_s
         self._update_cordons(wave, workers)
@@ -290,7 +257,21 @@
                 wave.down_since_s[vm_id] = now_s
                 orders.append(MaintainVm(vm_id, wave.order.number))
 
-    def _update_cordons(self, wave: _Wave, workers: dict[VmId, WorkerView]) -> None:
+    def _give_back(self, wave: WaveState, workers: dict[VmId, WorkerView]) -> None:
+        """Put servers back into use whose tasks find no room while others wait for the same room.
+
+        Servers that are vacated at the same time may have the only room for each other's tasks.
+        """
+        stops = self._scheduler.planned_stops
+        vacated = {vm_id: workers[vm_id] for vm_id in self.vms_vacated & workers.keys()}
+        for vm_id, worker in blocked_beside_others(vacated, stops.without_room).items():
+            if wave.vacating_since_s.pop(vm_id, None) is not None:
+                _LOGGER.info(
+                    "maintenance: VM is given back, as other VMs wait for the same room",
+                    extra={"vm": vm_id, "wave": wave.order.number, "runs": len(worker.runs)},
+                )
+
+    def _update_cordons(self, wave: WaveState, workers: dict[VmId, WorkerView]) -> None:
         """Keep the servers out of use whose VMs this wave vacates, and no others."""
         cordon = Cordon(CordonSource.WAVE, wave.order.number)
         vacated = {workers[vm_id] for vm_id in wave.vacating_since_s if vm_id in workers}
@@ -301,7 +282,7 @@
         wave.cordoned = vacated
 
     def _next_to_vacate(
-        self, wave: _Wave, remaining: list[VmId], workers: dict[VmId, WorkerView], now_s: float
+        self, wave: WaveState, remaining: list[VmId], workers: dict[VmId, WorkerView], now_s: float
     ) -> list[VmId]:
         """Return the VMs to vacate next, those with the fewest VMs of their pool in progress first.
 
@@ -310,7 +291,12 @@
         off; others only as many as the remaining time requires.
         At most one VM more than ``down_max`` is in progress; `_may_begin` bounds those down.
         """
-        idle = [vm_id for vm_id in remaining if vm_id not in wave.vacating_since_s]
+        idle = [
+            vm_id
+            for vm_id in remaining
+            if vm_id not in wave.vacating_since_s
+            and ((worker := workers.get(vm_id)) is None or worker.held == NO_RESOURCES)
+        ]
         time_left_s = wave.due_s - END_MARGIN_S - now_s
         required = math.ceil(len(remaining) * VM_CYCLE_S / max(time_left_s, VM_CYCLE_S))
         busy = set(wave.vacating_since_s) | set(wave.down_since_s)
@@ -329,6 +315,7 @@
             in_progress = disturbed.get(pool, 0)
             return (in_progress if in_progress >= dispensable.get(pool, 1) else 0, runs)
 
+        kinds = set(self._scheduler.planned_stops.without_room.values())
         chosen: list[VmId] = []
         while idle and wave.order.down_max > 0 and len(busy) + len(chosen) <= wave.order.down_max:
             vm_id = min(idle, key=burden)
@@ -336,6 +323,8 @@
             if not vacant and len(busy) + len(chosen) >= required:
                 break
             idle.remove(vm_id)
+            if has_kind(self._scheduler.state, workers.get(vm_id), kinds):
+                continue
             chosen.append(vm_id)
             pool = self._vm_list.vms[vm_id].pool
             disturbed[pool] = disturbed.get(pool, 0) + 1
@@ -351,7 +340,7 @@
                 sizes[vm.pool] += 1
         return {pool: int(size * (1 - SPARE_KEPT_RATIO)) for pool, size in sizes.items()}
 
-    def _may_begin(self, wave: _Wave, vm_id: VmId, now_s: float) -> bool:
+    def _may_begin(self, wave: WaveState, vm_id: VmId, now_s: float) -> bool:
         vm = self._vm_list.vms.get(vm_id)
         return (
             vm is not None
@@ -362,7 +351,7 @@
             and len(set(wave.down_since_s) - {vm_id}) < wave.order.down_max
         )
 
-    def _forget_returned(self, wave: _Wave, workers: dict[VmId, WorkerView]) -> None:
+    def _forget_returned(self, wave: WaveState, workers: dict[VmId, WorkerView]) -> None:
         """Remove VMs from those down once their new backend server is in the schedule."""
         now_s = self._now_s()
         for vm_id, since_s in list(wave.down_since_s.items()):
@@ -378,14 +367,14 @@
     def _is_listed(self, vm_id: VmId) -> bool:
         return vm_id in self._vm_list.vms
 
-    def _is_finished(self, wave: _Wave) -> bool:
+    def _is_finished(self, wave: WaveState) -> bool:
         if wave.saved is not None and wave.saved[1]:
             return True
         if self._vm_list.read_at_s is None or not wave.ordered:
             return False
         return all(vm_id in wave.begun or not self._is_listed(vm_id) for vm_id in wave.order.vms)
 
-    def _save(self, wave: _Wave, now_s: float, orders: list[WaveAction]) -> None:
+    def _save(self, wave: WaveState, now_s: float, orders: list[WaveAction]) -> None:
         state = (len(wave.begun), self._is_finished(wave))
         if wave.saved == state or wave.save_in_flight or now_s < wave.save_after_s:
             return
--- a/toucandoor/core/pools/vm_lender.py
+++ b/toucandoor/core/pools/vm_lender.py
@@ -153,9 +153,8 @@
             return LendableVm(vm.vm_id, vm.pool, True, False, vm.capacity)
         if worker is None or not worker.usable(now_s):
             return None
-        empty = not worker.runs and not worker.uncommitted
         slow = self._scheduler.state.failure_domains.slowness(worker) > SLOW_RATIO
-        return LendableVm(vm.vm_id, vm.pool, empty, False, vm.capacity, slow)
+        return LendableVm(vm.vm_id, vm.pool, worker.empty, False, vm.capacity, slow)
 
     def _forget_arrived(self, workers: dict[VmId, WorkerView], now_s: float) -> None:
         for vm_id, until_s in list(self._arriving_until_s.items()):
--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -7,18 +7,20 @@
 from operator import itemgetter
 from typing import TYPE_CHECKING
 
+from toucandoor.core.failure_domains.models import SLOW_RATIO
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.pacing import latency_sensitive_runs
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Container, Iterable, Sequence
 
     from toucandoor.core.failure_domains.rack_spread import RackSpread
     from toucandoor.core.jobs.models import Step
     from toucandoor.core.scheduling.progress import StepProgress, Task
+    from toucandoor.core.scheduling.state import ScheduleState
     from toucandoor.core.scheduling.task_grouping import TaskGrouping
     from toucandoor.core.scheduling.worker_view import WorkerView
-    from toucandoor.ids import WorkerId
+    from toucandoor.ids import PoolId, WorkerId
 
 
 def allowed_workers(
@@ -28,6 +30,28 @@
     return matching_workers([worker for worker in workers if worker.usable(now_s)], step)
 
 
+def usable_workers(
+    state: ScheduleState, now_s: float, pools: Container[PoolId] | None = None
+) -> dict[PoolId, list[WorkerView]]:
+    """Return the backend servers of each pool that may get tasks, and update which are slow.
+
+    Args:
+        state: The schedule.
+        now_s: The monotonic time.
+        pools: The pools; None for all.
+    """
+    found: dict[PoolId, list[WorkerView]] = {}
+    domains = state.failure_domains
+    for worker in state.workers.values():
+        pool = worker.entry.pool
+        if pools is not None and pool not in pools:
+            continue
+        if worker.usable(now_s) and not domains.suspects(worker):
+            worker.slow = domains.slowness(worker) > SLOW_RATIO
+            found.setdefault(pool, []).append(worker)
+    return found
+
+
 def matching_workers(usable: Sequence[WorkerView], step: StepProgress) -> Sequence[WorkerView]:
     """Return which of the usable backend servers may run tasks of a step.
 
--- a/toucandoor/core/scheduling/placer.py
+++ b/toucandoor/core/scheduling/placer.py
@@ -5,7 +5,6 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from toucandoor.core.failure_domains.models import SLOW_RATIO
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.advice import AdviceRequests
@@ -14,6 +13,7 @@
     ServerChoice,
     matching_workers,
     tasks_by_worker,
+    usable_workers,
 )
 from toucandoor.core.scheduling.record_budget import may_plan, run_bytes
 from toucandoor.core.scheduling.state import MS_PER_S
@@ -117,13 +117,7 @@
         now_s: float,
         orders: list[Order],
     ) -> None:
-        workers: dict[PoolId, list[WorkerView]] = {}
-        domains = self._state.failure_domains
-        for worker in self._state.workers.values():
-            pool = worker.entry.pool
-            if pool in waiting and worker.usable(now_s) and not domains.suspects(worker):
-                worker.slow = domains.slowness(worker) > SLOW_RATIO
-                workers.setdefault(pool, []).append(worker)
+        workers = usable_workers(self._state, now_s, waiting)
         now_ms = self._state.now_unix_ms
         for pool, steps in waiting.items():
             self._reviewed_s[pool] = now_s
--- /dev/null
+++ b/toucandoor/core/scheduling/planned_stops.py
@@ -0,0 +1,135 @@
+"""Stops long-running tasks on servers that a wave vacates or that drain, once there is room."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from toucandoor.core.scheduling.lookups import at_full_speed
+from toucandoor.core.scheduling.relocation import RoomKind, RoomSearch, has_room, room_kind
+from toucandoor.core.scheduling.worker_view import Run, RunState
+
+if TYPE_CHECKING:
+    from toucandoor.core.scheduling.progress import Task
+    from toucandoor.core.scheduling.state import ScheduleState
+    from toucandoor.core.scheduling.worker_view import WorkerView
+
+PLAN_INTERVAL_S: Final = 0.2
+"""Interval between two plans; a stop takes about as long."""
+STOPS_MAX: Final = 64
+"""Most runs stopped in one plan; more would delay the starts of others in the same step."""
+LATER_SEARCHES_MAX: Final = 2
+"""Most searches in one plan for capacity that becomes free."""
+LATER_SEARCH_INTERVAL_S: Final = 0.5
+"""Interval between two plans with such searches."""
+STOP_S: Final = 1.0
+"""Time for a stop before a draining server leaves: a plan's interval, an order with its time-out of
+0.6 s, and the end of the run."""
+
+
+class PlannedStops:
+    """Stops the long-running tasks that must leave their servers, as others have room for them.
+
+    A task that finds no room stays where it is, unless its server leaves by itself.
+
+    Attributes:
+        without_room: Runs that stay for now, as no server is expected to have room for their tasks.
+    """
+
+    def __init__(self, state: ScheduleState) -> None:
+        self._state = state
+        self._next_plan_s = 0.0
+        self._next_later_s = 0.0
+        self.without_room: dict[Run, RoomKind] = {}
+
+    def advance(self) -> None:
+        """Plan again if it is time, after waiting tasks have been placed."""
+        state, now_s = self._state, self._state.now_s
+        if now_s < self._next_plan_s:
+            return
+        self._next_plan_s = now_s + PLAN_INTERVAL_S
+        for run in state.held_room.runs():
+            if not run.stop_requested and not run.worker.leaves:
+                state.held_room.release(run)
+        leaving = [
+            worker
+            for worker in state.workers.values()
+            if worker.runs and (worker.vacated or worker.entry.draining)
+        ]
+        before, self.without_room = self.without_room, {}
+        if not leaving:
+            return
+        search = RoomSearch(state, now_s)
+        if now_s >= self._next_later_s:
+            self._next_later_s = now_s + LATER_SEARCH_INTERVAL_S
+            search.later_searches_left = LATER_SEARCHES_MAX
+        stops = 0
+        for worker in sorted(leaving, key=lambda each: each.leaves_s):
+            for run in list(worker.runs.values()):
+                if not run.task.step.long_running or run.stop_requested:
+                    continue
+                if _must_stop(worker, now_s):
+                    state.request_stop(run)
+                elif stops < STOPS_MAX and self._may_leave(run):
+                    stops += self._leave(run, search, now_s, known=run in before)
+
+    def _may_leave(self, run: Run) -> bool:
+        """Return whether a run may be stopped once there is room for its task.
+
+        One that may crash its server stays until its server has reported it for long enough, as
+        it would take the suspicion to the next server.
+        """
+        if run.state is not RunState.RUNNING or run.worker.unresponsive or run.suspect:
+            return False
+        return run.worker.entry.draining or self._may_be_unavailable(run.task)
+
+    def _may_be_unavailable(self, task: Task) -> bool:
+        """Return whether a long-running task may be stopped without breaking its step's promise."""
+        allowed = task.step.unavailable_max
+        if allowed is None:
+            return True
+        others = self._state.step_of(task).tasks
+        unavailable = sum(other is not task and not at_full_speed(other) for other in others)
+        return unavailable + 1 <= allowed
+
+    def _leave(self, run: Run, search: RoomSearch, now_s: float, *, known: bool) -> int:
+        """Stop a run, or its whole gang, if there is room; return the number of stops.
+
+        Args:
+            run: The run.
+            search: The search for room.
+            now_s: The monotonic time.
+            known: Whether the previous plan found no room.
+        """
+        state = self._state
+        if run.task.step.gang:
+            gang = search.hold_for_gang(state.step_of(run.task))
+            for each in gang:
+                state.request_stop(each)
+            if not gang:
+                self.without_room[run] = room_kind(state, run)
+            return len(gang)
+        target = state.held_room.target(run)
+        if target is None or not has_room(target, now_s):
+            free = search.free(run)
+            if free is None:
+                if target is None:
+                    self._await_room(run, search, known=known)
+                return 0
+            state.held_room.hold(run, free)
+        state.request_stop(run)
+        return 1
+
+    def _await_room(self, run: Run, search: RoomSearch, *, known: bool) -> None:
+        """Hold room that is not free yet, so that waiting tasks do not take it part by part."""
+        if search.can_search_later(run):
+            later = search.later(run)
+            known = later is None
+            if later is not None:
+                self._state.held_room.hold(run, later)
+        if known:
+            self.without_room[run] = room_kind(self._state, run)
+
+
+def _must_stop(worker: WorkerView, now_s: float) -> bool:
+    """Return whether a server leaves so soon that its runs are stopped with or without room."""
+    return worker.entry.draining and now_s >= worker.leaves_s - STOP_S
--- a/toucandoor/core/scheduling/pool_loads.py
+++ b/toucandoor/core/scheduling/pool_loads.py
@@ -12,11 +12,11 @@
 from toucandoor.core.scheduling.placement import allowed_workers, room_for_step
 from toucandoor.core.scheduling.pool_load import PoolLoad
 from toucandoor.core.scheduling.queue_order import remaining_chain_s
+from toucandoor.core.scheduling.relocation import relocated_runs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from toucandoor.core.evacuation.evacuator import Evacuator
     from toucandoor.core.jobs.models import Resources, StepKey
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress
     from toucandoor.core.scheduling.state import ScheduleState
@@ -28,12 +28,10 @@
 
     Args:
         state: The schedule.
-        evacuation: Tells which runs leave an evacuated data centre.
     """
 
-    def __init__(self, state: ScheduleState, evacuation: Evacuator) -> None:
+    def __init__(self, state: ScheduleState) -> None:
         self._state = state
-        self._evacuation = evacuation
         self._arrivals: deque[JobProgress] = deque()
 
     def add_arrival(self, job: JobProgress) -> None:
@@ -64,7 +62,7 @@
         leaving: Counter[StepKey] = Counter()
         for worker in state.workers.values():
             if worker.evacuated:
-                leaving.update(run.task.key.step_key for run in self._evacuation.leaving(worker))
+                leaving.update(run.task.key.step_key for run in relocated_runs(worker))
             if not worker.usable(now_s):
                 continue
             load = load_of(worker.entry.pool)
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -15,6 +15,7 @@
 from toucandoor.core.records import Transaction
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.placer import Placer
+from toucandoor.core.scheduling.planned_stops import PlannedStops
 from toucandoor.core.scheduling.policies import Policies
 from toucandoor.core.scheduling.pool_loads import PoolLoads
 from toucandoor.core.scheduling.progress import JobProgress
@@ -69,6 +70,7 @@
         registry: Adds, updates and removes backend servers, and prepares planned ends of VMs.
         run_orders: Processes the answers to starts, stops and speed limits.
         retention: Plans the removal of records of ended jobs.
+        planned_stops: Stops long-running tasks on servers that leave, once others have room.
         pool_loads: Counts the load of the pools.
         run_time_records: Writes what has been learned about run times, and starts from it.
     """
@@ -90,7 +92,8 @@
         self._placer = Placer(self._state)
         self._writer = ProgressWriter(self._state)
         self.retention = Retention(self._state, settings.status_retention_s)
-        self.pool_loads = PoolLoads(self._state, self.evacuation)
+        self.planned_stops = PlannedStops(self._state)
+        self.pool_loads = PoolLoads(self._state)
         self.run_time_records = RunTimeRecords(self._state)
         self._copies: CopyPolicy = self._state.policies.copies(self._state)
 
@@ -325,11 +328,13 @@
         self._placer.open_occurrences()
         self.registry.discard_expired()
         self._state.failure_domains.update(self._state.workers)
+        self._state.held_room.release_unneeded()
         orders: list[Order] = []
         if self.evacuation.prepare():
             orders = self._placer.place()
             self._copies.plan(self._placer.plan_run)
         self.evacuation.advance()
+        self.planned_stops.advance()
         return orders + self.run_orders.due()
 
     def next_wake_s(self) -> float:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -14,6 +14,7 @@
 from toucandoor.core.scheduling.activity import Activity
 from toucandoor.core.scheduling.lookups import run_fields
 from toucandoor.core.scheduling.queue_order import ExpectedWorkCache, objective_s
+from toucandoor.core.scheduling.relocation import HeldRoom
 from toucandoor.core.scheduling.step_order import LeastWorkFirst, StepOrder
 from toucandoor.core.scheduling.worker_view import DiscardReason, RunState
 
@@ -105,6 +106,7 @@
         self.superseded = False
         self.waiting_steps: dict[StepKey, StepProgress] = {}
         self.changed_pools: set[PoolId] = set()
+        self.held_room = HeldRoom()
         self.runs_awaiting_orders: dict[Run, None] = {}
         self.dirty: dict[JobId, None] = {}
         self.planned: dict[JobId, list[Run]] = {}
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -8,15 +8,14 @@
 
 from toucandoor.core.jobs.models import NO_RESOURCES
 from toucandoor.core.scheduling import const
-from toucandoor.core.scheduling.lookups import at_full_speed
 from toucandoor.core.scheduling.server_crashes import ServerCrashes
 from toucandoor.core.scheduling.worker_view import WorkerView
 from toucandoor.core.scheduling.workers import WorkerEntry
 from toucandoor.ids import DataCentreId, PoolId
 
 if TYPE_CHECKING:
-    from toucandoor.core.scheduling.progress import Task
     from toucandoor.core.scheduling.state import ScheduleState
+    from toucandoor.core.scheduling.worker_view import Run
     from toucandoor.core.scheduling.workers import Boot
     from toucandoor.ids import VmId, WorkerId
 
@@ -58,14 +57,14 @@
                 entry.worker_id,
                 extra={"worker": entry.worker_id, "pool": entry.pool},
             )
-        known.update_entry(entry)
+        known.update_entry(entry, state.now_s)
         known.cold_until_s = state.now_s + entry.cold_s
         known.listed = True
         if known.heartbeat_failures > 0:
             # It has just written its entry, so it may answer again.
             known.next_heartbeat_s = min(known.next_heartbeat_s, state.now_s)
         if entry.draining:
-            self._stop_movable_runs(known)
+            self.vacate(known, at_once=False)
 
     def unlisted(self, worker_id: WorkerId) -> None:
         """Process the removal of a backend server from the platform's list."""
@@ -222,54 +221,41 @@
     # Planned ends of VMs
 
     def vacate(self, worker: WorkerView, *, at_once: bool) -> None:
-        """Stop runs on a VM before its planned end, as far as availability promises allow.
+        """Stop runs on a VM before its planned end; `PlannedStops` stops long-running ones.
 
         Args:
             worker: The backend server on the VM.
             at_once: Also stop tasks that would lose their work.
         """
         for run in list(worker.runs.values()):
-            if run.stop_requested:
-                continue
-            step = run.task.step
-            if step.long_running:
-                if self._may_be_unavailable(run.task):
-                    self._state.request_stop(run)
-            elif at_once or step.checkpointing:
+            if not run.stop_requested and self._needs_no_room(run, at_once=at_once):
                 self._state.request_stop(run)
 
-    def _may_be_unavailable(self, task: Task) -> bool:
-        """Return whether a long-running task may be stopped without breaking its step's promise."""
-        allowed = task.step.unavailable_max
-        if allowed is None:
-            return True
-        others = self._state.step_of(task).tasks
-        unavailable = sum(other is not task and not at_full_speed(other) for other in others)
-        return unavailable + 1 <= allowed
-
-    def _stop_movable_runs(self, worker: WorkerView) -> None:
-        """Stop runs on a draining backend server that can continue on another one."""
-        for run in list(worker.runs.values()):
-            step = run.task.step
-            if not run.stop_requested and (step.long_running or step.checkpointing):
-                self._state.request_stop(run)
+    def _needs_no_room(self, run: Run, *, at_once: bool) -> bool:
+        """Return whether a run may be stopped before another server has room for its task."""
+        step = run.task.step
+        if step.long_running:
+            return run.never_sent
+        return at_once or step.checkpointing
 
     def _new_view(self, entry: WorkerEntry) -> WorkerView:
         state = self._state
         lease_s = state.settings.handed_over_leases_s.get(entry.boot, state.settings.former_lease_s)
-        return WorkerView(
+        made = WorkerView(
             entry,
             former_lease_until_s=state.started_s + lease_s,
             cold_until_s=state.now_s + entry.cold_s,
             known_since_s=state.now_s,
         )
+        made.update_entry(entry, state.now_s)
+        return made
 
     def _known_boot(self, entry: WorkerEntry) -> WorkerView | None:
         """Return the former boot that an entry describes, if there is one, and update it."""
         for known in self._state.former_boots:
             if known.entry.boot == entry.boot:
                 self._state.former_boots.remove(known)
-                known.update_entry(entry)
+                known.update_entry(entry, self._state.now_s)
                 known.cold_until_s = self._state.now_s + entry.cold_s
                 known.listed = True
                 return known
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -200,6 +200,7 @@
         slow: Whether tasks take so long on it that it is chosen last and gets one at a time.
         cordons: Why it gets no new tasks, besides what it says of itself.
         held: Capacity kept free for tasks that are being stopped elsewhere.
+        leaves_s: Earliest time at which a draining server leaves; infinity while it does not drain.
         cold_until_s: Time before which it is slow because of its recent start.
         heartbeat_failures: Consecutive failed heartbeats during which it answered nothing else.
         heartbeat_sent_s: When the latest heartbeat was sent.
@@ -240,6 +241,7 @@
     slow: bool = False
     cordons: set[Cordon] = field(default_factory=set)
     held: Resources = NO_RESOURCES
+    leaves_s: float = float("inf")
     cold_until_s: float = 0.0
     heartbeat_failures: int = 0
     heartbeat_sent_s: float = 0.0
@@ -263,6 +265,21 @@
         """Whether its data centre is evacuated."""
         return bool(self.cordons) and EVACUATION_CORDON in self.cordons
 
+    @property
+    def vacated(self) -> bool:
+        """Whether a maintenance wave empties its VM."""
+        return any(cordon.source is CordonSource.WAVE for cordon in self.cordons)
+
+    @property
+    def leaves(self) -> bool:
+        """Whether what runs on it has to go on elsewhere."""
+        return self.entry.draining or self.evacuated or self.vacated
+
+    @property
+    def empty(self) -> bool:
+        """Whether its VM could be taken away without a loss for any task."""
+        return not self.runs and not self.uncommitted and self.held == NO_RESOURCES
+
     def add(self, run: Run) -> None:
         """Add a run and reserve its capacity."""
         self.runs[run.key] = run
@@ -295,10 +312,14 @@
         self.held = self.held - amount
         self._update_free()
 
-    def update_entry(self, entry: WorkerEntry) -> None:
+    def update_entry(self, entry: WorkerEntry, now_s: float) -> None:
         """Replace the entry by a newer one of this boot."""
         self.entry = entry
         self._update_free()
+        if entry.draining:
+            self.leaves_s = min(self.leaves_s, now_s + (entry.remaining_ms or 0) / 1000)
+        else:
+            self.leaves_s = float("inf")
 
     def _update_free(self) -> None:
         capacity, used = self.entry.capacity, self.used
