Count tasks that must leave vacated and draining servers as demand of their pools

PoolLoads.current leaves out servers that get no tasks; only the runs of evacuated ones counted as demand. Runs that go on elsewhere (long-running and checkpointing ones) now count while their server is evacuated, vacated or drains. Room that is held for a task counts as room for it. Tasks that no server has room for, however much is free in all, ask for further servers as those of steps with a limit per server do; a wave would wait for them for ever.

test_vms_that_vacated_servers_need_are_not_lent and test_tasks_of_draining_servers_count_as_demand failed before; test_a_further_vm_is_wanted_for_a_task_without_room fails without the last part (run on a scratch copy: 3 VMs wanted instead of 4).

--- a/tests/core/scheduling/test_planned_stops.py
+++ b/tests/core/scheduling/test_planned_stops.py
@@ -7,10 +7,10 @@
 
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job, never_ends
 from toucandoor.core.jobs.configuration import JobPool
-from toucandoor.core.jobs.models import Resources, Step, TaskKey
+from toucandoor.core.jobs.models import NO_RESOURCES, Resources, Step, TaskKey
 from toucandoor.core.maintenance.vm_list import VmList
 from toucandoor.core.maintenance.vm_orders import VmOrderLog
-from toucandoor.core.pools.lending import PoolMove
+from toucandoor.core.pools.lending import PoolMove, wanted_vms
 from toucandoor.core.pools.vm_lender import VmLender
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.worker_view import Cordon, CordonSource
@@ -236,6 +236,19 @@
             self.assertEqual(load.waiting, needs)
             self.fleet.run(0.5)
 
+    # Guards against a wave that waits for ever, as enough is free in all but on no single server.
+    def test_a_further_vm_is_wanted_for_a_task_without_room(self) -> None:
+        self.boot(0, 1, 2, 3)
+        self.submit_lasting(4, CAPACITY.cpu_millicores // 2 + 100)
+        self.waves.order([VmId("m0")], within_s=6.0, down_max=1)
+        self.fleet.run(1.0)
+        load = self.fleet.scheduler.pool_loads.current()[POOL]
+        self.assertEqual((load.workers, wanted_vms(load, CAPACITY)), (3, 4))
+        self.boot(4)
+        self.assertLess(self.longest_gap_s(3.0), MOVE_S)
+        load = self.fleet.scheduler.pool_loads.current()[POOL]
+        self.assertEqual(load.without_room, NO_RESOURCES)
+
     # Guards against an empty VM that is lent or vacated while its room is held for a task.
     def test_a_vm_with_held_room_is_not_empty(self) -> None:
         self.boot(0, 1, 2)
--- a/toucandoor/core/pools/lending.py
+++ b/toucandoor/core/pools/lending.py
@@ -215,6 +215,14 @@
     if needed != NO_RESOURCES:
         # The VMs of slow servers count as the pool's own, so others must make up for them.
         needed = needed + load.unusable.times(FILL_RATIO)
+    wanted = max(_vms_for(needed, per_vm), load.spread_workers_min)
+    if load.without_room != NO_RESOURCES:
+        wanted = max(wanted, load.workers + _vms_for(load.without_room, per_vm))
+    return wanted
+
+
+def _vms_for(needed: Resources, per_vm: Resources) -> int:
+    """Return the number of VMs for an amount of resources."""
     shares = [
         used / (room * FILL_RATIO)
         for used, room in (
@@ -224,7 +232,7 @@
         )
         if room
     ]
-    return max(math.ceil(max(shares, default=0.0)), load.spread_workers_min)
+    return math.ceil(max(shares, default=0.0))
 
 
 def _mean_capacity(vms: Sequence[LendableVm]) -> Resources:
--- a/toucandoor/core/scheduling/pool_load.py
+++ b/toucandoor/core/scheduling/pool_load.py
@@ -27,13 +27,15 @@
         finite: Capacity reserved by all other tasks.
         later: Part of `finite` whose jobs still run after the lead time.
         waiting: Capacity needed by tasks that could run now, within their teams' ceilings, and by
-            those that must leave an evacuated data centre.
+            those that must leave their servers.
         arriving_cpu_millicores: Processor needed by arriving jobs at their present rate, within
             their teams' ceilings.
         arriving_later: Capacity that jobs which arrive at that rate during the lead time need at
             its end, within their teams' ceilings.
         spread_workers_min: Backend servers needed because of limits on the tasks of one step per
             server.
+        without_room: Capacity needed by tasks that must leave their servers and have no room on
+            any of these, however much is free on all of them together.
     """
 
     pool: PoolId
@@ -47,6 +49,7 @@
     arriving_cpu_millicores: float = 0.0
     arriving_later: Resources = NO_RESOURCES
     spread_workers_min: int = 0
+    without_room: Resources = NO_RESOURCES
 
     def add_worker(self, worker: WorkerView, *, slow: bool = False) -> None:
         """Add a backend server.
@@ -78,6 +81,10 @@
         if later:
             self.later = self.later + reserved
 
+    def add_without_room(self, run: Run) -> None:
+        """Add a run whose task needs a further server; `add_waiting` has counted its capacity."""
+        self.without_room = self.without_room + run.task.step.reserved
+
     def add_waiting(
         self,
         step: StepProgress,
@@ -93,7 +100,7 @@
             ratio: Part of the waiting tasks that fit under the team's ceiling.
             room: How many of them fit on the present servers, for a step with a limit per server;
                 None if that is not to be considered.
-            leaving: Tasks of the step that must leave an evacuated data centre.
+            leaving: Tasks of the step that must leave their servers.
         """
         waiting = sum(task.waiting for task in step.tasks)
         self.waiting = self.waiting + step.step.reserved.times(waiting * ratio + leaving)
--- a/toucandoor/core/scheduling/pool_loads.py
+++ b/toucandoor/core/scheduling/pool_loads.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable
 
     from toucandoor.core.jobs.models import Resources, StepKey
+    from toucandoor.core.scheduling.planned_stops import PlannedStops
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress
     from toucandoor.core.scheduling.state import ScheduleState
     from toucandoor.ids import JobId, PoolId
@@ -28,10 +29,12 @@
 
     Args:
         state: The schedule.
+        planned_stops: Tells which runs stay on servers that leave, as no other has room for them.
     """
 
-    def __init__(self, state: ScheduleState) -> None:
+    def __init__(self, state: ScheduleState, planned_stops: PlannedStops) -> None:
         self._state = state
+        self._planned_stops = planned_stops
         self._arrivals: deque[JobProgress] = deque()
 
     def add_arrival(self, job: JobProgress) -> None:
@@ -61,8 +64,12 @@
 
         leaving: Counter[StepKey] = Counter()
         for worker in state.workers.values():
-            if worker.evacuated:
-                leaving.update(run.task.key.step_key for run in relocated_runs(worker))
+            if worker.leaves:
+                leaving.update(
+                    run.task.key.step_key
+                    for run in relocated_runs(worker)
+                    if not run.is_copy and not run.task.done
+                )
             if not worker.usable(now_s):
                 continue
             load = load_of(worker.entry.pool)
@@ -96,31 +103,48 @@
             count = leaving[step.key]
             room = self._room_for_lasting(job, step, now_s, count)
             load_of(state.pool_of(job)).add_waiting(step, room=room, ratio=ratio, leaving=count)
+        for run in self._planned_stops.without_room:
+            job = state.jobs[run.task.key.job_id]
+            step = state.step_of(run.task)
+            if run.key in run.worker.runs and self._more_servers_help(job, step):
+                load_of(state.pool_of(job)).add_without_room(run)
         self._add_arrivals(load_of, demand, now_s, lead_s)
         return loads
 
+    def _more_servers_help(self, job: JobProgress, step: StepProgress) -> bool:
+        """Return whether another server in its pool may have room for a task of a step.
+
+        A label or the adviser may be in the way, or the task may be too large for any server.
+        """
+        queue = self._state.queue_of(job)
+        if queue is None or queue.adviser is not None or step.step.required_label:
+            return False
+        workers = self._state.workers.values()
+        return any(
+            each.entry.pool == queue.pool and step.step.reserved.fits_in(each.entry.capacity)
+            for each in workers
+        )
+
     def _room_for_lasting(
         self, job: JobProgress, step: StepProgress, now_s: float, leaving: int
     ) -> int | None:
         """Return how many tasks of a long-running step with a limit per server still fit.
 
         None for other steps, whose servers become free again, and where more servers might not
-        help: the team's ceiling, a label or the adviser may be in the way, or a task may be too
-        large for any server.
+        help, such as because of the team's ceiling. Room that is held for some of them counts.
         """
         state, needs = self._state, step.step.needs
-        if not step.step.long_running or not step.step.per_worker_max or step.step.required_label:
-            return None
-        queue = state.queue_of(job)
-        if queue is None or queue.adviser is not None:
+        if not step.step.long_running or not step.step.per_worker_max:
             return None
         waiting = sum(task.waiting for task in step.tasks)
         if not waiting + leaving or not state.within_ceiling(job, needs.times(waiting)):
             return None
-        workers = [each for each in state.workers.values() if each.entry.pool == queue.pool]
-        if not any(step.step.reserved.fits_in(each.entry.capacity) for each in workers):
+        if not self._more_servers_help(job, step):
             return None
-        return room_for_step(allowed_workers(workers, step, now_s), step)
+        pool = state.pool_of(job)
+        workers = [each for each in state.workers.values() if each.entry.pool == pool]
+        held = sum(run in state.held_room for task in step.tasks for run in task.runs)
+        return held + room_for_step(allowed_workers(workers, step, now_s), step)
 
     def _add_arrivals(
         self,
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -93,7 +93,7 @@
         self._writer = ProgressWriter(self._state)
         self.retention = Retention(self._state, settings.status_retention_s)
         self.planned_stops = PlannedStops(self._state)
-        self.pool_loads = PoolLoads(self._state)
+        self.pool_loads = PoolLoads(self._state, self.planned_stops)
         self.run_time_records = RunTimeRecords(self._state)
         self._copies: CopyPolicy = self._state.policies.copies(self._state)
 
