--- a/toucandoor/core/pools/lending.py
+++ b/toucandoor/core/pools/lending.py
@@ -247,7 +247,8 @@
     if needed != NO_RESOURCES:
         # The VMs of slow servers count as the pool's own, so others must make up for them.
         needed = needed + load.unusable.times(FILL_RATIO)
-    return max(_vms_for(needed, per_vm), load.spread_workers_min)
+    wanted = max(_vms_for(needed, per_vm), load.spread_workers_min)
+    return max(wanted, _vms_with_room(load, per_vm))
 
 
 def long_running_vms(load: PoolLoad | None, per_vm: Resources) -> int:
@@ -255,7 +256,15 @@
     if load is None:
         return 0
     needed = load.long_running + load.long_running_waiting
-    return max(_vms_for(needed, per_vm), load.long_running_spread_min)
+    wanted = max(_vms_for(needed, per_vm), load.long_running_spread_min)
+    return max(wanted, _vms_with_room(load, per_vm))
+
+
+def _vms_with_room(load: PoolLoad, per_vm: Resources) -> int:
+    """Return the number of VMs at which all tasks that must leave their servers have room."""
+    if load.without_room == NO_RESOURCES:
+        return 0
+    return load.workers + _vms_for(load.without_room, per_vm)
 
 
 def _vms_for(needed: Resources, per_vm: Resources) -> int:
