Count a lost run once, however often its server comes back

Callers saw: a job was shown as failed though none of its tasks had run: 'jobs: given up, as a task crashes its servers' with attempt 1, crashes 0 and unexplained 5. Cause: a run with an unanswered start moves to each later boot of its server, and each move counted as another lost run of its task. A server that went down and came back five times in a few seconds made the task look like one that crashes its servers. Why it works: a run counts again only once a later boot has reported it, which is a start that may have crashed that boot.

--- a/tests/core/scheduling/test_server_crashes.py
+++ b/tests/core/scheduling/test_server_crashes.py
@@ -265,6 +265,24 @@
         virtual.run(1.0)
         self.assertEqual(virtual.state(spec.job_id), JobState.RUNNING)
 
+    # Guards against giving up a task that no server has begun: its only start was not answered, and
+    # counted as another loss each time that its server came back.
+    def test_an_unanswered_start_counts_once_however_often_its_server_comes_back(self) -> None:
+        virtual = CrashingFleet(workers=2)
+        virtual.run(1.0)
+        virtual.crash(WorkerId("w0"))
+        spec = job(1, Step(1, NEEDS, estimate_ms=1000))
+        virtual.submit(spec)
+        for _ in range(8):
+            virtual.run(0.3)
+            virtual.boot_number(0)
+            virtual.run(0.2)
+            virtual.crash(WorkerId("w0"))
+        self.assertEqual(virtual.state(spec.job_id), JobState.RUNNING)
+        self.assertEqual(virtual.task_starts, {})
+        virtual.run(30.0)
+        self.assertEqual(virtual.state(spec.job_id), JobState.COMPLETED)
+
     # Guards against giving up long-running tasks for crashes that lie far apart.
     def test_a_task_that_has_run_for_a_while_is_cleared(self) -> None:
         virtual = CrashingFleet(workers=4)
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -177,6 +177,7 @@
         run.confirm(now_s)
         if run.from_former_boot and not run.reported:
             run.confirmed_s = now_s
+            run.loss_counted = False
         run.reported = True
         if seen.checkpoint:
             run.task.checkpoint = seen.checkpoint
--- a/toucandoor/core/scheduling/server_crashes.py
+++ b/toucandoor/core/scheduling/server_crashes.py
@@ -52,8 +52,9 @@
         for run in suspects:
             task = run.task
             job = self._state.jobs.get(task.key.job_id)
-            if job is None or job.state.final or task.done:
+            if job is None or job.state.final or task.done or run.loss_counted:
                 continue
+            run.loss_counted = True
             if ended and run.confirmed_s is not None:
                 task.crashes += 1
             else:
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -87,6 +87,7 @@
             at all. A run of a former owner counts as one.
         from_former_boot: Whether its starts were sent to an earlier boot of the server.
         harmless_before: Whether it was `harmless` on that boot.
+        loss_counted: Whether it counts as lost for its task, and no later boot has reported it.
         order_sent_s: When the latest start or stop was sent.
         order_in_flight: Whether a start or stop awaits its answer.
         next_order_s: Earliest time of the next start or stop.
@@ -112,6 +113,7 @@
     starts_unanswered: int = 0
     from_former_boot: bool = False
     harmless_before: bool = False
+    loss_counted: bool = False
     order_sent_s: float = 0.0
     order_in_flight: bool = False
     next_order_s: float = 0.0
