Place tasks that have lost runs on servers that stay up

Cause: a task that has lost a run goes to the server with the fewest runs, and from two losses on to one without any that may crash it. That is the server that has just come back empty, and goes down again: the third crash is blamed on the task, which by then runs there alone. Why it works: a server that goes down soon after each start never reaches the age from which it is chosen first, so that a task which is not to blame runs elsewhere for the three seconds that clear it; one that is to blame goes on to crash servers that were steady. While all servers are young, as after a restart of the whole pool, nothing changes.

--- a/tests/core/scheduling/test_server_crashes.py
+++ b/tests/core/scheduling/test_server_crashes.py
@@ -26,6 +26,7 @@
 SUBMIT_INTERVAL_S = 0.8
 CRASH_INTERVAL_S = 30.0
 """Mean time between crashes of one server that no task causes."""
+FLAPPING_FOR_S = 12
 STARTS_MAX = 5
 """Starts of a task that crashes its servers: three, and two after three servers have crashed."""
 
@@ -220,6 +221,45 @@
                     states, [JobState.RUNNING] + [JobState.COMPLETED] * (len(specs) - 1)
                 )
 
+    # Guards against jobs that are shown as failed though no run has failed: a lost task went to the
+    # emptiest server, which is one that has just come back and goes down again.
+    def test_servers_that_go_down_again_and_again_cost_no_job(self) -> None:
+        for up_s, down_s in ((0.5, 0.5), (0.7, 0.3), (1.0, 0.5), (1.0, 1.0)):
+            with self.subTest(up_s=up_s, down_s=down_s):
+                chooser = random.Random(0)
+                virtual = CrashingFleet(workers=20)
+                virtual.back_after_s = down_s
+                virtual.durations_s = [0.5, 1.0, 2.0, 4.0]
+                apart = Step(12, NEEDS, long_running=True, per_worker_max=1)
+                lasting = [job(number, apart) for number in (1, 2, 3)]
+                for spec in lasting:
+                    virtual.submit(spec)
+                virtual.run(10.0)
+                flapping_until_s = virtual.clock.monotonic_s() + FLAPPING_FOR_S
+
+                def flap(
+                    worker: WorkerId,
+                    virtual: CrashingFleet = virtual,
+                    until_s: float = flapping_until_s,
+                    period_s: float = up_s + down_s,
+                ) -> None:
+                    if virtual.clock.monotonic_s() < until_s:
+                        virtual.crash_and_restart(worker)
+                        virtual.schedule(period_s, lambda: flap(worker))
+
+                for number in chooser.sample(range(20), 3):
+                    flap(WorkerId(f"w{number}"))
+                others = [job(number) for number in range(4, 4 + 2 * FLAPPING_FOR_S)]
+                for spec in others:
+                    virtual.submit(spec)
+                    virtual.run(0.5)
+                virtual.run(30.0)
+                for spec in lasting:
+                    self.assertEqual(virtual.state(spec.job_id), JobState.RUNNING)
+                for spec in others:
+                    self.assertEqual(virtual.state(spec.job_id), JobState.COMPLETED)
+                self.assertEqual(virtual.observations.violations, [])
+
     # Guards against a fourth crashed server where it is clear which task crashed the others, and
     # against tasks that are lost beside it.
     def test_a_task_is_given_up_at_the_third_crash_that_it_alone_can_have_caused(self) -> None:
--- a/toucandoor/core/scheduling/const.py
+++ b/toucandoor/core/scheduling/const.py
@@ -85,6 +85,9 @@
 no longer, so that one that crashes its server at its end counts as well."""
 LOSSES_TO_ISOLATE: Final = 2
 """Lost runs after which a task gets a server without other runs that may crash it."""
+STEADY_AFTER_S: Final = 6.0
+"""Time since the start of a server after which it is not one that goes down again and again so
+soon that its runs stay suspect: twice the time that clears a task."""
 ISOLATION_WAIT_S: Final = 2.0
 """Longest wait for such a server; a task that can run must have a run within three seconds."""
 SUSPECT_PAUSE_S: Final = 3.0
--- a/toucandoor/core/scheduling/placement.py
+++ b/toucandoor/core/scheduling/placement.py
@@ -98,6 +98,8 @@
     fitting = [worker for worker in allowed if _fits(worker, step.step, on_worker)]
     if task.isolated and now_s < task.lost_s + const.ISOLATION_WAIT_S:
         fitting = [each for each in fitting if all(run.harmless for run in each.runs.values())]
+        if any(now_s >= each.steady_from_s for each in allowed):
+            fitting = [each for each in fitting if now_s >= each.steady_from_s]
     if not fitting:
         return None
     beyond = rack_spread.beyond(step, task)
@@ -203,10 +205,12 @@
     In this order: the server is not slow, it has no run of a task that may crash it, the task has
     not failed there, the server is not cold, the task's data is on its rack, a best-effort task
     slows down few latency-sensitive runs, and the server has the largest share of its capacity in
-    use. A task that may crash its server goes where the fewest runs would be lost instead.
+    use. A task that may crash its server goes where the fewest runs would be lost instead, but not
+    to one that has just started, as it may be one that goes down again and again.
     """
     if task.suspect:
-        return (worker.slow, worker.suspect_runs, len(worker.runs))
+        unsteady = now_s < worker.steady_from_s
+        return (worker.slow, unsteady, worker.suspect_runs, len(worker.runs))
     failed_there = worker.entry.worker_id in task.failed_on
     far = bool(step.data_rack) and step.data_rack not in worker.entry.labels
     slowed = len(latency_sensitive_runs(worker)) if step.uses_leftovers else 0
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -10,6 +10,7 @@
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.lookups import at_full_speed
 from toucandoor.core.scheduling.server_crashes import ServerCrashes
+from toucandoor.core.scheduling.state import MS_PER_S
 from toucandoor.core.scheduling.worker_view import WorkerView
 from toucandoor.core.scheduling.workers import WorkerEntry
 from toucandoor.ids import DataCentreId, PoolId
@@ -257,11 +258,14 @@
     def _new_view(self, entry: WorkerEntry) -> WorkerView:
         state = self._state
         lease_s = state.settings.handed_over_leases_s.get(entry.boot, state.settings.former_lease_s)
+        # Clocks differ, so its age by the start that it reports is only roughly known.
+        up_s = max(0.0, (state.now_unix_ms - entry.booted_unix_ms) / MS_PER_S)
         return WorkerView(
             entry,
             former_lease_until_s=state.started_s + lease_s,
             cold_until_s=state.now_s + entry.cold_s,
             known_since_s=state.now_s,
+            steady_from_s=state.now_s + max(0.0, const.STEADY_AFTER_S - up_s),
         )
 
     def _known_boot(self, entry: WorkerEntry) -> WorkerView | None:
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -175,6 +175,8 @@
             another one before it gets new tasks.
         runs: Runs that exist or may exist on it.
         known_since_s: When this owner first knew of this boot, on the monotonic clock.
+        steady_from_s: When it will have been up for so long that the loss of a run on it says
+            something about the task.
         lost_runs: Runs that were discarded because its lease expired, until it answers or is known
             to have ended.
         suspect_runs: Number of its runs whose tasks may crash it.
@@ -243,6 +245,7 @@
     cordons: set[Cordon] = field(default_factory=set)
     held: Resources = NO_RESOURCES
     cold_until_s: float = 0.0
+    steady_from_s: float = 0.0
     heartbeat_failures: int = 0
     heartbeat_sent_s: float = 0.0
     heartbeat_wait_s: float = 0.0
