Run tasks of lost servers again soon under a new owner

Cause: a new owner took each recorded run for one with an unanswered start, and did not know the VM of a server that the list no longer contained.

The record of a run now has its VM, and whether the run is settled: its boot has reported it and all its starts are answered. No order can then bring it to another boot, so it has ended once its VM is down, a later boot has the same id, or another server that started later on the VM has answered. Other runs wait as before. A run that was found in a report without a plan counts as one with an unanswered start, as its start may have been repeated.

The fact is part of each write of a job's record.

--- a/tests/adapters/test_term_vms.py
+++ b/tests/adapters/test_term_vms.py
@@ -5,7 +5,12 @@
 import unittest
 from unittest import mock
 
-from toucandoor.adapters.term_vms import OrderRecordWriter
+from tests.core.scheduling.common import configuration, job
+from toucandoor.adapters.term_context import TermContext
+from toucandoor.adapters.term_vms import OrderRecordWriter, TermVms
+from toucandoor.clock import ManualClock
+from toucandoor.core.jobs.models import JobState
+from toucandoor.core.jobs.records import ProgressRecord, RunRecord, TaskRecord
 from toucandoor.core.maintenance.vm_orders import (
     VM_ORDERS_KEY,
     VmOrdersRecord,
@@ -13,9 +18,10 @@
 )
 from toucandoor.core.ownership.lease import OWNER_KEY
 from toucandoor.core.records import Transaction, TransactionConflictError
+from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
 from toucandoor.exceptions import StoreAnswerLostError
 from toucandoor.fakes.virtual_platform import VirtualRecords
-from toucandoor.ids import FencingToken, VmId
+from toucandoor.ids import FencingToken, VmId, WorkerId
 
 
 def record(*vms: str) -> VmOrdersRecord:
@@ -83,5 +89,50 @@
             self.writer.write(record("a"), self.writer.next_number())
 
 
+class VmListReadsTest(unittest.TestCase):
+    """How often the VM list is read while no orders on VMs are under way."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        settings = SchedulerSettings(OWNER_KEY, 1, FencingToken(1), 6.0)
+        self.scheduler = Scheduler(settings, self.clock)
+        self.scheduler.set_configuration(configuration())
+        dependencies = mock.Mock(clock=self.clock)
+        dependencies.settings = mock.Mock(holder_lease_s=3.0, vm_maintenance_s=2.0, vm_move_s=1.5)
+        dependencies.configuration.waves = {}
+        dependencies.configuration.evacuations = None
+        dependencies.vms.list.return_value = ()
+        self.vms = TermVms(
+            TermContext(
+                dependencies,
+                self.scheduler,
+                post=lambda event: event(),
+                submit=lambda action: action(),
+                submit_calls=lambda _calls: None,
+                may_act=lambda: True,
+            )
+        )
+        self.list = dependencies.vms.list
+
+    def reads_in(self, for_s: int) -> int:
+        before = self.list.call_count
+        for _ in range(for_s * 10):
+            self.clock.advance(0.1)
+            self.vms.submit_due_actions()
+        return int(self.list.call_count) - before
+
+    # Guards against VMs that are down and hold tasks until the next idle read.
+    def test_the_list_is_read_each_second_while_runs_on_unlisted_servers_may_exist(self) -> None:
+        self.vms.submit_due_actions()
+        self.assertLessEqual(self.reads_in(5), 1)
+        spec = job(1)
+        run = RunRecord(1, WorkerId("w"), 1000, VmId("m"), settled=True)
+        progress = ProgressRecord(
+            JobState.RUNNING, spec.queue, spec.team, tasks=(TaskRecord(0, 0, 0, 1, (), "", (run,)),)
+        )
+        self.scheduler.restore_job(spec, progress, 1)
+        self.assertGreaterEqual(self.reads_in(5), 4)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/core/scheduling/test_machine.py
+++ b/tests/core/scheduling/test_machine.py
@@ -47,10 +47,12 @@
     def begin(self, seed: int) -> None:
         self.random = random.Random(seed)
         self.bad: set[str] = set()
+        self.boots_count = 0
         self.fleet = VirtualFleet(configuration(attempts_max=ATTEMPTS_MAX), self.behave)
         self.fleet.observations.copies_allowed = self.copies_allowed
         self.trouble: dict[str, float] = {}
         self.fleet.calls.choose_outcome = self.choose_outcome
+        self.fleet.calls.late_orders_survive_restarts = self.random.choice([False, True])
         self.fleet.calls.choose_delay_s = lambda: self.random.uniform(2.0, 12.0)
         # Reports that list few ended runs at a time stand for servers with hundreds of them.
         self.fleet.ends_per_report_max = self.random.choice([1, 3, 500])
@@ -66,10 +68,18 @@
         self.crashing: set[JobId] = set()
         self.crashing_starts: dict[TaskKey, int] = {}
 
-    def boot(self, number: int, *, clock_rate: float = 1.0, listed_after_s: float = 0.0) -> None:
+    def boot(
+        self,
+        number: int,
+        *,
+        clock_rate: float = 1.0,
+        listed_after_s: float = 0.0,
+        new_id: bool = False,
+    ) -> None:
         labels = ("a", f"r{number % RACKS}")
+        self.boots_count += 1
         self.fleet.boot(
-            f"w{number}",
+            f"w{number}-{self.boots_count}" if new_id else f"w{number}",
             POOL,
             CAPACITY,
             labels=labels,
@@ -188,6 +198,9 @@
 
     @rule(dies=st.booleans(), pause_s=st.sampled_from([0.0, 1.0, 5.0]))
     def change_owner(self, dies: bool, pause_s: float) -> None:
+        self.change_owner_now(dies=dies, pause_s=pause_s)
+
+    def change_owner_now(self, *, dies: bool, pause_s: float = 0.0) -> None:
         owner = self.fleet.owner
         assert owner is not None
         owner.alive = not dies
@@ -208,12 +221,26 @@
         number=st.integers(0, WORKERS - 1),
         away_s=st.sampled_from([0.0, 0.5, 5.0]),
         listed_after_s=st.sampled_from([0.0, 0.3, 2.0]),
+        new_id=st.booleans(),
+        new_owner=st.booleans(),
     )
-    def crash(self, number: int, away_s: float, listed_after_s: float) -> None:
+    def crash(
+        self, number: int, away_s: float, listed_after_s: float, new_id: bool, new_owner: bool
+    ) -> None:
+        """Crash a server.
+
+        Args:
+            away_s: Time until its VM has a server again.
+            listed_after_s: Time until an owner reads its entry in the platform's list.
+            new_id: Whether that server has another id.
+            new_owner: Whether the owner fails at the same time.
+        """
         self.fleet.crash(self.server(number).entry.worker_id)
+        if new_owner:
+            self.change_owner_now(dies=True)
         self.fleet.run(away_s)
         if self.waves.is_off(VmId(f"m{number}")):
-            self.boot(number, listed_after_s=listed_after_s)
+            self.boot(number, listed_after_s=listed_after_s, new_id=new_id)
 
     @rule(number=st.integers(0, WORKERS - 1))
     def fail_everything_there(self, number: int) -> None:
--- a/tests/core/scheduling/test_progress_writer.py
+++ b/tests/core/scheduling/test_progress_writer.py
@@ -8,6 +8,7 @@
 from toucandoor.clock import ManualClock
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.ownership.lease import OWNER_KEY
+from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.policies import Policies
 from toucandoor.core.scheduling.progress import JobProgress
 from toucandoor.core.scheduling.progress_writer import ProgressWriter
@@ -23,7 +24,8 @@
 
     def setUp(self) -> None:
         settings = SchedulerSettings(OWNER_KEY, 1, FencingToken(1), 6.0)
-        self.state = ScheduleState(settings, ManualClock(), Policies())
+        self.clock = ManualClock()
+        self.state = ScheduleState(settings, self.clock, Policies())
         self.writer = ProgressWriter(self.state)
 
     def changed(self, *, ended: bool = False, final: bool = False) -> JobProgress:
@@ -74,6 +76,36 @@
                 self.changed(final=True)
         self.fail("the start was not written")
 
+    # Guards against a record that never says that the runs of a quiet job are settled.
+    def test_a_job_with_settled_runs_is_written_once_after_a_while(self) -> None:
+        quiet = self.changed()
+        self.assertEqual(self.next_writes(), [quiet])
+        self.state.settled_jobs[quiet.spec.job_id] = self.clock.monotonic_s()
+        self.assertEqual(self.next_writes(), [])
+        self.clock.advance(const.SETTLED_WRITE_DELAY_S)
+        self.assertEqual(self.next_writes(), [quiet])
+        self.clock.advance(const.SETTLED_WRITE_DELAY_S)
+        self.assertEqual(self.next_writes(), [])
+
+    def test_a_job_that_is_written_anyway_is_not_written_for_its_settled_runs(self) -> None:
+        settled = self.changed()
+        self.state.settled_jobs[settled.spec.job_id] = self.clock.monotonic_s()
+        self.assertEqual(self.next_writes(), [settled])
+        self.clock.advance(const.SETTLED_WRITE_DELAY_S)
+        self.assertEqual(self.next_writes(), [])
+
+    # Guards against writes for settled runs that delay those of other jobs.
+    def test_settled_runs_fill_up_writes_and_wait_while_many_jobs_have_changed(self) -> None:
+        quiet = [self.changed() for _ in range(JOBS_PER_WRITE)]
+        self.next_writes()
+        for each in quiet:
+            self.state.settled_jobs[each.spec.job_id] = self.clock.monotonic_s()
+        self.clock.advance(const.SETTLED_WRITE_DELAY_S)
+        changed = [self.changed() for _ in range(JOBS_PER_WRITE)]
+        self.assertEqual(self.next_writes(), changed)
+        other = self.changed()
+        self.assertEqual(self.next_writes(), [other, *quiet[:-1]])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/adapters/term_vms.py
+++ b/toucandoor/adapters/term_vms.py
@@ -174,8 +174,9 @@
         """Submit the reads, writes and orders that waves and lending have due."""
         for wave in list(self._term.dependencies.configuration.waves.values()):
             self._waves.on_order(wave)
-        # The list also tells whether the VM of a silent server is down.
-        silent = bool(self._term.scheduler.state.failure_domains.silent_workers)
+        # The list also tells whether the VM of a silent or unlisted server is down.
+        state = self._term.scheduler.state
+        silent = bool(state.failure_domains.silent_workers or state.former_boots)
         active = self._waves.active or self._lender.active or silent
         if self._vm_list.begin_read_if_due(active=active):
             self._term.submit(self._list_vms)
--- a/toucandoor/core/failure_domains/down_vms.py
+++ b/toucandoor/core/failure_domains/down_vms.py
@@ -50,11 +50,8 @@
 
     def on_vm_list(self, vms: Iterable[VmEntry], asked_at_s: float) -> None:
         """Process the VMs that are down."""
-        down = [vm.vm_id for vm in vms if vm.state is VmState.DOWN]
+        down = {vm.vm_id for vm in vms if vm.state is VmState.DOWN}
         if not down:
             return
-        workers = self._registry.by_vm()
-        for vm_id in down:
-            worker = workers.get(vm_id)
-            if worker is not None:
-                self._registry.vm_down(worker, asked_at_s)
+        for worker in self._registry.boots_on(down):
+            self._registry.vm_down(worker, asked_at_s)
--- a/toucandoor/core/jobs/records.py
+++ b/toucandoor/core/jobs/records.py
@@ -8,7 +8,7 @@
 
 from toucandoor.core.jobs.models import JobSpec, JobState
 from toucandoor.core.jobs.ranges import NumberRanges
-from toucandoor.ids import JobId, QueueId, TeamId, WorkerId
+from toucandoor.ids import JobId, QueueId, TeamId, VmId, WorkerId
 
 INTAKE_PREFIX: Final = "work/"
 """Prefix of the jobs and cancellations that entry VMs have accepted; the schedule's owner watches
@@ -42,11 +42,16 @@
         attempt: Attempt number of the run, counted per task.
         worker_id: Backend server that the run was assigned to.
         worker_booted_unix_ms: Start of the boot that the run was assigned to.
+        vm_id: VM of that boot; None if not known.
+        settled: Whether that boot has reported the run and no start of it is unanswered, so that
+            it can't be on another boot.
     """
 
     attempt: int
     worker_id: WorkerId
     worker_booted_unix_ms: int
+    vm_id: VmId | None = None
+    settled: bool = False
 
 
 class TaskRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -354,8 +354,10 @@
         attempt=task.attempt,
         failed_attempts=tuple(sorted(task.failed_attempts)),
         checkpoint=task.checkpoint,
-        runs=tuple(
-            RunRecord(run.key.attempt, run.worker.entry.worker_id, run.worker.entry.booted_unix_ms)
-            for run in task.runs
-        ),
+        runs=tuple(_run_record(run) for run in task.runs),
     )
+
+
+def _run_record(run: Run) -> RunRecord:
+    entry = run.worker.entry
+    return RunRecord(run.key.attempt, *entry.boot, entry.vm_id, run.settled)
--- a/toucandoor/core/scheduling/progress_writer.py
+++ b/toucandoor/core/scheduling/progress_writer.py
@@ -29,7 +29,7 @@
     from toucandoor.core.scheduling.progress import JobProgress
     from toucandoor.core.scheduling.state import ScheduleState
     from toucandoor.core.scheduling.worker_view import Run
-    from toucandoor.ids import QueueId
+    from toucandoor.ids import JobId, QueueId
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -43,10 +43,12 @@
         self._pending_written: dict[QueueId, int] | None = None
         self._pending_next_s = 0.0
         self._pending_in_flight = False
+        self._settled_next_s = 0.0
 
     def commits(self) -> list[Commit]:
         """Return the progress writes to make now."""
         made: list[Commit] = []
+        self._fill_up_with_settled()
         while self._state.dirty and self._in_flight < const.COMMITS_IN_FLIGHT_MAX:
             commit = self._next_commit()
             if commit is None:
@@ -55,6 +57,29 @@
             self._in_flight += 1
         return made
 
+    def _fill_up_with_settled(self) -> None:
+        """Add jobs whose record does not say yet that runs are settled, if a write has room.
+
+        Most of their records are written for another reason before they are due.
+        """
+        state = self._state
+        now_s = state.now_s
+        room = const.SETTLED_JOBS_PER_WRITE - len(state.dirty)
+        if not state.settled_jobs or room <= 0 or now_s < self._settled_next_s:
+            return
+        due: list[JobId] = []
+        for job_id, since_s in state.settled_jobs.items():
+            if len(due) == room or now_s < since_s + const.SETTLED_WRITE_DELAY_S:
+                break
+            due.append(job_id)
+        for job_id in due:
+            del state.settled_jobs[job_id]
+            job = state.jobs.get(job_id)
+            if job is not None:
+                state.mark_dirty(job)
+        if due:
+            self._settled_next_s = now_s + const.SETTLED_WRITE_INTERVAL_S
+
     def done(self, commit: Commit, revision: int) -> None:
         """Process a write that is in the store; the runs that it plans may start."""
         state = self._state
@@ -187,6 +212,7 @@
             if len(value) > const.LARGE_RECORD_BYTES:
                 job.next_write_s = state.now_s + len(value) / const.LARGE_RECORD_BYTES_PER_S
             del state.dirty[job.spec.job_id]
+            state.settled_jobs.pop(job.spec.job_id, None)
             job.dirty = False
             job.write_in_flight = True
             key = progress_key(job.spec.job_id)
--- a/toucandoor/core/scheduling/record_budget.py
+++ b/toucandoor/core/scheduling/record_budget.py
@@ -17,14 +17,15 @@
 runs, checkpoints and failed attempts of these tasks."""
 TASK_BYTES: Final = 32
 """Size of a task's entry, without its checkpoint and its runs."""
-RUN_BYTES: Final = 28
-"""Size of a run in it, without the id of its server."""
+RUN_BYTES: Final = 39
+"""Size of a run in it, without the ids of its server and VM."""
 
 
 def run_bytes(run: Run) -> int:
     """Return about how much a new run adds to the record of its job."""
     task_bytes = TASK_BYTES + len(run.task.checkpoint) if run.key.attempt == 1 else 0
-    return task_bytes + RUN_BYTES + len(run.worker.entry.worker_id)
+    entry = run.worker.entry
+    return task_bytes + RUN_BYTES + len(entry.worker_id) + len(entry.vm_id or "")
 
 
 def budget_bytes(job: JobProgress, value_bytes_max: int) -> float:
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -178,6 +178,9 @@
         if run.from_former_boot and not run.reported:
             run.confirmed_s = now_s
         run.reported = True
+        if run.settled and not run.settled_noted:
+            run.settled_noted = True
+            self._state.settled_jobs.setdefault(run.task.key.job_id, now_s)
         if seen.checkpoint:
             run.task.checkpoint = seen.checkpoint
         run.speed_percent = seen.speed_percent
@@ -196,6 +199,7 @@
         if task is None:
             return
         run = Run(seen.run, task, worker, RunState.RUNNING, now_s, confirmed_s=now_s, reported=True)
+        run.starts_unanswered = 1  # its start may have been repeated
         run.checkpoint = seen.checkpoint
         task.attempt = max(task.attempt, seen.run.attempt)
         state.attach(run)
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -197,13 +197,15 @@
         runs = job.restore(record, revision)
         state.add_job(job, has_runs=bool(runs))
         for task, stored in runs:
-            worker = self.registry.boot_of_run(stored.worker_id, stored.worker_booted_unix_ms)
+            worker = self.registry.boot_of_run(stored)
             key = RunKey(task.key, stored.attempt)
-            run = Run(key, task, worker, RunState.RECOVERED, state.now_s, starts_unanswered=1)
+            run = Run(key, task, worker, RunState.RECOVERED, state.now_s)
+            run.reported = run.settled_noted = stored.settled
+            run.starts_unanswered = 0 if stored.settled else 1
             run.from_former_boot = worker.entry.booted_unix_ms != stored.worker_booted_unix_ms
             state.attach(run)
             if run.from_former_boot:
-                self.registry.crashes.on_lost(worker, [run], ended=False)
+                self.registry.run_of_former_boot(run)
             if job.state.final or task.done:
                 state.request_stop(run)
 
--- a/toucandoor/core/scheduling/server_crashes.py
+++ b/toucandoor/core/scheduling/server_crashes.py
@@ -94,5 +94,5 @@
 def _may_have_crashed_server(run: Run) -> bool:
     """Return whether a lost run may have begun, and may be the reason that its server ended."""
     sent = run.starts_sent + run.starts_unanswered > 0
-    may_have_begun = sent or run.state is RunState.RUNNING
+    may_have_begun = sent or run.state in (RunState.RUNNING, RunState.RECOVERED)
     return may_have_begun and not run.harmless
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -59,6 +59,8 @@
         changed_pools: Pools in which something has changed since the last placement.
         runs_awaiting_orders: Runs that need a start or a stop.
         dirty: Jobs whose record in the store is outdated, in the order of the change.
+        settled_jobs: Jobs whose record in the store does not say yet that some of their runs are
+            settled, with the time since when; in the order of that time.
         planned: Planned runs that are not in the store yet, by job.
         finished: Jobs that have ended since `Scheduler.pop_finished` was last called.
         activity: Counts of what this owner has done.
@@ -107,6 +109,7 @@
         self.changed_pools: set[PoolId] = set()
         self.runs_awaiting_orders: dict[Run, None] = {}
         self.dirty: dict[JobId, None] = {}
+        self.settled_jobs: dict[JobId, float] = {}
         self.planned: dict[JobId, list[Run]] = {}
         self.finished: list[JobProgress] = []
         self.runs_to_copy: dict[Run, None] = {}
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -15,8 +15,12 @@
 from toucandoor.ids import DataCentreId, PoolId
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from toucandoor.core.jobs.records import RunRecord
     from toucandoor.core.scheduling.progress import Task
     from toucandoor.core.scheduling.state import ScheduleState
+    from toucandoor.core.scheduling.worker_view import Run
     from toucandoor.core.scheduling.workers import Boot
     from toucandoor.ids import VmId, WorkerId
 
@@ -32,6 +36,7 @@
 
     def __init__(self, state: ScheduleState) -> None:
         self._state = state
+        self._latest_on_vm: dict[VmId, WorkerView] = {}
         self.crashes = ServerCrashes(state)
 
     def listed(self, entry: WorkerEntry) -> None:
@@ -45,7 +50,7 @@
                     entry.worker_id,
                     extra={"worker": entry.worker_id, "pool": entry.pool},
                 )
-            state.workers[entry.worker_id] = self._known_boot(entry) or self._new_view(entry)
+            self._set_latest(self._known_boot(entry) or self._new_view(entry))
             return
         if entry.booted_unix_ms > known.entry.booted_unix_ms > 0:
             self._replace_by_later_boot(known, entry)
@@ -59,6 +64,7 @@
                 extra={"worker": entry.worker_id, "pool": entry.pool},
             )
         known.update_entry(entry)
+        self._set_latest(known)
         known.cold_until_s = state.now_s + entry.cold_s
         known.listed = True
         if known.heartbeat_failures > 0:
@@ -78,24 +84,32 @@
                 extra={"worker": worker_id, "runs": len(worker.runs)},
             )
 
-    def boot_of_run(self, worker_id: WorkerId, booted_unix_ms: int) -> WorkerView:
+    def boot_of_run(self, run: RunRecord) -> WorkerView:
         """Return the boot that a recovered run may be on; add one if the list doesn't contain it.
 
         A later boot under the same id may have taken the run's start.
         """
         state = self._state
-        known = state.workers.get(worker_id)
-        entry = _unlisted_entry(worker_id, booted_unix_ms)
+        known = state.workers.get(run.worker_id)
+        entry = _unlisted_entry(run)
         for view in [*([known] if known is not None else []), *state.former_boots]:
             if view.entry.boot == entry.boot:
                 return view
-        if known is not None and known.entry.booted_unix_ms > booted_unix_ms:
+        if known is not None and known.entry.booted_unix_ms > run.worker_booted_unix_ms:
             return known
         missing = self._new_view(entry)
         missing.listed = False
         state.former_boots.append(missing)
         return missing
 
+    def run_of_former_boot(self, run: Run) -> None:
+        """Process a recovered run whose boot a later one under the same id has replaced."""
+        ended = run.settled
+        if ended:
+            self._state.discard_runs(run.worker, "restarted", [run])
+        self.crashes.on_lost(run.worker, [run], ended=ended)
+        run.reported = False
+
     def later_boot_answered(self, worker: WorkerView, booted_unix_ms: int) -> None:
         """Process an answer of a later boot under the same id, which is not listed yet.
 
@@ -118,7 +132,7 @@
         slowest_lease_s = state.settings.lease_s * (1 + const.WORKER_CLOCK_DRIFT_RATIO)
         until_s = state.now_s + slowest_lease_s + const.LEASE_EXPIRY_MARGIN_S
         later.former_lease_until_s = max(later.former_lease_until_s, until_s)
-        state.workers[entry.worker_id] = later
+        self._set_latest(later)
         moved = [run for run in worker.runs.values() if run.may_be_on_later_boot]
         for run in moved:
             state.move_to_later_boot(run, later)
@@ -183,9 +197,15 @@
             del state.workers[worker_id]
 
     def _discard_if_expired(self, worker: WorkerView, now_s: float) -> None:
-        if worker.runs and worker.unresponsive and worker.lease_expired(now_s):
+        if not worker.runs or not worker.unresponsive:
+            return
+        if worker.lease_expired(now_s):
             worker.lost_runs += worker.runs.values()
             self._state.discard_runs(worker, "was unreachable until its lease expired")
+        elif self._replaced_on_vm(worker):
+            ended = [run for run in worker.runs.values() if run.settled]
+            self._state.discard_runs(worker, "was replaced on its VM", ended)
+            self.crashes.on_lost(worker, ended, ended=True)
 
     def _count_lost_runs(self, worker: WorkerView) -> None:
         """Count the lost runs of a boot that is treated as gone."""
@@ -207,6 +227,12 @@
         worker.contacted = False
         worker.next_heartbeat_s = self._state.now_s
 
+    def boots_on(self, vm_ids: Collection[VmId]) -> list[WorkerView]:
+        """Return all boots on some VMs that runs may be on, and the latest of each server."""
+        state = self._state
+        boots = [*state.workers.values(), *state.former_boots]
+        return [worker for worker in boots if worker.entry.vm_id in vm_ids]
+
     def by_vm(self) -> dict[VmId, WorkerView]:
         """Return the latest boot of a backend server on each VM."""
         found: dict[VmId, WorkerView] = {}
@@ -264,6 +290,28 @@
             known_since_s=state.now_s,
         )
 
+    def _set_latest(self, worker: WorkerView) -> None:
+        """Make a boot the latest one of its server, and of its VM unless a later one is known."""
+        entry = worker.entry
+        self._state.workers[entry.worker_id] = worker
+        if entry.vm_id is None:
+            return
+        other = self._latest_on_vm.get(entry.vm_id)
+        if other is None or entry.booted_unix_ms >= other.entry.booted_unix_ms:
+            self._latest_on_vm[entry.vm_id] = worker
+
+    def _replaced_on_vm(self, worker: WorkerView) -> bool:
+        """Return whether another server, which started later on the VM of a boot, has answered."""
+        entry = worker.entry
+        later = self._latest_on_vm.get(entry.vm_id) if entry.vm_id is not None else None
+        return (
+            later is not None
+            and later.answered_s > 0
+            and later.entry.worker_id != entry.worker_id
+            and later.entry.vm_id == entry.vm_id
+            and later.entry.booted_unix_ms > entry.booted_unix_ms > 0
+        )
+
     def _known_boot(self, entry: WorkerEntry) -> WorkerView | None:
         """Return the former boot that an entry describes, if there is one, and update it."""
         for known in self._state.former_boots:
@@ -276,8 +324,16 @@
         return None
 
 
-def _unlisted_entry(worker_id: WorkerId, booted_unix_ms: int) -> WorkerEntry:
+def _unlisted_entry(run: RunRecord) -> WorkerEntry:
     """Return an entry for a boot that is known only from the record of a run."""
     return WorkerEntry(
-        worker_id, PoolId(""), "", DataCentreId(""), NO_RESOURCES, (), False, booted_unix_ms
+        run.worker_id,
+        PoolId(""),
+        "",
+        DataCentreId(""),
+        NO_RESOURCES,
+        (),
+        False,
+        run.worker_booted_unix_ms,
+        vm_id=run.vm_id,
     )
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -78,13 +78,15 @@
         state: Progress of the run.
         created_s: When it was planned or recovered, on the monotonic clock.
         confirmed_s: When the server first confirmed it; None before that.
-        reported: Whether this boot of the server has listed it in a status report.
+        reported: Whether this boot of the server has listed it in a status report, to this owner
+            or a former one.
         stop_requested: Whether it is to be stopped before its work is done.
         stop_answered_s: When a stop was last confirmed, on the monotonic clock; None before that.
         stop_acknowledged: Whether the server refuses this attempt number from now on.
         starts_sent: Number of start orders sent.
         starts_unanswered: Number of them without an answer: in flight, or carried out late or not
-            at all. A run of a former owner counts as one.
+            at all. A run of a former owner counts as one unless its record says that it is settled.
+        settled_noted: Whether its record says, or will say, that it is settled.
         from_former_boot: Whether its starts were sent to an earlier boot of the server.
         harmless_before: Whether it was `harmless` on that boot.
         order_sent_s: When the latest start or stop was sent.
@@ -110,6 +112,7 @@
     stop_acknowledged: bool = False
     starts_sent: int = 0
     starts_unanswered: int = 0
+    settled_noted: bool = False
     from_former_boot: bool = False
     harmless_before: bool = False
     order_sent_s: float = 0.0
@@ -147,6 +150,16 @@
             return True
         return self.starts_sent > 0 and not self.reported
 
+    @property
+    def settled(self) -> bool:
+        """Whether it is certainly on this boot, or has ended there, and on no other one.
+
+        The end of the boot is then its end. A start without an answer, which a later boot under the
+        same id may still take, excludes that.
+        """
+        identified = self.worker.entry.booted_unix_ms > 0
+        return identified and self.reported and self.starts_unanswered == 0
+
     @property
     def never_sent(self) -> bool:
         """Whether no server can know of it, as no start of it was ever sent."""
