--- a/tests/core/scheduling/test_progress_writer.py
+++ b/tests/core/scheduling/test_progress_writer.py
@@ -94,6 +94,14 @@
         self.clock.advance(const.SETTLED_WRITE_DELAY_S)
         self.assertEqual(self.next_writes(), [])
 
+    # Guards against a write of a record that is being removed as its job has ended.
+    def test_a_job_that_has_ended_is_not_written_for_its_settled_runs(self) -> None:
+        ended = self.changed(final=True)
+        self.next_writes()
+        self.state.settled_jobs[ended.spec.job_id] = self.clock.monotonic_s()
+        self.clock.advance(const.SETTLED_WRITE_DELAY_S)
+        self.assertEqual(self.next_writes(), [])
+
     # Guards against writes for settled runs that delay those of other jobs.
     def test_settled_runs_fill_up_writes_and_wait_while_many_jobs_have_changed(self) -> None:
         quiet = [self.changed() for _ in range(JOBS_PER_WRITE)]
--- a/toucandoor/core/scheduling/progress_writer.py
+++ b/toucandoor/core/scheduling/progress_writer.py
@@ -75,7 +75,7 @@
         for job_id in due:
             del state.settled_jobs[job_id]
             job = state.jobs.get(job_id)
-            if job is not None:
+            if job is not None and not job.state.final:
                 state.mark_dirty(job)
         if due:
             self._settled_next_s = now_s + const.SETTLED_WRITE_INTERVAL_S
