Count no crash where another server has replaced one on its VM

A task that had run for less than 3 s counted as crashing its server when the server's VM had been moved or maintained by an order whose answer was lost, and could be given up after three. The loss now counts as unexplained, as it did at the end of the lease. The new test of it failed before.

--- a/tests/core/scheduling/test_former_runs.py
+++ b/tests/core/scheduling/test_former_runs.py
@@ -7,6 +7,7 @@
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, fleet, job, never_ends
 from toucandoor.core.jobs.models import Step, TaskKey
 from toucandoor.core.jobs.records import decode_progress, progress_key
+from toucandoor.core.scheduling.workers import RunKey, StartOrder
 from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.fakes.virtual_waves import VirtualWaves
 from toucandoor.ids import VmId, WorkerId
@@ -31,11 +32,11 @@
         labels = ("a", f"r{number}")
         self.fleet.boot(worker_id, POOL, CAPACITY, labels=labels, vm_id=f"m{number}")
 
-    def begin(self) -> None:
+    def begin(self, for_s: float = 4.0) -> None:
         """Let the tasks run for a while, and choose the server that will be lost."""
         self.fleet.run(0.5)
         self.fleet.submit(JOB)
-        self.fleet.run(4.0)
+        self.fleet.run(for_s)
         self.assertEqual(self.fleet.observations.starts, 3)
         [self.lost] = self.fleet.observations.running[TASKS[0]]
 
@@ -108,6 +109,16 @@
         self.boot("w9", self.number)
         self.assertLess(self.until_all_run_s(), PLANNED_WITHIN_S)
 
+    # Guards against a task that counts as crashing its servers as their VMs are moved.
+    def test_the_end_of_a_server_that_was_replaced_on_its_vm_is_not_a_crash(self) -> None:
+        self.begin(1.5)
+        self.fleet.crash(self.lost)
+        self.fleet.run(2.0)
+        self.boot("w9", self.number)
+        self.until_all_run_s()
+        [lost] = [step.tasks[0] for step in self.fleet.scheduler.jobs[JOB.job_id].steps.values()]
+        self.assertEqual((lost.crashes, lost.unexplained_losses), (0, 1))
+
     # Guards against a wait for a later boot under the same id that does not answer.
     def test_a_task_runs_again_soon_beside_a_later_boot_that_does_not_answer(self) -> None:
         self.begin()
@@ -159,6 +170,22 @@
         self.assertEqual(self.fleet.observations.violations, [])
         self.assertLess(self.until_all_run_s(), PLANNED_WITHIN_S)
 
+    # Guards against a second run beside one that a later boot begins by a repeated start.
+    def test_a_run_that_was_started_late_is_not_settled(self) -> None:
+        self.begin()
+        [place] = self.fleet.observations.running[TASKS[1]]
+        server, view = self.fleet.workers[place], self.fleet.scheduler.workers[place]
+        late = RunKey(TASKS[0], 9)
+        token = self.fleet.scheduler.token
+        server.start(StartOrder(late, "payload", server.clock_ms() + 5000, token, ""))
+        for _ in range(200):
+            self.fleet.run(STEP_S)
+            if late in view.runs:
+                break
+        self.assertFalse(view.runs[late].settled)
+        [planned] = [run for run in view.runs.values() if run.key.task == TASKS[1]]
+        self.assertTrue(planned.settled)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -205,7 +205,8 @@
         elif self._replaced_on_vm(worker):
             ended = [run for run in worker.runs.values() if run.settled]
             self._state.discard_runs(worker, "was replaced on its VM", ended)
-            self.crashes.on_lost(worker, ended, ended=True)
+            # A move or a maintenance of the VM may have ended it, not one of the runs.
+            self.crashes.on_lost(worker, ended, ended=False)
 
     def _count_lost_runs(self, worker: WorkerView) -> None:
         """Count the lost runs of a boot that is treated as gone."""
