Repeat a stop at a later boot that may have taken the start

A run of a cancelled or ended job would go on until its lease ended, and be extended for good. Cause: a stop that one boot has confirmed is not sent again. If that boot ended before it had reported anything to the new owner, a run read from the store moved to the later boot with its stop marked as requested but in no list of orders, and a copy of the start that the later boot took was never stopped. Evidence: by reading `move_to_later_boot`; the new test failed before, as the run was still there after 3 s. Why it works: the stop is sent to the later boot as well, which then ends the run or refuses its start.

--- a/tests/core/scheduling/test_restarts_in_place.py
+++ b/tests/core/scheduling/test_restarts_in_place.py
@@ -5,9 +5,9 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, fleet, job
+from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, fleet, job, never_ends
 from toucandoor.core.jobs.models import JobState, Step
-from toucandoor.core.scheduling.workers import StatusReport
+from toucandoor.core.scheduling.workers import StartOrder, StatusReport
 from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.fakes.virtual_platform import TaskBehaviour
 from toucandoor.ids import WorkerId
@@ -128,6 +128,30 @@
         self.assertEqual(self.fleet.observations.violations, [])
         self.assertEqual(self.fleet.state(self.job.job_id), JobState.COMPLETED)
 
+    # Guards against a run of a cancelled job that goes on for good: the earlier boot had confirmed
+    # the stop before it reported anything to the new owner.
+    def test_a_stop_is_repeated_at_a_later_boot_that_has_taken_the_start(self) -> None:
+        virtual = fleet(workers=2, behaviour=never_ends)
+        spec = job(1, Step(1, NEEDS, long_running=True))
+        virtual.submit(spec)
+        virtual.run(2.0)
+        (key,) = virtual.workers[WorkerId("w0")].runs
+        token = virtual.scheduler.token
+        virtual.cancel(spec.job_id)
+        virtual.calls.choose_outcome = lambda kind: (
+            CallOutcome.NOT_SENT if kind == "hold" else CallOutcome.ANSWERED
+        )
+        virtual.take_over()
+        (run,) = virtual.scheduler.workers[WorkerId("w0")].runs.values()
+        virtual.run(0.05)
+        self.assertTrue(run.stop_acknowledged)
+        virtual.calls.choose_outcome = lambda _kind: CallOutcome.ANSWERED
+        self.restart(virtual, listed_after_s=0.0)
+        later = virtual.workers[WorkerId("w0")]
+        later.start(StartOrder(key, "payload", later.clock_ms() + 5000, token, "", ""))
+        virtual.run(3.0)
+        self.assertEqual(later.runs, {})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -274,6 +274,9 @@
             run.state = RunState.STARTING
             run.confirmed_s = None
             self.request_stop(run)
+        elif run.stop_requested:
+            # Only the earlier boot may have confirmed the stop.
+            self.request_stop(run)
 
     def drop_planned(self, job: JobProgress) -> None:
         """Remove the runs of a job whose record is not in the store yet.
