Give a vacated server back to tasks without a run, and search each kind of room in turn

While a wave vacates a VM for seconds (its other tasks end first, or its order must wait), its server may have the only room of the pool: a long-running task without a run waited until the maintenance was over. PlannedStops now names such servers every 0.2 s, and the wave gives them back. Two gaps of the stops are closed with it: where several kinds of tasks had no room, only the first two were searched for later room, so that the others neither held room nor asked for VMs; and VMs whose tasks have no room took all places of a wave, so that VMs of other pools were not maintained either.

test_a_vacated_server_is_given_back_to_a_task_without_a_run (the task had no run 2 s later) and test_kinds_of_room_are_searched_for_in_turn (2 of 4 kinds) failed before.

--- a/tests/core/maintenance/test_job_waves.py
+++ b/tests/core/maintenance/test_job_waves.py
@@ -18,7 +18,7 @@
 from toucandoor.core.maintenance.job_waves import WaveCoordinator
 from toucandoor.core.maintenance.vm_list import VmList
 from toucandoor.core.maintenance.vm_orders import VmOrderLog
-from toucandoor.core.scheduling.worker_view import Cordon, CordonSource
+from toucandoor.core.scheduling.cordons import Cordon, CordonSource
 from toucandoor.core.scheduling.workers import VmEntry, VmRefusal, VmState
 from toucandoor.ids import ConfigVersion, DataCentreId, PoolId, VmId, WorkerId
 
--- a/tests/core/pools/test_vm_lender.py
+++ b/tests/core/pools/test_vm_lender.py
@@ -14,7 +14,7 @@
 from toucandoor.core.maintenance.vm_orders import VmOrderLog
 from toucandoor.core.pools.lending import PoolMove
 from toucandoor.core.pools.vm_lender import VmLender
-from toucandoor.core.scheduling.worker_view import MOVE_CORDON
+from toucandoor.core.scheduling.cordons import MOVE_CORDON
 from toucandoor.core.scheduling.workers import VmEntry, VmState
 from toucandoor.ids import DataCentreId, PoolId, VmId, WorkerId
 
--- a/tests/core/scheduling/test_planned_stops.py
+++ b/tests/core/scheduling/test_planned_stops.py
@@ -13,7 +13,7 @@
 from toucandoor.core.pools.lending import PoolMove, wanted_vms
 from toucandoor.core.pools.vm_lender import VmLender
 from toucandoor.core.scheduling import const
-from toucandoor.core.scheduling.worker_view import Cordon, CordonSource
+from toucandoor.core.scheduling.cordons import Cordon, CordonSource
 from toucandoor.core.scheduling.workers import VmEntry, VmState
 from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.fakes.virtual_platform import TaskBehaviour
@@ -21,6 +21,8 @@
 from toucandoor.ids import DataCentreId, JobId, PoolId, VmId, WorkerId
 
 LASTING_JOB = 1
+LONG_JOB = 1000
+"""First of the jobs whose tasks take 20 s."""
 STEP_S = 0.02
 MOVE_S = 0.5
 """Longest time that a task is without a run while it moves to room that was held for it."""
@@ -31,7 +33,7 @@
     """Return the behaviour of tasks: those of the first job last, others take a second."""
     if task.job_id == job(LASTING_JOB).job_id:
         return never_ends(task, worker)
-    return TaskBehaviour(NEEDS, 1.0)
+    return TaskBehaviour(NEEDS, 20.0 if int(task.job_id, 16) >= LONG_JOB else 1.0)
 
 
 def tasks_of(number: int, count: int) -> list[TaskKey]:
@@ -137,6 +139,32 @@
         for worker in self.fleet.scheduler.workers.values():
             self.assertEqual(worker.held.cpu_millicores, 0)
 
+    # Guards against a task without a run while the only server with room is vacated for seconds.
+    def test_a_vacated_server_is_given_back_to_a_task_without_a_run(self) -> None:
+        self.boot(0)
+        self.fleet.submit(job(LONG_JOB, Step(1, NEEDS, 20_000)))
+        self.fleet.run(1.0)
+        wave = self.waves.order([VmId("m0")], within_s=20.0, down_max=1)
+        self.boot(1)
+        self.submit_lasting(2, CAPACITY.cpu_millicores - NEEDS.cpu_millicores)
+        running = self.fleet.observations.running
+        places = sorted(worker for task in self.tasks for worker in running.get(task, ()))
+        self.assertEqual(places, ["w0", "w1"])
+        self.boot(2)
+        self.assertLess(self.longest_gap_s(10.0), MOVE_S)
+        self.assertIn(wave, self.waves.completed_s)
+
+    # Guards against kinds of room that are never searched for, as others have none for long.
+    def test_kinds_of_room_are_searched_for_in_turn(self) -> None:
+        self.boot(0)
+        for number in range(4):
+            needs = Resources(NEEDS.cpu_millicores, NEEDS.memory_mb + number, 0)
+            self.fleet.submit(job(LONG_JOB + number, Step(1, needs, 1000, long_running=True)))
+        self.fleet.run(2.0)
+        self.waves.order([VmId("m0")], within_s=20.0, down_max=1)
+        self.fleet.run(3.0)
+        self.assertEqual(len(self.fleet.scheduler.planned_stops.without_room), 4)
+
     # Guards against a job that is given up, as its task was moved before it had proved harmless
     # after the loss of its server and the next server was lost as well.
     def test_a_task_under_suspicion_stays_until_it_has_proved_harmless(self) -> None:
--- a/tests/core/scheduling/test_scheduler.py
+++ b/tests/core/scheduling/test_scheduler.py
@@ -23,8 +23,9 @@
 from toucandoor.core.jobs.records import JOB_PREFIX, job_key, progress_key
 from toucandoor.core.records import Transaction, TransactionConflictError
 from toucandoor.core.scheduling import const
+from toucandoor.core.scheduling.cordons import MOVE_CORDON
 from toucandoor.core.scheduling.orders import SendHeartbeat
-from toucandoor.core.scheduling.worker_view import MOVE_CORDON, DiscardReason, WorkerView
+from toucandoor.core.scheduling.worker_view import DiscardReason, WorkerView
 from toucandoor.core.scheduling.workers import EndReason, StatusReport
 from toucandoor.fakes.virtual_calls import CallOutcome, OwnerTerm
 from toucandoor.fakes.virtual_platform import TaskBehaviour, VirtualWorker
--- a/tests/core/scheduling/test_server_crashes.py
+++ b/tests/core/scheduling/test_server_crashes.py
@@ -9,8 +9,8 @@
 
 from tests.core.scheduling.common import CAPACITY, NEEDS, POOL, configuration, job
 from toucandoor.core.jobs.models import JobState, Step, TaskKey
+from toucandoor.core.scheduling.cordons import Cordon, CordonSource
 from toucandoor.core.scheduling.server_crashes import CRASHES_MAX
-from toucandoor.core.scheduling.worker_view import Cordon, CordonSource
 from toucandoor.core.scheduling.workers import OrderRefusal
 from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.fakes.virtual_fleet import VirtualFleet
--- a/toucandoor/core/evacuation/departures.py
+++ b/toucandoor/core/evacuation/departures.py
@@ -103,7 +103,7 @@
         plan = _Plan(state, self._move_s, now_s)
         if now_s >= self._next_later_s:
             self._next_later_s = now_s + LATER_ROOM_INTERVAL_S
-            plan.search.later_searches_left = LATER_ROOM_SEARCHES_MAX
+            plan.later_searches_left = LATER_ROOM_SEARCHES_MAX
         return plan.decide(leaving)
 
 
@@ -112,6 +112,7 @@
 
     Attributes:
         search: The search for room.
+        later_searches_left: Searches for capacity that becomes free that may still be made.
     """
 
     def __init__(self, state: ScheduleState, move_s: float, now_s: float) -> None:
@@ -121,6 +122,7 @@
         self._stopped: set[Run] = set()
         self._no_later_room: set[RoomKind] = set()
         self.search = RoomSearch(state, now_s)
+        self.later_searches_left = 0
         self._waiting_pools = {
             state.pool_of(job)
             for key, step in state.waiting_steps.items()
@@ -165,7 +167,7 @@
             return self._move_gang(progress)
         if step.long_running and not self._promise_allows(run, progress):
             return Obstacle.PROMISE
-        target = self.search.free(run) or self._later_room(run)
+        target = self.search.free(run.task) or self._later_room(run)
         if target is None:
             return Obstacle.NO_ROOM
         self._stop(run, target)
@@ -202,15 +204,15 @@
 
         None while other tasks of the pool wait, as they may get that room first.
         """
-        step, search, kind = run.task.step, self.search, room_kind(self._state, run)
+        step, search, kind = run.task.step, self.search, room_kind(self._state, run.task)
         if step.long_running or step.per_worker_max or kind[0] in self._waiting_pools:
             return None
-        if not search.later_searches_left or kind in self._no_later_room:
+        if not self.later_searches_left or kind in self._no_later_room:
             return None
-        search.later_searches_left -= 1
+        self.later_searches_left -= 1
         limit_s = search.remaining_s(run) - STOP_S
         best: tuple[float, WorkerView] | None = None
-        for worker in search.allowed(run):
+        for worker in search.allowed(run.task):
             free_s = search.free_after_s(worker, step.reserved)
             if free_s < limit_s and (best is None or free_s < best[0]):
                 best = (free_s, worker)
--- a/toucandoor/core/evacuation/evacuator.py
+++ b/toucandoor/core/evacuation/evacuator.py
@@ -9,11 +9,8 @@
 from typing import TYPE_CHECKING, Final
 
 from toucandoor.core.evacuation.departures import DeparturePolicy, LeaveWithoutLoss, Obstacle
-from toucandoor.core.scheduling.worker_view import (
-    EVACUATION_CORDON,
-    Run,
-    RunState,
-)
+from toucandoor.core.scheduling.cordons import EVACUATION_CORDON
+from toucandoor.core.scheduling.worker_view import Run, RunState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
--- a/toucandoor/core/maintenance/job_waves.py
+++ b/toucandoor/core/maintenance/job_waves.py
@@ -20,8 +20,12 @@
     WaveRecord,
     WaveState,
 )
-from toucandoor.core.maintenance.vacated_servers import blocked_beside_others, has_kind
-from toucandoor.core.scheduling.worker_view import Cordon, CordonSource
+from toucandoor.core.maintenance.vacated_servers import (
+    blocked_servers,
+    has_kind,
+    servers_to_give_back,
+)
+from toucandoor.core.scheduling.cordons import Cordon, CordonSource
 from toucandoor.core.scheduling.workers import VmRefusal, VmState
 from toucandoor.ids import VmId
 
@@ -241,8 +245,8 @@
         for vm_id in list(wave.vacating_since_s):
             if vm_id not in remaining:
                 del wave.vacating_since_s[vm_id]
-        self._give_back(wave, workers)
-        for vm_id in self._next_to_vacate(wave, remaining, workers, now_s):
+        blocked = self._give_back(wave, workers)
+        for vm_id in self._next_to_vacate(wave, remaining, workers, now_s, blocked):
             wave.vacating_since_s[vm_id] = now_s
         self._update_cordons(wave, workers)
         for vm_id, since_s in list(wave.vacating_since_s.items()):
@@ -257,19 +261,23 @@
                 wave.down_since_s[vm_id] = now_s
                 orders.append(MaintainVm(vm_id, wave.order.number))
 
-    def _give_back(self, wave: WaveState, workers: dict[VmId, WorkerView]) -> None:
-        """Put servers back into use whose tasks find no room while others wait for the same room.
+    def _give_back(self, wave: WaveState, workers: dict[VmId, WorkerView]) -> set[VmId]:
+        """Put servers back into use that alone may have room for tasks; return the VMs blocked.
 
-        Servers that are vacated at the same time may have the only room for each other's tasks.
+        The tasks have no run, or are on servers that are vacated at the same time.
         """
         stops = self._scheduler.planned_stops
         vacated = {vm_id: workers[vm_id] for vm_id in self.vms_vacated & workers.keys()}
-        for vm_id, worker in blocked_beside_others(vacated, stops.without_room).items():
-            if wave.vacating_since_s.pop(vm_id, None) is not None:
-                _LOGGER.info(
-                    "maintenance: VM is given back, as other VMs wait for the same room",
-                    extra={"vm": vm_id, "wave": wave.order.number, "runs": len(worker.runs)},
-                )
+        blocked = blocked_servers(vacated, stops.without_room)
+        given_back = servers_to_give_back(vacated, blocked)
+        given_back |= {vm_id for vm_id, worker in vacated.items() if worker in stops.needed}
+        for vm_id in (given_back - wave.down_since_s.keys()) & wave.vacating_since_s.keys():
+            del wave.vacating_since_s[vm_id]
+            _LOGGER.info(
+                "maintenance: VM is given back, as it alone may have room for some tasks",
+                extra={"vm": vm_id, "wave": wave.order.number},
+            )
+        return set().union(*blocked.values()) - given_back
 
     def _update_cordons(self, wave: WaveState, workers: dict[VmId, WorkerView]) -> None:
         """Keep the servers out of use whose VMs this wave vacates, and no others."""
@@ -282,24 +290,31 @@
         wave.cordoned = vacated
 
     def _next_to_vacate(
-        self, wave: WaveState, remaining: list[VmId], workers: dict[VmId, WorkerView], now_s: float
+        self,
+        wave: WaveState,
+        remaining: list[VmId],
+        workers: dict[VmId, WorkerView],
+        now_s: float,
+        blocked: set[VmId],
     ) -> list[VmId]:
         """Return the VMs to vacate next, those with the fewest VMs of their pool in progress first.
 
         Among these, VMs with the fewest runs come first. A VM without runs, in a pool with no other
         VM in progress, is vacated at once, and so is a part of the VMs of a spare pool, which are
         off; others only as many as the remaining time requires.
-        At most one VM more than ``down_max`` is in progress; `_may_begin` bounds those down.
+        At most one VM more than ``down_max`` is in progress, besides those that are blocked, as
+        their tasks have no room; `_may_begin` bounds those down.
         """
         idle = [
             vm_id
             for vm_id in remaining
             if vm_id not in wave.vacating_since_s
             and ((worker := workers.get(vm_id)) is None or worker.held == NO_RESOURCES)
+            and worker not in self._scheduler.planned_stops.needed
         ]
         time_left_s = wave.due_s - END_MARGIN_S - now_s
         required = math.ceil(len(remaining) * VM_CYCLE_S / max(time_left_s, VM_CYCLE_S))
-        busy = set(wave.vacating_since_s) | set(wave.down_since_s)
+        busy = set(wave.vacating_since_s) - blocked | set(wave.down_since_s)
         disturbed: dict[str, int] = {}
         for vm_id in busy:
             vm = self._vm_list.vms.get(vm_id)
--- a/toucandoor/core/maintenance/vacated_servers.py
+++ b/toucandoor/core/maintenance/vacated_servers.py
@@ -16,25 +16,31 @@
     from toucandoor.ids import VmId
 
 
-def blocked_beside_others(
+def blocked_servers(
     vacated: Mapping[VmId, WorkerView], without_room: Mapping[Run, RoomKind]
-) -> dict[VmId, WorkerView]:
-    """Return the vacated servers with tasks without room, but the emptiest one for each kind.
+) -> dict[RoomKind, set[VmId]]:
+    """Return the vacated servers with tasks without room, by the kind of room.
 
     Args:
         vacated: Servers that are vacated, by VM.
         without_room: Runs without room elsewhere, and the kind of room that each needs.
     """
-    blocked: dict[RoomKind, dict[VmId, WorkerView]] = {}
+    blocked: dict[RoomKind, set[VmId]] = {}
     for vm_id, worker in vacated.items() if without_room else ():
         for run in worker.runs.values():
             kind = without_room.get(run)
             if kind is not None:
-                blocked.setdefault(kind, {})[vm_id] = worker
-    found: dict[VmId, WorkerView] = {}
+                blocked.setdefault(kind, set()).add(vm_id)
+    return blocked
+
+
+def servers_to_give_back(
+    vacated: Mapping[VmId, WorkerView], blocked: Mapping[RoomKind, AbstractSet[VmId]]
+) -> set[VmId]:
+    """Return of the servers that wait for the same kind of room all but the emptiest one."""
+    found: set[VmId] = set()
     for waiting in blocked.values():
-        first = min(waiting, key=lambda each: (len(waiting[each].runs), each))
-        found |= {vm_id: worker for vm_id, worker in waiting.items() if vm_id != first}
+        found |= waiting - {min(waiting, key=lambda each: (len(vacated[each].runs), each))}
     return found
 
 
@@ -47,6 +53,6 @@
         kinds: Kinds of room.
     """
     return bool(kinds and worker is not None) and any(
-        run.task.step.long_running and room_kind(state, run) in kinds
+        run.task.step.long_running and room_kind(state, run.task) in kinds
         for run in (worker.runs.values() if worker is not None else ())
     )
--- a/toucandoor/core/pools/vm_lender.py
+++ b/toucandoor/core/pools/vm_lender.py
@@ -7,7 +7,7 @@
 
 from toucandoor.core.failure_domains.models import SLOW_RATIO
 from toucandoor.core.pools.lending import LendableVm, PoolMove
-from toucandoor.core.scheduling.worker_view import MOVE_CORDON
+from toucandoor.core.scheduling.cordons import MOVE_CORDON
 from toucandoor.core.scheduling.workers import VmState
 
 if TYPE_CHECKING:
--- a/toucandoor/core/scheduling/planned_stops.py
+++ b/toucandoor/core/scheduling/planned_stops.py
@@ -4,11 +4,15 @@
 
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.core.scheduling.cordons import CordonSource
 from toucandoor.core.scheduling.lookups import at_full_speed
+from toucandoor.core.scheduling.placement import matching_workers
 from toucandoor.core.scheduling.relocation import RoomKind, RoomSearch, has_room, room_kind
 from toucandoor.core.scheduling.worker_view import Run, RunState
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
     from toucandoor.core.scheduling.progress import Task
     from toucandoor.core.scheduling.state import ScheduleState
     from toucandoor.core.scheduling.worker_view import WorkerView
@@ -33,13 +37,16 @@
 
     Attributes:
         without_room: Runs that stay for now, as no server is expected to have room for their tasks.
+        needed: Servers that a wave vacates and that alone have room for tasks without a run.
     """
 
     def __init__(self, state: ScheduleState) -> None:
         self._state = state
         self._next_plan_s = 0.0
         self._next_later_s = 0.0
+        self._kinds: list[RoomKind] = []
         self.without_room: dict[Run, RoomKind] = {}
+        self.needed: frozenset[WorkerView] = frozenset()
 
     def advance(self) -> None:
         """Plan again if it is time, after waiting tasks have been placed."""
@@ -56,12 +63,17 @@
             if worker.runs and (worker.vacated or worker.entry.draining)
         ]
         before, self.without_room = self.without_room, {}
-        if not leaving:
+        vacated = [each for each in state.workers.values() if _only_vacated(each, now_s)]
+        self.needed = frozenset()
+        if not leaving and not vacated:
             return
         search = RoomSearch(state, now_s)
-        if now_s >= self._next_later_s:
+        self.needed = frozenset(self._needed(vacated, search, now_s))
+        if self._kinds and now_s >= self._next_later_s:
             self._next_later_s = now_s + LATER_SEARCH_INTERVAL_S
-            search.later_searches_left = LATER_SEARCHES_MAX
+            # In turn, as some kinds may have no room for long.
+            search.later_kinds = frozenset(self._kinds[:LATER_SEARCHES_MAX])
+            self._kinds = self._kinds[LATER_SEARCHES_MAX:]
         stops = 0
         for worker in sorted(leaving, key=lambda each: each.leaves_s):
             for run in list(worker.runs.values()):
@@ -106,11 +118,11 @@
             for each in gang:
                 state.request_stop(each)
             if not gang:
-                self.without_room[run] = room_kind(state, run)
+                self.without_room[run] = room_kind(state, run.task)
             return len(gang)
         target = state.held_room.target(run)
         if target is None or not has_room(target, now_s):
-            free = search.free(run)
+            free = search.free(run.task)
             if free is None:
                 if target is None:
                     self._await_room(run, search, known=known)
@@ -121,13 +133,45 @@
 
     def _await_room(self, run: Run, search: RoomSearch, *, known: bool) -> None:
         """Hold room that is not free yet, so that waiting tasks do not take it part by part."""
-        if search.can_search_later(run):
-            later = search.later(run)
+        kind = room_kind(self._state, run.task)
+        if kind not in self._kinds:
+            self._kinds.append(kind)
+        if kind in search.later_kinds:
+            later = search.later(run.task)
             known = later is None
             if later is not None:
                 self._state.held_room.hold(run, later)
         if known:
-            self.without_room[run] = room_kind(self._state, run)
+            self.without_room[run] = kind
+
+    def _needed(
+        self, vacated: Sequence[WorkerView], search: RoomSearch, now_s: float
+    ) -> Iterator[WorkerView]:
+        """Return the vacated servers that alone have room for long-running tasks without a run."""
+        state = self._state
+        for step in list(state.waiting_steps.values()) if vacated else ():
+            job = state.jobs[step.key.job_id]
+            if not step.step.long_running or step.step.gang or not job.runnable(step):
+                continue
+            for task in step.tasks:
+                if not task.waiting or now_s < task.not_before_s:
+                    continue
+                if not state.within_ceiling(job, step.step.needs) or search.free(task):
+                    break
+                pool = state.pool_of(job)
+                there = [each for each in vacated if each.entry.pool == pool]
+                found = search.choose(task, matching_workers(there, step))
+                if found is not None:
+                    yield found
+
+
+def _only_vacated(worker: WorkerView, now_s: float) -> bool:
+    """Return whether a server gets no tasks only because a wave vacates its VM."""
+    return (
+        bool(worker.cordons)
+        and all(cordon.source is CordonSource.WAVE for cordon in worker.cordons)
+        and worker.ready(now_s)
+    )
 
 
 def _must_stop(worker: WorkerView, now_s: float) -> bool:
--- a/toucandoor/core/scheduling/relocation.py
+++ b/toucandoor/core/scheduling/relocation.py
@@ -16,7 +16,7 @@
     from collections.abc import Sequence
 
     from toucandoor.core.jobs.models import Resources, StepKey
-    from toucandoor.core.scheduling.progress import StepProgress
+    from toucandoor.core.scheduling.progress import StepProgress, Task
     from toucandoor.core.scheduling.state import ScheduleState
     from toucandoor.core.scheduling.worker_view import Run, WorkerView
     from toucandoor.ids import PoolId, WorkerId
@@ -34,10 +34,10 @@
     ]
 
 
-def room_kind(state: ScheduleState, run: Run) -> RoomKind:
-    """Return the kind of room that the task of a run needs."""
-    pool = state.pool_of(state.jobs[run.task.key.job_id])
-    return (pool, run.task.step.reserved, run.task.step.required_label)
+def room_kind(state: ScheduleState, task: Task) -> RoomKind:
+    """Return the kind of room that a task needs."""
+    pool = state.pool_of(state.jobs[task.key.job_id])
+    return (pool, task.step.reserved, task.step.required_label)
 
 
 class HeldRoom:
@@ -84,8 +84,8 @@
     """Searches for room in one plan, in which what has no room once gets none.
 
     Attributes:
-        later_searches_left: Searches for capacity that becomes free that may still be made; each
-            goes through a pool's runs.
+        later_kinds: Kinds for which `later` may be asked; the first time for each kind goes through
+            a pool's runs.
     """
 
     def __init__(self, state: ScheduleState, now_s: float) -> None:
@@ -95,38 +95,43 @@
         self._no_room: set[RoomKind | StepKey] = set()
         self._no_later_room: set[RoomKind | StepKey] = set()
         self._by_free_time: dict[RoomKind, list[WorkerView]] = {}
-        self.later_searches_left = 0
+        self.later_kinds: frozenset[RoomKind] = frozenset()
 
-    def allowed(self, run: Run) -> Sequence[WorkerView]:
-        """Return the servers that may run the task of a run, regardless of free capacity."""
-        progress = self._state.step_of(run.task)
+    def allowed(self, task: Task) -> Sequence[WorkerView]:
+        """Return the servers that may run a task, regardless of free capacity."""
+        progress = self._state.step_of(task)
         # Nobody has asked the adviser again while all tasks of the step had runs.
         progress.forget_expired_tickets(self._now_s)
-        return matching_workers(self._pools.get(room_kind(self._state, run)[0], ()), progress)
+        pool, _, _ = room_kind(self._state, task)
+        return matching_workers(self._pools.get(pool, ()), progress)
 
-    def free(self, run: Run) -> WorkerView | None:
-        """Return a server with free capacity for the task of a run."""
-        progress = self._state.step_of(run.task)
-        key = self._cache_key(run, progress)
+    def free(self, task: Task) -> WorkerView | None:
+        """Return a server with free capacity for a task."""
+        key = self._cache_key(task)
         if key in self._no_room:
             return None
-        found = choose_worker(
-            self.allowed(run),
-            progress,
-            run.task,
-            self._on_worker(run, progress),
+        found = self.choose(task, self.allowed(task))
+        if found is None and not task.isolated:
+            self._no_room.add(key)
+        return found
+
+    def choose(self, task: Task, allowed: Sequence[WorkerView]) -> WorkerView | None:
+        """Return the best of some servers with free capacity for a task."""
+        return choose_worker(
+            allowed,
+            self._state.step_of(task),
+            task,
+            self._on_worker(task),
             self._now_s,
             self._state.rack_spread,
         )
-        if found is None and not run.task.isolated:
-            self._no_room.add(key)
-        return found
 
-    def _cache_key(self, run: Run, progress: StepProgress) -> RoomKind | StepKey:
-        """Return what runs have in common that fit on the same servers."""
-        if run.task.step.per_worker_max or progress.advice is not None:
+    def _cache_key(self, task: Task) -> RoomKind | StepKey:
+        """Return what tasks have in common that fit on the same servers."""
+        progress = self._state.step_of(task)
+        if task.step.per_worker_max or progress.advice is not None:
             return progress.key
-        return room_kind(self._state, run)
+        return room_kind(self._state, task)
 
     def hold_for_gang(self, progress: StepProgress) -> list[Run]:
         """Hold room for each run of a gang that must leave; return all its runs, or none."""
@@ -135,7 +140,7 @@
         for run in runs:
             if not run.worker.leaves:
                 continue
-            target = self.free(run)
+            target = self.free(run.task)
             if target is None:
                 for each in held:
                     self._state.held_room.release(each)
@@ -144,29 +149,22 @@
             held.append(run)
         return runs
 
-    def can_search_later(self, run: Run) -> bool:
-        """Return whether `later` can tell."""
-        return self.later_searches_left > 0 or room_kind(self._state, run) in self._by_free_time
-
-    def later(self, run: Run) -> WorkerView | None:
-        """Return the server that is expected to have room for the task of a run first.
+    def later(self, task: Task) -> WorkerView | None:
+        """Return the server that is expected to have room for a task first.
 
         Only one task waits for room on each server.
         """
-        kind = room_kind(self._state, run)
-        if kind not in self._by_free_time:
-            self.later_searches_left -= 1
-            self._by_free_time[kind] = self._sorted_by_free_time(kind)
-        progress = self._state.step_of(run.task)
-        key = self._cache_key(run, progress)
+        kind, key = room_kind(self._state, task), self._cache_key(task)
         if key in self._no_later_room:
             return None
-        on_worker = self._on_worker(run, progress)
-        limit = run.task.step.per_worker_max
+        if kind not in self._by_free_time:
+            self._by_free_time[kind] = self._sorted_by_free_time(kind)
+        on_worker = self._on_worker(task)
+        limit = task.step.per_worker_max
         # Another task waits for room on each of the rest.
         servers = [each for each in self._by_free_time[kind] if NO_RESOURCES.fits_in(each.free)]
         self._by_free_time[kind] = servers
-        for worker in matching_workers(servers, progress):
+        for worker in matching_workers(servers, self._state.step_of(task)):
             if not limit or on_worker.get(worker.entry.worker_id, 0) < limit:
                 return worker
         self._no_later_room.add(key)
@@ -206,15 +204,16 @@
         ]
         return [worker for free_s, _, worker in sorted(found) if free_s < float("inf")]
 
-    def _on_worker(self, run: Run, progress: StepProgress) -> dict[WorkerId, int]:
+    def _on_worker(self, task: Task) -> dict[WorkerId, int]:
         """Return the number of tasks of a step on each server, or to be placed there."""
-        if not run.task.step.per_worker_max:
+        if not task.step.per_worker_max:
             return {}
+        progress = self._state.step_of(task)
         found = tasks_by_worker(progress)
-        for task in progress.tasks:
-            for other in task.runs:
-                target = self._state.held_room.target(other)
-                if target is not None and other is not run:
+        for other in progress.tasks:
+            for run in other.runs if other is not task else ():
+                target = self._state.held_room.target(run)
+                if target is not None:
                     worker_id = target.entry.worker_id
                     found[worker_id] = found.get(worker_id, 0) + 1
         return found
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -4,14 +4,14 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING, Final, NamedTuple
+from typing import TYPE_CHECKING
 
 from toucandoor.core.jobs.models import NO_RESOURCES, Resources
 from toucandoor.core.scheduling import const
+from toucandoor.core.scheduling.cordons import EVACUATION_CORDON, Cordon, CordonSource
 from toucandoor.core.scheduling.workers import WorkerTarget
 
 if TYPE_CHECKING:
-
     from toucandoor.core.scheduling.progress import Task
     from toucandoor.core.scheduling.workers import RunKey, WorkerEntry
     from toucandoor.ids import JobId
@@ -40,33 +40,6 @@
     SERVER_LOST = "lost with its server"
 
 
-class CordonSource(Enum):
-    """What takes a backend server out of use."""
-
-    WAVE = "wave"
-    """A maintenance wave empties its VM."""
-    MOVE = "move"
-    """Its VM is being moved to another pool."""
-    EVACUATION = "evacuation"
-    """Its data centre is evacuated."""
-
-
-class Cordon(NamedTuple):
-    """One reason for which a backend server gets no new tasks.
-
-    Attributes:
-        source: What has set it, and alone may clear it.
-        number: Number of the wave; 0 for other sources.
-    """
-
-    source: CordonSource
-    number: int = 0
-
-
-MOVE_CORDON: Final = Cordon(CordonSource.MOVE)
-EVACUATION_CORDON: Final = Cordon(CordonSource.EVACUATION)
-
-
 @dataclass(slots=True, eq=False)
 class Run:
     """One run of a task on one boot of a backend server.
@@ -387,12 +360,15 @@
 
     def usable(self, now_s: float) -> bool:
         """Return whether it may get new tasks."""
+        return not self.cordons and self.ready(now_s)
+
+    def ready(self, now_s: float) -> bool:
+        """Return whether it could get new tasks if it were not cordoned."""
         return (
             self.listed
             and not self.ended
             and not self.unresponsive
             and not self.unknown_runs  # they use an unknown part of the capacity
             and not self.entry.draining
-            and not self.cordons
             and now_s >= self.paused_until_s
         )
