--- a/tests/core/scheduling/test_planned_stops.py
+++ b/tests/core/scheduling/test_planned_stops.py
@@ -286,6 +286,14 @@
             if not worker.runs:
                 worker.hold(NEEDS)
         self.assertEqual(self.moves_within(lender, set(), 3.0), [])
+        held = [
+            worker.entry.vm_id
+            for worker in self.fleet.scheduler.workers.values()
+            if worker.held == NEEDS and worker.entry.vm_id is not None
+        ]
+        wave = self.waves.order(held, within_s=20.0, down_max=2)
+        self.fleet.run(2.0)
+        self.assertEqual((len(held), self.waves.begun_s[wave]), (2, {}))
 
 
 if __name__ == "__main__":
