Never give up a long-running job for crashes of its servers

Callers saw: a long-running job was shown as failed though no run of it had ended as failed.

Cause: a task whose runs are lost with their servers within seconds of their start is taken for one that crashes them, and its job is given up at the third crash or the fifth loss. That bound exists for tasks with a limit of attempts. By the users' protocol long-running tasks have none: they must be restarted however they end, until their job is cancelled, and only ends reported as failed are attempts. Servers that go down again and again, or crash for other reasons, can thus end a long-running job that is not to blame.

The give-up now applies to other tasks only. A long-running task that is suspected is still restarted apart from others, so that no other run is lost with it.

--- a/toucandoor/core/scheduling/run_gaps.py
+++ b/toucandoor/core/scheduling/run_gaps.py
@@ -7,10 +7,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.core.scheduling.cordons import CordonSource
 from toucandoor.core.scheduling.idle_jobs import IdleJobs
 from toucandoor.core.scheduling.lookups import task_text
 from toucandoor.core.scheduling.run_gap_models import EndedGap, LastEnd, WaitCause
-from toucandoor.core.scheduling.worker_view import CordonSource, DiscardReason, RunState
+from toucandoor.core.scheduling.worker_view import DiscardReason, RunState
 
 if TYPE_CHECKING:
     from toucandoor.core.scheduling.progress import JobProgress, StepProgress, Task
--- a/toucandoor/core/scheduling/server_crashes.py
+++ b/toucandoor/core/scheduling/server_crashes.py
@@ -4,6 +4,7 @@
 task that crashes its servers would start without end, and each crash ends the runs beside it. A
 lost run is counted here unless its server had gone on to report it for a while. A counted task is
 then placed apart from others (see `placement`), so that the next crash shows which one is to blame.
+A long-running task goes on being restarted apart from others; its job is not given up.
 """
 
 from __future__ import annotations
@@ -87,6 +88,8 @@
 
 
 def _must_give_up(task: Task, *, alone: bool) -> bool:
+    if task.step.long_running:
+        return False  # runs until its job is cancelled, however its runs end
     if task.crashes + task.unexplained_losses >= LOSSES_MAX:
         return True
     return alone and task.crashes >= CRASHES_MAX
