End kept-alive connections while a node is about to stop

Callers saw: calls on connections that were open before SIGTERM ended without an answer 2.5 s after it, when the node closed all its connections at once, under load up to 1.8 s after the call had been sent. Cause: a stopping node kept connections alive to the end. Calls that came while the loop over the connections had stopped and the connections were not closed yet were cut, and on a busy process that takes long. Why it works: from the signal on each answer says that its connection closes, so that callers go elsewhere once the balancer has removed the node, and no connection in use is left to be cut. What is left are calls that have waited since before.

--- a/toucandoor/adapters/wsgi.py
+++ b/toucandoor/adapters/wsgi.py
@@ -94,3 +94,12 @@
     )
     server.max_request_header_size = 16 * 1024
     return server
+
+
+def close_after_answers(server: wsgi.Server) -> None:
+    """Close each connection after its next answer, which tells the caller so.
+
+    A server that stops cuts the connections that are still open, also one on which a call has just
+    come.
+    """
+    server.keep_alive_conn_limit = 0
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -31,7 +31,7 @@
 )
 from toucandoor.adapters.relay_service import PEERS_TRIED_MAX, PeerRequestHandler, RelayJobService
 from toucandoor.adapters.term_context import OwnerDependencies
-from toucandoor.adapters.wsgi import make_server, respond
+from toucandoor.adapters.wsgi import close_after_answers, make_server, respond
 from toucandoor.clock import BootClock
 from toucandoor.core.admission.submission import FirstRejection
 from toucandoor.core.evacuation.requests import EvacuationRequests
@@ -206,6 +206,7 @@
     def _stop(self) -> None:
         started_s = self._clock.monotonic_s()
         _LOGGER.info("node: stopping")
+        close_after_answers(self._caller_http)
         self._owner.stop(HANDOVER_TIMEOUT_S)
         self._peers.stop()
         left_s = started_s + BALANCER_REMOVAL_S - self._clock.monotonic_s()
