--- a/toucandoor/core/scheduling/lookups.py
+++ b/toucandoor/core/scheduling/lookups.py
@@ -49,3 +49,15 @@
         "attempt": run.key.attempt,
         "worker": run.worker.entry.worker_id,
     }
+
+
+def lost_run_fields(run: Run, now_s: float) -> dict[str, object]:
+    """Return the log fields that tell whether a lost run may have crashed its server."""
+    since_s = now_s - run.confirmed_s if run.confirmed_s is not None else 0.0
+    return {
+        "confirmed": run.confirmed_s is not None,
+        "reported": run.reported,
+        "starts": run.starts_sent,
+        "age_s": round(since_s, 3),
+        "runs": len(run.worker.runs),
+    }
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -12,7 +12,7 @@
 from toucandoor.core.run_times.learned import LearnedRunTimes
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.activity import Activity
-from toucandoor.core.scheduling.lookups import run_fields
+from toucandoor.core.scheduling.lookups import lost_run_fields, run_fields
 from toucandoor.core.scheduling.queue_order import ExpectedWorkCache, objective_s
 from toucandoor.core.scheduling.relocation import HeldRoom
 from toucandoor.core.scheduling.run_gaps import RunGaps
@@ -365,22 +365,11 @@
         for run in lost:
             self.activity.runs_lost += 1
             _LOGGER.info(
-                "runs: lost with its server", extra=run_fields(run) | self._lost_fields(run)
+                "runs: lost with its server",
+                extra=run_fields(run) | lost_run_fields(run, self.now_s),
             )
             self.discard_run(run, DiscardReason.SERVER_LOST)
 
-    def _lost_fields(self, run: Run) -> dict[str, object]:
-        """Return what tells whether a lost run may have crashed its server."""
-        confirmed = run.confirmed_s is not None
-        since_s = self.now_s - run.confirmed_s if run.confirmed_s is not None else 0.0
-        return {
-            "confirmed": confirmed,
-            "reported": run.reported,
-            "starts": run.starts_sent,
-            "age_s": round(since_s, 3),
-            "runs": len(run.worker.runs),
-        }
-
     def ceiling_of(self, team_id: TeamId) -> Resources | None:
         """Return the most that a team may have running; None for no ceiling."""
         if not team_id or self.configuration is None:
