Stop for held room only where its server may get the task

Found by the review of planned stops.

Room held on a server that was gone for good was kept, so that the pool asked for no further VM and the wave stood still.

Held room is now released, and searched anew, when its server may not get the task; and servers on which a long-running task is about to start are not vacated.

Five of the six tests of test_held_room failed before; the sixth shows that the task moves when nothing happens to the server.

--- a/toucandoor/core/maintenance/job_waves.py
+++ b/toucandoor/core/maintenance/job_waves.py
@@ -11,7 +11,6 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
-from toucandoor.core.jobs.models import NO_RESOURCES
 from toucandoor.core.maintenance.job_wave_models import (
     MaintainVm,
     SaveWaveProgress,
@@ -23,6 +22,7 @@
 from toucandoor.core.maintenance.vacated_servers import (
     blocked_servers,
     has_kind,
+    may_be_vacated,
     servers_to_give_back,
 )
 from toucandoor.core.scheduling.cordons import Cordon, CordonSource
@@ -309,7 +309,7 @@
             vm_id
             for vm_id in remaining
             if vm_id not in wave.vacating_since_s
-            and ((worker := workers.get(vm_id)) is None or worker.held == NO_RESOURCES)
+            and ((worker := workers.get(vm_id)) is None or may_be_vacated(worker))
             and worker not in self._scheduler.planned_stops.needed
         ]
         time_left_s = wave.due_s - END_MARGIN_S - now_s
--- a/toucandoor/core/maintenance/vacated_servers.py
+++ b/toucandoor/core/maintenance/vacated_servers.py
@@ -1,10 +1,12 @@
-"""Servers vacated at the same time whose tasks wait for the same kind of room."""
+"""Which servers waves may vacate, and those whose tasks wait for the same kind of room."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
+from toucandoor.core.jobs.models import NO_RESOURCES
 from toucandoor.core.scheduling.relocation import room_kind
+from toucandoor.core.scheduling.worker_view import RunState
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -15,6 +17,8 @@
     from toucandoor.core.scheduling.worker_view import Run, WorkerView
     from toucandoor.ids import VmId
 
+_NOT_CONFIRMED: Final = (RunState.PLANNED, RunState.STARTING)
+
 
 def blocked_servers(
     vacated: Mapping[VmId, WorkerView], without_room: Mapping[Run, RoomKind]
@@ -44,6 +48,14 @@
     return found
 
 
+def may_be_vacated(worker: WorkerView) -> bool:
+    """Return whether no long-running task is about to start on a server or has room held there."""
+    return worker.held == NO_RESOURCES and not any(
+        run.task.step.long_running and run.state in _NOT_CONFIRMED and not run.stop_requested
+        for run in worker.runs.values()
+    )
+
+
 def has_kind(state: ScheduleState, worker: WorkerView | None, kinds: AbstractSet[RoomKind]) -> bool:
     """Return whether long-running tasks of a server need room of certain kinds.
 
--- a/toucandoor/core/scheduling/planned_stops.py
+++ b/toucandoor/core/scheduling/planned_stops.py
@@ -7,12 +7,19 @@
 from toucandoor.core.scheduling.cordons import CordonSource
 from toucandoor.core.scheduling.lookups import at_full_speed
 from toucandoor.core.scheduling.placement import matching_workers
-from toucandoor.core.scheduling.relocation import RoomKind, RoomSearch, has_room, room_kind
+from toucandoor.core.scheduling.relocation import (
+    RoomKind,
+    RoomSearch,
+    has_room,
+    may_get_tasks,
+    room_kind,
+)
 from toucandoor.core.scheduling.worker_view import Run, RunState
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
+    from toucandoor.core.jobs.models import StepKey
     from toucandoor.core.scheduling.progress import Task
     from toucandoor.core.scheduling.state import ScheduleState
     from toucandoor.core.scheduling.worker_view import WorkerView
@@ -45,6 +52,8 @@
         self._next_plan_s = 0.0
         self._next_later_s = 0.0
         self._kinds: list[RoomKind] = []
+        # Tasks of each step that are not at full speed, as counted in this plan.
+        self._unavailable: dict[StepKey, int] = {}
         self.without_room: dict[Run, RoomKind] = {}
         self.needed: frozenset[WorkerView] = frozenset()
 
@@ -54,9 +63,7 @@
         if now_s < self._next_plan_s:
             return
         self._next_plan_s = now_s + PLAN_INTERVAL_S
-        for run in state.held_room.runs():
-            if not run.stop_requested and not run.worker.leaves:
-                state.held_room.release(run)
+        self._release_held(now_s)
         leaving = [
             worker
             for worker in state.workers.values()
@@ -67,6 +74,7 @@
         self.needed = frozenset()
         if not leaving and not vacated:
             return
+        self._unavailable.clear()
         search = RoomSearch(state, now_s)
         self.needed = frozenset(self._needed(vacated, search, now_s))
         if self._kinds and now_s >= self._next_later_s:
@@ -80,10 +88,20 @@
                 if not run.task.step.long_running or run.stop_requested:
                     continue
                 if _must_stop(worker, now_s):
-                    state.request_stop(run)
+                    self._stop(run)
                 elif stops < STOPS_MAX and self._may_leave(run):
                     stops += self._leave(run, search, now_s, known=run in before)
 
+    def _release_held(self, now_s: float) -> None:
+        """Release room that is not needed any more or can't be had, unless a stop counts on it."""
+        held = self._state.held_room
+        for run in held.runs():
+            target = held.target(run)
+            if run.stop_requested or target is None:
+                continue
+            if not run.worker.leaves or not may_get_tasks(self._state, target, now_s):
+                held.release(run)
+
     def _may_leave(self, run: Run) -> bool:
         """Return whether a run may be stopped once there is room for its task.
 
@@ -99,9 +117,16 @@
         allowed = task.step.unavailable_max
         if allowed is None:
             return True
-        others = self._state.step_of(task).tasks
-        unavailable = sum(other is not task and not at_full_speed(other) for other in others)
-        return unavailable + 1 <= allowed
+        key = task.key.step_key
+        if key not in self._unavailable:
+            tasks = self._state.step_of(task).tasks
+            self._unavailable[key] = sum(not at_full_speed(each) for each in tasks)
+        others = self._unavailable[key] - (not at_full_speed(task))
+        return others + 1 <= allowed
+
+    def _stop(self, run: Run) -> None:
+        self._state.request_stop(run)
+        self._unavailable.pop(run.task.key.step_key, None)
 
     def _leave(self, run: Run, search: RoomSearch, now_s: float, *, known: bool) -> int:
         """Stop a run, or its whole gang, if there is room; return the number of stops.
@@ -116,7 +141,7 @@
         if run.task.step.gang:
             gang = search.hold_for_gang(state.step_of(run.task))
             for each in gang:
-                state.request_stop(each)
+                self._stop(each)
             if not gang:
                 self.without_room[run] = room_kind(state, run.task)
             return len(gang)
@@ -128,7 +153,7 @@
                     self._await_room(run, search, known=known)
                 return 0
             state.held_room.hold(run, free)
-        state.request_stop(run)
+        self._stop(run)
         return 1
 
     def _await_room(self, run: Run, search: RoomSearch, *, known: bool) -> None:
--- a/toucandoor/core/scheduling/relocation.py
+++ b/toucandoor/core/scheduling/relocation.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, TypeAlias
 
+from toucandoor.core.failure_domains.models import SLOW_RATIO
 from toucandoor.core.jobs.models import NO_RESOURCES
 from toucandoor.core.scheduling.placement import (
     choose_worker,
@@ -74,9 +75,10 @@
             target.release(run.task.step.reserved)
 
     def release_unneeded(self) -> None:
-        """Release the room of runs that have ended, and on servers that leave themselves."""
+        """Release the room of runs that have ended, and on servers that leave or are gone."""
         for run, target in list(self._targets.items()):
-            if run.key not in run.worker.runs or target.ended or target.leaves:
+            gone = target.ended or target.leaves or not target.listed
+            if gone or run.key not in run.worker.runs:
                 self.release(run)
 
 
@@ -222,3 +224,11 @@
 def has_room(target: WorkerView, now_s: float) -> bool:
     """Return whether all capacity that is held on a server is free now."""
     return target.usable(now_s) and NO_RESOURCES.fits_in(target.free)
+
+
+def may_get_tasks(state: ScheduleState, target: WorkerView, now_s: float) -> bool:
+    """Return whether a server with held room may still get the tasks that it is held for."""
+    domains = state.failure_domains
+    if not target.usable(now_s) or target.isolated_runs or domains.suspects(target):
+        return False
+    return not target.runs or domains.slowness(target) <= SLOW_RATIO
