--- a/tests/core/scheduling/test_former_runs.py
+++ b/tests/core/scheduling/test_former_runs.py
@@ -186,7 +186,7 @@
         [planned] = [run for run in view.runs.values() if run.key.task == TASKS[1]]
         self.assertTrue(planned.settled)
 
-    # Guards against a wait for a whole lease, long after an owner that changed soon after the start.
+    # Guards against a wait for a whole lease long after an owner that changed soon after a start.
     def test_a_run_that_was_young_at_a_change_of_owner_becomes_settled(self) -> None:
         self.fleet.submit(JOB)
         self.fleet.run(0.4)
