--- a/tests/core/scheduling/test_held_room.py
+++ b/tests/core/scheduling/test_held_room.py
@@ -13,7 +13,7 @@
     job,
 )
 from tests.core.scheduling.test_planned_stops import LONG_JOB, MOVE_S, behave
-from toucandoor.core.jobs.models import Resources, Step, TaskKey
+from toucandoor.core.jobs.models import NO_RESOURCES, Resources, Step, TaskKey
 from toucandoor.core.scheduling.worker_view import WorkerView
 from toucandoor.fakes import virtual_calls
 from toucandoor.fakes.virtual_fleet import VirtualFleet
@@ -37,6 +37,7 @@
     submit_lasting = planned.PlannedStopsTest.submit_lasting
     longest_gap_s = planned.PlannedStopsTest.longest_gap_s
     place_of = planned.PlannedStopsTest.place_of
+    drain = planned.PlannedStopsTest.drain
 
     def setUp(self) -> None:
         self.fleet = VirtualFleet(configuration(), behave_six)
@@ -48,8 +49,12 @@
 class HeldRoomTest(FullPool):
     """A task of a server that a wave vacates waits for room on a server that is full so far."""
 
-    def hold_later_room(self) -> WorkerView:
-        """Hold room on w1, which runs a task of 20 s and one of 6 s, for the task on w0."""
+    def hold_later_room(self, *, draining: bool = False) -> WorkerView:
+        """Hold room on w1, which runs a task of 20 s and one of 6 s, for the task on w0.
+
+        Args:
+            draining: Whether w0 drains; otherwise a wave vacates it.
+        """
         self.boot(0)
         self.submit_lasting(1, CAPACITY.cpu_millicores // 2)
         needs = Resources(CAPACITY.cpu_millicores * 3 // 8, NEEDS.memory_mb, 0)
@@ -59,7 +64,10 @@
         self.fleet.submit(job(LONG_JOB + 1, Step(1, needs, 20_000)))
         self.fleet.submit(job(SIX_S_JOB, Step(1, needs, 6_000)))
         self.fleet.run(0.5)
-        self.waves.order([VmId("m0")], within_s=6.0, down_max=1)
+        if draining:
+            self.drain(0, remaining_ms=60_000)
+        else:
+            self.waves.order([VmId("m0")], within_s=6.0, down_max=1)
         self.fleet.run(2.0)
         held = self.fleet.scheduler.state.held_room
         [run] = held.runs()
@@ -74,6 +82,14 @@
         self.assertLess(self.longest_gap_s(12.0), MOVE_S)
         self.assertEqual(self.place_of(self.tasks[0]), "w1")
 
+    # Guards against capacity that nobody gets, as the server with the task stays after all.
+    def test_held_room_is_released_where_the_server_does_not_leave(self) -> None:
+        target = self.hold_later_room(draining=True)
+        self.assertNotEqual(target.held, NO_RESOURCES)
+        self.fleet.scheduler.worker_listed(self.fleet.workers[WorkerId("w0")].entry)
+        self.fleet.run(1.0)
+        self.assertEqual(target.held, NO_RESOURCES)
+
     # Guards against a stop for room on a server that gets one task at a time.
     def test_no_stop_for_room_on_a_server_that_has_become_slow(self) -> None:
         target = self.hold_later_room()
