Review case 7: a job is said not to exist once its queue has another name

Cause: a job counts as not existing if the route that its path selects has another name than when the job was accepted. Change: the case as a script, with its claim (LOST).

--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -1,4 +1,4 @@
-"""The only worker for a work item crashes three times; the job is shown as failed."""
+"""A version removes a route and adds one with the same prefix: its jobs are said not to exist."""
 
 from __future__ import annotations
 
@@ -10,40 +10,47 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
-from case import Case, NotRunError, configuration, run_case, worker_entry  # noqa: E402
+from case import VISIBLE_S, Case, NotRunError, configuration, run_case, worker_entry  # noqa: E402
 
-JOB = "00000000000000a1"
-CRASHES = 3
-DOWN_S = 1.5
-RUN_S = 2.5
+LASTING = "00000000000000a1"
+ENDING = "00000000000000a2"
+CONFIG_APPLY_S = 2.0
+CANCEL_S = 3.0
+KILL_TIMEOUT_S = 0.2
 
 
 def body(case: Case) -> list[str]:
-    """Crash the worker 1 s after each start, then let it run in peace."""
-    workers = [worker_entry(8000, "gpu", "r1-1")]
-    workers += [worker_entry(8000, "plain", f"r1-{2 + number // 2}") for number in range(6)]
-    case.start(workers, configuration())
-    worker = case.workers[0]
-    phases = [
-        {"count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 2500, "constraints": "gpu"}
-    ]
-    if not case.submit(JOB, phases, run_s=RUN_S, cpu=1000):
-        raise NotRunError("acceptance of the job")
-    for _ in range(CRASHES if case.trouble else 0):
-        case.wait_for(lambda: worker.now is not None and bool(worker.now.runs), 20, "a start")
-        time.sleep(1.0)
-        case.loop.run(worker.crash())
-        time.sleep(DOWN_S)
-        case.loop.run(worker.boot())
-    until_s = case.now_s() + 20
-    states: list[str] = []
-    while case.now_s() < until_s and (not states or states[-1] not in ("completed", "failed")):
-        time.sleep(0.5)
-        states.append(case.state(JOB))
-    failed = case.found("run ends", how="failed")
+    """Rename the route of two running jobs, ask for them, and cancel one."""
+    case.start([worker_entry() for _ in range(2)], configuration())
+    step: dict[str, Any] = {"count": 2, "cpu": 1000, "mem_mb": 64, "estimate_ms": 6000}
+    if not case.submit(LASTING, [step | {"long_running": True}], cpu=1000):
+        raise NotRunError("acceptance of the job that lasts")
+    if not case.submit(ENDING, [step], run_s=6.0, cpu=1000):
+        raise NotRunError("acceptance of the job that ends")
+    time.sleep(2.0)
+    if case.trouble:
+        changed = configuration(2)
+        changed["routes"][0]["name"] = "club-rosters"
+        case.loop.call(case.store.put, "op/config", changed)
+        case.log("version 2 is confirmed: one route less, one more with its host and prefix")
+    time.sleep(CONFIG_APPLY_S + VISIBLE_S)
     broken = []
-    if states[-1] == "failed" and not failed:
-        broken.append("the job is shown as failed, and no run of it has ended failed")
+    for node in range(2):
+        for job_id in (LASTING, ENDING):
+            status, _ = case.call("GET", job_id, node=node)
+            if status == 410:
+                broken.append(f"GET {job_id} at node-{node}: 410")
+    status, _ = case.call("DELETE", LASTING)
+    cancelled_s = case.now_s()
+    time.sleep(CANCEL_S + KILL_TIMEOUT_S + 1.0)
+    running = sorted(
+        task
+        for worker in case.workers
+        if worker.now is not None
+        for task in worker.now.runs
+        if task.startswith(LASTING)
+    )
+    case.log("after the DELETE", status=status, cancelled_s=cancelled_s, running=running)
     return broken
 
 
