--- a/review/standins-2/loop_http.py
+++ b/review/standins-2/loop_http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import threading
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -14,6 +15,9 @@
 
 REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 412: "Precondition Failed"}
 
+FILLING_CONNECTIONS = 4
+"""Connections that fill the queue of a socket which holds one."""
+
 
 class NoAnswerError(Exception):
     """The connection is kept open, and nothing more is answered on it."""
@@ -65,6 +69,7 @@
         self._answer = answer
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._full: list[socket.socket] = []
 
     async def up(self) -> None:
         """Listen."""
@@ -74,6 +79,30 @@
 
     async def down(self) -> None:
         """Stop listening and reset all connections."""
+        self._close()
+
+    def stop_accepting(self) -> None:
+        """Close all connections, and let new ones wait: the opening packets are dropped."""
+        for writer in self._writers:
+            writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+        self._close()
+        self._full = [socket.socket()]
+        self._full[0].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._full[0].bind((self._host, self._port))
+        self._full[0].listen(0)
+        for _ in range(FILLING_CONNECTIONS):
+            filling = socket.socket()
+            filling.setblocking(False)
+            filling.connect_ex((self._host, self._port))
+            self._full.append(filling)
+
+    async def accept_again(self) -> None:
+        """Accept connections after `stop_accepting`."""
+        for each in self._full:
+            each.close()
+        await self.up()
+
+    def _close(self) -> None:
         if self._server is not None:
             self._server.close()
             self._server = None
--- a/review/standins-2/workers.py
+++ b/review/standins-2/workers.py
@@ -281,6 +281,13 @@
         if call.path == "/-/machines":
             return 200, {"machines": [self._shown(each) for each in self.workers]}
         machine = call.body["machine"]
+        self._log(
+            "order for a machine",
+            path=call.path,
+            machine=machine,
+            holder=call.headers.get("x-toucandoor-lease-holder"),
+            token=int(call.headers.get("x-toucandoor-fencing-token", "0")),
+        )
         if call.path == "/-/machine-upkeep":
             wave = int(call.body["rollout_wave"])
             if machine not in self.workers:
