--- a/review/standins-2/case.py
+++ b/review/standins-2/case.py
@@ -381,7 +381,8 @@
         case.log("verdict", broken=broken)
     finally:
         case.stop()
-    print({EXIT_HELD: "held", EXIT_BROKEN: "broken", EXIT_NOT_RUN: "not run"}[code], flush=True)
+    outcome = {EXIT_HELD: "held", EXIT_BROKEN: "broken", EXIT_NOT_RUN: "not run"}[code]
+    sys.stdout.write(outcome + "\n")
     sys.stdout.flush()
     os._exit(code)
 
--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -153,9 +153,11 @@
         while True:
             changed = self._changed
             events = [
-                {"key": key, "revision": revision, "deleted": True}
-                if item is None
-                else _shown(key, item)
+                (
+                    {"key": key, "revision": revision, "deleted": True}
+                    if item is None
+                    else _shown(key, item)
+                )
                 for revision, key, item in self._history
                 if revision > after and key.startswith(prefix)
             ]
--- a/review/standins-2/workers.py
+++ b/review/standins-2/workers.py
@@ -55,7 +55,6 @@
 
     Attributes:
         log: Called with each event on the worker and its fields.
-        reject: Returns the refusal of a start; None to take it.
     """
 
     def __init__(
@@ -157,17 +156,10 @@
         boot.number += 1
         boot.ended.append([boot.number, run.task, run.attempt, how, ""])
         boot.highest[run.task] = max(boot.highest.get(run.task, 0), run.attempt)
-        self.log(
-            "run ends", worker=self.worker_id, task=run.task, attempt=run.attempt, how=how
-        )
+        self.log("run ends", worker=self.worker_id, task=run.task, attempt=run.attempt, how=how)
         seen, self._seen = self._seen, asyncio.Event()
         seen.set()
 
-    def kill_all(self, how: str) -> None:
-        """End all runs at once."""
-        for run in list(self.now.runs.values()) if self.now else []:
-            self._end(run, how)
-
     async def _answer(self, call: Call) -> tuple[int, Any]:
         boot = self.now
         name = call.path.removeprefix("/-/")
