Identify queues by address and teams by key, not by names that change

Cause: names served as identity beyond one version. JobApi compared the name stored at acceptance with the name that the path selects now. The same held for counts of waiting jobs, terms, learned run times, uses under a team's ceiling, rates and shares.

Change: a job stores the address that accepted it and a digest of its key; progress and counts have the address. The owner translates each version, and each job that it loads, into ids that stay for its term; names stand in what it stores and measures, so that nodes of the build before read the records. Records of that build get their address when an owner of this one has read them; for that the configuration is applied before the load.

--- a/tests/adapters/test_owner_task.py
+++ b/tests/adapters/test_owner_task.py
@@ -211,7 +211,7 @@
         store_value_bytes_max=1024 * 1024,
         switched_off=frozenset(),
     )
-    watch = mock.Mock(waves={}, evacuations=None)
+    watch = mock.Mock(waves={}, evacuations=None, current=configuration())
     watch.add_listener.side_effect = lambda listener: listener(configuration())
     vms = mock.Mock()
     vms.list.return_value = ()
--- a/tests/adapters/test_relay_service.py
+++ b/tests/adapters/test_relay_service.py
@@ -9,7 +9,13 @@
 import msgspec
 
 from tests.core.scheduling.common import QUEUE, TEAM, configuration, job
-from toucandoor.adapters.job_service import JobService, JobStatus, StoreJobService, WriteOutcome
+from toucandoor.adapters.job_service import (
+    NO_ADDRESS,
+    JobService,
+    JobStatus,
+    StoreJobService,
+    WriteOutcome,
+)
 from toucandoor.adapters.peers import Peer, PeerError, PeerNotReachedError
 from toucandoor.adapters.relay_service import PeerRequestHandler, RelayJobService
 from toucandoor.clock import ManualClock
@@ -22,7 +28,7 @@
     ToucandoorError,
 )
 from toucandoor.fakes.virtual_platform import VirtualRecords
-from toucandoor.ids import DataCentreId, EntryId, JobId, QueueId
+from toucandoor.ids import DataCentreId, EntryId, JobId, QueueAddress, QueueId
 from toucandoor.node_messages import (
     AskConfiguration,
     Configuration,
@@ -57,7 +63,7 @@
             raise self.error
         return JobStatus(QUEUE, TEAM, JobState.RUNNING)
 
-    def pending(self, queue: QueueId) -> int:
+    def pending(self, queue: QueueId, address: QueueAddress = NO_ADDRESS) -> int:
         if self.error is not None:
             raise self.error
         return 3
--- a/tests/core/jobs/test_records.py
+++ b/tests/core/jobs/test_records.py
@@ -6,8 +6,18 @@
 
 import msgspec
 
-from toucandoor.core.jobs.records import RunRecord
-from toucandoor.ids import VmId, WorkerId
+from tests.core.scheduling.common import job
+from toucandoor.core.jobs.models import JobState
+from toucandoor.core.jobs.records import (
+    PendingRecord,
+    ProgressRecord,
+    RunRecord,
+    decode_job,
+    decode_pending,
+    decode_progress,
+    encode,
+)
+from toucandoor.ids import QueueAddress, QueueId, TeamId, VmId, WorkerId
 
 
 class FormerRunRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -18,6 +28,46 @@
     worker_booted_unix_ms: int
 
 
+class FormerProgressRecord(msgspec.Struct, frozen=True):
+    """Progress as versions before `ProgressRecord.address` read it."""
+
+    state: str
+    queue: str
+    team: str
+
+
+class FormerPendingRecord(msgspec.Struct, frozen=True):
+    """Waiting jobs as versions before `PendingRecord.by_address` write and read them."""
+
+    by_queue: dict[str, int]
+
+
+class AddressTest(unittest.TestCase):
+    """Nodes of two versions serve callers side by side during an upgrade."""
+
+    def test_the_former_version_reads_names(self) -> None:
+        progress = ProgressRecord(
+            JobState.RUNNING, QueueId("q"), TeamId("t"), address=QueueAddress("h/q/")
+        )
+        self.assertEqual(
+            msgspec.json.decode(encode(progress), type=FormerProgressRecord),
+            FormerProgressRecord("running", "q", "t"),
+        )
+        pending = PendingRecord({QueueId("q"): 2}, {QueueAddress("h/q/"): 2})
+        self.assertEqual(
+            msgspec.json.decode(encode(pending), type=FormerPendingRecord).by_queue, {"q": 2}
+        )
+
+    def test_records_of_the_former_version_have_no_address(self) -> None:
+        value = msgspec.json.encode(FormerProgressRecord("running", "q", "t"))
+        self.assertEqual(decode_progress(value).address, "")
+        value = msgspec.json.encode(FormerPendingRecord({"q": 2}))
+        self.assertEqual(decode_pending(value), PendingRecord({QueueId("q"): 2}))
+        spec = msgspec.json.decode(encode(job(1)))
+        self.assertEqual({"address", "key_digest"} & spec.keys(), set())
+        self.assertEqual(decode_job(msgspec.json.encode(spec)), job(1))
+
+
 class RunRecordTest(unittest.TestCase):
     """Owners of two versions take turns during an upgrade or a rollback."""
 
--- a/tests/core/scheduling/common.py
+++ b/tests/core/scheduling/common.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from toucandoor.core.jobs.configuration import JobConfiguration, JobPool, JobQueue, JobTeam
 from toucandoor.core.jobs.models import NO_RESOURCES, JobSpec, Resources, Step, TaskKey
@@ -56,7 +56,7 @@
 def fleet(
     workers: int = 3,
     behaviour: Callable[[TaskKey, WorkerId], TaskBehaviour] | None = None,
-    **options: int,
+    **options: Any,
 ) -> VirtualFleet:
     """Return a fleet with one pool and an owner of the schedule.
 
--- a/toucandoor/adapters/job_callers.py
+++ b/toucandoor/adapters/job_callers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Final, TypeVar
+from typing import TYPE_CHECKING, Final, NamedTuple, TypeVar
 
 import msgspec
 
@@ -11,6 +11,7 @@
 from toucandoor.adapters.job_service import WriteOutcome
 from toucandoor.adapters.wsgi import respond, respond_json
 from toucandoor.core.admission.submission import AcceptAll
+from toucandoor.core.jobs.configuration import NO_KEY, key_digest
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.jobs.records import encode
 from toucandoor.core.overload.outages import StoreOutages
@@ -29,7 +30,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from toucandoor.adapters.job_service import JobService
+    from toucandoor.adapters.job_service import JobService, JobStatus
     from toucandoor.adapters.node_metrics import NodeMetrics
     from toucandoor.adapters.wsgi import Environ, StartResponse
     from toucandoor.clock import Clock
@@ -75,6 +76,24 @@
     outcome: str = "ok"
 
 
+class _AskedQueue(NamedTuple):
+    """Queue that a caller asks, by the configuration in force.
+
+    Attributes:
+        configuration: The configuration.
+        queue: The queue.
+        host: Host that the caller has named.
+    """
+
+    configuration: JobConfiguration
+    queue: JobQueue
+    host: str
+
+    def has(self, status: JobStatus) -> bool:
+        """Return whether a job is of this queue, whatever name the queue had before."""
+        return self.configuration.owns_job(self.queue, self.host, status.address, status.queue)
+
+
 class JobApi:
     """WSGI application to submit, query and cancel jobs.
 
@@ -157,10 +176,12 @@
         job_part = path.removeprefix(queue.path_prefix)
         if not job_part and method == "GET":
             labels.kind = CallKind.WAITING_JOBS
-            return encode_pending(self._read_store(lambda: self._jobs.pending(queue.name)))
+            count = self._read_store(lambda: self._jobs.pending(queue.name, queue.address))
+            return encode_pending(count)
         if not is_job_id(job_part):
             raise _HttpError(400, "the path ends in no job id")
         job_id = JobId(job_part)
+        asked = _AskedQueue(configuration, queue, host)
         wait_s = _caller_timeout_s(environ) - ANSWER_MARGIN_S
         until_s = self._clock.monotonic_s() + wait_s
         if method == "POST":
@@ -168,17 +189,16 @@
             return self._submit(environ, configuration, queue, team, job_id, until_s)
         if method == "GET":
             labels.kind = CallKind.STATE
-            return self._job_state(queue, job_id, labels)
+            return self._job_state(asked, job_id, labels)
         if method == "DELETE":
             labels.kind = CallKind.CANCELLATION
-            return self._cancel(queue, job_id, until_s)
+            return self._cancel(asked, job_id, until_s)
         raise _HttpError(405, "no such method")
 
     def _authenticate(
         self, environ: Environ, configuration: JobConfiguration, queue: JobQueue
     ) -> TeamId:
-        key = bearer_key(str(environ.get("HTTP_AUTHORIZATION", "")))
-        team = configuration.team_of(key)
+        team = configuration.team_of(_caller_key(environ))
         if team is None and not queue.public:
             raise _HttpError(401, "unknown key")
         return team or TeamId("")
@@ -198,7 +218,8 @@
         body = environ["wsgi.input"].read(length)
         accepted_unix_ms = int(self._clock.now().timestamp() * 1000)
         try:
-            spec = decode_job_body(body, job_id, queue, team, accepted_unix_ms)
+            digest = key_digest(_caller_key(environ)) if team else NO_KEY
+            spec = decode_job_body(body, job_id, queue, team, accepted_unix_ms, digest)
         except InvalidJobError as fault:
             raise _HttpError(400, fault.reason) from fault
         large = RECORD_TO_BODY_RATIO * length > self._value_bytes_max
@@ -238,28 +259,43 @@
             self._metrics.record_refusal(spec.queue, spec.team, rejection.status, rejection.reason)
             raise _HttpError(rejection.status, rejection.reason, rejection.retry_after_s)
 
-    def _job_state(self, queue: JobQueue, job_id: JobId, labels: _CallLabels) -> bytes:
+    def _job_of_queue(self, asked: _AskedQueue, job_id: JobId) -> JobStatus:
+        """Return the status of a job of the queue that the caller asks."""
         status = self._read_store(lambda: self._jobs.status(job_id), job_id)
-        if status is None or status.queue != queue.name:
+        if status is None:
             raise _HttpError(410, "no such job")
+        if not asked.has(status):
+            _LOGGER.info(
+                "callers: the job is of another queue",
+                extra={
+                    "job": job_id,
+                    "queue": asked.queue.name,
+                    "address": asked.queue.address,
+                    "job_queue": status.queue,
+                    "job_address": status.address,
+                },
+            )
+            raise _HttpError(410, "no such job")
+        return status
+
+    def _job_state(self, asked: _AskedQueue, job_id: JobId, labels: _CallLabels) -> bytes:
+        status = self._job_of_queue(asked, job_id)
         labels.outcome = status.state.value
         if status.state in (JobState.FAILED, JobState.CANCELLED):
             _LOGGER.info(
                 "callers: a job is shown as %s",
                 status.state.value,
-                extra={"job": job_id, "queue": queue.name, "team": labels.team},
+                extra={"job": job_id, "queue": asked.queue.name, "team": labels.team},
             )
         return encode_state(status.state)
 
-    def _cancel(self, queue: JobQueue, job_id: JobId, until_s: float) -> bytes:
-        status = self._read_store(lambda: self._jobs.status(job_id), job_id)
-        if status is None or status.queue != queue.name:
-            raise _HttpError(410, "no such job")
+    def _cancel(self, asked: _AskedQueue, job_id: JobId, until_s: float) -> bytes:
+        self._job_of_queue(asked, job_id)
         outcome = self._jobs.cancel(job_id, until_s)
         _LOGGER.info(
             "callers: cancellation of a job: %s",
             outcome.value,
-            extra={"job": job_id, "queue": queue.name},
+            extra={"job": job_id, "queue": asked.queue.name},
         )
         self._check_outcome(outcome, job_id)
         return b"{}"
@@ -284,6 +320,10 @@
         return self._outages.retry_after_s(self._clock.monotonic_s(), job_id)
 
 
+def _caller_key(environ: Environ) -> str:
+    return bearer_key(str(environ.get("HTTP_AUTHORIZATION", "")))
+
+
 def _caller_timeout_s(environ: Environ) -> float:
     try:
         return float(environ[DEADLINE_HEADER]) / 1000
--- a/toucandoor/adapters/job_service.py
+++ b/toucandoor/adapters/job_service.py
@@ -15,6 +15,7 @@
 from toucandoor.core.jobs.records import (
     PENDING_KEY,
     CancelRecord,
+    PendingRecord,
     cancel_key,
     decode_job,
     decode_pending,
@@ -25,6 +26,7 @@
 )
 from toucandoor.core.records import Transaction, TransactionConflictError
 from toucandoor.exceptions import StoreAnswerLostError, StoreError, StoreUnavailableError
+from toucandoor.ids import QueueAddress
 
 if TYPE_CHECKING:
     from toucandoor.clock import Clock
@@ -39,6 +41,8 @@
 PENDING_CACHE_S: Final = 0.3
 """Time for which the counts of waiting jobs are cached; callers may get counts up to two
 seconds old."""
+NO_PENDING: Final = PendingRecord({}, {})
+NO_ADDRESS: Final = QueueAddress("")
 
 
 class WriteOutcome(Enum):
@@ -58,11 +62,13 @@
         queue: Queue to which it was submitted.
         team: Team that submitted it.
         state: Its present state.
+        address: Address of the queue; empty if an older build has stored the job.
     """
 
     queue: QueueId
     team: TeamId
     state: JobState
+    address: QueueAddress = QueueAddress("")
 
 
 class JobService(ABC):
@@ -90,9 +96,13 @@
         """
 
     @abstractmethod
-    def pending(self, queue: QueueId) -> int:
+    def pending(self, queue: QueueId, address: QueueAddress = NO_ADDRESS) -> int:
         """Return how many jobs of a queue have no started task.
 
+        Args:
+            queue: Name of the queue.
+            address: Its address; empty in questions of older builds.
+
         Raises:
             ToucandoorError: Neither the store nor a peer answered.
         """
@@ -104,7 +114,7 @@
     def __init__(self, store: RecordStore, clock: Clock) -> None:
         self._store = store
         self._clock = clock
-        self._pending: dict[QueueId, int] = {}
+        self._pending = NO_PENDING
         self._pending_until_s = 0.0
 
     def submit(self, spec: JobSpec, until_s: float) -> WriteOutcome:
@@ -130,23 +140,26 @@
             # It may have begun and ended between the two reads.
             return self._status_by_progress(job_id)
         spec = decode_job(job.value)
-        return JobStatus(spec.queue, spec.team, JobState.QUEUED)
+        return JobStatus(spec.queue, spec.team, JobState.QUEUED, spec.address)
 
     def _status_by_progress(self, job_id: JobId) -> JobStatus | None:
         progress = self._store.read(progress_key(job_id))
         if progress is None:
             return None
         record = decode_progress(progress.value)
-        return JobStatus(record.queue, record.team, record.state)
+        return JobStatus(record.queue, record.team, record.state, record.address)
 
-    def pending(self, queue: QueueId) -> int:
+    def pending(self, queue: QueueId, address: QueueAddress = NO_ADDRESS) -> int:
         """Return how many jobs of a queue have no started task."""
         now_s = self._clock.monotonic_s()
         if now_s >= self._pending_until_s:
             record = self._store.read(PENDING_KEY)
             self._pending = _pending_counts(record)
             self._pending_until_s = now_s + PENDING_CACHE_S
-        return self._pending.get(queue, 0)
+        counts = self._pending
+        if address and counts.by_address is not None:
+            return counts.by_address.get(address, 0)
+        return counts.by_queue.get(queue, 0)
 
     def _create(self, transaction: Transaction, key: str, until_s: float) -> WriteOutcome:
         """Create a record; repeat the write after a lost answer, until its outcome is known."""
@@ -174,11 +187,11 @@
             time.sleep(RETRY_PAUSE_S)
 
 
-def _pending_counts(record: Record | None) -> dict[QueueId, int]:
+def _pending_counts(record: Record | None) -> PendingRecord:
     if record is None:
-        return {}
+        return NO_PENDING
     try:
-        return decode_pending(record.value).by_queue
+        return decode_pending(record.value)
     except msgspec.MsgspecError as err:
         _LOGGER.error("submissions: the record of waiting jobs cannot be decoded: %s", err)
-        return {}
+        return NO_PENDING
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -126,6 +126,10 @@
         """Load the records and run until the ownership is lost or released."""
         dependencies = self._dependencies
         self._start_thread(self._renew, "renewals")
+        configuration = dependencies.configuration.current
+        if configuration is not None:
+            # It identifies the queues and teams of the records that are loaded.
+            self._scheduler.set_configuration(configuration)
         dependencies.configuration.add_listener(self._on_configuration)
         try:
             revisions = self._intake.load()
--- a/toucandoor/adapters/relay_service.py
+++ b/toucandoor/adapters/relay_service.py
@@ -6,7 +6,7 @@
 import zlib
 from typing import TYPE_CHECKING, Final
 
-from toucandoor.adapters.job_service import JobService, JobStatus, WriteOutcome
+from toucandoor.adapters.job_service import NO_ADDRESS, JobService, JobStatus, WriteOutcome
 from toucandoor.adapters.peers import PeerError, PeerNotReachedError, call_peer
 from toucandoor.core.jobs.models import JobState
 from toucandoor.core.jobs.records import decode_job, encode
@@ -33,7 +33,7 @@
     from toucandoor.clock import Clock
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.jobs.models import JobSpec
-    from toucandoor.ids import JobId
+    from toucandoor.ids import JobId, QueueAddress
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -103,16 +103,16 @@
             raise MessageError("not a status", step="peers.status")
         if not answer.state:
             return None
-        return JobStatus(answer.queue, answer.team, JobState(answer.state))
+        return JobStatus(answer.queue, answer.team, JobState(answer.state), answer.address)
 
-    def pending(self, queue: QueueId) -> int:
+    def pending(self, queue: QueueId, address: QueueAddress = NO_ADDRESS) -> int:
         """Return how many jobs of a queue have no started task."""
         try:
             if self._store_reachable():
-                return self._own.pending(queue)
-            answer = self._query_peers(AskPending(queue), _STORE_UNREACHABLE)
+                return self._own.pending(queue, address)
+            answer = self._query_peers(AskPending(queue, address), _STORE_UNREACHABLE)
         except StoreError as err:
-            answer = self._query_peers(AskPending(queue), err)
+            answer = self._query_peers(AskPending(queue, address), err)
         if not isinstance(answer, Pending):
             raise MessageError("not a count", step="peers.pending")
         return answer.count
@@ -227,9 +227,9 @@
             status = self._own.status(message.job_id)
             if status is None:
                 return _UNKNOWN_JOB
-            return Status(status.queue, status.team, status.state.value)
+            return Status(status.queue, status.team, status.state.value, status.address)
         if isinstance(message, AskPending):
-            return Pending(self._own.pending(message.queue))
+            return Pending(self._own.pending(message.queue, message.address))
         return Failed("not a question")
 
     def _compressed(self, configuration: JobConfiguration) -> bytes:
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -63,10 +64,12 @@
     def _record_finished_jobs(self) -> None:
         now_s = self._dependencies.clock.monotonic_s()
         for job in self._scheduler.pop_finished():
-            spec = job.spec
-            job_class = "patient" if spec.long_running else "urgent"
+            identities = self._scheduler.state.identities
+            queue = identities.queue_name(job.spec.queue)
+            team = identities.team_name(job.spec.team)
+            job_class = "patient" if job.spec.long_running else "urgent"
             self._dependencies.metrics.record_job(
-                spec.queue, spec.team, job_class, job.state.value, now_s - job.arrived_s
+                queue, team, job_class, job.state.value, now_s - job.arrived_s
             )
 
     def _log_load(self) -> None:
@@ -74,7 +77,9 @@
             self._dependencies.metrics.set_pool_load(load)
             _LOGGER.info("schedule: load", extra=load.log_fields())
         run_times = self._scheduler.run_times
+        identities = self._scheduler.state.identities
         for ratio in run_times.queue_ratios():
+            ratio = ratio._replace(queue=identities.queue_name(ratio.queue))
             self._dependencies.metrics.set_run_time_ratio(ratio)
             _LOGGER.info(
                 "schedule: run times",
@@ -105,8 +110,9 @@
 
     def _record_teams(self) -> None:
         metrics = self._dependencies.metrics
+        identities = self._scheduler.state.identities
         for figures in self._scheduler.team_figures():
-            metrics.set_team(figures)
+            metrics.set_team(replace(figures, team=identities.team_name(figures.team)))
         metrics.set_invalid_weights(self._scheduler.invalid_weights)
 
     def _set_failure_domains(self) -> None:
--- a/toucandoor/core/jobs/configuration.py
+++ b/toucandoor/core/jobs/configuration.py
@@ -6,10 +6,15 @@
 from functools import cached_property
 
 from toucandoor.core.jobs.models import NO_RESOURCES, QueueTerms, Resources
-from toucandoor.ids import ConfigVersion, PoolId, QueueId, TeamId
+from toucandoor.core.keys import secret_digest
+from toucandoor.ids import ConfigVersion, KeyDigest, PoolId, QueueAddress, QueueId, TeamId
 
 DEFAULT_BODY_BYTES_MAX = 262144
 """Largest accepted request body if the configuration gives no limit."""
+KEY_DIGEST_CHARS = 16
+"""Length of a key's digest in the records of jobs."""
+NO_KEY = KeyDigest("")
+"""Digest of a caller's key that sends none."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +60,11 @@
     target_duration_s: float
     adviser: AdviserTimes | None = None
 
+    @property
+    def address(self) -> QueueAddress:
+        """Address by which callers reach it."""
+        return queue_address(self.host, self.path_prefix)
+
     @property
     def terms(self) -> QueueTerms:
         """Terms for a job that is accepted now."""
@@ -67,6 +77,16 @@
         )
 
 
+def queue_address(host: str, path_prefix: str) -> QueueAddress:
+    """Return the address of a queue; the host is empty for any."""
+    return QueueAddress(host + path_prefix)
+
+
+def key_digest(key: str) -> KeyDigest:
+    """Return the digest of an API key for records; empty for no key."""
+    return KeyDigest(secret_digest(key)[:KEY_DIGEST_CHARS]) if key else NO_KEY
+
+
 @dataclass(frozen=True, slots=True)
 class JobPool:
     """A pool of VMs that serve the same queues.
@@ -100,6 +120,11 @@
     jobs_per_s: float
     ceiling: Resources = NO_RESOURCES
 
+    @property
+    def key_digests(self) -> frozenset[KeyDigest]:
+        """Digests of its keys."""
+        return frozenset(map(key_digest, self.keys))
+
 
 @dataclass(frozen=True)
 class JobConfiguration:
@@ -112,6 +137,8 @@
         teams: Teams by name.
         body_bytes_max: Largest accepted request body, in bytes.
         source: Encoded record from which this version was decoded.
+        names_since: Newest version, up to this one, that gave a name to another queue or team than
+            the version before; 0 if none is known.
     """
 
     version: ConfigVersion
@@ -120,6 +147,7 @@
     teams: dict[TeamId, JobTeam]
     body_bytes_max: int = DEFAULT_BODY_BYTES_MAX
     source: bytes = field(default=b"", repr=False, compare=False)
+    names_since: ConfigVersion = field(default=ConfigVersion(0), compare=False)
 
     @cached_property
     def _team_by_key(self) -> dict[str, TeamId]:
@@ -129,6 +157,37 @@
         """Return the team that a key identifies; None for an unknown key."""
         return self._team_by_key.get(key)
 
+    @cached_property
+    def _addresses(self) -> frozenset[QueueAddress]:
+        return frozenset(queue.address for queue in self.queues.values())
+
+    def owns_job(self, queue: JobQueue, host: str, address: QueueAddress, name: QueueId) -> bool:
+        """Return whether a job belongs to the queue by which a caller asks for it.
+
+        Args:
+            queue: The queue.
+            host: Host that the caller has named.
+            address: Address of the queue that accepted the job; empty in records of older builds.
+            name: Name of that queue when the record was written.
+        """
+        if not address:
+            return name == queue.name
+        if address in (queue.address, *(queue_address(h, queue.path_prefix) for h in (host, ""))):
+            return True
+        # The queue may have moved to another address.
+        return name == queue.name and address not in self._addresses
+
+    def reuses_names_of(self, former: JobConfiguration) -> bool:
+        """Return whether a queue's address or a team's key has another name than before."""
+        names = {queue.address: name for name, queue in former.queues.items()}
+        if any(names.get(queue.address, name) != name for name, queue in self.queues.items()):
+            return True
+        return any(
+            former.team_of(key) not in (None, team.name)
+            for team in self.teams.values()
+            for key in team.keys
+        )
+
     @cached_property
     def _by_host(self) -> dict[str, tuple[JobQueue, ...]]:
         hosts: dict[str, list[JobQueue]] = {}
--- /dev/null
+++ b/toucandoor/core/jobs/identities.py
@@ -0,0 +1,180 @@
+"""Identities of queues and teams over versions of the configuration that rename them.
+
+A name identifies a queue or a team within one version only. A queue keeps its address, by which
+callers reach it, and a team keeps its keys. The schedule's owner refers to both by ids that stay
+the same for its term, and uses their present names in what it stores, reports and measures.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import replace
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+
+from toucandoor.ids import QueueAddress, QueueId, TeamId
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
+    from toucandoor.core.jobs.configuration import JobConfiguration
+    from toucandoor.core.jobs.models import JobSpec
+    from toucandoor.core.jobs.records import ProgressRecord
+
+_LOGGER = logging.getLogger(__name__)
+
+_T = TypeVar("_T")
+
+
+class _Lineage:
+    """Ids of things that have a name and marks; a thing is recognised by its marks first.
+
+    An id is the first name of its thing, with a number if another thing has had that name.
+
+    Args:
+        kind: What the things are, for the log.
+
+    Attributes:
+        renamed: Whether any id differs from the latest name of its thing.
+    """
+
+    def __init__(self, kind: str) -> None:
+        self._kind = kind
+        self._id_of_mark: dict[str, str] = {}
+        self._id_of_name: dict[str, str] = {}
+        self._name_of_id: dict[str, str] = {}
+        self.renamed = False
+
+    def set_things(self, marks_by_name: Mapping[str, Collection[str]]) -> None:
+        """Assign ids to the things of a newer version.
+
+        Args:
+            marks_by_name: Marks of each thing, by its name.
+        """
+        known = {
+            name: [self._id_of_mark[mark] for mark in sorted(marks) if mark in self._id_of_mark]
+            for name, marks in marks_by_name.items()
+        }
+        assigned: dict[str, str] = {}
+
+        def assign(name: str, candidates: Collection[str | None]) -> None:
+            taken = assigned.values()
+            for each in candidates:
+                if name not in assigned and each is not None and each not in taken:
+                    assigned[name] = each
+
+        # Of several things with a mark of the same former one, that with its name continues it.
+        for name, ids in known.items():
+            assign(name, [each for each in ids if each == self._id_of_name.get(name)])
+        for name, ids in known.items():
+            assign(name, ids)
+        for name in known:
+            assign(name, [self._id_of_name.get(name)])
+        for name in known:
+            assign(name, [self._new_id(name, assigned.values())])
+        marks: dict[str, str] = {}
+        for name in marks_by_name:
+            self._set_name(assigned[name], name)
+            self._id_of_name[name] = assigned[name]
+            for mark in marks_by_name[name]:
+                marks.setdefault(mark, assigned[name])
+        self._id_of_mark |= marks
+        self.renamed = any(each != name for each, name in self._name_of_id.items())
+
+    def _new_id(self, name: str, assigned: Collection[str]) -> str:
+        candidate, number = name, 2
+        while candidate in self._name_of_id or candidate in assigned:
+            candidate, number = f"{name}~{number}", number + 1
+        return candidate
+
+    def _set_name(self, thing_id: str, name: str) -> None:
+        former = self._name_of_id.get(thing_id, name)
+        if former != name:
+            _LOGGER.info(
+                "configuration: %s %s is now called %s",
+                self._kind,
+                former,
+                name,
+                extra={"kind": self._kind, "id": thing_id},
+            )
+        self._name_of_id[thing_id] = name
+
+    def id_of(self, mark: str, name: str) -> str:
+        """Return the id of the thing with a mark, or with a name if the mark is unknown."""
+        found = self._id_of_mark.get(mark) if mark else None
+        return found or self._id_of_name.get(name, name)
+
+    def name_of(self, thing_id: str) -> str:
+        """Return the latest name of a thing."""
+        return self._name_of_id.get(thing_id, thing_id)
+
+    def key_by_id(self, by_name: Mapping[_T, object]) -> dict[str, _T]:
+        """Return the names of a version by id."""
+        return {self._id_of_name[str(name)]: name for name in by_name}
+
+
+class Identities:
+    """Ids of the queues and teams of one owner's term."""
+
+    def __init__(self) -> None:
+        self._queues = _Lineage("queue")
+        self._teams = _Lineage("team")
+        self._address_of_queue: dict[QueueId, QueueAddress] = {}
+
+    @property
+    def renamed(self) -> bool:
+        """Whether any id differs from the present name."""
+        return self._queues.renamed or self._teams.renamed
+
+    def apply(self, configuration: JobConfiguration) -> JobConfiguration:
+        """Return a newer version with ids in place of the names of its queues and teams."""
+        self._queues.set_things({str(n): [q.address] for n, q in configuration.queues.items()})
+        self._teams.set_things({str(n): t.key_digests for n, t in configuration.teams.items()})
+        queues = {
+            QueueId(each): replace(configuration.queues[name], name=QueueId(each))
+            for each, name in self._queues.key_by_id(configuration.queues).items()
+        }
+        teams = {
+            TeamId(each): replace(configuration.teams[name], name=TeamId(each))
+            for each, name in self._teams.key_by_id(configuration.teams).items()
+        }
+        self._address_of_queue.update({each: queue.address for each, queue in queues.items()})
+        if queues.keys() == configuration.queues.keys() and not self.renamed:
+            return configuration
+        return replace(configuration, queues=queues, teams=teams)
+
+    def adopt(self, spec: JobSpec) -> JobSpec:
+        """Return a job's specification with ids in place of the names that were stored."""
+        queue = QueueId(self._queues.id_of(spec.address, spec.queue))
+        team = TeamId(self._teams.id_of(spec.key_digest, spec.team) if spec.team else "")
+        if (queue, team) == (spec.queue, spec.team):
+            return spec
+        return msgspec.structs.replace(spec, queue=queue, team=team)
+
+    def queue_name(self, queue: QueueId) -> QueueId:
+        """Return the latest name of a queue."""
+        return QueueId(self._queues.name_of(queue))
+
+    def team_name(self, team: TeamId) -> TeamId:
+        """Return the latest name of a team."""
+        return TeamId(self._teams.name_of(team))
+
+    def address_of(self, queue: QueueId) -> QueueAddress | None:
+        """Return the latest address of a queue; None if no version has named it in this term."""
+        return self._address_of_queue.get(queue)
+
+    def queue_at(self, address_or_name: str) -> QueueId:
+        """Return the queue with an address; also takes the names that older builds store."""
+        return QueueId(self._queues.id_of(address_or_name, address_or_name))
+
+    def stored(self, record: ProgressRecord) -> ProgressRecord:
+        """Return the record of a job with present names in place of ids, and with its address."""
+        if not self.renamed and record.address:
+            return record
+        return msgspec.structs.replace(
+            record,
+            queue=self.queue_name(record.queue),
+            team=self.team_name(record.team),
+            address=record.address or self.address_of(record.queue) or record.address,
+        )
--- a/toucandoor/core/jobs/models.py
+++ b/toucandoor/core/jobs/models.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from toucandoor.ids import JobId, PoolId, QueueId, TeamId
+from toucandoor.ids import JobId, KeyDigest, PoolId, QueueAddress, QueueId, TeamId
 
 
 class Resources(msgspec.Struct, frozen=True, array_like=True):
@@ -138,6 +138,9 @@
         interval_ms: Time between occurrences.
         occurrences: Number of times that all steps are run.
         accepted_unix_ms: When it was accepted, by the clock of the accepting VM.
+        address: Address of its queue; empty in records of older builds.
+        key_digest: Digest of the key that was sent with it; empty without a key, and in records of
+            older builds.
     """
 
     job_id: JobId
@@ -150,6 +153,8 @@
     interval_ms: int = 0
     occurrences: int = 1
     accepted_unix_ms: int = 0
+    address: QueueAddress = QueueAddress("")
+    key_digest: KeyDigest = KeyDigest("")
 
     @property
     def timed(self) -> bool:
--- a/toucandoor/core/jobs/records.py
+++ b/toucandoor/core/jobs/records.py
@@ -8,7 +8,7 @@
 
 from toucandoor.core.jobs.models import JobSpec, JobState
 from toucandoor.core.jobs.ranges import NumberRanges
-from toucandoor.ids import JobId, QueueId, TeamId, VmId, WorkerId
+from toucandoor.ids import JobId, QueueAddress, QueueId, TeamId, VmId, WorkerId
 
 INTAKE_PREFIX: Final = "work/"
 """Prefix of the jobs and cancellations that entry VMs have accepted; the schedule's owner watches
@@ -122,6 +122,7 @@
         tasks: Tasks that have had a planned run, and are not done or may still have runs.
         finished_unix_ms: When it reached a final state; 0 before that.
         losses: Tasks that may crash their backend servers.
+        address: Address of its queue; empty in records of older builds.
     """
 
     state: JobState
@@ -133,6 +134,7 @@
     tasks: tuple[TaskRecord, ...] = ()
     finished_unix_ms: int = 0
     losses: tuple[LossRecord, ...] = ()
+    address: QueueAddress = QueueAddress("")
 
 
 class CancelRecord(msgspec.Struct, frozen=True):
@@ -142,9 +144,15 @@
 
 
 class PendingRecord(msgspec.Struct, frozen=True):
-    """Number of jobs without a started task, by queue."""
+    """Number of jobs without a started task.
+
+    Attributes:
+        by_queue: The number by the queue's name, which older builds read.
+        by_address: The number by the queue's address; None in records of older builds.
+    """
 
     by_queue: dict[QueueId, int]
+    by_address: dict[QueueAddress, int] | None = None
 
 
 _JOB_DECODER = msgspec.json.Decoder(JobSpec)
--- a/toucandoor/core/overload/models.py
+++ b/toucandoor/core/overload/models.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import msgspec
 
-from toucandoor.ids import PoolId, QueueId, TeamId
+from toucandoor.ids import ConfigVersion, PoolId, QueueId, TeamId
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 
 class RateStatus(Enum):
@@ -121,6 +125,8 @@
             accepted now would start, in the queue where that takes longest.
         waits: For each queue in which jobs of a team may be refused, how long they wait.
         within: Pools in which jobs within their teams' rates may be refused.
+        configuration: Version whose names of queues and teams it uses; 0 in reports of older
+            builds.
     """
 
     token: int
@@ -131,6 +137,39 @@
     ceiling_wait_s: dict[TeamId, float] = {}
     waits: tuple[TeamWait, ...] = ()
     within: tuple[WithinWait, ...] = ()
+    configuration: ConfigVersion = ConfigVersion(0)
+
+    def with_names(
+        self, queue_name: Callable[[QueueId], QueueId], team_name: Callable[[TeamId], TeamId]
+    ) -> LoadReport:
+        """Return this report with names in place of the ids of queues and teams.
+
+        Args:
+            queue_name: Returns the name of a queue.
+            team_name: Returns the name of a team.
+        """
+        replace = msgspec.structs.replace
+        return replace(
+            self,
+            beyond=tuple(sorted(map(team_name, self.beyond))),
+            ceiling_wait_s={team_name(team): s for team, s in self.ceiling_wait_s.items()},
+            waits=tuple(
+                replace(each, team=team_name(each.team), queue=queue_name(each.queue))
+                for each in self.waits
+            ),
+            within=tuple(
+                replace(
+                    each,
+                    share_left_core_s={
+                        team_name(team): left for team, left in each.share_left_core_s.items()
+                    },
+                    queues=tuple(
+                        replace(wait, queue=queue_name(wait.queue)) for wait in each.queues
+                    ),
+                )
+                for each in self.within
+            ),
+        )
 
     @property
     def empty(self) -> bool:
--- a/toucandoor/core/overload/reporter.py
+++ b/toucandoor/core/overload/reporter.py
@@ -119,7 +119,7 @@
             if wait.cause is WaitCause.CEILING:
                 longest_s = max(wait.late_s, ceiling_wait_s.get(wait.team, 0.0))
                 ceiling_wait_s[wait.team] = longest_s
-        return LoadReport(
+        report = LoadReport(
             token=int(state.settings.token),
             sequence=self._sequence + 1,
             written_unix_ms=int(state.now_unix_ms),
@@ -128,7 +128,12 @@
             ceiling_wait_s=ceiling_wait_s,
             waits=tuple(waits),
             within=tuple(within),
+            configuration=configuration.version,
         )
+        identities = state.identities
+        if not identities.renamed:
+            return report
+        return report.with_names(identities.queue_name, identities.team_name)
 
     # Teams at their ceilings
 
--- a/toucandoor/core/run_times/snapshots.py
+++ b/toucandoor/core/run_times/snapshots.py
@@ -17,6 +17,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from toucandoor.clock import Clock
 
 RUN_TIMES_KEY: Final = "run-times"
@@ -37,7 +39,7 @@
     """Samples of a queue and image at the time of the snapshot.
 
     Attributes:
-        queue: The queue.
+        queue: Address of the queue, or its name in records of older builds.
         image: The image.
         weight: Total weight of the samples.
         estimated_s: Weighted sum of their estimates.
@@ -80,10 +82,14 @@
     Args:
         model: The learned run times.
         clock: Source of monotonic time.
+        address_of: Returns the address of a queue.
     """
 
-    def __init__(self, model: LearnedRunTimes, clock: Clock) -> None:
+    def __init__(
+        self, model: LearnedRunTimes, clock: Clock, address_of: Callable[[str], str] = str
+    ) -> None:
         self._model = model
+        self._address_of = address_of
         self._clock = clock
         self._stored_samples = 0
         self._in_flight_samples: int | None = None
@@ -98,7 +104,7 @@
             return None
         self._next_s = now_s + SNAPSHOT_INTERVAL_S
         self._in_flight_samples = samples
-        return encode_run_times(self._model, now_s)
+        return encode_run_times(self._model, now_s, self._address_of)
 
     def written(self, *, ok: bool) -> None:
         """Process the result of a write; a lost one is repeated after the interval."""
@@ -107,12 +113,15 @@
         self._in_flight_samples = None
 
 
-def encode_run_times(model: LearnedRunTimes, now_s: float) -> bytes:
+def encode_run_times(
+    model: LearnedRunTimes, now_s: float, address_of: Callable[[str], str] = str
+) -> bytes:
     """Return a snapshot of a model; the least recently used keys are left out if it is too large.
 
     Args:
         model: The learned run times.
         now_s: The monotonic time.
+        address_of: Returns the address of a queue.
     """
     ratios: list[msgspec.Raw] = []
     bytes_left = RECORD_BYTES_MAX - 64  # for the fields around the list
@@ -124,7 +133,7 @@
         values, weights = zip(*known.sketch.centroids, strict=True)
         stored = TDigest.from_values(values, weights, STORED_CENTROIDS_MAX).centroids
         record = RatioRecord(
-            queue,
+            address_of(queue),
             image,
             _rounded(known.weight / growth),
             _rounded(estimated_s / growth),
@@ -140,7 +149,9 @@
     return msgspec.json.encode({"version": RECORD_VERSION, "ratios": ratios})
 
 
-def restore_run_times(model: LearnedRunTimes, value: bytes, now_s: float) -> int:
+def restore_run_times(
+    model: LearnedRunTimes, value: bytes, now_s: float, queue_at: Callable[[str], str] = str
+) -> int:
     """Let a model start from a former owner's snapshot, and return the number of its keys.
 
     Args:
@@ -148,6 +159,7 @@
         value: The record.
         now_s: The monotonic time. The samples don't decay between the snapshot and this time, as
             the two owners' clocks can't be compared.
+        queue_at: Returns the queue with an address, or with the name that an older build stored.
 
     Raises:
         msgspec.MsgspecError: The record is not such a snapshot, or is of another version.
@@ -165,7 +177,7 @@
         mean = each.actual_s / each.estimated_s
         work = TDigest.from_values([mean], each.estimated_s, CENTROIDS_MAX)
         known = KeyRatios(now_s, sketch, each.weight, work)
-        model.restore((each.queue, each.image), known)
+        model.restore((queue_at(each.queue), each.image), known)
     return len(ratios)
 
 
--- a/toucandoor/core/scheduling/progress.py
+++ b/toucandoor/core/scheduling/progress.py
@@ -285,6 +285,7 @@
             tasks=tuple(tasks),
             finished_unix_ms=self.finished_unix_ms,
             losses=losses,
+            address=self.spec.address,
         )
 
     def _done_records(self) -> list[DoneRecord]:
--- a/toucandoor/core/scheduling/progress_writer.py
+++ b/toucandoor/core/scheduling/progress_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from itertools import chain
 from typing import TYPE_CHECKING
 
@@ -29,7 +30,7 @@
     from toucandoor.core.scheduling.progress import JobProgress
     from toucandoor.core.scheduling.state import ScheduleState
     from toucandoor.core.scheduling.worker_view import Run
-    from toucandoor.ids import JobId, QueueId
+    from toucandoor.ids import JobId, QueueAddress, QueueId
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -40,7 +41,7 @@
     def __init__(self, state: ScheduleState) -> None:
         self._state = state
         self._in_flight = 0
-        self._pending_written: dict[QueueId, int] | None = None
+        self._pending_written: PendingRecord | None = None
         self._pending_next_s = 0.0
         self._pending_in_flight = False
         self._settled_next_s = 0.0
@@ -201,7 +202,7 @@
         versions: list[tuple[JobProgress, int]] = []
         size_bytes = 0
         for job in chosen:
-            value = encode(job.record())
+            value = encode(state.identities.stored(job.record()))
             size_bytes += len(value)
             if writes and size_bytes > state.settings.value_bytes_max:
                 break
@@ -275,11 +276,7 @@
         now_s = state.now_s
         if self._pending_in_flight or now_s < self._pending_next_s:
             return None
-        counts: dict[QueueId, int] = {}
-        for job_id in state.open_jobs:
-            job = state.jobs[job_id]
-            if not job.started and not job.state.final:
-                counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
+        counts = self._count_pending()
         if counts == self._pending_written:
             return None
         self._pending_in_flight = True
@@ -287,9 +284,21 @@
         self._pending_next_s = now_s + const.PENDING_WRITE_INTERVAL_S
         return Transaction(
             {state.settings.owner_key: state.settings.owner_revision},
-            {PENDING_KEY: encode(PendingRecord(counts))},
+            {PENDING_KEY: encode(counts)},
         )
 
+    def _count_pending(self) -> PendingRecord:
+        state = self._state
+        by_name: Counter[QueueId] = Counter()
+        by_address: Counter[QueueAddress] = Counter()
+        for job_id in state.open_jobs:
+            job = state.jobs[job_id]
+            if not job.started and not job.state.final:
+                spec = job.spec
+                by_name[state.identities.queue_name(spec.queue)] += 1
+                by_address[state.identities.address_of(spec.queue) or spec.address] += 1
+        return PendingRecord(dict(by_name), dict(by_address))
+
     def pending_written(self, *, ok: bool) -> None:
         """Process the result of writing the count of waiting jobs."""
         self._pending_in_flight = False
--- a/toucandoor/core/scheduling/run_time_records.py
+++ b/toucandoor/core/scheduling/run_time_records.py
@@ -11,6 +11,7 @@
     RunTimeSnapshots,
     restore_run_times,
 )
+from toucandoor.ids import QueueId
 
 if TYPE_CHECKING:
     from toucandoor.core.scheduling.state import ScheduleState
@@ -24,9 +25,15 @@
         model = state.run_times
         self._model = model if isinstance(model, LearnedRunTimes) else None
         self._snapshots = (
-            None if self._model is None else RunTimeSnapshots(self._model, state.clock)
+            None
+            if self._model is None
+            else RunTimeSnapshots(self._model, state.clock, self._address_of)
         )
 
+    def _address_of(self, queue: str) -> str:
+        identities = self._state.identities
+        return identities.address_of(QueueId(queue)) or identities.queue_name(QueueId(queue))
+
     def commit(self) -> Transaction | None:
         """Return the write of a snapshot of the learned run times; None while none is due."""
         value = self._snapshots.due() if self._snapshots is not None else None
@@ -48,4 +55,5 @@
         """
         if self._model is None:
             return 0
-        return restore_run_times(self._model, value, self._state.now_s)
+        queue_at = self._state.identities.queue_at
+        return restore_run_times(self._model, value, self._state.now_s, queue_at)
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -180,7 +180,7 @@
         if known is not None:
             self._spec_stored_again(known)
             return
-        job = JobProgress(spec, arrived_s=state.now_s)
+        job = JobProgress(state.identities.adopt(spec), arrived_s=state.now_s)
         state.add_job(job)
         state.mark_changed(job)
         self.pool_loads.add_arrival(job)
@@ -202,9 +202,12 @@
             revision: Revision of that record in the store.
         """
         state = self._state
-        job = JobProgress(spec, arrived_s=state.now_s)
+        job = JobProgress(state.identities.adopt(spec), arrived_s=state.now_s)
         runs = job.restore(record, revision)
         state.add_job(job, has_runs=bool(runs))
+        if not record.address and state.identities.address_of(job.spec.queue):
+            # An older build has written it; only the address outlasts the queue's name.
+            state.mark_changed(job)
         for task, stored in runs:
             worker = self.registry.boot_of_run(stored)
             key = RunKey(task.key, stored.attempt)
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -8,6 +8,7 @@
 from toucandoor.core.copies.models import may_be_copied
 from toucandoor.core.fair_order.order import FairOrder
 from toucandoor.core.fair_order.rates import RateStatusTracker
+from toucandoor.core.jobs.identities import Identities
 from toucandoor.core.jobs.models import NO_RESOURCES, JobState, Resources, StepKey
 from toucandoor.core.run_times.learned import LearnedRunTimes
 from toucandoor.core.scheduling import const
@@ -46,7 +47,8 @@
         settings: Settings for this term of ownership.
         clock: Source of monotonic and wall-clock time.
         started_s: When this state was created, on the monotonic clock.
-        configuration: Newest configuration; None before the first one.
+        identities: Ids of queues and teams, which stay when a version renames them.
+        configuration: Newest configuration, by these ids; None before the first one.
         jobs: All jobs.
         open_jobs: Jobs that are not final or that still have runs.
         unopened_jobs: Jobs with occurrences that were not due yet when they were last looked at.
@@ -99,6 +101,7 @@
         self.may_start: Callable[[Run], bool] = lambda _run: True
         self.rates = RateStatusTracker(self.clock.now().timestamp() * MS_PER_S)
         self.started_s = clock.monotonic_s()
+        self.identities = Identities()
         self.configuration: JobConfiguration | None = None
         self.jobs: dict[JobId, JobProgress] = {}
         self.open_jobs: set[JobId] = set()
@@ -134,7 +137,10 @@
 
     def set_configuration(self, configuration: JobConfiguration) -> None:
         """Apply a newer configuration; the teams' shares decide once one of them has a weight."""
-        self.configuration = configuration
+        first = self.configuration is None
+        configuration = self.configuration = self.identities.apply(configuration)
+        if first:
+            self._adopt_jobs()
         self.rates.set_configuration(configuration, self.now_unix_ms)
         fair = self.policies.shares_decide(configuration)
         if not fair:
@@ -152,6 +158,18 @@
                         self.order.on_attached(job, run, self.now_s)
         self.order.set_configuration(configuration, self.now_s)
 
+    def _adopt_jobs(self) -> None:
+        """Identify the jobs that have been added before the first configuration."""
+        self._team_used.clear()
+        for job in self.jobs.values():
+            job.spec = self.identities.adopt(job.spec)
+            for step in job.steps.values():
+                for run in (run for task in step.tasks for run in task.runs):
+                    self._add_use(job.spec.team, run)
+
+    def _add_use(self, team: TeamId, run: Run) -> None:
+        self._team_used[team] = self._team_used.get(team, NO_RESOURCES) + run.task.step.needs
+
     # Progress and terms of jobs
 
     def add_job(self, job: JobProgress, *, has_runs: bool = False) -> None:
@@ -243,8 +261,7 @@
         if may_be_copied(run.task.step):
             self.runs_to_copy[run] = None
         job = self.jobs[run.task.key.job_id]
-        team = job.spec.team
-        self._team_used[team] = self._team_used.get(team, NO_RESOURCES) + run.task.step.needs
+        self._add_use(job.spec.team, run)
         self.order.on_attached(job, run, self.now_s)
         self.run_gaps.on_attached(job, run)
         for listener in self.attach_listeners:
--- a/toucandoor/ids.py
+++ b/toucandoor/ids.py
@@ -9,7 +9,11 @@
 PoolId = NewType("PoolId", str)
 TeamId = NewType("TeamId", str)
 QueueId = NewType("QueueId", str)
+QueueAddress = NewType("QueueAddress", str)
+"""Host and path prefix of a queue, by which callers reach it whatever its name."""
 KeyId = NewType("KeyId", str)
+KeyDigest = NewType("KeyDigest", str)
+"""Shortened digest of an API key, which identifies a team whatever its name."""
 
 VmId = NewType("VmId", str)
 """VM of the shared fleet, on which a backend server runs."""
--- a/toucandoor/node_messages.py
+++ b/toucandoor/node_messages.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from toucandoor.exceptions import MessageError
-from toucandoor.ids import JobId, QueueId, TeamId
+from toucandoor.ids import JobId, QueueAddress, QueueId, TeamId
 
 
 class SubmitJob(msgspec.Struct, frozen=True, tag="submit_job"):
@@ -42,9 +42,15 @@
 
 
 class AskPending(msgspec.Struct, frozen=True, tag="ask_pending"):
-    """Asks a peer for the number of waiting jobs of a queue; answered by `Pending`."""
+    """Asks a peer for the number of waiting jobs of a queue; answered by `Pending`.
+
+    Attributes:
+        queue: Name of the queue.
+        address: Its address; empty in messages of older builds.
+    """
 
     queue: QueueId
+    address: QueueAddress = QueueAddress("")
 
 
 class AskConfiguration(msgspec.Struct, frozen=True, tag="ask_configuration"):
@@ -66,11 +72,19 @@
 
 
 class Status(msgspec.Struct, frozen=True, tag="status"):
-    """State of a job; the state is empty if the job was not found."""
+    """State of a job; the state is empty if the job was not found.
+
+    Attributes:
+        queue: Name of its queue.
+        team: Its team.
+        state: Its state.
+        address: Address of its queue; empty in messages of older builds.
+    """
 
     queue: QueueId
     team: TeamId
     state: str
+    address: QueueAddress = QueueAddress("")
 
 
 class Pending(msgspec.Struct, frozen=True, tag="pending"):
--- a/toucandoor/platform/caller_routes.py
+++ b/toucandoor/platform/caller_routes.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from toucandoor.core.jobs.configuration import JobQueue
+from toucandoor.core.jobs.configuration import NO_KEY, JobQueue
 from toucandoor.core.jobs.models import JobSpec, JobState, Resources, Step
-from toucandoor.ids import JobId, TeamId
+from toucandoor.ids import JobId, KeyDigest, TeamId
 
 JOB_ID_PATTERN: Final = re.compile(r"[0-9a-fA-F]{16}")
 BEARER_PREFIX: Final = "Bearer "
@@ -98,7 +98,12 @@
 
 
 def decode_job_body(
-    body: bytes, job_id: str, queue: JobQueue, team: TeamId, accepted_unix_ms: int
+    body: bytes,
+    job_id: str,
+    queue: JobQueue,
+    team: TeamId,
+    accepted_unix_ms: int,
+    digest: KeyDigest = NO_KEY,
 ) -> JobSpec:
     """Decode the body of a submission.
 
@@ -108,6 +113,7 @@
         queue: Queue to which it is submitted.
         team: Team that submits it.
         accepted_unix_ms: Time of the submission.
+        digest: Digest of the key that was sent with it; empty for none.
 
     Raises:
         InvalidJobError: The body is not a valid job.
@@ -128,6 +134,8 @@
         interval_ms=job.interval_ms,
         occurrences=max(1, job.repeat_count),
         accepted_unix_ms=accepted_unix_ms,
+        address=queue.address,
+        key_digest=digest,
     )
 
 
