Ignore load reports from before a version that reused a name

Callers could be refused with 429 for the load of a queue, or the ceiling of a team, that had lost the name to theirs: nodes matched the names of the owner's newest report with those of the version in force, for as long as the owner had not written another one.

Change: a report says under which version it was written. A node knows the newest version that gave a name to another address or key, uses no report from before it, and then estimates anew what it has accepted itself.

The tests name the case; without the comparison in AdmissionByLoad the first one fails with a rejection.

--- a/tests/adapters/test_configuration_watch.py
+++ b/tests/adapters/test_configuration_watch.py
@@ -18,6 +18,7 @@
 from toucandoor.core.records import Changes, Record, RecordStore, Snapshot, StoreLease, Transaction
 from toucandoor.exceptions import StoreAnswerLostError, StoreUnavailableError
 from toucandoor.ids import DataCentreId, EntryId, StoreLeaseId
+from toucandoor.platform.operator_records import decode_configuration
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -176,6 +177,36 @@
         self.assertEqual(watch.current.version, 7)
 
 
+class NamesTest(unittest.TestCase):
+    """Versions that give a name to another queue or team than before."""
+
+    def setUp(self) -> None:
+        self.watch = ConfigurationWatch(_Store(), ManualClock())
+
+    def names_since(self, version: int, routes: dict[str, str], teams: dict[str, str]) -> int:
+        record = {
+            "version": version,
+            "routes": [
+                {"name": name, "prefix": prefix, "service": "s"} for name, prefix in routes.items()
+            ],
+            "tenants": [{"name": name, "api_keys": [key]} for name, key in teams.items()],
+        }
+        configuration = decode_configuration(msgspec.json.encode(record))
+        assert configuration is not None
+        self.watch.update(configuration, "store")
+        assert self.watch.current is not None
+        return int(self.watch.current.names_since)
+
+    # Guards against reports that are read by the names of another version.
+    def test_the_newest_version_that_reused_a_name_is_known(self) -> None:
+        routes, teams = {"a": "/1/", "b": "/2/"}, {"s": "k", "t": "l"}
+        self.assertEqual(self.names_since(3, routes, teams), 0)
+        self.assertEqual(self.names_since(5, routes | {"c": "/3/"}, teams | {"u": "m"}), 0)
+        self.assertEqual(self.names_since(6, {"b": "/1/", "a": "/2/"}, teams), 6)
+        self.assertEqual(self.names_since(9, {"b": "/1/", "a": "/2/"}, teams), 6)
+        self.assertEqual(self.names_since(10, {"b": "/1/"}, {"s": "l", "t": "k"}), 10)
+
+
 class EvacuationsTest(unittest.TestCase):
     """Requests to evacuate a data centre, from full reads and watches of the store."""
 
--- a/tests/core/overload/test_admission.py
+++ b/tests/core/overload/test_admission.py
@@ -22,7 +22,7 @@
 )
 from toucandoor.core.overload.outages import StoreOutages
 from toucandoor.core.overload.records import decode_report, encode_report
-from toucandoor.ids import JobId, QueueId, TeamId
+from toucandoor.ids import ConfigVersion, JobId, QueueId, TeamId
 
 CEILING_WAIT = TeamWait(TEAM, QUEUE, WaitCause.CEILING, 10.0, 1.0)
 POOL_WAIT = TeamWait(TEAM, QUEUE, WaitCause.POOL, 10.0, 1.0)
@@ -129,6 +129,40 @@
             self.report(CEILING_WAIT, sequence=sequence + 1, written_unix_ms=written_unix_ms)
             self.assertIsNone(self.policy.rejection(JOB))
 
+    # Guards against refusals for the load of a queue or team that has just lost the name.
+    def test_a_report_from_before_names_were_reused_is_not_used(self) -> None:
+        names_since = ConfigVersion(4)
+        policy = AdmissionByLoad(self.followed, names_since=lambda: names_since)
+        self.report(CEILING_WAIT, configuration=4)
+        self.assertIsNotNone(policy.rejection(JOB))
+        names_since = ConfigVersion(5)
+        self.assertIsNone(policy.rejection(JOB))
+        self.report(CEILING_WAIT, sequence=2, configuration=5)
+        self.assertIsNotNone(policy.rejection(JOB))
+        # Owners of an older build do not say the version.
+        self.report(CEILING_WAIT, sequence=3)
+        self.assertIsNotNone(policy.rejection(JOB))
+
+    def test_a_report_names_queues_and_teams_as_the_version_does(self) -> None:
+        report = LoadReport(
+            1,
+            1,
+            1,
+            beyond=(TEAM,),
+            ceiling_wait_s={TEAM: 1.0},
+            waits=(POOL_WAIT,),
+            within=(self.within(SizeWait(1.0, 9.0, 9.0)),),
+        )
+        named = report.with_names(
+            lambda queue: QueueId(f"new-{queue}"), lambda team: TeamId(f"new-{team}")
+        )
+        self.assertEqual(named.beyond, ("new-team",))
+        self.assertEqual(named.ceiling_wait_s, {"new-team": 1.0})
+        self.assertEqual((named.waits[0].team, named.waits[0].queue), ("new-team", "new-north"))
+        (within,) = named.within
+        self.assertEqual(list(within.share_left_core_s), ["new-team"])
+        self.assertEqual(within.queues[0].queue, "new-north")
+
     def test_bad_records_leave_the_report_in_force(self) -> None:
         self.report(CEILING_WAIT)
         bad = msgspec.structs.replace(CEILING_WAIT, late_s=-1.0)
--- a/toucandoor/adapters/configuration_watch.py
+++ b/toucandoor/adapters/configuration_watch.py
@@ -4,6 +4,7 @@
 
 import logging
 import threading
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from toucandoor.adapters.pauses import jittered_s
@@ -147,8 +148,13 @@
             origin: Where it comes from, for the log: ``store`` or ``peer``.
         """
         with self._lock:
-            if self._current is not None and configuration.version <= self._current.version:
-                return
+            former = self._current
+            if former is not None:
+                if configuration.version <= former.version:
+                    return
+                reused = configuration.reuses_names_of(former)
+                since = configuration.version if reused else former.names_since
+                configuration = replace(configuration, names_since=since)
             self._current = configuration
             listeners = list(self._listeners)
         _LOGGER.info(
--- a/toucandoor/core/overload/admission.py
+++ b/toucandoor/core/overload/admission.py
@@ -13,6 +13,7 @@
 from toucandoor.core.overload.within_admission import WithinAdmission
 from toucandoor.core.run_times.models import CALLER_ESTIMATES
 from toucandoor.core.scheduling.queue_order import job_core_ms, longest_chain_s, objective_s
+from toucandoor.ids import ConfigVersion
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,6 +41,8 @@
         run_times: Expected run times of tasks.
         record_age: Records the age of the report by which a job is judged, in seconds; None
             without a valid one.
+        names_since: Returns the newest version of the configuration that gave a name to another
+            queue or team. A report that was written under an earlier one is not used.
     """
 
     def __init__(
@@ -47,7 +50,10 @@
         followed: FollowedReport,
         run_times: RunTimeModel = CALLER_ESTIMATES,
         record_age: Callable[[float | None], None] = lambda _age_s: None,
+        names_since: Callable[[], ConfigVersion] = lambda: ConfigVersion(0),
     ) -> None:
+        self._names_since = names_since
+        self._names_known_since = names_since()
         self._record_age = record_age
         self._followed = followed
         self._run_times = run_times
@@ -56,7 +62,7 @@
 
     def rejection(self, spec: JobSpec) -> Rejection | None:
         """Return why a job must be rejected now; None to accept it."""
-        current = self._followed.current()
+        current = self._current_report()
         self._record_age(None if current is None else current[1])
         if spec.timed or spec.long_running:
             return None
@@ -101,6 +107,19 @@
                 return None
         return Rejection(STATUS, REASON, spread_retry_after_s(excess_s, spec.job_id))
 
+    def _current_report(self) -> tuple[LoadReport, float] | None:
+        """Return the newest report and its age, unless its names have another meaning now."""
+        names_since = self._names_since()
+        if names_since != self._names_known_since:
+            with self._lock:
+                self._names_known_since = names_since
+                self._within = WithinAdmission(self._run_times)
+        current = self._followed.current()
+        # Older builds do not say under which version they wrote a report.
+        if current is not None and 0 < current[0].configuration < names_since:
+            return None
+        return current
+
 
 def _applicable(report: LoadReport, spec: JobSpec) -> list[TeamWait]:
     beyond = spec.team in report.beyond
--- a/toucandoor/core/scheduling/policies.py
+++ b/toucandoor/core/scheduling/policies.py
@@ -20,6 +20,7 @@
 from toucandoor.core.overload.admission import AdmissionByLoad
 from toucandoor.core.pools.lending import LendingPolicy, NoLending
 from toucandoor.core.scheduling.task_grouping import FewestServers, FullestFirst, TaskGrouping
+from toucandoor.ids import ConfigVersion
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -68,12 +69,15 @@
         return NoLending() if Mechanism.LENDING in self._off else LendingPolicy()
 
     def load_refusals(
-        self, report: FollowedReport, record_age: Callable[[float | None], None]
+        self,
+        report: FollowedReport,
+        record_age: Callable[[float | None], None],
+        names_since: Callable[[], ConfigVersion] = lambda: ConfigVersion(0),
     ) -> SubmissionPolicy:
         """Return which submissions a node refuses by the owner's load reports."""
         if Mechanism.LOAD_REFUSALS in self._off:
             return AcceptAll()
-        return AdmissionByLoad(report, record_age=record_age)
+        return AdmissionByLoad(report, record_age=record_age, names_since=names_since)
 
     def copies(self, state: ScheduleState) -> CopyPolicy:
         """Return which tasks get a second run."""
--- a/toucandoor/programs/node.py
+++ b/toucandoor/programs/node.py
@@ -40,7 +40,7 @@
 from toucandoor.core.ownership.candidates import VmCapacity
 from toucandoor.core.scheduling.policies import Policies
 from toucandoor.exceptions import SettingsError
-from toucandoor.ids import DataCentreId, EntryId
+from toucandoor.ids import ConfigVersion, DataCentreId, EntryId
 from toucandoor.node_messages import AskConfiguration, Configuration
 from toucandoor.platform.async_http import AsyncPlatformHttp
 from toucandoor.platform.http import PlatformHttp
@@ -226,7 +226,7 @@
     ) -> list[SubmissionPolicy]:
         """Return the policies that may reject a submission, in the order of their questions."""
         by_load = Policies(self._settings.switched_off).load_refusals(
-            load, self._metrics.set_load_report_age
+            load, self._metrics.set_load_report_age, self._names_since
         )
         policies: list[SubmissionPolicy] = [by_load]
         evacuations = self._configuration.evacuations
@@ -236,6 +236,10 @@
             )
         return policies
 
+    def _names_since(self) -> ConfigVersion:
+        current = self._configuration.current
+        return ConfigVersion(0) if current is None else current.names_since
+
     def _fetch_peer_configuration(self, newer_than: int) -> bytes:
         """Return the record of a peer's newer configuration; empty if none has one."""
         for peer in self._peers.nearest_first()[:PEERS_TRIED_MAX]:
