Let no late removal take the records of a job that was submitted again

Cause: the removal of ended jobs expected the ownership alone. One that the store carries out late, after its repetition, removed progress, specification and cancellation of a job that had been submitted again under the id meanwhile: callers would get 410, or the job would run anew.

After a conflict the jobs that are gone are forgotten, as a removal without an answer has taken effect, and the others are looked at again.

--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -315,6 +315,10 @@
         scheduler = self._scheduler
         try:
             self._dependencies.store.write(transaction)
+        except TransactionConflictError as err:
+            present = err.present
+            _LOGGER.info("jobs: records of ended jobs not removed, as one has another revision")
+            self._post(lambda: scheduler.retention.conflicted(present))
         except ToucandoorError as err:
             _LOGGER.info("jobs: removing records of ended jobs failed: %s", err)
             self._post(lambda: scheduler.retention.removed(ok=False))
--- a/toucandoor/adapters/term_intake.py
+++ b/toucandoor/adapters/term_intake.py
@@ -204,7 +204,8 @@
                 continue
             if progress.state.final:
                 job_id = JobId(record.key.removeprefix(PROGRESS_PREFIX))
-                self._term.scheduler.retention.add_ended(job_id, progress.finished_unix_ms)
+                retention = self._term.scheduler.retention
+                retention.add_ended(job_id, progress.finished_unix_ms, record.revision)
 
     def _load_job(self, job: Record, progress: Record | None) -> None:
         try:
--- a/toucandoor/fakes/virtual_fleet.py
+++ b/toucandoor/fakes/virtual_fleet.py
@@ -28,7 +28,11 @@
     RENEW_RETRY_S,
     VALIDITY_MARGIN_S,
 )
-from toucandoor.core.records import DEFAULT_VALUE_BYTES_MAX, Transaction
+from toucandoor.core.records import (
+    DEFAULT_VALUE_BYTES_MAX,
+    Transaction,
+    TransactionConflictError,
+)
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
 from toucandoor.core.scheduling.workers import WorkerEntry
 from toucandoor.fakes.virtual_calls import STORE_CALL_S, OwnerTerm, VirtualCalls
@@ -264,7 +268,9 @@
             job_id = JobId(record.key.removeprefix(PROGRESS_PREFIX))
             stored = decode_progress(record.value)
             if stored.state.final:
-                owner.scheduler.retention.add_ended(job_id, stored.finished_unix_ms)
+                owner.scheduler.retention.add_ended(
+                    job_id, stored.finished_unix_ms, record.revision
+                )
         for record in self.records.below(CANCEL_PREFIX):
             owner.scheduler.cancel_job(JobId(record.key.removeprefix(CANCEL_PREFIX)))
         self._tick(owner)
@@ -337,5 +343,9 @@
             self.calls.write(owner, commit)
         removal = owner.scheduler.retention.removal()
         if removal is not None:
-            self.records.write(removal)
-            owner.scheduler.retention.removed(ok=True)
+            try:
+                self.records.write(removal)
+            except TransactionConflictError as err:
+                owner.scheduler.retention.conflicted(err.present)
+            else:
+                owner.scheduler.retention.removed(ok=True)
