Write the owner's records under the revision that the write before has left

Cause: the count was written under the ownership's revision alone. A write whose answer is lost may be carried out seconds later, and replaced newer ones of the same owner; a count that equals the last answered one is not written again. Excluded: a wrong count of the owner, and an old count in the nodes.

Change: OwnerRecords writes all records that only the owner writes (count, run times, overload report, waves with their status, orders on VMs, hand-over), and expects the revision that its last write of each has left; after a conflict under its own ownership it takes over the present one and writes again. It takes the place of the same code for vm-orders. Cost: two calls more in a term, as the count and the report are not read before.

The tests of the former writers name OwnerRecords in place of a store and a token; nothing else changed in them.

--- a/tests/adapters/test_term_intake.py
+++ b/tests/adapters/test_term_intake.py
@@ -99,7 +99,13 @@
         self.dependencies = dependencies = mock.Mock(store=store, clock=clock)
         dependencies.configuration.evacuations = requests
         term = TermContext(
-            dependencies, scheduler, lambda event: event(), mock.Mock(), mock.Mock(), lambda: True
+            dependencies,
+            mock.Mock(),
+            scheduler,
+            lambda event: event(),
+            mock.Mock(),
+            mock.Mock(),
+            lambda: True,
         )
         intake = TermIntake(term, mock.Mock(), threading.Event())
         intake.load()
--- a/tests/adapters/test_term_load.py
+++ b/tests/adapters/test_term_load.py
@@ -9,6 +9,7 @@
 from tests.adapters.test_owner_task import MemoryStore, wait_for
 from tests.core.scheduling.common import QUEUE, TEAM
 from toucandoor.adapters.load_watch import LoadWatch
+from toucandoor.adapters.owner_records import OwnerRecords
 from toucandoor.adapters.term_load import TermLoad
 from toucandoor.clock import SystemClock
 from toucandoor.core.jobs.models import NO_RESOURCES
@@ -18,6 +19,7 @@
 from toucandoor.core.ownership.lease import OWNER_KEY
 from toucandoor.core.records import Transaction
 from toucandoor.fakes.virtual_platform import VirtualRecords
+from toucandoor.ids import FencingToken
 
 WAIT = TeamWait(TEAM, QUEUE, WaitCause.CEILING, 10.0, 1.0)
 
@@ -38,7 +40,7 @@
         self.calls = mock.Mock()
         term = mock.Mock(submit=self.calls, post=lambda event: event())
         term.scheduler.token = token
-        term.dependencies.store = self.store
+        term.records = OwnerRecords(self.store, FencingToken(token))
         with mock.patch("toucandoor.adapters.term_load.LoadReporter") as reporters:
             self.load = TermLoad(term, lambda: NO_RESOURCES)
         self.reporter = reporters.return_value
--- a/tests/adapters/test_term_orders.py
+++ b/tests/adapters/test_term_orders.py
@@ -66,6 +66,7 @@
         dependencies.workers = PlatformWorkers(http, dependencies.clock)
         term = TermContext(
             dependencies,
+            mock.Mock(),
             owner.scheduler,
             post,
             lambda action: action(),
@@ -97,6 +98,7 @@
             getattr(workers, name).side_effect = RuntimeError("cannot be encoded")
         term = TermContext(
             mock.Mock(clock=ManualClock(), workers=workers, metrics=metrics),
+            mock.Mock(),
             owner.scheduler,
             lambda event: virtual.schedule(0.0, event),
             lambda action: action(),
--- a/tests/adapters/test_term_vms.py
+++ b/tests/adapters/test_term_vms.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from tests.core.scheduling.common import configuration, job
+from toucandoor.adapters.owner_records import OwnerRecords
 from toucandoor.adapters.term_context import TermContext
 from toucandoor.adapters.term_vms import OrderRecordWriter, TermVms
 from toucandoor.clock import ManualClock
@@ -38,7 +39,7 @@
         self.late: list[Transaction] = []
         store = mock.Mock()
         store.write.side_effect = self.write
-        self.writer = OrderRecordWriter(store, FencingToken(token))
+        self.writer = OrderRecordWriter(OwnerRecords(store, FencingToken(token)))
 
     def write(self, transaction: Transaction) -> int:
         fault = self.faults.pop(0) if self.faults else ""
@@ -105,6 +106,7 @@
         self.vms = TermVms(
             TermContext(
                 dependencies,
+                mock.Mock(),
                 self.scheduler,
                 post=lambda event: event(),
                 submit=lambda action: action(),
--- a/toucandoor/adapters/owner_term.py
+++ b/toucandoor/adapters/owner_term.py
@@ -10,6 +10,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
+from toucandoor.adapters.owner_records import OwnerRecords
 from toucandoor.adapters.term_context import OwnerDependencies, TermContext
 from toucandoor.adapters.term_intake import TermIntake
 from toucandoor.adapters.term_load import TermLoad
@@ -103,8 +104,10 @@
         )
         self._report = TermReport(self._scheduler, dependencies)
         self._call_pool = ThreadPoolExecutor(CALL_THREADS, "calls")
+        self._records = OwnerRecords(dependencies.store, token)
         context = TermContext(
             dependencies,
+            self._records,
             self._scheduler,
             self._post,
             self._submit,
@@ -149,11 +152,8 @@
         leases_s = self._scheduler.registry.unresponsive_leases_s()
         if not leases_s or not self._ownership.valid or self._scheduler.superseded:
             return
-        owner = {OWNER_KEY: int(self._scheduler.token)}
         try:
-            self._dependencies.store.write(
-                Transaction(owner, {HANDOVER_KEY: encode_handover(leases_s)})
-            )
+            self._records.write(Transaction(writes={HANDOVER_KEY: encode_handover(leases_s)}))
         except ToucandoorError as err:
             _LOGGER.info(
                 "owner: handing over the leases of unresponsive backend servers failed: %s",
@@ -294,7 +294,7 @@
     def _write_pending(self, transaction: Transaction) -> None:
         scheduler = self._scheduler
         try:
-            self._dependencies.store.write(transaction)
+            self._records.write(transaction)
         except ToucandoorError as err:
             _LOGGER.info("progress: writing the count of waiting jobs failed: %s", err)
             self._post(lambda: scheduler.pending_written(ok=False))
@@ -304,7 +304,7 @@
     def _write_run_times(self, transaction: Transaction) -> None:
         scheduler = self._scheduler
         try:
-            self._dependencies.store.write(transaction)
+            self._records.write(transaction)
         except ToucandoorError as err:
             _LOGGER.info("progress: writing the learned run times failed: %s", err)
             self._post(lambda: scheduler.run_time_records.written(ok=False))
--- a/toucandoor/adapters/term_context.py
+++ b/toucandoor/adapters/term_context.py
@@ -11,6 +11,7 @@
     from toucandoor.adapters.call_loop import CallLoop
     from toucandoor.adapters.configuration_watch import ConfigurationWatch
     from toucandoor.adapters.node_metrics import NodeMetrics
+    from toucandoor.adapters.owner_records import OwnerRecords
     from toucandoor.clock import Clock
     from toucandoor.core.records import RecordStore
     from toucandoor.core.scheduling.scheduler import Scheduler
@@ -54,6 +55,7 @@
 
     Attributes:
         dependencies: Clients and settings of the owner.
+        records: Writes the records that only the owner writes, except the progress of jobs.
         scheduler: The scheduler; only posted events may change it, as it is not thread-safe.
         post: Queues an event for the term's event loop.
         submit: Runs a function in the thread pool for blocking calls.
@@ -63,6 +65,7 @@
     """
 
     dependencies: OwnerDependencies
+    records: OwnerRecords
     scheduler: Scheduler
     post: Callable[[Callable[[], None]], None]
     submit: Callable[[Callable[[], None]], None]
--- a/toucandoor/adapters/term_intake.py
+++ b/toucandoor/adapters/term_intake.py
@@ -103,6 +103,7 @@
             evacuations.result()
         read_s = clock.monotonic_s() - started_s
         self._term.dependencies.metrics.set_invalid_entries(0)
+        self._term.records.loaded(run_times.records)
         self._restore_run_times(run_times)
         for record in workers.records:
             self._apply_record(WORKER_PREFIX, record)
--- a/toucandoor/adapters/term_load.py
+++ b/toucandoor/adapters/term_load.py
@@ -8,7 +8,6 @@
 
 from toucandoor.core.overload.records import LOAD_KEY, encode_report
 from toucandoor.core.overload.reporter import LoadReporter
-from toucandoor.core.ownership.lease import OWNER_KEY
 from toucandoor.core.records import Transaction
 from toucandoor.exceptions import ToucandoorError
 
@@ -54,9 +53,8 @@
 
     def _write(self, report: LoadReport) -> None:
         term = self._term
-        owner = {OWNER_KEY: int(term.scheduler.token)}
         try:
-            term.dependencies.store.write(Transaction(owner, {LOAD_KEY: encode_report(report)}))
+            term.records.write(Transaction(writes={LOAD_KEY: encode_report(report)}))
         except ToucandoorError as err:
             _LOGGER.info("overload: writing the report failed: %s", err)
             term.post(partial(self._written, ok=False))
--- a/toucandoor/adapters/term_vms.py
+++ b/toucandoor/adapters/term_vms.py
@@ -26,9 +26,8 @@
     decode_vm_orders,
     encode_vm_orders,
 )
-from toucandoor.core.ownership.lease import OWNER_KEY
 from toucandoor.core.pools.vm_lender import VmLender
-from toucandoor.core.records import Transaction, TransactionConflictError
+from toucandoor.core.records import Transaction
 from toucandoor.core.scheduling.workers import OrderUnansweredError, VmRefusal, VmRefusedError
 from toucandoor.exceptions import StoreAnswerLostError, ToucandoorError
 from toucandoor.platform.operator_records import (
@@ -38,12 +37,12 @@
 )
 
 if TYPE_CHECKING:
+    from toucandoor.adapters.owner_records import OwnerRecords
     from toucandoor.adapters.term_context import TermContext
     from toucandoor.core.jobs.models import Resources
     from toucandoor.core.pools.lending import PoolMove
-    from toucandoor.core.records import Record, RecordStore, Snapshot
+    from toucandoor.core.records import Record, Snapshot
     from toucandoor.core.scheduling.workers import VmEntry
-    from toucandoor.ids import FencingToken
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -57,21 +56,12 @@
 class OrderRecordWriter:
     """Writes the records of orders on VMs one after the other, from several threads.
 
-    Each write expects the revision of the one before: a write whose answer was lost, and that takes
-    effect late, does not replace a later record.
-
     Args:
-        store: The platform's store.
-        token: Fencing token of the schedule's owner: the revision of the ownership record.
-
-    Attributes:
-        revision: Revision of the stored record; 0 if there is none.
+        records: Writes the records of the owner.
     """
 
-    def __init__(self, store: RecordStore, token: FencingToken) -> None:
-        self._store = store
-        self._token = int(token)
-        self.revision = 0
+    def __init__(self, records: OwnerRecords) -> None:
+        self._records = records
         self._numbers = 0
         self._stored_number = 0
         self._lock = threading.Lock()
@@ -87,31 +77,19 @@
         Raises:
             ToucandoorError: The record was not stored, or may not have been.
         """
+        transaction = Transaction(writes={VM_ORDERS_KEY: encode_vm_orders(record)})
         with self._lock:
             for tries_left in reversed(range(ORDER_RECORD_TRIES)):
                 if number <= self._stored_number:
                     return
                 try:
-                    self._try_write(record)
+                    self._records.write(transaction)
                 except StoreAnswerLostError:
                     if not tries_left:
                         raise
                 else:
                     self._stored_number = number
 
-    def _try_write(self, record: VmOrdersRecord) -> None:
-        expected = {OWNER_KEY: self._token, VM_ORDERS_KEY: self.revision}
-        writes = {VM_ORDERS_KEY: encode_vm_orders(record)}
-        try:
-            self.revision = self._store.write(Transaction(expected, writes))
-        except TransactionConflictError as err:
-            present = {each.key: each.revision for each in err.present}
-            if present.get(OWNER_KEY) != self._token:
-                raise
-            # An earlier write of this owner without an answer has taken effect.
-            expected[VM_ORDERS_KEY] = present.get(VM_ORDERS_KEY, 0)
-            self.revision = self._store.write(Transaction(expected, writes))
-
 
 class TermVms:
     """Runs the maintenance waves and VM lending of a term; sends its orders in a thread pool."""
@@ -121,7 +99,7 @@
         settings, clock = term.dependencies.settings, term.dependencies.clock
         now_s = clock.monotonic_s
         self._vm_orders = VmOrderLog(clock, settings.holder_lease_s + HOLDER_MARGIN_S)
-        self._order_records = OrderRecordWriter(term.dependencies.store, term.scheduler.token)
+        self._order_records = OrderRecordWriter(term.records)
         self._vm_list = VmList(now_s)
         self._waves = WaveCoordinator(
             term.scheduler,
@@ -145,13 +123,14 @@
 
     def restore(self, waves: Snapshot, statuses: Snapshot, vm_orders: Snapshot) -> None:
         """Restore the state that the former owner stored."""
+        for snapshot in (waves, statuses, vm_orders):
+            self._term.records.loaded(snapshot.records)
         completed = {
             record.key.removeprefix(WAVE_STATUS_PREFIX): wave_is_completed(record.value)
             for record in statuses.records
         }
         for record in vm_orders.records:
             self._restore_orders(record)
-            self._order_records.revision = record.revision
         for record in waves.records:
             number = record.key.removeprefix(WAVE_PROGRESS_PREFIX)
             self._restore_wave(int(number), record, completed=completed.get(number, False))
@@ -278,13 +257,12 @@
             self._term.post(lambda: on_answer(vms))
 
     def _save_wave(self, order: SaveWaveProgress) -> None:
-        owner = {OWNER_KEY: int(self._term.scheduler.token)}
         writes = {
             f"{WAVE_PROGRESS_PREFIX}{order.wave}": encode_wave_record(order.record),
             f"{WAVE_STATUS_PREFIX}{order.wave}": encode_wave_status(completed=order.completed),
         }
         try:
-            self._term.dependencies.store.write(Transaction(owner, writes))
+            self._term.records.write(Transaction(writes=writes))
         except ToucandoorError as err:
             _LOGGER.info(
                 "maintenance: storing the progress of a wave failed: %s",
