End the lease of a claim of the ownership that gets no answer

Cause: a claim that the store carries out late took the ownership for its lease, after its process had found no record and begun anew. No process knew of it: nothing was scheduled until the lease ended.

Change: the lease of such a claim is ended, so that the store refuses it (404) or removes its record.

--- a/tests/adapters/test_late_writes.py
+++ b/tests/adapters/test_late_writes.py
@@ -128,6 +128,18 @@
         self.store.carry_out_withheld()
         self.assertEqual(self.records.records[PENDING_KEY].value, value)
 
+    # Guards against a claim that takes effect when its process no longer knows of it: the
+    # ownership is then taken for the time of its lease, and nothing is scheduled.
+    def test_a_late_claim_does_not_take_the_ownership(self) -> None:
+        self.store.withhold_next(OWNER_KEY)
+        self.task.start()
+        wait_for(self, lambda: self.task.is_owner)
+        self.task.stop(2.0)
+        self.assertNotIn(OWNER_KEY, self.records.records)
+        (refusal,) = self.store.carry_out_withheld()
+        self.assertIsInstance(refusal, LeaseEndedError)
+        self.assertNotIn(OWNER_KEY, self.records.records)
+
     # Guards against a new kind of record that a late write can bring back.
     def test_each_write_expects_the_revision_of_what_it_replaces(self) -> None:
         self.task.start()
--- a/toucandoor/adapters/owner_task.py
+++ b/toucandoor/adapters/owner_task.py
@@ -183,7 +183,12 @@
         claim = OwnerRecord(self._dependencies.entry_id, uuid4().hex)
         requested_at_s = clock.monotonic_s()
         lease = self._dependencies.store.grant_lease(OWNER_TTL_S)
-        token = self._claim(claim, lease)
+        try:
+            token = self._claim(claim, lease)
+        except ToucandoorError:
+            # The store may still carry out the claim; without its lease it can't.
+            self._dependencies.store.end_lease(lease.lease_id)
+            raise
         if token is None:
             self._dependencies.store.end_lease(lease.lease_id)
             return
