Write a node's record again when it is missing or was replaced

Cause: a node wrote its record without any condition, under a lease that it renews. A write without an answer that is carried out late, under the lease of an earlier try, replaced the record, which then ended with that lease. The node went on renewing the other lease and wrote nothing more: peers no longer knew it, nor asked it for help without the store.

Change: the write expects the record's revision, and each read of the nodes compares the record with the one that this process has written.

--- a/tests/adapters/test_late_writes.py
+++ b/tests/adapters/test_late_writes.py
@@ -5,6 +5,9 @@
 import threading
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
+
+import msgspec
 
 from tests.adapters.test_owner_task import (
     MemoryStore,
@@ -17,6 +20,7 @@
 from toucandoor.adapters.job_service import StoreJobService, WriteOutcome
 from toucandoor.adapters.owner_records import OwnerRecords
 from toucandoor.adapters.owner_task import OwnerTask
+from toucandoor.adapters.peers import NODE_PREFIX, Peer, PeerDirectory
 from toucandoor.clock import SystemClock
 from toucandoor.core.jobs.models import JobState, Step
 from toucandoor.core.jobs.records import (
@@ -28,16 +32,18 @@
     job_key,
     progress_key,
 )
+from toucandoor.core.ownership.candidates import VmCapacity
 from toucandoor.core.ownership.lease import OWNER_KEY
 from toucandoor.core.records import LeaseEndedError, Transaction, TransactionConflictError
 from toucandoor.core.scheduling.workers import WorkerEntry
 from toucandoor.exceptions import StoreAnswerLostError
 from toucandoor.fakes.virtual_platform import Observations, VirtualRecords, VirtualWorker
-from toucandoor.ids import DataCentreId, FencingToken, WorkerId
+from toucandoor.ids import DataCentreId, EntryId, FencingToken, WorkerId
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from toucandoor.ids import StoreLeaseId
 
 WAITING = 4
 
@@ -244,5 +250,43 @@
         self.assertEqual(self.stored(), [b"1", b"1"])
 
 
+class NodeRecordTest(unittest.TestCase):
+    """The record by which the other nodes know a node; the store removes it with its lease."""
+
+    def setUp(self) -> None:
+        self.records = VirtualRecords()
+        self.store = LateStore(self.records, threading.Condition(threading.RLock()))
+        this_node = Peer(EntryId("e"), "10.0.0.1:1", DataCentreId("d"), VmCapacity(2.0, 100.0))
+        self.directory = PeerDirectory(self.store, this_node)
+        self.key = NODE_PREFIX + "e"
+
+    def rounds(self, count: int = 1) -> None:
+        for _ in range(count):
+            with mock.patch.object(self.directory, "_stop") as stop:
+                stop.is_set.side_effect = [False, True]
+                self.directory._run()
+
+    # Guards against a node that its peers no longer know, as its record went with a former lease.
+    def test_a_late_write_under_a_former_lease_does_not_replace_the_record(self) -> None:
+        self.store.withhold_next(NODE_PREFIX)
+        self.rounds(2)
+        record = self.records.records[self.key]
+        self.store.carry_out_withheld()
+        self.assertEqual(self.records.records[self.key], record)
+        self.assertEqual(self.store.unconditional, set())
+
+    def test_a_record_that_was_replaced_or_removed_is_written_again(self) -> None:
+        self.rounds()
+        # As a process of a former build does, whose write is carried out after it has ended.
+        lease: StoreLeaseId = self.store.grant_lease(15.0).lease_id
+        value = self.records.records[self.key].value
+        self.store.write(Transaction(writes={self.key: value}, lease_id=lease))
+        self.rounds(2)
+        self.store.expire(lease)
+        self.rounds(2)
+        found = msgspec.json.decode(self.records.records[self.key].value)
+        self.assertEqual(found["address"], "10.0.0.1:1")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/adapters/peers.py
+++ b/toucandoor/adapters/peers.py
@@ -15,7 +15,7 @@
 
 from toucandoor.adapters.settings import split_address
 from toucandoor.core.ownership.candidates import VmCapacity
-from toucandoor.core.records import LeaseEndedError, Transaction
+from toucandoor.core.records import LeaseEndedError, Transaction, TransactionConflictError
 from toucandoor.exceptions import MessageError, ToucandoorError
 from toucandoor.ids import DataCentreId, EntryId
 from toucandoor.node_messages import Failed, NodeMessage, decode_message, encode_message
@@ -89,7 +89,9 @@
     """Registers this node in the store and reads the other nodes' records.
 
     While the store is unreachable, it keeps the nodes of the last read, or the seeds if there has
-    been none.
+    been none. This node's record is written again if it is not the one that this process has
+    written under its lease: a write without an answer may be carried out late, under a lease that
+    is no longer renewed.
 
     Args:
         store: The platform's store.
@@ -102,6 +104,7 @@
         self._this_node = this_node
         self._peers = tuple(seed for seed in seeds if seed.address != this_node.address)
         self._lease: StoreLease | None = None
+        self._revision = 0
         self._stop = threading.Event()
 
     def start(self) -> None:
@@ -153,14 +156,34 @@
             this_node.capacity.processor_cores,
             this_node.capacity.link_mbps,
         )
-        key = NODE_PREFIX + self._this_node.entry_id
-        writes = {key: msgspec.json.encode(record)}
-        self._store.write(Transaction(writes=writes, lease_id=lease.lease_id))
+        value = msgspec.json.encode(record)
+        try:
+            self._write_own(value, lease)
+        except TransactionConflictError as err:
+            self._revision = sum(each.revision for each in err.present)
+            self._write_own(value, lease)
         self._lease = lease
 
+    def _write_own(self, value: bytes, lease: StoreLease) -> None:
+        key = self._own_key
+        self._revision = self._store.write(
+            Transaction({key: self._revision}, {key: value}, lease_id=lease.lease_id)
+        )
+
+    @property
+    def _own_key(self) -> str:
+        return NODE_PREFIX + self._this_node.entry_id
+
     def _read_peers(self) -> None:
         records = self._store.read_prefix(NODE_PREFIX).records
         self._peers = decode_peers(records, self._this_node.entry_id)
+        own_revision = sum(each.revision for each in records if each.key == self._own_key)
+        if self._lease is not None and own_revision != self._revision:
+            _LOGGER.warning(
+                "peers: this node's record is missing or was replaced; writing it again",
+                extra={"revision": own_revision, "written_revision": self._revision},
+            )
+            self._lease = None
 
 
 def decode_peers(records: Iterable[Record], this_node: EntryId) -> tuple[Peer, ...]:
