Recognise queues and teams that a term knows from its jobs alone

Cause: an owner whose term began while a queue was removed gave its jobs the stored name as id, and took the queue for another one when it came back by a new name. And a job whose removed queue's name another one had taken stayed with that one once its own address was back: it was counted there, and 0 jobs waited at its own address.

Change: a job's address and key are known to the term from its adoption on, and each version assigns open jobs to the queue at their address. Waiting jobs are counted by the address that accepted them where a queue has it. A version without a rename is passed on as it is, without copies of its queues.

--- a/tests/adapters/test_renamed_queues.py
+++ b/tests/adapters/test_renamed_queues.py
@@ -129,6 +129,21 @@
         self.put_in_force(version(3, self.first, (OTHER, "/o/"), ("south", "/n/")))
         self.assert_known()
 
+    def test_an_owner_that_begins_while_the_queue_is_removed_counts_its_jobs_later(self) -> None:
+        self.put_in_force(version(2, self.first, (OTHER, "/o/")))
+        self.fleet.take_over()
+        self.run_and_count()
+        self.put_in_force(version(3, self.first, (OTHER, "/o/"), ("south", "/n/")))
+        self.assert_known()
+
+    # Guards against jobs that are counted for the queue that took the name of their removed one.
+    def test_a_removed_queue_whose_name_another_one_took_keeps_its_jobs(self) -> None:
+        self.put_in_force(version(2, self.first, (QUEUE, "/o/")))
+        self.fleet.take_over()
+        self.put_in_force(version(3, self.first, (QUEUE, "/o/"), ("south", "/n/")))
+        self.assert_known()
+        self.assertEqual(self.call("GET", "/o/"), (200, {"pending": 0}))
+
     def test_a_queue_that_moves_to_another_address_keeps_its_jobs(self) -> None:
         self.put_in_force(version(2, self.first, (QUEUE, "/m/")))
         self.assert_known("/m/")
--- a/tests/core/jobs/test_identities.py
+++ b/tests/core/jobs/test_identities.py
@@ -102,6 +102,23 @@
         found = self.identities.apply(version(3, {"x": "/1/", "b": "/2/"}))
         self.assertEqual(set(found.queues), {"a", "b"})
 
+    # Guards against jobs that stay without a queue, as it was removed when the term began.
+    def test_a_queue_that_the_term_knows_from_a_job_alone_is_recognised(self) -> None:
+        spec = self.identities.adopt(accepted("/3/", "c"))
+        self.identities.apply(version(2, {"x": "/3/"}))
+        self.assertEqual(self.identities.queue_name(spec.queue), "x")
+        self.assertEqual(self.identities.address_of(spec.queue), "h/3/")
+
+    # Guards against a job that stays with the queue that took the name of its removed one.
+    def test_a_job_returns_to_the_queue_at_its_address(self) -> None:
+        self.identities.apply(version(2, {"a": "/9/"}))
+        spec = self.identities.adopt(accepted("/1/", "a"))
+        self.assertEqual(self.identities.address_of_job(spec.queue, spec.address), "h/9/")
+        found = self.identities.apply(version(3, {"a": "/9/", "x": "/1/"}))
+        moved = self.identities.move_to_address(spec)
+        self.assertEqual(found.queues[moved.queue].path_prefix, "/1/")
+        self.assertEqual(self.identities.address_of_job(spec.queue, spec.address), "h/1/")
+
     def test_records_of_older_builds_are_known_by_name(self) -> None:
         self.identities.apply(version(2, {"x": "/1/", "b": "/2/"}))
         self.assertEqual(self.queue_of(job(1)), "north")
--- a/toucandoor/core/jobs/configuration.py
+++ b/toucandoor/core/jobs/configuration.py
@@ -123,7 +123,7 @@
     @property
     def key_digests(self) -> frozenset[KeyDigest]:
         """Digests of its keys."""
-        return frozenset(map(key_digest, self.keys))
+        return frozenset(key_digest(key) for key in self.keys if key)
 
 
 @dataclass(frozen=True)
--- a/toucandoor/core/jobs/identities.py
+++ b/toucandoor/core/jobs/identities.py
@@ -9,14 +9,14 @@
 
 import logging
 from dataclasses import replace
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from toucandoor.ids import QueueAddress, QueueId, TeamId
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from toucandoor.core.jobs.configuration import JobConfiguration
     from toucandoor.core.jobs.models import JobSpec
@@ -24,8 +24,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-_T = TypeVar("_T")
-
 
 class _Lineage:
     """Ids of things that have a name and marks; a thing is recognised by its marks first.
@@ -100,18 +98,33 @@
             )
         self._name_of_id[thing_id] = name
 
-    def id_of(self, mark: str, name: str) -> str:
+    def find(self, mark: str, name: str) -> str | None:
         """Return the id of the thing with a mark, or with a name if the mark is unknown."""
-        found = self._id_of_mark.get(mark) if mark else None
-        return found or self._id_of_name.get(name, name)
+        return self._id_of_mark.get(mark) or self._id_of_name.get(name)
+
+    def adopt(self, mark: str, name: str) -> str:
+        """Return the id of a thing that a record names; it may be in no version of this term.
+
+        Args:
+            mark: Its mark; empty if the record has none.
+            name: Its name when the record was written.
+        """
+        found = self.find(mark, name)
+        if found is None:
+            found = self._new_id(name, ())
+            self._set_name(found, name)
+            self._id_of_name[name] = found
+        if mark:
+            self._id_of_mark.setdefault(mark, found)
+        return found
 
     def name_of(self, thing_id: str) -> str:
         """Return the latest name of a thing."""
         return self._name_of_id.get(thing_id, thing_id)
 
-    def key_by_id(self, by_name: Mapping[_T, object]) -> dict[str, _T]:
-        """Return the names of a version by id."""
-        return {self._id_of_name[str(name)]: name for name in by_name}
+    def ids_of(self, names: Iterable[str]) -> dict[str, str]:
+        """Return the ids of the things of the newest version, by name."""
+        return {name: self._id_of_name[name] for name in names}
 
 
 class Identities:
@@ -121,6 +134,7 @@
         self._queues = _Lineage("queue")
         self._teams = _Lineage("team")
         self._address_of_queue: dict[QueueId, QueueAddress] = {}
+        self._addresses: frozenset[QueueAddress] = frozenset()
 
     @property
     def renamed(self) -> bool:
@@ -129,29 +143,40 @@
 
     def apply(self, configuration: JobConfiguration) -> JobConfiguration:
         """Return a newer version with ids in place of the names of its queues and teams."""
-        self._queues.set_things({str(n): [q.address] for n, q in configuration.queues.items()})
-        self._teams.set_things({str(n): t.key_digests for n, t in configuration.teams.items()})
-        queues = {
-            QueueId(each): replace(configuration.queues[name], name=QueueId(each))
-            for each, name in self._queues.key_by_id(configuration.queues).items()
-        }
-        teams = {
-            TeamId(each): replace(configuration.teams[name], name=TeamId(each))
-            for each, name in self._teams.key_by_id(configuration.teams).items()
-        }
-        self._address_of_queue.update({each: queue.address for each, queue in queues.items()})
-        if queues.keys() == configuration.queues.keys() and not self.renamed:
+        addresses = {name: queue.address for name, queue in configuration.queues.items()}
+        self._queues.set_things({name: [address] for name, address in addresses.items()})
+        self._teams.set_things({n: team.key_digests for n, team in configuration.teams.items()})
+        queue_ids = self._queues.ids_of(addresses)
+        team_ids = self._teams.ids_of(configuration.teams)
+        self._addresses = frozenset(addresses.values())
+        self._address_of_queue |= {QueueId(queue_ids[n]): a for n, a in addresses.items()}
+        if all(name == each for ids in (queue_ids, team_ids) for name, each in ids.items()):
             return configuration
-        return replace(configuration, queues=queues, teams=teams)
+        return replace(
+            configuration,
+            queues={
+                QueueId(queue_ids[name]): replace(queue, name=QueueId(queue_ids[name]))
+                for name, queue in configuration.queues.items()
+            },
+            teams={
+                TeamId(team_ids[name]): replace(team, name=TeamId(team_ids[name]))
+                for name, team in configuration.teams.items()
+            },
+        )
 
     def adopt(self, spec: JobSpec) -> JobSpec:
         """Return a job's specification with ids in place of the names that were stored."""
-        queue = QueueId(self._queues.id_of(spec.address, spec.queue))
-        team = TeamId(self._teams.id_of(spec.key_digest, spec.team) if spec.team else "")
+        queue = QueueId(self._queues.adopt(spec.address, spec.queue))
+        team = TeamId(self._teams.adopt(spec.key_digest, spec.team) if spec.team else "")
         if (queue, team) == (spec.queue, spec.team):
             return spec
         return msgspec.structs.replace(spec, queue=queue, team=team)
 
+    def move_to_address(self, spec: JobSpec) -> JobSpec:
+        """Return an adopted specification for the queue that its address has in a newer version."""
+        queue = QueueId(self._queues.find(spec.address, "") or spec.queue)
+        return spec if queue == spec.queue else msgspec.structs.replace(spec, queue=queue)
+
     def queue_name(self, queue: QueueId) -> QueueId:
         """Return the latest name of a queue."""
         return QueueId(self._queues.name_of(queue))
@@ -160,13 +185,22 @@
         """Return the latest name of a team."""
         return TeamId(self._teams.name_of(team))
 
+    def address_of_job(self, queue: QueueId, address: QueueAddress) -> QueueAddress | None:
+        """Return the address by which callers reach a job; None if it is not known.
+
+        Args:
+            queue: Its queue.
+            address: Address that accepted it; empty in records of older builds.
+        """
+        return address if address in self._addresses else self.address_of(queue)
+
     def address_of(self, queue: QueueId) -> QueueAddress | None:
         """Return the latest address of a queue; None if no version has named it in this term."""
         return self._address_of_queue.get(queue)
 
     def queue_at(self, address_or_name: str) -> QueueId:
         """Return the queue with an address; also takes the names that older builds store."""
-        return QueueId(self._queues.id_of(address_or_name, address_or_name))
+        return QueueId(self._queues.find(address_or_name, address_or_name) or address_or_name)
 
     def stored(self, record: ProgressRecord) -> ProgressRecord:
         """Return the record of a job with present names in place of ids, and with its address."""
--- a/toucandoor/core/scheduling/progress_writer.py
+++ b/toucandoor/core/scheduling/progress_writer.py
@@ -289,14 +289,18 @@
 
     def _count_pending(self) -> PendingRecord:
         state = self._state
-        by_name: Counter[QueueId] = Counter()
-        by_address: Counter[QueueAddress] = Counter()
+        waiting: Counter[tuple[QueueId, QueueAddress]] = Counter()
         for job_id in state.open_jobs:
             job = state.jobs[job_id]
             if not job.started and not job.state.final:
-                spec = job.spec
-                by_name[state.identities.queue_name(spec.queue)] += 1
-                by_address[state.identities.address_of(spec.queue) or spec.address] += 1
+                waiting[job.spec.queue, job.spec.address] += 1
+        by_name: Counter[QueueId] = Counter()
+        by_address: Counter[QueueAddress] = Counter()
+        for (queue, accepted_at), count in waiting.items():
+            by_name[state.identities.queue_name(queue)] += count
+            address = state.identities.address_of_job(queue, accepted_at)
+            if address is not None:
+                by_address[address] += count
         return PendingRecord(dict(by_name), dict(by_address))
 
     def pending_written(self, *, ok: bool) -> None:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -141,6 +141,8 @@
         configuration = self.configuration = self.identities.apply(configuration)
         if first:
             self._adopt_jobs()
+        for job_id in self.open_jobs:
+            self.jobs[job_id].spec = self.identities.move_to_address(self.jobs[job_id].spec)
         self.rates.set_configuration(configuration, self.now_unix_ms)
         fair = self.policies.shares_decide(configuration)
         if not fair:
