--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -21,6 +21,7 @@
 from toucandoor.ids import WorkerId
 
 FIELDS: dict[str, type | tuple[type, ...]] = {
+    "address": str,
     "after_s": (int, float),
     "age_s": (int, float),
     "answering": int,
@@ -73,6 +74,10 @@
     "host": str,
     "interval_s": (int, float),
     "job": str,
+    "job_address": str,
+    "job_queue": str,
+    "kind": str,
+    "known_as": str,
     "job_age_s": (int, float),
     "jobs": int,
     "jobs_cancelled": int,
@@ -105,6 +110,8 @@
     "plans": int,
     "pool": str,
     "queue": str,
+    "revision": int,
+    "written_revision": int,
     "queues": int,
     "rack": str,
     "racks": int,
@@ -171,6 +178,7 @@
     "core/evacuation",
     "core/failure_domains",
     "core/fair_order",
+    "core/jobs",
     "core/scheduling",
     "core/ownership",
     "core/pools/vm_lender.py",
--- a/toucandoor/core/jobs/identities.py
+++ b/toucandoor/core/jobs/identities.py
@@ -94,7 +94,7 @@
                 self._kind,
                 former,
                 name,
-                extra={"kind": self._kind, "id": thing_id},
+                extra={"kind": self._kind, "known_as": thing_id},
             )
         self._name_of_id[thing_id] = name
 
