Assign ids to many queues in time that grows with their number

Cause: for each queue of a version the ids that were assigned before were searched one after the other, on the owner's event loop.

Change: a set of the assigned ids. The assignments are the same.

--- a/toucandoor/core/jobs/identities.py
+++ b/toucandoor/core/jobs/identities.py
@@ -55,12 +55,16 @@
             for name, marks in marks_by_name.items()
         }
         assigned: dict[str, str] = {}
+        taken: set[str] = set()
 
-        def assign(name: str, candidates: Collection[str | None]) -> None:
-            taken = assigned.values()
+        def assign(name: str, candidates: Iterable[str | None]) -> None:
+            if name in assigned:
+                return
             for each in candidates:
-                if name not in assigned and each is not None and each not in taken:
+                if each is not None and each not in taken:
                     assigned[name] = each
+                    taken.add(each)
+                    return
 
         # Of several things with a mark of the same former one, that with its name continues it.
         for name, ids in known.items():
@@ -70,7 +74,8 @@
         for name in known:
             assign(name, [self._id_of_name.get(name)])
         for name in known:
-            assign(name, [self._new_id(name, assigned.values())])
+            if name not in assigned:
+                assign(name, [self._new_id(name, taken)])
         marks: dict[str, str] = {}
         for name in marks_by_name:
             self._set_name(assigned[name], name)
