Reproduce a start on a server whose VM is under maintenance

A heartbeat that was sent before the maintenance of a VM, and whose answer is processed after it, returns the ended server to use.

--- /dev/null
+++ b/tests/core/scheduling/test_unbegun_runs.py
@@ -0,0 +1,66 @@
+"""Runs whose start nobody answered: how long they keep their tasks without a run."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.core.scheduling.common import CAPACITY, POOL, configuration, job, never_ends
+from toucandoor.core.jobs.models import Step, TaskKey
+from toucandoor.fakes.virtual_fleet import VirtualFleet
+from toucandoor.fakes.virtual_waves import VirtualWaves
+from toucandoor.ids import VmId, WorkerId
+
+RUNS_AGAIN_WITHIN_S = 3.0
+"""Longest time without a run that callers accept for a task that has room."""
+STEP_S = 0.01
+
+
+class UnbegunRunsTest(unittest.TestCase):
+    """Servers on a VM each; each of the long-running tasks fills one of them."""
+
+    def setUp(self) -> None:
+        self.fleet = VirtualFleet(configuration(), never_ends)
+        self.fleet.take_over()
+        self.waves = VirtualWaves(self.fleet)
+        self.tasks: list[TaskKey] = []
+
+    def boot(self, *numbers: int) -> None:
+        for number in numbers:
+            self.fleet.boot(f"w{number}", POOL, CAPACITY, vm_id=f"m{number}")
+        self.fleet.run(0.3)
+
+    def submit(self, count: int) -> None:
+        spec = job(1, Step(count, CAPACITY, long_running=True))
+        self.fleet.submit(spec)
+        self.tasks = [TaskKey(spec.job_id, 0, 0, number) for number in range(count)]
+        self.fleet.run(2.0)
+
+    def longest_gap_s(self, for_s: float) -> float:
+        """Run on and return the longest time for which one of the tasks had no run."""
+        longest_s, without_s = 0.0, dict.fromkeys(self.tasks, 0.0)
+        for _ in range(round(for_s / STEP_S)):
+            self.fleet.run(STEP_S)
+            for boot in self.fleet.observations.boots:
+                boot.update()
+            for task in self.tasks:
+                runs = self.fleet.observations.running.get(task)
+                without_s[task] = 0.0 if runs else without_s[task] + STEP_S
+                longest_s = max(longest_s, without_s[task])
+        self.assertEqual(self.fleet.observations.violations, [])
+        return longest_s
+
+    def place_of(self, number: int) -> WorkerId:
+        [worker] = self.fleet.observations.running[self.tasks[number]]
+        return worker
+
+    # Guards against a start on a server whose VM is under maintenance, as the answer to a heartbeat
+    # from before the maintenance came after it.
+    def test_an_answer_from_before_the_maintenance_does_not_return_a_server_to_use(self) -> None:
+        self.boot(0, 1, 2)
+        self.submit(2)
+        vms = [VmId(self.place_of(number).replace("w", "m")) for number in range(2)]
+        self.fleet.calls.choose_answer_delay_s = lambda: 0.06
+        self.waves.order(vms[:1], within_s=8.0, down_max=1)
+        self.assertLess(self.longest_gap_s(0.4), RUNS_AGAIN_WITHIN_S)
+        self.waves.order(vms[1:], within_s=8.0, down_max=1)
+        self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
--- a/toucandoor/fakes/virtual_calls.py
+++ b/toucandoor/fakes/virtual_calls.py
@@ -110,6 +110,7 @@
             ``hold`` (a heartbeat), ``advise`` or ``write``.
         choose_delay_s: Returns the delay of a late call, in seconds.
         choose_send_delay_s: Returns the time for which a start waits for a connection, in seconds.
+        choose_answer_delay_s: Returns the delay of the answer to a heartbeat, in seconds.
         late_orders_survive_restarts: Whether a later boot under the same id takes a late order;
             otherwise it is lost with the boot that it was sent to.
         store_down_until_s: Time until which the store refuses all calls.
@@ -127,6 +128,7 @@
         self.choose_outcome: Callable[[str], CallOutcome] = lambda kind: CallOutcome.ANSWERED
         self.choose_delay_s: Callable[[], float] = lambda: 4.0
         self.choose_send_delay_s: Callable[[], float] = lambda: 0.0
+        self.choose_answer_delay_s: Callable[[], float] = lambda: 0.0
         self.late_orders_survive_restarts = False
         self.store_down_until_s = 0.0
         self.adviser = VirtualAdviser(clock)
@@ -332,7 +334,7 @@
         if report.ended or waited_s >= order.wait_s:
             self._schedule_event(
                 owner,
-                CALL_S / 2,
+                CALL_S / 2 + self.choose_answer_delay_s(),
                 lambda: scheduler.heartbeat_answered(order.worker, report, sent_s),
             )
             return
