Log the starts of runs that are lost, discarded or held a task

Change: a run records its first and last start order, the age of its server's last answer at the first one, and how many orders were unanswered, refused or withheld; a boot records the maintenance of its VM, and orders for the VM without an answer. Lines on lost and discarded runs have these fields; those on gaps have them for the run that held the task longest without having begun. Nothing is done per heartbeat.

--- a/toucandoor/core/maintenance/job_waves.py
+++ b/toucandoor/core/maintenance/job_waves.py
@@ -26,6 +26,7 @@
     servers_to_give_back,
 )
 from toucandoor.core.scheduling.cordons import Cordon, CordonSource
+from toucandoor.core.scheduling.start_log import VmOrder
 from toucandoor.core.scheduling.workers import VmRefusal, VmState
 from toucandoor.ids import VmId
 
@@ -188,6 +189,7 @@
             # The backend server has ended, unless the maintenance had been done before and this
             # one was started after it.
             self._scheduler.registry.require_heartbeat(worker)
+            worker.record_vm_order(VmOrder.MAINTENANCE, self._now_s())
         _LOGGER.info(
             "maintenance: maintenance of the VM has begun",
             extra={"vm": order.vm_id, "wave": order.wave, "begun": len(wave.begun)},
@@ -201,6 +203,10 @@
         wave.retry_at_s[order.vm_id] = now_s + RETRY_S
         if refusal is None:
             wave.down_since_s[order.vm_id] = now_s  # it may have begun
+            worker_id = wave.ordered_on.get(order.vm_id)
+            worker = self._scheduler.workers.get(worker_id) if worker_id is not None else None
+            if worker is not None:
+                worker.record_vm_order(VmOrder.MAINTENANCE_UNANSWERED, now_s)
         else:
             wave.down_since_s.pop(order.vm_id, None)
         if refusal in (VmRefusal.NOT_IN_WAVE, VmRefusal.REJECTED, VmRefusal.BUSY):
--- a/toucandoor/core/pools/vm_lender.py
+++ b/toucandoor/core/pools/vm_lender.py
@@ -8,6 +8,7 @@
 from toucandoor.core.failure_domains.models import SLOW_RATIO
 from toucandoor.core.pools.lending import LendableVm, PoolMove
 from toucandoor.core.scheduling.cordons import MOVE_CORDON
+from toucandoor.core.scheduling.start_log import VmOrder
 from toucandoor.core.scheduling.workers import VmState
 
 if TYPE_CHECKING:
@@ -86,7 +87,9 @@
 
     def on_move_refused(self, move: PoolMove, refusal: VmRefusal | None) -> None:
         """Handle a move that the platform refused, or did not answer (None)."""
-        self._end_order(move)
+        worker = self._end_order(move)
+        if worker is not None and refusal is None:
+            worker.record_vm_order(VmOrder.MOVE_UNANSWERED, self._now_s())
         self._retry_at_s[move.vm_id] = self._now_s() + RETRY_S
         self._vm_list.schedule_read()
         _LOGGER.info(
--- a/toucandoor/core/scheduling/run_gaps.py
+++ b/toucandoor/core/scheduling/run_gaps.py
@@ -11,6 +11,7 @@
 from toucandoor.core.scheduling.idle_jobs import IdleJobs
 from toucandoor.core.scheduling.lookups import task_text
 from toucandoor.core.scheduling.run_gap_models import EndedGap, LastEnd, WaitCause
+from toucandoor.core.scheduling.start_log import start_fields
 from toucandoor.core.scheduling.worker_view import DiscardReason, RunState
 
 if TYPE_CHECKING:
@@ -52,6 +53,8 @@
         waits: Time that the task has waited for each cause.
         next_line_s: Length of the gap at which the next line is due.
         logged: Whether there has been a line.
+        held_s: Longest time for which a run that never began has held the task meanwhile.
+        holder: Log fields of that run.
     """
 
     since_s: float
@@ -62,6 +65,8 @@
     waits: dict[WaitCause, float] = field(default_factory=dict)
     next_line_s: float = LINE_AFTER_S
     logged: bool = False
+    held_s: float = 0.0
+    holder: dict[str, object] = field(default_factory=dict)
 
     def account(self, now_s: float) -> None:
         """Add the time since the last call to that of the present cause."""
@@ -150,6 +155,19 @@
             gap = self._begin(run.task, since_s, last_end, _server(run), WaitCause.SILENT_SERVER)
         gap.last_end = last_end
 
+    def on_unbegun_discarded(self, run: Run, ended_by: str) -> None:
+        """Process that a run is about to be discarded that no server has confirmed.
+
+        Args:
+            run: The run.
+            ended_by: What ended it, for the log.
+        """
+        gap = self._open.get(run.task)
+        now_s = self._state.now_s
+        if gap is not None and not run.begun and now_s - run.created_s >= gap.held_s:
+            gap.held_s = now_s - run.created_s
+            gap.holder = _holder_fields(run, now_s) | {"ended_by": ended_by}
+
     def on_detached(self, job: JobProgress, run: Run) -> None:
         """Process the removal of a run."""
         self.idle_jobs.on_detached(job)
@@ -295,13 +313,26 @@
             "ended_as": gap.last_end.value,
             "waited_for": gap.main_cause.value,
             "waits": ", ".join(f"{cause.value}: {wait_s:.2f} s" for cause, wait_s in waits),
-        }
+        } | self._holder(task, gap)
+
+    def _holder(self, task: Task, gap: _Gap) -> dict[str, object]:
+        """Return the fields of the run that has held a task for longest without having begun."""
+        now_s = self._state.now_s
+        unbegun = [run for run in task.runs if not run.begun]
+        if unbegun and now_s - unbegun[0].created_s > gap.held_s:
+            return _holder_fields(unbegun[0], now_s)
+        return gap.holder
 
 
 def _had_run(gap: _Gap) -> bool:
     return gap.last_end is not LastEnd.NEVER_STARTED
 
 
+def _holder_fields(run: Run, now_s: float) -> dict[str, object]:
+    fields = start_fields(run, now_s)
+    return fields | {"held_by": _server(run), "held_attempt": run.key.attempt}
+
+
 def _server(run: Run) -> str:
     return run.worker.entry.worker_id
 
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -133,6 +133,7 @@
         if may_be_copied(run.task.step):
             deadline_ms = run.worker.lease_end_ms(const.COPIED_START_DEADLINE_S, now_s)
             until_ms = min(until_ms, deadline_ms) if deadline_ms is not None else until_ms
+        run.start_log.record_order(now_s, run.worker.answered_s)
         run.starts_sent += 1
         run.starts_unanswered += 1
         step = self._state.step_of(run.task)
@@ -265,6 +266,7 @@
         now_s = self._state.now_s
         run.order_in_flight = False
         run.starts_unanswered -= 1
+        run.start_log.refused += 1
         worker = run.worker
         worker.answered_s = now_s
         if run.key not in worker.runs or self._handle_common_refusal(worker, refusal):
@@ -298,9 +300,11 @@
         run.starts_sent -= 1
         run.starts_unanswered -= 1
         run.next_order_s = self._state.now_s
+        run.start_log.withheld += 1
 
     def start_unanswered(self, run: Run) -> None:
         """Process a start without an answer: the run may exist now or later."""
+        run.start_log.unanswered += 1
         now_s = self._state.now_s
         run.order_in_flight = False
         run.next_order_s = now_s + const.START_RETRY_S
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -17,6 +17,7 @@
 from toucandoor.core.scheduling.queue_order import ExpectedWorkCache, objective_s
 from toucandoor.core.scheduling.relocation import HeldRoom
 from toucandoor.core.scheduling.run_gaps import RunGaps
+from toucandoor.core.scheduling.start_log import start_fields
 from toucandoor.core.scheduling.step_order import LeastWorkFirst, StepOrder
 from toucandoor.core.scheduling.worker_view import DiscardReason, RunState
 
@@ -293,6 +294,7 @@
         run.worker.remove(run)
         self.changed_pools.add(run.worker.entry.pool)
         run.harmless_before = run.harmless
+        run.begun_before = run.begun
         run.worker = worker
         run.from_former_boot = True
         run.reported = run.stop_acknowledged = False
@@ -326,10 +328,17 @@
         self.waiting_steps[step.key] = step
         self.changed_pools.add(self.pool_of(job))
 
-    def discard_run(self, run: Run, reason: DiscardReason) -> None:
-        """Remove a run that cannot exist any more and whose result is unknown."""
+    def discard_run(self, run: Run, reason: DiscardReason, ended_by: str = "") -> None:
+        """Remove a run that cannot exist any more and whose result is unknown.
+
+        Args:
+            run: The run.
+            reason: Why it is discarded.
+            ended_by: The same in more detail, for the log; empty if the reason says it all.
+        """
         if run.confirmed_s is None and run.state is not RunState.RECOVERED:
             self._count_discarded_plan(run, reason)
+            self.run_gaps.on_unbegun_discarded(run, ended_by or reason.value)
         elif reason is DiscardReason.NOT_REPORTED:
             _LOGGER.info(
                 "runs: discarded without a reported end",
@@ -343,7 +352,8 @@
         task = run.task
         task.plans_discarded += 1
         self.activity.plans_discarded[reason] += 1
-        fields = run_fields(run) | {"reason": reason.value, "plans": task.plans_discarded}
+        fields = run_fields(run) | start_fields(run, self.now_s)
+        fields |= {"reason": reason.value, "plans": task.plans_discarded}
         if task.plans_discarded >= const.DISCARDED_PLANS_TO_WARN:
             _LOGGER.warning(
                 "runs: the task is planned again and again without a start", extra=fields
@@ -385,9 +395,12 @@
             self.activity.runs_lost += 1
             _LOGGER.info(
                 "runs: lost with its server",
-                extra=run_fields(run) | lost_run_fields(run, self.now_s),
+                extra=run_fields(run)
+                | lost_run_fields(run, self.now_s)
+                | start_fields(run, self.now_s)
+                | {"ended_by": f"its server {reason}"},
             )
-            self.discard_run(run, DiscardReason.SERVER_LOST)
+            self.discard_run(run, DiscardReason.SERVER_LOST, f"its server {reason}")
 
     def ceiling_of(self, team_id: TeamId) -> Resources | None:
         """Return the most that a team may have running; None for no ceiling."""
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -9,10 +9,12 @@
 from toucandoor.core.jobs.models import NO_RESOURCES, Resources
 from toucandoor.core.scheduling import const
 from toucandoor.core.scheduling.cordons import EVACUATION_CORDON, Cordon, CordonSource
+from toucandoor.core.scheduling.start_log import StartLog
 from toucandoor.core.scheduling.workers import WorkerTarget
 
 if TYPE_CHECKING:
     from toucandoor.core.scheduling.progress import Task
+    from toucandoor.core.scheduling.start_log import VmOrder
     from toucandoor.core.scheduling.workers import RunKey, WorkerEntry
     from toucandoor.ids import JobId
 
@@ -62,6 +64,7 @@
         settled_noted: Whether its record says, or will say, that it is settled.
         from_former_boot: Whether its starts were sent to an earlier boot of the server.
         harmless_before: Whether it was `harmless` on that boot.
+        begun_before: Whether it was `begun` on that boot.
         loss_counted: Whether it counts as lost for its task, and no later boot has reported it.
         order_sent_s: When the latest start or stop was sent.
         order_in_flight: Whether a start or stop awaits its answer.
@@ -72,6 +75,7 @@
         checkpoint: Saved progress from which it starts.
         suspect: Whether its task may crash the server, by the runs before this one.
         isolated: Whether no other run is placed beside it.
+        start_log: When its start was ordered and what came back, for log lines.
     """
 
     key: RunKey
@@ -89,6 +93,7 @@
     settled_noted: bool = False
     from_former_boot: bool = False
     harmless_before: bool = False
+    begun_before: bool = False
     loss_counted: bool = False
     order_sent_s: float = 0.0
     order_in_flight: bool = False
@@ -99,6 +104,7 @@
     checkpoint: str = ""
     suspect: bool = False
     isolated: bool = False
+    start_log: StartLog = field(default_factory=StartLog)
 
     def confirm(self, now_s: float) -> None:
         """Record that the server has confirmed it; only the first time counts."""
@@ -106,6 +112,11 @@
             self.confirmed_s = now_s
             self.task.plans_discarded = 0
 
+    @property
+    def begun(self) -> bool:
+        """Whether a boot has confirmed or reported it."""
+        return self.confirmed_s is not None or self.reported or self.begun_before
+
     @property
     def harmless(self) -> bool:
         """Whether the server has reported it for so long that it is not what crashes the server."""
@@ -200,6 +211,8 @@
         answered_s: When it last answered any order.
         speed_limited_s: When speed limits of its runs were last changed.
         reported_s: When its latest status report arrived.
+        vm_order: Order that has ended it or may have, for log lines; None for none.
+        vm_order_s: When that was answered, or was not in time.
     """
 
     entry: WorkerEntry
@@ -241,11 +254,17 @@
     answered_s: float = 0.0
     speed_limited_s: float = 0.0
     reported_s: float = 0.0
+    vm_order: VmOrder | None = None
+    vm_order_s: float = 0.0
 
     def __post_init__(self) -> None:
         """Compute the free capacity."""
         self._update_free()
 
+    def record_vm_order(self, order: VmOrder, now_s: float) -> None:
+        """Record an order for its VM that has ended it or may have."""
+        self.vm_order, self.vm_order_s = order, now_s
+
     @property
     def target(self) -> WorkerTarget:
         """Id and address for orders."""
