Warn of a run that holds its task for 3 s without having begun

Change: a review every 0.5 s over the planned runs and those that await a start warns once of each run that was planned 3 s ago or more and has not begun, and logs what ended that: what the run was discarded for, or that it began after all.

--- a/tests/core/scheduling/test_unbegun_reports.py
+++ b/tests/core/scheduling/test_unbegun_reports.py
@@ -5,11 +5,13 @@
 import unittest
 from dataclasses import replace
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from tests.core.scheduling.common import CAPACITY, POOL, configuration, fleet, job, never_ends
 from tests.core.scheduling.test_run_gaps import RUNS_AGAIN, RunGapsTestCase
 from toucandoor.core.jobs.models import Step
 from toucandoor.core.scheduling.start_log import VmOrder
+from toucandoor.core.scheduling.unbegun_runs import BEGUN, WARN_AFTER_S
 from toucandoor.core.scheduling.worker_view import DiscardReason
 from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.fakes.virtual_fleet import VirtualFleet
@@ -20,6 +22,8 @@
     from toucandoor.core.jobs.models import TaskKey
     from toucandoor.fakes.virtual_platform import TaskBehaviour
 
+HOLDS = "runs: a run holds its task without having begun"
+HOLDS_NO_LONGER = "runs: a run that held its task without having begun does so no longer"
 LOST = "runs: lost with its server"
 DISCARDED = "runs: discarded before it had begun"
 LEASE_EXPIRED = "its server was unreachable until its lease expired"
@@ -52,6 +56,21 @@
         virtual.submit(LASTING)
         return virtual
 
+    # Guards against a task that is held for a whole lease without a line that says by what.
+    def test_a_run_without_an_answer_is_warned_of_once_and_its_end_is_logged(self) -> None:
+        virtual = self.fail_at_first_start()
+        virtual.run(WARN_AFTER_S - 0.2)
+        self.assertEqual(self.lines(HOLDS), [])
+        virtual.run(12.0)
+        (warned,) = self.lines(HOLDS)
+        self.assertAlmostEqual(seconds(warned, "planned_age_s"), WARN_AFTER_S, delta=0.6)
+        self.assertGreater(seconds(warned, "first_start_age_s"), WARN_AFTER_S - 0.5)
+        self.assertLess(seconds(warned, "answer_age_at_first_start_s"), 1.0)
+        self.assertRegex(str(warned["start_outcomes"]), r"^no answer: \d+$")
+        self.assertEqual((warned["begun"], warned["vm_order"]), (False, ""))
+        (ended,) = self.lines(HOLDS_NO_LONGER)
+        self.assertEqual(ended["ended_by"], LEASE_EXPIRED)
+
     # Guards against lines on a lost run that can't tell whether, when and how it was started.
     def test_lines_on_a_run_lost_before_it_began_tell_of_its_starts(self) -> None:
         virtual = self.fail_at_first_start()
@@ -60,7 +79,7 @@
         (discarded,) = self.lines(DISCARDED)
         for line in (lost, discarded):
             self.assertFalse(line["begun"])
-            self.assertGreater(seconds(line, "planned_age_s"), 3.0)
+            self.assertGreater(seconds(line, "planned_age_s"), WARN_AFTER_S)
             self.assertGreaterEqual(
                 seconds(line, "first_start_age_s"), seconds(line, "last_start_age_s")
             )
@@ -79,6 +98,44 @@
         self.assertEqual(again["ended_by"], LEASE_EXPIRED)
         self.assertRegex(str(again["start_outcomes"]), r"^no answer: \d+$")
 
+    # Guards against a start that was never ordered and looks like one without an answer.
+    def test_a_run_that_may_not_start_has_no_start_and_begins_after_all(self) -> None:
+        virtual = fleet(1, never_ends)
+        state = virtual.scheduler.state
+        may_start, state.may_start = state.may_start, lambda _run: False
+        virtual.submit(LASTING)
+        virtual.run(WARN_AFTER_S + 1.0)
+        (warned,) = self.lines(HOLDS)
+        self.assertEqual((warned["starts"], warned["start_outcomes"]), (0, ""))
+        self.assertNotIn("first_start_age_s", warned)
+        state.may_start = may_start
+        virtual.run(1.5)
+        (ended,) = self.lines(HOLDS_NO_LONGER)
+        self.assertEqual(ended["ended_by"], BEGUN)
+
+    # Guards against a start that was withheld and that looks like one without an answer.
+    def test_a_withheld_start_is_not_one_without_an_answer(self) -> None:
+        virtual = fleet(1, never_ends)
+        virtual.run(0.5)
+        virtual.calls.choose_send_delay_s = lambda: 0.3
+        virtual.submit(LASTING)
+        evacuation = virtual.scheduler.evacuation
+        with patch.object(evacuation, "may_start", return_value=False):
+            virtual.run(WARN_AFTER_S + 1.0)
+        (warned,) = self.lines(HOLDS)
+        self.assertRegex(str(warned["start_outcomes"]), r"^withheld: \d+$")
+
+    # Guards against warnings of runs that began in time, and of a lost run that had begun.
+    def test_runs_that_have_begun_are_not_reported(self) -> None:
+        virtual = fleet(1, never_ends)
+        virtual.submit(LASTING)
+        virtual.run(5.0)
+        virtual.workers[WorkerId("w0")].reachable = False
+        virtual.run(14.0)
+        self.assertEqual(self.lines(HOLDS), [])
+        (lost,) = self.lines(LOST)
+        self.assertTrue(lost["begun"])
+
     # Guards against a maintenance that shows in no line on a run started after it.
     def test_the_maintenance_of_a_vm_is_recorded_for_its_server(self) -> None:
         virtual = VirtualFleet(configuration(), never_ends)
--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -130,6 +130,7 @@
     "records": int,
     "reported": bool,
     "request": str,
+    "run_state": str,
     "runs": int,
     "samples": float,
     "sent": int,
@@ -175,6 +176,8 @@
     "jobs: ended as %s",
     "runs: lost with its server",
     "runs: discarded before it had begun",
+    "runs: a run holds its task without having begun",
+    "runs: a run that held its task without having begun does so no longer",
     "runs: a long-running task has had no run for a while",
     "runs: a long-running task runs again",
     "jobs: nothing of a job has run for a while",
@@ -250,6 +253,7 @@
         with self.assertLogs("toucandoor", "INFO") as logs:
             self.run_session_with_faults()
             self.run_session_with_gaps()
+            self.run_session_with_an_unbegun_run()
             for load in self.last_loads:
                 logging.getLogger("toucandoor.load").info("load", extra=load.log_fields())
         kinds = {str(record.msg) for record in logs.records}
@@ -290,6 +294,20 @@
         virtual.boot("w1", POOL, CAPACITY)
         virtual.run(1.0)
 
+    def run_session_with_an_unbegun_run(self) -> None:
+        """Leave a start without an answer until the lease of its server has expired."""
+        virtual = fleet(1, never_ends)
+        virtual.run(0.5)
+
+        def fail(kind: str) -> CallOutcome:
+            if kind == "start":
+                virtual.workers[WorkerId("w0")].reachable = False
+            return CallOutcome.ANSWERED
+
+        virtual.calls.choose_outcome = fail
+        virtual.submit(job(1, Step(1, NEEDS, long_running=True)))
+        virtual.run(13.0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -45,6 +45,7 @@
     from toucandoor.core.scheduling.orders import Commit, Order
     from toucandoor.core.scheduling.run_gaps import RunGaps
     from toucandoor.core.scheduling.step_order import TeamFigures
+    from toucandoor.core.scheduling.unbegun_runs import UnbegunRuns
     from toucandoor.core.scheduling.workers import Advice, StatusReport, WorkerEntry
     from toucandoor.ids import FencingToken, JobId, WorkerId
 
@@ -138,6 +139,11 @@
         """Long-running tasks and jobs that could run and have no run."""
         return self._state.run_gaps
 
+    @property
+    def unbegun_runs(self) -> UnbegunRuns:
+        """Planned runs that do not begin."""
+        return self._state.unbegun_runs
+
     @property
     def run_times(self) -> RunTimeModel:
         """Expected run times of tasks."""
@@ -347,6 +353,7 @@
         self.evacuation.advance()
         self.planned_stops.advance()
         self._state.run_gaps.review()
+        self._state.unbegun_runs.review()
         return orders + self.run_orders.due()
 
     def next_wake_s(self) -> float:
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -19,6 +19,7 @@
 from toucandoor.core.scheduling.run_gaps import RunGaps
 from toucandoor.core.scheduling.start_log import start_fields
 from toucandoor.core.scheduling.step_order import LeastWorkFirst, StepOrder
+from toucandoor.core.scheduling.unbegun_runs import UnbegunRuns
 from toucandoor.core.scheduling.worker_view import DiscardReason, RunState
 
 if TYPE_CHECKING:
@@ -81,6 +82,7 @@
         runs_to_copy: Runs of tasks that may have a second run, and these second runs.
         attach_listeners: Called with each run that has been planned or recovered.
         run_gaps: Long-running tasks and jobs that could run and have no run.
+        unbegun_runs: Planned runs that do not begin.
     """
 
     def __init__(
@@ -124,6 +126,7 @@
         self.activity = Activity(self.started_s)
         self.attach_listeners: list[Callable[[JobProgress, Run], None]] = []
         self.run_gaps = RunGaps(self)
+        self.unbegun_runs = UnbegunRuns(self)
         self._team_used: dict[TeamId, Resources] = {}
 
     @property
@@ -338,6 +341,7 @@
         """
         if run.confirmed_s is None and run.state is not RunState.RECOVERED:
             self._count_discarded_plan(run, reason)
+            self.unbegun_runs.on_discarded(run, ended_by or reason.value)
             self.run_gaps.on_unbegun_discarded(run, ended_by or reason.value)
         elif reason is DiscardReason.NOT_REPORTED:
             _LOGGER.info(
