Count the runs that never began by what ended them

Change: the histogram toucandoor_unbegun_run_seconds has the time from the plan of each such run to its end, by what ended it; an expired lease is told from other losses of a server.

--- a/tests/adapters/test_node_metrics.py
+++ b/tests/adapters/test_node_metrics.py
@@ -10,6 +10,7 @@
 from toucandoor.core.scheduling.pool_load import PoolLoad
 from toucandoor.core.scheduling.run_gap_models import EndedGap, LastEnd, WaitCause
 from toucandoor.core.scheduling.step_order import TeamFigures
+from toucandoor.core.scheduling.unbegun_runs import EndedUnbegun
 from toucandoor.core.scheduling.worker_view import DiscardReason
 from toucandoor.ids import PoolId, QueueId, TeamId
 
@@ -33,6 +34,7 @@
     "toucandoor_jobs_ended": {"ended_as"},
     "toucandoor_run_gap_seconds": {"ended_as", "waited_for"},
     "toucandoor_tasks_without_run": {"waited_for"},
+    "toucandoor_unbegun_run_seconds": {"ended_by"},
     "toucandoor_invalid_server_entries": set(),
     "toucandoor_unexpected_errors": {"part"},
     "toucandoor_unwritable_jobs": set(),
@@ -59,6 +61,7 @@
         metrics.add_caller_outcome("state", "410")
         metrics.set_jobs_ended({"completed": 1})
         metrics.record_run_gap(EndedGap(1.5, LastEnd.DRAINING, WaitCause.NO_ROOM))
+        metrics.record_unbegun_run(EndedUnbegun(10.5, "lease_expired"))
         metrics.set_tasks_without_run({WaitCause.NO_ROOM: 2})
         metrics.set_invalid_entries(2)
         metrics.set_unwritable_jobs(1)
--- a/tests/core/scheduling/test_unbegun_reports.py
+++ b/tests/core/scheduling/test_unbegun_reports.py
@@ -98,6 +98,15 @@
         self.assertEqual(again["ended_by"], LEASE_EXPIRED)
         self.assertRegex(str(again["start_outcomes"]), r"^no answer: \d+$")
 
+    # Guards against figures that mix runs that waited for a lease with other discarded runs.
+    def test_ended_runs_are_counted_once_by_what_ended_them(self) -> None:
+        virtual = self.fail_at_first_start()
+        virtual.run(12.0)
+        (ended,) = virtual.scheduler.unbegun_runs.pop_ended()
+        self.assertEqual(ended.ended_by, "lease_expired")
+        self.assertGreater(ended.held_s, WARN_AFTER_S)
+        self.assertEqual(virtual.scheduler.unbegun_runs.pop_ended(), [])
+
     # Guards against a start that was never ordered and looks like one without an answer.
     def test_a_run_that_may_not_start_has_no_start_and_begins_after_all(self) -> None:
         virtual = fleet(1, never_ends)
@@ -112,6 +121,7 @@
         virtual.run(1.5)
         (ended,) = self.lines(HOLDS_NO_LONGER)
         self.assertEqual(ended["ended_by"], BEGUN)
+        self.assertEqual(state.unbegun_runs.pop_ended(), [])
 
     # Guards against a start that was withheld and that looks like one without an answer.
     def test_a_withheld_start_is_not_one_without_an_answer(self) -> None:
@@ -135,6 +145,7 @@
         self.assertEqual(self.lines(HOLDS), [])
         (lost,) = self.lines(LOST)
         self.assertTrue(lost["begun"])
+        self.assertEqual(virtual.scheduler.unbegun_runs.pop_ended(), [])
 
     # Guards against a maintenance that shows in no line on a run started after it.
     def test_the_maintenance_of_a_vm_is_recorded_for_its_server(self) -> None:
@@ -157,6 +168,9 @@
         line = self.lines(DISCARDED)[0]
         self.assertEqual(line["reason"], DiscardReason.START_REFUSED.value)
         self.assertEqual(line["start_outcomes"], "refused: 1")
+        ended = virtual.scheduler.unbegun_runs.pop_ended()[0]
+        self.assertEqual(ended.ended_by, "start_refused")
+        self.assertLess(ended.held_s, 0.5)
 
 
 if __name__ == "__main__":
--- a/toucandoor/adapters/node_metrics.py
+++ b/toucandoor/adapters/node_metrics.py
@@ -19,12 +19,14 @@
     from toucandoor.core.scheduling.pool_load import PoolLoad
     from toucandoor.core.scheduling.run_gap_models import EndedGap
     from toucandoor.core.scheduling.step_order import TeamFigures
+    from toucandoor.core.scheduling.unbegun_runs import EndedUnbegun
     from toucandoor.core.scheduling.worker_view import DiscardReason
     from toucandoor.ids import DataCentreId
 
 _CALL_BUCKETS_S: Final = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0]
 _JOB_BUCKETS_S: Final = [0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 8.0, 15.0, 60.0]
 _GAP_BUCKETS_S: Final = [0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0, 20.0]
+_UNBEGUN_BUCKETS_S: Final = [0.1, 0.5, 1.0, 3.0, 6.0, 10.0, 12.0, 20.0]
 
 
 class NodeMetrics:
@@ -118,6 +120,11 @@
             "Ended time without a run of a long-running task, by its begin and its main cause",
             buckets=_GAP_BUCKETS_S,
         )
+        self._unbegun_runs_s = Histogram(
+            "toucandoor_unbegun_run_seconds",
+            "Time for which runs that never began held their tasks, by what ended them",
+            buckets=_UNBEGUN_BUCKETS_S,
+        )
         self._without_run = Gauge(
             "toucandoor_tasks_without_run", "Long-running tasks without a run by what they wait for"
         )
@@ -229,6 +236,10 @@
         }
         self._run_gaps_s.observe(labels, gap.gap_s)
 
+    def record_unbegun_run(self, ended: EndedUnbegun) -> None:
+        """Record a planned run that has ended without having begun."""
+        self._unbegun_runs_s.observe({"ended_by": ended.ended_by}, ended.held_s)
+
     def set_tasks_without_run(self, counts: Mapping[WaitCause, int]) -> None:
         """Set how many long-running tasks have no run now, by what they wait for."""
         for cause in WaitCause:
--- a/toucandoor/adapters/term_report.py
+++ b/toucandoor/adapters/term_report.py
@@ -127,6 +127,8 @@
         metrics.set_tasks_without_run(gaps.open_by_cause())
         for ended in gaps.pop_ended():
             metrics.record_run_gap(ended)
+        for unbegun in self._scheduler.unbegun_runs.pop_ended():
+            metrics.record_unbegun_run(unbegun)
 
     def _log_activity(self, now_s: float) -> None:
         counts = self._scheduler.activity.counts() | self._scheduler.copies.counts()
--- a/toucandoor/core/scheduling/state.py
+++ b/toucandoor/core/scheduling/state.py
@@ -341,7 +341,7 @@
         """
         if run.confirmed_s is None and run.state is not RunState.RECOVERED:
             self._count_discarded_plan(run, reason)
-            self.unbegun_runs.on_discarded(run, ended_by or reason.value)
+            self.unbegun_runs.on_discarded(run, reason, ended_by or reason.value)
             self.run_gaps.on_unbegun_discarded(run, ended_by or reason.value)
         elif reason is DiscardReason.NOT_REPORTED:
             _LOGGER.info(
--- a/toucandoor/core/scheduling/unbegun_runs.py
+++ b/toucandoor/core/scheduling/unbegun_runs.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Final
+from collections import deque
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from toucandoor.core.scheduling.lookups import run_fields
 from toucandoor.core.scheduling.start_log import start_fields
-from toucandoor.core.scheduling.worker_view import RunState
+from toucandoor.core.scheduling.worker_view import DiscardReason, RunState
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -24,31 +25,57 @@
 task with room may be without a run."""
 LINES_PER_REVIEW_MAX: Final = 25
 """Most warnings of a review; the others follow in the next ones."""
+ENDED_MAX: Final = 10_000
+"""Most ended runs that wait for the next report."""
 
 BEGUN: Final = "begun after all"
 REMOVED: Final = "removed with its plan, or its end was reported"
 
 
+class EndedUnbegun(NamedTuple):
+    """A planned run that has ended without having begun.
+
+    Attributes:
+        held_s: Time for which it held its task, since it was planned.
+        ended_by: What ended it, as the label of a metric.
+    """
+
+    held_s: float
+    ended_by: str
+
+
 class UnbegunRuns:
     """Finds planned runs that have held their tasks for long without having begun."""
 
     def __init__(self, state: ScheduleState) -> None:
         self._state = state
         self._warned: dict[Run, None] = {}
+        self._ended: deque[EndedUnbegun] = deque(maxlen=ENDED_MAX)
         self._next_review_s = 0.0
 
-    def on_discarded(self, run: Run, ended_by: str) -> None:
+    def on_discarded(self, run: Run, reason: DiscardReason, ended_by: str) -> None:
         """Process that a run that was planned in this term is about to be discarded.
 
         Args:
             run: The run; one that has begun is ignored.
-            ended_by: What ends it, for the log.
+            reason: Why it is discarded.
+            ended_by: The same in more detail, for the log.
         """
         if run.begun:
             return
+        label = reason.name.lower()
+        if reason is DiscardReason.SERVER_LOST and _lease_expired(run, self._state.now_s):
+            label = "lease_expired"
+        self._ended.append(EndedUnbegun(self._state.now_s - run.created_s, label))
         if run in self._warned:
             self._log_end(run, ended_by)
 
+    def pop_ended(self) -> list[EndedUnbegun]:
+        """Return the runs that have ended since the last call."""
+        ended = list(self._ended)
+        self._ended.clear()
+        return ended
+
     def review(self) -> None:
         """Log the runs that have not begun for long, and the ends of those logged before."""
         now_s = self._state.now_s
@@ -89,3 +116,7 @@
             "runs: a run that held its task without having begun does so no longer",
             extra=run_fields(run) | start_fields(run, self._state.now_s) | {"ended_by": ended_by},
         )
+
+
+def _lease_expired(run: Run, now_s: float) -> bool:
+    return run.worker.unresponsive and run.worker.lease_expired(now_s)
