Return a server to use only by an answer to a later heartbeat

Callers saw a long-running task without a run for a whole lease: it was started on a server that the owner's own order had ended.

Cause: after an order on a VM, its server gets no tasks until it has answered another heartbeat. Any answer counted, also one to a heartbeat that was sent before the order and whose answer was processed after it. An idle server gets no further heartbeat, so that nothing showed its end until the platform's list dropped it.

The server now remembers when an answer was required, and only a heartbeat sent since then counts.

--- a/toucandoor/core/scheduling/scheduler.py
+++ b/toucandoor/core/scheduling/scheduler.py
@@ -269,7 +269,7 @@
         worker.lost_runs.clear()
         worker.acknowledgement_confirmed = worker.acknowledgement_in_flight
         worker.update_clock(report.clock_ms, state.now_s)
-        if not worker.contacted:
+        if not worker.contacted and sent_s >= worker.contact_required_s:
             worker.contacted = True
             state.changed_pools.add(worker.entry.pool)
         worker.next_heartbeat_s = state.now_s
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -225,7 +225,7 @@
     def require_heartbeat(self, worker: WorkerView) -> None:
         """Assign nothing new to a backend server until it has answered another heartbeat."""
         worker.contacted = False
-        worker.next_heartbeat_s = self._state.now_s
+        worker.contact_required_s = worker.next_heartbeat_s = self._state.now_s
 
     def boots_on(self, vm_ids: Collection[VmId]) -> list[WorkerView]:
         """Return all boots on some VMs that runs may be on, and the latest of each server."""
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -170,6 +170,7 @@
             which may have the same id and numbers its ended runs from 1 again.
         contacted: Whether it has answered a heartbeat of this owner; reset when it must answer
             another one before it gets new tasks.
+        contact_required_s: When that was last reset; a heartbeat sent before does not count.
         runs: Runs that exist or may exist on it.
         known_since_s: When this owner first knew of this boot, on the monotonic clock.
         steady_from_s: When it will have been up for so long that the loss of a run on it says
@@ -219,6 +220,7 @@
     listed: bool = True
     ended: bool = False
     contacted: bool = False
+    contact_required_s: float = 0.0
     known_since_s: float = 0.0
     runs: dict[RunKey, Run] = field(default_factory=dict)
     lost_runs: list[Run] = field(default_factory=list)
