End runs without an answered start once their VM has another server

Callers saw a long-running task without a run for a whole lease, though its server had been replaced seconds before.

Cause: when a later boot answers on the VM of a silent one, only settled runs ended. A run whose start nobody answered is never settled, as a later boot under the same id may still take its start, so that it waited until its lease had expired. But a server with another id refuses orders for the former one, and no boot has the former id any more.

Such runs now end as well if the server on the VM has another id, and if no other boot of the former id is known. After a restart in place they wait as before.

--- a/tests/core/scheduling/test_unbegun_runs.py
+++ b/tests/core/scheduling/test_unbegun_runs.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from tests.core.scheduling.common import CAPACITY, POOL, configuration, job, never_ends
 from toucandoor.core.jobs.models import Step, TaskKey
+from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.fakes.virtual_waves import VirtualWaves
 from toucandoor.ids import VmId, WorkerId
 
+if TYPE_CHECKING:
+    from toucandoor.fakes.virtual_platform import VirtualWorker
+
 RUNS_AGAIN_WITHIN_S = 3.0
 """Longest time without a run that callers accept for a task that has room."""
 STEP_S = 0.01
@@ -64,3 +70,40 @@
         self.assertLess(self.longest_gap_s(0.4), RUNS_AGAIN_WITHIN_S)
         self.waves.order(vms[1:], within_s=8.0, down_max=1)
         self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
+
+    def lose_before_start(self, outcome: CallOutcome) -> VirtualWorker:
+        """Drain the server of the only task, and lose the next one as the task is started there.
+
+        Args:
+            outcome: Outcome of that start.
+
+        Returns:
+            The lost server.
+        """
+        self.boot(0, 1, 2)
+        self.submit(1)
+        place = self.place_of(0)
+        lost: list[VirtualWorker] = []
+
+        def choose_outcome(kind: str) -> CallOutcome:
+            if kind != "start" or lost:
+                return CallOutcome.ANSWERED
+            [run] = [run for run in self.fleet.scheduler.state.runs_awaiting_orders if run.key.attempt == 2]
+            lost.append(self.fleet.workers[run.worker.entry.worker_id])
+            self.fleet.crash(run.worker.entry.worker_id)
+            return outcome
+
+        self.fleet.calls.choose_outcome = choose_outcome
+        entry = self.fleet.workers[place].entry
+        self.fleet.scheduler.worker_listed(replace(entry, draining=True, remaining_ms=20_000))
+        self.fleet.run(1.0)
+        self.assertEqual(len(lost), 1)
+        return lost[0]
+
+    # Guards against a task that waits for a whole lease for a run on a VM that has another server.
+    def test_a_start_without_an_answer_ends_once_its_vm_has_another_server(self) -> None:
+        lost = self.lose_before_start(CallOutcome.ANSWERED)
+        vm_id = lost.entry.vm_id
+        assert vm_id is not None
+        self.fleet.boot("other", POOL, CAPACITY, vm_id=vm_id)
+        self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -202,7 +202,9 @@
             worker.lost_runs += worker.runs.values()
             self._state.discard_runs(worker, "was unreachable until its lease expired")
         elif self._replaced_on_vm(worker):
-            ended = [run for run in worker.runs.values() if run.settled]
+            # A later boot under the same id may still take a start without an answer.
+            other = self._other_server_on_vm(worker)
+            ended = [run for run in worker.runs.values() if other or run.settled]
             self._state.discard_runs(worker, "was replaced on its VM", ended)
             # A move or a maintenance of the VM may have ended it, not one of the runs.
             self.crashes.on_lost(worker, ended, ended=False)
@@ -307,6 +309,21 @@
             and later.entry.booted_unix_ms > entry.booted_unix_ms > 0
         )
 
+    def _other_server_on_vm(self, worker: WorkerView) -> bool:
+        """Return whether the VM of a replaced boot has another server, and no boot has its id.
+
+        Orders name a server by its id, so that the other server refuses those for this boot. A
+        restart in place keeps the id; a move or a maintenance of the VM gives it another server.
+        """
+        entry = worker.entry
+        later = self._latest_on_vm.get(entry.vm_id) if entry.vm_id is not None else None
+        present = self._state.workers.get(entry.worker_id)
+        return (
+            later is not None
+            and later.entry.worker_id != entry.worker_id
+            and (present is None or present is worker)
+        )
+
     def _known_boot(self, entry: WorkerEntry) -> WorkerView | None:
         """Return the former boot that an entry describes, if there is one, and update it."""
         for known in self._state.former_boots:
