Take a start without a connection as not sent

Callers saw a long-running task without a run for a whole lease, held by a run that no server could know of.

Cause: an order for which no connection could be made counted as one without an answer, though the client knows that nothing was written. Its run was taken for one that may exist, and waited for until the lease of its silent server had expired.

The client for backend servers now tells the two apart (OrderNotSentError). A start that was not sent does not count as sent; it is tried again, and the run is discarded after as many failures as before lead to a stop, if no other copy of the start was sent. An order that was written, if only in part, counts as unanswered as before.

--- a/tests/core/scheduling/test_unbegun_runs.py
+++ b/tests/core/scheduling/test_unbegun_runs.py
@@ -86,11 +86,13 @@
         lost: list[VirtualWorker] = []
 
         def choose_outcome(kind: str) -> CallOutcome:
-            if kind != "start" or lost:
+            orders = self.fleet.scheduler.state.runs_awaiting_orders
+            moved = [run for run in orders if run.key.attempt == 2]
+            if kind != "start" or not moved:
                 return CallOutcome.ANSWERED
-            [run] = [run for run in self.fleet.scheduler.state.runs_awaiting_orders if run.key.attempt == 2]
-            lost.append(self.fleet.workers[run.worker.entry.worker_id])
-            self.fleet.crash(run.worker.entry.worker_id)
+            if not lost:
+                lost.append(self.fleet.workers[moved[0].worker.entry.worker_id])
+                self.fleet.crash(lost[0].entry.worker_id)
             return outcome
 
         self.fleet.calls.choose_outcome = choose_outcome
@@ -107,3 +109,8 @@
         assert vm_id is not None
         self.fleet.boot("other", POOL, CAPACITY, vm_id=vm_id)
         self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
+
+    # Guards against a task that waits for a whole lease for a start that was never sent.
+    def test_a_start_without_a_connection_is_given_up_at_once(self) -> None:
+        self.lose_before_start(CallOutcome.NOT_SENT)
+        self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import unittest
 from typing import Any
 from unittest import mock
@@ -15,6 +16,7 @@
 from toucandoor.core.jobs.models import TaskKey
 from toucandoor.core.scheduling.workers import (
     EndReason,
+    OrderNotSentError,
     OrderRefusal,
     OrderRefusedError,
     OrderUnansweredError,
@@ -164,6 +166,23 @@
                     target, TOKEN, lease_until_ms=None, acknowledged=0, wait_s=0, runs=0
                 )
 
+    # Guards against a run that is waited for although no server can know of it.
+    async def test_a_start_without_a_connection_was_not_sent(self) -> None:
+        order = StartOrder(RUN, "text", 486000, TOKEN, "")
+        for address in ("127.0.0.1:1", "127.0.0.1:x"):
+            target = WorkerTarget(WorkerId("i-1"), address)
+            with self.subTest(address=address), self.assertRaises(OrderNotSentError):
+                await self.workers.async_start(target, order, lambda: True)
+
+    # Guards against a run that is taken for one that cannot exist.
+    async def test_a_start_that_was_written_counts_as_unanswered(self) -> None:
+        order = StartOrder(RUN, "text", 486000, TOKEN, "")
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            target = WorkerTarget(WorkerId("i-1"), f"127.0.0.1:{listening.getsockname()[1]}")
+            with self.assertRaises(OrderUnansweredError) as caught:
+                await self.workers.async_start(target, order, lambda: True)
+        self.assertNotIsInstance(caught.exception, OrderNotSentError)
+
 
 class HeartbeatTimeoutTest(unittest.IsolatedAsyncioTestCase):
     """How long the answer to a heartbeat is waited for."""
--- a/toucandoor/adapters/term_orders.py
+++ b/toucandoor/adapters/term_orders.py
@@ -18,6 +18,7 @@
     StopRun,
 )
 from toucandoor.core.scheduling.workers import (
+    OrderNotSentError,
     OrderRefusedError,
     OrderUnansweredError,
     OrderWithheldError,
@@ -97,6 +98,9 @@
         except OrderRefusedError as err:
             refusal = err.refusal
             self._term.post(lambda: scheduler.run_orders.start_refused(run, refusal))
+        except OrderNotSentError as err:
+            _LOGGER.info("runs: start order not sent: %s", err, extra={"job": run.task.key.job_id})
+            self._term.post(lambda: scheduler.run_orders.start_undeliverable(run))
         except OrderUnansweredError as err:
             _LOGGER.info(
                 "runs: start order not answered: %s", err, extra={"job": run.task.key.job_id}
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -302,9 +302,20 @@
         run.next_order_s = self._state.now_s
         run.start_log.withheld += 1
 
+    def start_undeliverable(self, run: Run) -> None:
+        """Process a start that was not sent for want of a connection to the server."""
+        run.starts_sent -= 1
+        run.starts_unanswered -= 1
+        run.starts_undeliverable += 1
+        self._start_failed(run)
+
     def start_unanswered(self, run: Run) -> None:
         """Process a start without an answer: the run may exist now or later."""
         run.start_log.unanswered += 1
+        self._start_failed(run)
+
+    def _start_failed(self, run: Run) -> None:
+        """Send a start again after a pause, or stop the run if too many have failed."""
         now_s = self._state.now_s
         run.order_in_flight = False
         run.next_order_s = now_s + const.START_RETRY_S
@@ -312,7 +323,10 @@
         if worker.answered_s < run.order_sent_s:
             worker.paused_until_s = max(worker.paused_until_s, now_s + const.UNANSWERED_PAUSE_S)
         self._state.failure_domains.on_unanswered(worker, run.order_sent_s)
-        if run.starts_sent >= const.START_RETRIES_MAX:
+        if run.key not in worker.runs:
+            return
+        too_many = run.starts_sent + run.starts_undeliverable >= const.START_RETRIES_MAX
+        if run.stop_requested or too_many:
             self._state.request_stop(run)
 
     # Answers to stops
--- a/toucandoor/core/scheduling/start_log.py
+++ b/toucandoor/core/scheduling/start_log.py
@@ -58,6 +58,7 @@
     """
     counts = {
         "no answer": run.start_log.unanswered,
+        "no connection": run.starts_undeliverable,
         "refused": run.start_log.refused,
         "withheld": run.start_log.withheld,
     }
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -61,6 +61,7 @@
         starts_sent: Number of start orders sent.
         starts_unanswered: Number of them without an answer: in flight, or carried out late or not
             at all. A run of a former owner counts as one unless its record says that it is settled.
+        starts_undeliverable: Number of starts that no connection was made for in time.
         settled_noted: Whether its record says, or will say, that it is settled.
         from_former_boot: Whether its starts were sent to an earlier boot of the server.
         harmless_before: Whether it was `harmless` on that boot.
@@ -90,6 +91,7 @@
     stop_acknowledged: bool = False
     starts_sent: int = 0
     starts_unanswered: int = 0
+    starts_undeliverable: int = 0
     settled_noted: bool = False
     from_former_boot: bool = False
     harmless_before: bool = False
--- a/toucandoor/core/scheduling/workers.py
+++ b/toucandoor/core/scheduling/workers.py
@@ -175,6 +175,10 @@
     """An order got no answer; it may have been carried out, or may still be."""
 
 
+class OrderNotSentError(OrderUnansweredError):
+    """An order was certainly not sent, as there was no connection to the server."""
+
+
 class OrderWithheldError(ToucandoorError):
     """An order was certainly not sent, as the permission for it had ended."""
 
@@ -227,6 +231,7 @@
             may_send: Asked right before the order is sent, as that may be some time after the call.
 
         Raises:
+            OrderNotSentError: No connection could be made, or none was free in time.
             OrderWithheldError: `may_send` returned false.
         """
 
--- a/toucandoor/fakes/virtual_calls.py
+++ b/toucandoor/fakes/virtual_calls.py
@@ -237,6 +237,7 @@
             lambda clock_ms: scheduler.run_orders.start_answered(order.run, clock_ms),
             lambda err: scheduler.run_orders.start_refused(order.run, err.refusal),
             lambda: scheduler.run_orders.start_unanswered(order.run),
+            lambda: scheduler.run_orders.start_undeliverable(order.run),
         )
 
     def _reachable_boot(self, view: WorkerView) -> VirtualWorker | None:
@@ -252,12 +253,16 @@
         answered: Callable[[int], None],
         refused: Callable[[OrderRefusedError], None],
         unanswered: Callable[[], None],
+        not_sent: Callable[[], None] | None = None,
     ) -> None:
         outcome = self.choose_outcome(kind)
 
         def arrive() -> None:
             worker = self._reachable_boot(view)
-            if worker is None or outcome is CallOutcome.NOT_SENT:
+            if outcome is CallOutcome.NOT_SENT:
+                self._schedule_event(owner, 0.5, not_sent or unanswered)
+                return
+            if worker is None:
                 self._schedule_event(owner, 0.5, unanswered)
                 return
             if outcome is CallOutcome.LATE:
--- a/toucandoor/platform/workers.py
+++ b/toucandoor/platform/workers.py
@@ -14,6 +14,7 @@
     ActiveRun,
     EndedRun,
     EndReason,
+    OrderNotSentError,
     OrderRefusal,
     OrderRefusedError,
     OrderUnansweredError,
@@ -341,7 +342,9 @@
             )
         except CallWithheldError as err:
             raise OrderWithheldError(err.reason, step=step, peer=target.worker_id) from err
-        except (CallNotSentError, CallUnansweredError) as err:
+        except CallNotSentError as err:
+            raise OrderNotSentError(err.reason, step=step, peer=target.worker_id) from err
+        except CallUnansweredError as err:
             raise OrderUnansweredError(err.reason, step=step, peer=target.worker_id) from err
         if answer.status == 200:
             return answer
