Ask a quiet server for an answer before the first start of a run

Callers saw a long-running task without a run for a whole lease: it was started on a server that had been gone for seconds.

Cause: a server without runs gets no heartbeats. Until the platform's list drops it, three intervals after its end, it counts as usable, and the first order that shows its end is a start; from then on the run may exist.

A server that has answered nothing for longer than one with runs does (1.75 s) now gets a heartbeat without a wait as soon as a run is planned there, beside the write of the run's record, and the first start is sent once it has answered. A run on a server that did not answer is discarded before its start is sent, so that its task may run elsewhere at once.

--- a/toucandoor/core/scheduling/const.py
+++ b/toucandoor/core/scheduling/const.py
@@ -12,6 +12,9 @@
 HEARTBEAT_WAIT_S: Final = 1.0
 """Longest time for which a backend server may keep a heartbeat open. It is a sixth of the longest
 lease, and bounds how long a server that no longer answers still counts as usable."""
+QUIET_AFTER_S: Final = 1.75
+"""Time since the last answer of a backend server after which it must answer a heartbeat before a
+run is started on it. One with runs answers sooner, by the longest wait and time-out of a call."""
 SHORT_HEARTBEAT_WAIT_S: Final = 0.5
 """Wait of a heartbeat while best-effort tasks may slow down latency-sensitive ones; the reported
 tail latencies cover the last half second."""
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -127,6 +127,8 @@
                 return None
             if run.worker.answered_s < run.order_sent_s:
                 return None
+        if run.never_sent and not self._has_answered_lately(run):
+            return None
         until_ms = self._extend_lease(run.worker, now_s)
         if until_ms is None:
             return None
@@ -143,16 +145,27 @@
         payload = self._state.jobs[run.task.key.job_id].spec.payload
         return StartRun(run, StartOrder(run.key, payload, until_ms, token, run.checkpoint, ticket))
 
+    def _has_answered_lately(self, run: Run) -> bool:
+        """Return whether a first start may be sent; discard the run if its server is silent.
+
+        A start without an answer would keep its task from running elsewhere for a whole lease.
+        """
+        if run.worker.heartbeat_failures > 0:
+            self._state.discard_run(run, DiscardReason.SERVER_SILENT)
+            return False
+        return not run.worker.quiet(run.created_s)
+
     def _heartbeat(self, worker: WorkerView, now_s: float) -> SendHeartbeat:
         worker.heartbeat_in_flight = True
         worker.heartbeat_sent_s = now_s
         acknowledged = self._acknowledge(worker)
         until_ms = self._extend_lease(worker, now_s) if worker.runs else None
-        up_to_date = not worker.unresponsive and not worker.uncommitted
+        quiet = worker.quiet(now_s)
+        up_to_date = not worker.unresponsive and not worker.uncommitted and not quiet
         if worker.heartbeat_lost:
             # The answer to the other order may be older than a fault, so it is not waited for long.
             up_to_date = worker.heartbeat_lost = False
-        if needs_short_heartbeats(worker):
+        if needs_short_heartbeats(worker) and not quiet:
             return self._short_heartbeat(worker, until_ms, acknowledged)
         recovered = any(run.state is RunState.RECOVERED for run in worker.runs.values())
         wait_s = const.HEARTBEAT_WAIT_S if up_to_date and worker.runs and not recovered else 0.0
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -387,6 +387,14 @@
         """Whether its last heartbeat failed, or it has not answered this owner yet."""
         return self.heartbeat_failures > 0 or not self.contacted
 
+    def quiet(self, at_s: float) -> bool:
+        """Return whether it had answered nothing for longer than a server with runs does.
+
+        Args:
+            at_s: A time on the monotonic clock; a later answer counts as well.
+        """
+        return at_s - self.answered_s > const.QUIET_AFTER_S
+
     @property
     def needs_heartbeat(self) -> bool:
         """Whether there is a lease to extend, a status to fetch or an end to acknowledge."""
