--- a/tests/core/scheduling/test_unbegun_runs.py
+++ b/tests/core/scheduling/test_unbegun_runs.py
@@ -129,3 +129,29 @@
         self.fleet.run(0.5)
         self.boot(2)
         self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
+
+    # Guards against a task that waits for a whole lease for a first start that was sent after an
+    # outage of the store, in which its server was lost and the owner was not allowed to call it.
+    def test_after_a_store_outage_a_server_gets_no_start_before_it_has_answered(self) -> None:
+        self.boot(0, 1, 2)
+        self.submit(1)
+        place = self.place_of(0)
+        planned: list[WorkerId] = []
+
+        def choose_outcome(kind: str) -> CallOutcome:
+            if kind == "write" and not planned:
+                workers = self.fleet.scheduler.workers.values()
+                runs = [run for worker in workers for run in worker.runs.values()]
+                planned.extend(run.worker.entry.worker_id for run in runs if run.key.attempt == 2)
+                if planned:
+                    self.fleet.make_store_unavailable(8.0)
+            return CallOutcome.ANSWERED
+
+        self.fleet.calls.choose_outcome = choose_outcome
+        entry = self.fleet.workers[place].entry
+        self.fleet.scheduler.worker_listed(replace(entry, draining=True, remaining_ms=20_000))
+        self.fleet.run(4.0)
+        self.assertEqual(len(planned), 1)
+        self.fleet.crash(planned[0])
+        self.fleet.run(4.0)
+        self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
