Ask a server again once its VM has another one

A VM has one backend server at a time. After an order to maintain or move a VM that nobody answered, the next server on it is listed while the platform's list still contains the ended one, for some seconds. The wave's cordon goes over to the new one, nobody had asked the ended one since, and it could get runs.

It must now answer a heartbeat first, unless it has runs and so gets heartbeats anyway. The test failed before.

--- a/tests/core/scheduling/test_unbegun_runs.py
+++ b/tests/core/scheduling/test_unbegun_runs.py
@@ -155,3 +155,15 @@
         self.fleet.crash(planned[0])
         self.fleet.run(4.0)
         self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
+
+    # Guards against a run that is planned on a server that has ended with its VM's maintenance or
+    # move, whose order nobody answered, while the platform's list still contains it.
+    def test_a_server_whose_vm_has_another_one_gets_no_runs(self) -> None:
+        self.boot(0, 1)
+        self.fleet.crash("w1")
+        self.fleet.boot("other", POOL, CAPACITY, vm_id="m1")
+        self.fleet.run(0.3)
+        workers, now_s = self.fleet.scheduler.workers, self.fleet.clock.monotonic_s()
+        self.assertTrue(workers[WorkerId("w1")].listed)
+        usable = {each for each, worker in workers.items() if worker.usable(now_s)}
+        self.assertEqual(usable, {WorkerId("w0"), WorkerId("other")})
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -291,6 +291,9 @@
         other = self._latest_on_vm.get(entry.vm_id)
         if other is None or entry.booted_unix_ms >= other.entry.booted_unix_ms:
             self._latest_on_vm[entry.vm_id] = worker
+            if other is not None and other.entry.worker_id != entry.worker_id and not other.runs:
+                # It has ended, but the platform's list may contain it for some seconds.
+                self.require_heartbeat(other)
 
     def _replaced_on_vm(self, worker: WorkerView) -> bool:
         """Return whether a later boot on the VM of an unresponsive one has answered after it.
