Place no run on a VM that a former owner has just ordered

A new owner reads which VMs its predecessor has ordered in the last seconds, but only kept from ordering these again. An order that was still under way, or slow, ended a server on which the new owner had already placed runs: such servers are empty, and so the first to get tasks.

Servers on these VMs that started before the order now get no new tasks for the time for which their VMs get no orders. One that started after it is its result and is used at once. The virtual waves can delay orders or leave them unanswered, and keep the record of orders over a change of owner.

--- a/toucandoor/adapters/term_vms.py
+++ b/toucandoor/adapters/term_vms.py
@@ -140,6 +140,11 @@
             self._vm_orders.restore(decode_vm_orders(record.value))
         except msgspec.MsgspecError as err:
             _LOGGER.error("maintenance: record %s cannot be decoded: %s", record.key, err)
+            return
+        orders = self._vm_orders
+        self._term.scheduler.registry.await_former_orders(
+            orders.former_unix_ms, orders.former_until_s
+        )
 
     def _restore_wave(self, number: int, record: Record, *, completed: bool) -> None:
         try:
--- a/toucandoor/core/maintenance/vm_orders.py
+++ b/toucandoor/core/maintenance/vm_orders.py
@@ -36,24 +36,30 @@
     Args:
         clock: The clock.
         handover_gap_s: Time for which a VM that a former owner has ordered gets no order.
+
+    Attributes:
+        former_until_s: End of that time, on the monotonic clock.
+        former_unix_ms: When former owners have ordered VMs that are subject to it.
     """
 
     def __init__(self, clock: Clock, handover_gap_s: float) -> None:
         self._clock = clock
         self._handover_gap_s = handover_gap_s
-        self._former_until_s = clock.monotonic_s() + handover_gap_s
-        self._former_vms: set[VmId] = set()
+        self.former_until_s = clock.monotonic_s() + handover_gap_s
+        self.former_unix_ms: dict[VmId, int] = {}
         self._ordered_unix_ms: dict[VmId, int] = {}
 
     def restore(self, record: VmOrdersRecord) -> None:
         """Take over the recent orders of former owners."""
         self._ordered_unix_ms = dict(record.ordered_unix_ms)
         recent_ms = self._unix_ms() - (self._handover_gap_s + CLOCK_SKEW_S) * 1000
-        self._former_vms = {vm_id for vm_id, at in self._ordered_unix_ms.items() if at > recent_ms}
+        self.former_unix_ms = {
+            vm_id: at_ms for vm_id, at_ms in self._ordered_unix_ms.items() if at_ms > recent_ms
+        }
 
     def may_order(self, vm_id: VmId) -> bool:
         """Return whether a VM may be ordered now."""
-        return vm_id not in self._former_vms or self._clock.monotonic_s() >= self._former_until_s
+        return vm_id not in self.former_unix_ms or self._clock.monotonic_s() >= self.former_until_s
 
     def record_orders(self, vm_ids: Iterable[VmId]) -> VmOrdersRecord:
         """Record orders that are about to be sent; return the record to write before them."""
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -15,7 +15,7 @@
 from toucandoor.ids import DataCentreId, PoolId
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Mapping
 
     from toucandoor.core.jobs.records import RunRecord
     from toucandoor.core.scheduling.state import ScheduleState
@@ -36,6 +36,8 @@
     def __init__(self, state: ScheduleState) -> None:
         self._state = state
         self._latest_on_vm: dict[VmId, WorkerView] = {}
+        self._former_orders_unix_ms: Mapping[VmId, int] = {}
+        self._former_orders_until_s = 0.0
         self.crashes = ServerCrashes(state)
 
     def listed(self, entry: WorkerEntry) -> None:
@@ -229,6 +231,24 @@
         worker.contacted = False
         worker.contact_required_s = worker.next_heartbeat_s = self._state.now_s
 
+    def await_former_orders(self, ordered_unix_ms: Mapping[VmId, int], until_s: float) -> None:
+        """Give no new tasks to servers that an order of a former owner for their VM may still end.
+
+        Args:
+            ordered_unix_ms: When a former owner has ordered a maintenance or a move of a VM.
+            until_s: Time by which these orders have been carried out, on the monotonic clock.
+        """
+        self._former_orders_unix_ms, self._former_orders_until_s = ordered_unix_ms, until_s
+        for worker in self._state.workers.values():
+            self._await_former_order(worker)
+
+    def _await_former_order(self, worker: WorkerView) -> None:
+        entry = worker.entry
+        ordered_ms = self._former_orders_unix_ms.get(entry.vm_id) if entry.vm_id else None
+        # A later boot is on the VM because the order has been carried out.
+        if ordered_ms is not None and entry.booted_unix_ms <= ordered_ms:
+            worker.paused_until_s = max(worker.paused_until_s, self._former_orders_until_s)
+
     def boots_on(self, vm_ids: Collection[VmId]) -> list[WorkerView]:
         """Return all boots on some VMs that runs may be on, and the latest of each server."""
         state = self._state
@@ -286,6 +306,7 @@
         """Make a boot the latest one of its server, and of its VM unless a later one is known."""
         entry = worker.entry
         self._state.workers[entry.worker_id] = worker
+        self._await_former_order(worker)
         if entry.vm_id is None:
             return
         other = self._latest_on_vm.get(entry.vm_id)
--- a/toucandoor/fakes/virtual_waves.py
+++ b/toucandoor/fakes/virtual_waves.py
@@ -14,7 +14,7 @@
 )
 from toucandoor.core.maintenance.job_waves import WaveCoordinator
 from toucandoor.core.maintenance.vm_list import VmList
-from toucandoor.core.maintenance.vm_orders import VmOrderLog
+from toucandoor.core.maintenance.vm_orders import VmOrderLog, VmOrdersRecord
 from toucandoor.core.scheduling.workers import VmEntry, VmState
 
 if TYPE_CHECKING:
@@ -29,6 +29,8 @@
 LIST_INTERVAL_S = 0.5
 CALL_S = 0.01
 """Duration of an order on a VM and of a write of a wave's progress."""
+TIMEOUT_S = 1.5
+"""Time after which an order on a VM counts as not answered."""
 MAINTENANCE_S = 2.0
 
 
@@ -44,6 +46,9 @@
         due_s: When the maintenance of all VMs of a wave must have begun, by wave.
         begun_s: When the maintenance of a VM began, by wave and VM.
         choose_list_delay_s: Returns the delay of an answer of the VM list, in seconds.
+        choose_order_delay_s: Returns the time until an order on a VM is carried out, in seconds.
+        handover_gap_s: Time for which a VM that a former owner has ordered gets no order.
+        choose_answered: Returns whether the platform answers an order on a VM.
         violations: Servers that could get tasks while a wave vacated their VMs.
         completed_s: When an owner reported a wave as completed, by wave.
     """
@@ -55,6 +60,9 @@
         self.begun_s: dict[int, dict[VmId, float]] = {}
         self.completed_s: dict[int, float] = {}
         self.choose_list_delay_s: Callable[[], float] = lambda: CALL_S
+        self.choose_order_delay_s: Callable[[], float] = lambda: CALL_S
+        self.choose_answered: Callable[[], bool] = lambda: True
+        self.handover_gap_s = 0.0
         self.violations: list[str] = []
         self._records: dict[int, tuple[bytes, bool]] = {}
         self._down_until_s: dict[VmId, float] = {}
@@ -63,6 +71,8 @@
         self._next_list_s = 0.0
         self._vm_list = VmList(fleet.clock.monotonic_s)
         self._coordinator: WaveCoordinator | None = None
+        self._order_log = VmOrderLog(fleet.clock, 0.0)
+        self._order_record = VmOrdersRecord({})
         self._advance()
 
     def order(self, vms: Iterable[VmId], *, within_s: float, down_max: int) -> int:
@@ -104,8 +114,10 @@
         for order in self._orders:
             coordinator.on_order(order)
         for action in coordinator.due_actions():
-            call = self._maintain if isinstance(action, MaintainVm) else self._save
-            self._fleet.schedule(CALL_S, partial(call, coordinator, action))  # type: ignore[arg-type]
+            if isinstance(action, MaintainVm):
+                self._send_order(coordinator, action)
+            else:
+                self._fleet.schedule(CALL_S, partial(self._save, coordinator, action))
         servers = owner.scheduler.registry.by_vm()
         for vm_id in coordinator.vms_vacated & servers.keys():
             if servers[vm_id].usable(now_s):
@@ -131,11 +143,14 @@
         self._term = owner
         self._next_list_s = 0.0
         self._vm_list = VmList(clock.monotonic_s)
+        self._order_log = log = VmOrderLog(clock, self.handover_gap_s)
+        log.restore(self._order_record)
+        owner.scheduler.registry.await_former_orders(log.former_unix_ms, log.former_until_s)
         self._coordinator = WaveCoordinator(
             owner.scheduler,
             self._vm_list,
             clock,
-            order_log=VmOrderLog(clock, 0.0),
+            order_log=log,
             maintenance_s=MAINTENANCE_S,
         )
         for number, (record, completed) in self._records.items():
@@ -160,6 +175,20 @@
                 )
         return list(listed.values())
 
+    def _send_order(self, coordinator: WaveCoordinator, order: MaintainVm) -> None:
+        self._order_record = self._order_log.record_orders([order.vm_id])
+        delay_s = self.choose_order_delay_s()
+        if self.choose_answered() and delay_s < TIMEOUT_S:
+            self._fleet.schedule(delay_s, partial(self._maintain, coordinator, order))
+            return
+        self._fleet.schedule(delay_s, partial(self._maintain_unanswered, order))
+        unanswered = partial(coordinator.on_maintenance_refused, order, None)
+        self._fleet.schedule(TIMEOUT_S, unanswered)
+
+    def _maintain_unanswered(self, order: MaintainVm) -> None:
+        if order.vm_id not in self.begun_s[order.wave] and order.vm_id not in self._down_until_s:
+            self._begin_maintenance(order)
+
     def _maintain(self, coordinator: WaveCoordinator, order: MaintainVm) -> None:
         begun = self.begun_s[order.wave]
         if order.vm_id not in begun:
