--- a/toucandoor/fakes/virtual_calls.py
+++ b/toucandoor/fakes/virtual_calls.py
@@ -16,7 +16,7 @@
     StartRun,
     StopRun,
 )
-from toucandoor.core.scheduling.workers import Advice, OrderRefusedError
+from toucandoor.core.scheduling.workers import Advice, OrderRefusal, OrderRefusedError
 from toucandoor.exceptions import StoreRejectedError
 
 if TYPE_CHECKING:
@@ -113,6 +113,10 @@
         choose_answer_delay_s: Returns the delay of the answer to a heartbeat, in seconds.
         late_orders_survive_restarts: Whether a later boot under the same id takes a late order;
             otherwise it is lost with the boot that it was sent to.
+        address_taken: Servers that have ended and whose addresses other servers have now, which
+            refuse their orders.
+        refuses_connections: Whether no connection is made to a server that is gone or cut off;
+            otherwise its orders are sent and get no answer.
         store_down_until_s: Time until which the store refuses all calls.
         adviser: The queues' adviser.
     """
@@ -130,6 +134,8 @@
         self.choose_send_delay_s: Callable[[], float] = lambda: 0.0
         self.choose_answer_delay_s: Callable[[], float] = lambda: 0.0
         self.late_orders_survive_restarts = False
+        self.address_taken: set[WorkerId] = set()
+        self.refuses_connections = False
         self.store_down_until_s = 0.0
         self.adviser = VirtualAdviser(clock)
         self._clock = clock
@@ -242,6 +248,10 @@
 
     def _reachable_boot(self, view: WorkerView) -> VirtualWorker | None:
         worker = self._workers.get(view.entry.worker_id)
+        if view.entry.worker_id in self.address_taken and (worker is None or not worker.alive):
+            raise OrderRefusedError(
+                OrderRefusal.OTHER_BOOT, step="worker", peer=view.entry.worker_id, clock_ms=None
+            )
         return worker if worker is not None and worker.alive and worker.reachable else None
 
     def _send_order(
@@ -258,12 +268,18 @@
         outcome = self.choose_outcome(kind)
 
         def arrive() -> None:
-            worker = self._reachable_boot(view)
             if outcome is CallOutcome.NOT_SENT:
                 self._schedule_event(owner, 0.5, not_sent or unanswered)
                 return
+            try:
+                worker = self._reachable_boot(view)
+            except OrderRefusedError as err:
+                refusal = err
+                self._schedule_event(owner, CALL_S / 2, lambda: refused(refusal))
+                return
             if worker is None:
-                self._schedule_event(owner, 0.5, unanswered)
+                no_answer = not_sent if self.refuses_connections and not_sent else unanswered
+                self._schedule_event(owner, 0.5, no_answer)
                 return
             if outcome is CallOutcome.LATE:
                 self._schedule(self.choose_delay_s(), partial(self._execute_late, worker, execute))
@@ -308,7 +324,16 @@
             waits_at: Boot at which it waits; the call is lost with it.
         """
         scheduler = owner.scheduler
-        worker = self._reachable_boot(order.worker)
+        try:
+            worker = self._reachable_boot(order.worker)
+        except OrderRefusedError as err:
+            refused = err.refusal
+            self._schedule_event(
+                owner,
+                CALL_S / 2,
+                lambda: scheduler.run_orders.heartbeat_failed(order.worker, refused),
+            )
+            return
         if waits_at is not None and worker is not waits_at:
             worker = None
         if worker is None or outcome is not CallOutcome.ANSWERED:
