Start the runs of a gang though a server is quiet

One lost heartbeat of an idle server discarded the run of one member of a gang before its first start, while the other members were started. They waited for the missing one until their time-out and ended alone.

The runs of a gang are started as before; each of them may be waited for until its server's lease has expired.

--- a/tests/core/scheduling/test_late_starts.py
+++ b/tests/core/scheduling/test_late_starts.py
@@ -216,6 +216,25 @@
                 self.submit(outcome)
                 self.longest_gap_s(20.0)
 
+    # Guards against a gang that begins without one of its tasks, as one heartbeat of an idle server
+    # was lost: the others would wait for it until their time-out, and end alone.
+    def test_a_gang_begins_whole_though_an_idle_server_lost_a_heartbeat(self) -> None:
+        self.fleet.run(5.0)
+        self.spec = job(1, Step(3, NEEDS, gang=True, per_worker_max=1))
+        lost: list[str] = []
+
+        def choose_outcome(kind: str) -> CallOutcome:
+            if kind == "hold" and not lost:
+                lost.append(kind)
+                return CallOutcome.ANSWER_LOST
+            return CallOutcome.ANSWERED
+
+        self.fleet.calls.choose_outcome = choose_outcome
+        self.fleet.submit(self.spec)
+        self.fleet.run(3.0)
+        running = self.fleet.observations.running
+        self.assertEqual([len(running[task]) for task in sorted(running)], [1, 1, 1])
+
     # Guards against a start that waits for long on an idle server that answers.
     def test_an_idle_server_that_answers_gets_its_start_soon(self) -> None:
         self.fleet.run(10.0)
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -150,6 +150,9 @@
 
         A start without an answer would keep its task from running elsewhere for a whole lease.
         """
+        if run.task.step.gang:
+            # The runs of a gang must begin together, so that none is given up alone.
+            return True
         if run.worker.heartbeat_failures > 0:
             self._state.discard_run(run, DiscardReason.SERVER_SILENT)
             return False
