Ask each server on a VM again once its maintenance has begun

Cause: the maintenance of a VM without a known server is ordered at once. If the VM's server, just arrived by a move or from another wave, was listed and answered its first heartbeat while the order was under way, nothing told the owner that the order had ended it: only the server known at the time of the order had to answer again. Idle, it got no heartbeats, and it counted as usable until the platform's list dropped it, seconds later. A start there was not answered.

All boots that are known on the VM when its maintenance has begun must now answer again.

--- a/tests/core/maintenance/test_job_waves.py
+++ b/tests/core/maintenance/test_job_waves.py
@@ -99,6 +99,23 @@
         again = self.due_maintenance()
         self.assertEqual([order.vm_id for order in again], [first.vm_id])
 
+    # Guards against starts on a server that the maintenance has ended, as its VM had none yet when
+    # the maintenance was ordered.
+    def test_a_server_met_while_the_order_was_under_way_gets_no_tasks(self) -> None:
+        arriving = VmId("m4")
+        self.states[arriving], self.pools[arriving] = VmState.UP, POOL
+        self.read_list()
+        ordered_s = self.fleet.clock.monotonic_s()
+        self.coordinator.on_order(VmWaveOrder(1, (arriving,), 20.0, 1, ordered_s))
+        [order] = self.due_maintenance()
+        self.fleet.boot("w4", POOL, CAPACITY, vm_id=arriving)
+        self.fleet.run(0.3)
+        worker = self.scheduler.workers[WorkerId("w4")]
+        self.assertTrue(worker.contacted)
+        self.coordinator.on_maintenance_begun(order)
+        self.due_maintenance()
+        self.assertFalse(worker.usable(self.fleet.clock.monotonic_s()))
+
     def run_orders(self, refused: set[VmId] = frozenset()) -> list[bool]:  # type: ignore[assignment]
         """Carry out all orders for 30 s of virtual time.
 
--- a/tests/core/scheduling/test_unbegun_runs.py
+++ b/tests/core/scheduling/test_unbegun_runs.py
@@ -71,6 +71,27 @@
         waves.order(vms[1:], within_s=8.0, down_max=1)
         self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
 
+    # Guards against a start on a server whose VM is under maintenance, as the owner met it only
+    # while the order for the VM was under way.
+    def test_a_server_met_while_its_maintenance_was_ordered_gets_no_start(self) -> None:
+        waves = VirtualWaves(self.fleet)
+        self.boot(0)
+        self.submit(1)
+        place = self.place_of(0)
+        met = self.fleet.boot("w1", POOL, CAPACITY, vm_id="m1", listed_after_s=60.0)
+
+        def list_meanwhile() -> float:
+            self.fleet.schedule(0.1, lambda: self.fleet.scheduler.worker_listed(met.entry))
+            return 0.3
+
+        waves.choose_order_delay_s = list_meanwhile
+        waves.order([VmId("m1")], within_s=8.0, down_max=1)
+        self.fleet.run(1.0)
+        self.assertFalse(met.alive)
+        entry = self.fleet.workers[place].entry
+        self.fleet.scheduler.worker_listed(replace(entry, draining=True, remaining_ms=20_000))
+        self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
+
     def lose_before_start(self, outcome: CallOutcome) -> VirtualWorker:
         """Drain the server of the only task, and lose the next one as the task is started there.
 
--- a/toucandoor/core/maintenance/job_wave_models.py
+++ b/toucandoor/core/maintenance/job_wave_models.py
@@ -11,7 +11,6 @@
 
 if TYPE_CHECKING:
     from toucandoor.core.scheduling.worker_view import WorkerView
-    from toucandoor.ids import WorkerId
 
 WAVE_PROGRESS_PREFIX: Final = "waves/"
 
@@ -94,7 +93,6 @@
         down_since_s: VMs that are or may be down for maintenance, and since when.
         vacating_since_s: VMs that get no new runs because they are maintained next, and since when.
         cordoned: Backend servers that this wave keeps out of use.
-        ordered_on: Backend server that was on the VM when its maintenance was ordered, by VM.
         in_flight: VMs whose order has no answer yet.
         retry_at_s: Earliest time of a VM's next order.
         saved: State in the store: number of VMs begun, and whether the wave is completed.
@@ -110,7 +108,6 @@
     down_since_s: dict[VmId, float] = field(default_factory=dict)
     vacating_since_s: dict[VmId, float] = field(default_factory=dict)
     cordoned: set[WorkerView] = field(default_factory=set)
-    ordered_on: dict[VmId, WorkerId] = field(default_factory=dict)
     in_flight: set[VmId] = field(default_factory=set)
     retry_at_s: dict[VmId, float] = field(default_factory=dict)
     saved: tuple[int, bool] | None = None
--- a/toucandoor/core/maintenance/job_waves.py
+++ b/toucandoor/core/maintenance/job_waves.py
@@ -183,11 +183,9 @@
         wave.begun.add(order.vm_id)
         wave.down_since_s[order.vm_id] = self._now_s()
         wave.vacating_since_s.pop(order.vm_id, None)
-        worker_id = wave.ordered_on.pop(order.vm_id, None)
-        worker = self._scheduler.workers.get(worker_id) if worker_id is not None else None
-        if worker is not None:
-            # The backend server has ended, unless the maintenance had been done before and this
-            # one was started after it.
+        for worker in self._scheduler.registry.boots_on((order.vm_id,)):
+            # It has ended, unless the maintenance had been done before and it was started after it.
+            # It may have become known only while the order was under way.
             self._scheduler.registry.require_heartbeat(worker)
             worker.record_vm_order(VmOrder.MAINTENANCE, self._now_s())
         _LOGGER.info(
@@ -203,9 +201,7 @@
         wave.retry_at_s[order.vm_id] = now_s + RETRY_S
         if refusal is None:
             wave.down_since_s[order.vm_id] = now_s  # it may have begun
-            worker_id = wave.ordered_on.get(order.vm_id)
-            worker = self._scheduler.workers.get(worker_id) if worker_id is not None else None
-            if worker is not None:
+            for worker in self._scheduler.registry.boots_on((order.vm_id,)):
                 worker.record_vm_order(VmOrder.MAINTENANCE_UNANSWERED, now_s)
         else:
             wave.down_since_s.pop(order.vm_id, None)
@@ -261,8 +257,6 @@
                 overdue = now_s - since_s > STOP_TASKS_AFTER_S
                 self._scheduler.registry.vacate(worker, at_once=overdue)
             if (worker is None or not worker.runs) and self._may_begin(wave, vm_id, now_s):
-                if worker is not None:
-                    wave.ordered_on[vm_id] = worker.entry.worker_id
                 wave.in_flight.add(vm_id)
                 wave.down_since_s[vm_id] = now_s
                 orders.append(MaintainVm(vm_id, wave.order.number))
