End runs on silent servers whose VMs are moving or maintained

The platform's list ended runs only on VMs that are down. A run on a VM that an order takes away after a run was placed there (the order was not answered and carried out late, or a former owner sent it) waited until the next server on the VM had answered, and for a whole lease if a move or a maintenance takes longer than that.

Nothing runs on a VM that is moving or under maintenance either. Its state counts for servers whose last heartbeat failed: one that answers is the next server, which the list may be too old to show. Runs with an unanswered start stay, as on VMs that are down.

--- a/tests/core/failure_domains/test_down_vms.py
+++ b/tests/core/failure_domains/test_down_vms.py
@@ -55,6 +55,32 @@
         self.assertEqual(self.fleet.state(job(1).job_id), JobState.COMPLETED)
         self.assertEqual(self.fleet.observations.violations, [])
 
+    # Guards against tasks that wait for a whole lease for runs on a VM that is gone for a long
+    # maintenance or move, as its order was carried out late or given by a former owner.
+    def test_tasks_on_a_vm_that_an_order_has_taken_away_run_again_at_once(self) -> None:
+        for state in (VmState.MAINTENANCE, VmState.MOVING):
+            with self.subTest(state):
+                self.setUp()
+                place = self.submit()
+                self.fleet.crash(place)
+                self.fleet.run(2.2)
+                self.read_list(place, asked_at_s=self.now_s(), state=state)
+                self.fleet.run(WAKE_S_MAX + 0.05)
+                self.assertEqual(self.fleet.observations.starts, 6)
+                self.assertEqual(self.fleet.observations.violations, [])
+
+    # Guards against a second run of tasks on the server that follows, as the list lags behind it.
+    def test_a_server_that_answers_keeps_its_tasks_though_its_vm_is_listed_as_moving(self) -> None:
+        place = self.submit()
+        self.fleet.run(0.2)
+        for state in (VmState.MAINTENANCE, VmState.MOVING):
+            self.read_list(place, asked_at_s=self.now_s(), state=state)
+        self.fleet.run(0.5)
+        self.assertEqual(self.fleet.observations.starts, 3)
+        worker = self.fleet.scheduler.workers[place]
+        self.assertEqual(len(worker.runs), 3)
+        self.assertTrue(worker.usable(self.now_s()))
+
     def test_a_server_that_is_cut_off_keeps_its_tasks(self) -> None:
         place = self.submit()
         self.fleet.workers[place].reachable = False
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -160,7 +160,7 @@
         worker.uncommitted.clear()
 
     def vm_down(self, worker: WorkerView, asked_at_s: float) -> None:
-        """Process that the platform lists the VM of a boot as down.
+        """Process that the platform lists the VM of a boot as down, or as taken away by an order.
 
         All its answers came before the list was asked for, so that whatever it has answered for
         has ended with the VM. Runs with an unanswered start stay until their leases have expired: a
