Bring no run back by an answer from before its VM went down

The VM list ended the runs of a server, and the answer to a heartbeat that the server had given before, processed after it, listed them as active. They counted as runs that nobody had planned: they were added again with a stop that nobody could answer, and a task without room elsewhere at that moment waited for a whole lease.

Like for the return of a server to use, only an answer to a heartbeat sent after the last one was required can add runs.

--- a/tests/core/failure_domains/test_down_vms.py
+++ b/tests/core/failure_domains/test_down_vms.py
@@ -133,6 +133,23 @@
         self.assertEqual(self.fleet.observations.starts, 6)
         self.assertEqual(self.fleet.observations.violations, [])
 
+    # Guards against tasks that wait for a whole lease as an answer that was under way when the VM
+    # went down brings their runs back.
+    def test_an_answer_from_before_does_not_bring_runs_back(self) -> None:
+        self.fleet.calls.choose_answer_delay_s = lambda: 0.5
+        place = self.submit()
+        worker = self.fleet.scheduler.workers[place]
+        answered_s = worker.heartbeat_sent_s + worker.heartbeat_wait_s
+        self.fleet.run(answered_s + 0.05 - self.now_s())
+        self.fleet.crash(place)
+        self.fleet.run(0.05)
+        self.read_list(place, asked_at_s=self.now_s())
+        self.assertEqual(len(worker.runs), 0)
+        self.fleet.run(0.5)
+        self.assertGreater(worker.answered_s, answered_s + 0.4)
+        self.assertEqual(len(worker.runs), 0)
+        self.assertEqual(self.fleet.observations.violations, [])
+
     def test_no_task_is_placed_on_a_vm_that_is_down(self) -> None:
         self.fleet.crash("w0")
         self.fleet.run(0.1)
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -169,6 +169,8 @@
                 self._confirm_run(run, seen, now_s)
             elif report.complete and _cannot_exist(run, sent_s):
                 self._state.discard_run(run, DiscardReason.NOT_REPORTED)
+        if sent_s < worker.contact_required_s:
+            return  # the server may have ended since, and runs that were discarded with it
         for unknown in active.values():
             self._stop_unplanned_run(worker, unknown, now_s)
 
