End a run without answers to its stops once no start can arrive

A run whose start was not answered is stopped and ends with the first report after the confirmed stop. Where the stops were not answered either, while the server's reports did not list the run, nothing ended it: in virtual time its task had no run for the whole 40 s that were played.

A start without an answer is not carried out after UNANSWERED_START_S_MAX (15 s), by the assumption that settled runs rest on already. A run that is to be stopped now also ends with a complete report that does not list it, if the heartbeat was sent so long after its last start.

--- a/tests/core/scheduling/test_unbegun_runs.py
+++ b/tests/core/scheduling/test_unbegun_runs.py
@@ -8,6 +8,7 @@
 
 from tests.core.scheduling.common import CAPACITY, POOL, configuration, job, never_ends
 from toucandoor.core.jobs.models import Step, TaskKey
+from toucandoor.core.scheduling import const
 from toucandoor.fakes.virtual_calls import CallOutcome
 from toucandoor.fakes.virtual_fleet import VirtualFleet
 from toucandoor.fakes.virtual_waves import VirtualWaves
@@ -188,3 +189,22 @@
         self.assertTrue(workers[WorkerId("w1")].listed)
         usable = {each for each, worker in workers.items() if worker.usable(now_s)}
         self.assertEqual(usable, {WorkerId("w0"), WorkerId("other")})
+
+    # Guards against a run that holds its task for good on a server that reports that it has no run,
+    # while neither its starts nor its stops are answered.
+    def test_a_run_whose_stops_get_no_answer_either_ends_once_no_start_can_arrive(self) -> None:
+        self.boot(0, 1)
+        self.submit(1)
+        place = self.place_of(0)
+        self.fleet.calls.choose_outcome = lambda kind: (
+            CallOutcome.ANSWERED if kind in ("hold", "write") else CallOutcome.LATE
+        )
+        self.fleet.calls.choose_delay_s = lambda: 600.0
+        self.fleet.crash(place)
+        self.fleet.run(10.0)
+        self.fleet.calls.choose_outcome = lambda kind: (
+            CallOutcome.LATE if kind == "stop" else CallOutcome.ANSWERED
+        )
+        self.boot(2)
+        bound_s = const.UNANSWERED_START_S_MAX + RUNS_AGAIN_WITHIN_S
+        self.assertLess(self.longest_gap_s(40.0), bound_s)
--- a/toucandoor/core/scheduling/run_ends.py
+++ b/toucandoor/core/scheduling/run_ends.py
@@ -229,4 +229,10 @@
         and run.stop_answered_s < sent_s
         and not run.order_in_flight
     )
-    return fenced or was_there or ruled_out
+    # No further start is sent once a stop is requested.
+    too_late = (
+        run.stop_requested
+        and run.start_log.first_s is not None
+        and sent_s >= run.start_log.last_s + const.UNANSWERED_START_S_MAX
+    )
+    return fenced or was_there or ruled_out or too_late
