Stop no task for room on a server that may be gone

A long-running task is stopped for planned work once another server holds room for it. An idle server is sent nothing, so that one that was gone counted as room until the platform's list dropped it: the task was stopped, its start was not answered, and it had no run though its draining server would have kept it.

--- a/tests/core/scheduling/test_unbegun_runs.py
+++ b/tests/core/scheduling/test_unbegun_runs.py
@@ -208,3 +208,28 @@
         self.boot(2)
         bound_s = const.UNANSWERED_START_S_MAX + RUNS_AGAIN_WITHIN_S
         self.assertLess(self.longest_gap_s(40.0), bound_s)
+
+    # Guards against a task that is stopped on a draining server for room on one that is gone.
+    def test_a_task_stays_while_the_only_idle_server_does_not_answer(self) -> None:
+        self.boot(0, 1)
+        self.submit(1)
+        place = self.place_of(0)
+        [idle] = self.fleet.workers.keys() - {place}
+        self.fleet.crash(idle)
+        self.fleet.run(0.5)
+        entry = self.fleet.workers[place].entry
+        self.fleet.scheduler.worker_listed(replace(entry, draining=True, remaining_ms=20_000))
+        self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
+
+    # Guards against a whole lease of waiting for a start of a new task on an idle server that is
+    # gone; planned stops ask such a server before.
+    def test_a_new_task_gets_no_start_on_an_idle_server_that_is_gone(self) -> None:
+        self.boot(0)
+        self.fleet.run(3.0)
+        self.fleet.crash("w0")
+        spec = job(1, Step(1, CAPACITY, long_running=True))
+        self.fleet.submit(spec)
+        self.tasks = [TaskKey(spec.job_id, 0, 0, 0)]
+        self.fleet.run(0.5)
+        self.boot(1)
+        self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
--- a/toucandoor/core/scheduling/planned_stops.py
+++ b/toucandoor/core/scheduling/planned_stops.py
@@ -139,12 +139,7 @@
         """
         state = self._state
         if run.task.step.gang:
-            gang = search.hold_for_gang(state.step_of(run.task))
-            for each in gang:
-                self._stop(each)
-            if not gang:
-                self.without_room[run] = room_kind(state, run.task)
-            return len(gang)
+            return self._leave_as_gang(run, search, now_s)
         target = state.held_room.target(run)
         if target is None or not has_room(target, now_s):
             free = search.free(run.task)
@@ -153,9 +148,27 @@
                     self._await_room(run, search, known=known)
                 return 0
             state.held_room.hold(run, free)
+            target = free
+        if not _answered_lately([target], now_s):
+            return 0
         self._stop(run)
         return 1
 
+    def _leave_as_gang(self, run: Run, search: RoomSearch, now_s: float) -> int:
+        """Stop the whole gang of a run if there is room; return the number of stops."""
+        held = self._state.held_room
+        gang = search.hold_for_gang(self._state.step_of(run.task))
+        if not gang:
+            self.without_room[run] = room_kind(self._state, run.task)
+        targets = [target for each in gang if (target := held.target(each)) is not None]
+        if not _answered_lately(targets, now_s):
+            for each in gang:
+                held.release(each)
+            return 0
+        for each in gang:
+            self._stop(each)
+        return len(gang)
+
     def _await_room(self, run: Run, search: RoomSearch, *, known: bool) -> None:
         """Hold room that is not free yet, so that waiting tasks do not take it part by part."""
         kind = room_kind(self._state, run.task)
@@ -199,6 +212,14 @@
     )
 
 
+def _answered_lately(targets: Sequence[WorkerView], now_s: float) -> bool:
+    """Return whether servers with held room are surely there; those that are quiet are asked."""
+    quiet = [target for target in targets if target.quiet(now_s)]
+    for target in quiet:
+        target.require_heartbeat(now_s)
+    return not quiet
+
+
 def _must_stop(worker: WorkerView, now_s: float) -> bool:
     """Return whether a server leaves so soon that its runs are stopped with or without room."""
     return worker.entry.draining and now_s >= worker.leaves_s - STOP_S
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -228,8 +228,7 @@
 
     def require_heartbeat(self, worker: WorkerView) -> None:
         """Assign nothing new to a backend server until it has answered another heartbeat."""
-        worker.contacted = False
-        worker.contact_required_s = worker.next_heartbeat_s = self._state.now_s
+        worker.require_heartbeat(self._state.now_s)
 
     def await_former_orders(self, ordered_unix_ms: Mapping[VmId, int], until_s: float) -> None:
         """Give no new tasks to servers that an order of a former owner for their VM may still end.
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -387,6 +387,11 @@
         """Whether its last heartbeat failed, or it has not answered this owner yet."""
         return self.heartbeat_failures > 0 or not self.contacted
 
+    def require_heartbeat(self, now_s: float) -> None:
+        """Get no new tasks until it has answered another heartbeat."""
+        self.contacted = False
+        self.contact_required_s = self.next_heartbeat_s = now_s
+
     def quiet(self, at_s: float) -> bool:
         """Return whether it had answered nothing for longer than a server with runs does.
 
