Count no crash of tasks whose VM an order has taken away

A silent server on a VM that is listed as moving or under maintenance counts as ended since, and its runs counted as crashes of their tasks: three of them, each alone on its server, fail the job. They count as lost without an explanation again, as those on a VM that has another server do.

The test failed before with [1, 1, 1] crashes instead of [0, 0, 0].

--- a/tests/core/failure_domains/test_down_vms.py
+++ b/tests/core/failure_domains/test_down_vms.py
@@ -69,6 +69,21 @@
                 self.assertEqual(self.fleet.observations.starts, 6)
                 self.assertEqual(self.fleet.observations.violations, [])
 
+    # Guards against jobs that are given up, as tasks count as crashing servers that an order for
+    # their VMs has ended.
+    def test_an_order_that_takes_a_vm_away_is_no_crash_of_its_tasks(self) -> None:
+        for state in (VmState.MAINTENANCE, VmState.MOVING):
+            with self.subTest(state):
+                self.setUp()
+                place = self.submit()
+                runs = list(self.fleet.scheduler.workers[place].runs.values())
+                self.fleet.run(0.2)
+                self.fleet.crash(place)
+                self.fleet.run(2.2)
+                self.read_list(place, asked_at_s=self.now_s(), state=state)
+                self.assertEqual(len(self.fleet.scheduler.workers[place].runs), 0)
+                self.assertEqual([run.task.crashes for run in runs], [0, 0, 0])
+
     # Guards against a second run of tasks on the server that follows, as the list lags behind it.
     def test_a_server_that_answers_keeps_its_tasks_though_its_vm_is_listed_as_moving(self) -> None:
         place = self.submit()
--- a/toucandoor/core/failure_domains/down_vms.py
+++ b/toucandoor/core/failure_domains/down_vms.py
@@ -58,5 +58,6 @@
             return
         for worker in self._registry.boots_on(down | ordered):
             # One that answers is the next server, which the list may be too old to show.
-            if worker.entry.vm_id in down or worker.heartbeat_failures > 0:
-                self._registry.vm_down(worker, asked_at_s)
+            by_order = worker.entry.vm_id in ordered
+            if not by_order or worker.heartbeat_failures > 0:
+                self._registry.vm_down(worker, asked_at_s, by_order=by_order)
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -159,7 +159,7 @@
         worker.ended = True
         worker.uncommitted.clear()
 
-    def vm_down(self, worker: WorkerView, asked_at_s: float) -> None:
+    def vm_down(self, worker: WorkerView, asked_at_s: float, *, by_order: bool) -> None:
         """Process that the platform lists the VM of a boot as down, or as taken away by an order.
 
         All its answers came before the list was asked for, so that whatever it has answered for
@@ -170,13 +170,14 @@
             worker: The boot.
             asked_at_s: When the list was asked for. A boot that has become known or has answered
                 since then may have started after the VM was down.
+            by_order: Whether a move or a maintenance has ended it, so that none of its runs has.
         """
         if worker.ended or max(worker.known_since_s, worker.answered_s) >= asked_at_s:
             return
         self.require_heartbeat(worker)
         ended = [run for run in worker.runs.values() if run.starts_unanswered == 0]
         self._state.discard_runs(worker, "is on a VM that is down", ended)
-        self.crashes.on_lost(worker, ended, ended=True)
+        self.crashes.on_lost(worker, ended, ended=not by_order)
 
     def discard_expired(self) -> None:
         """Discard the runs of unresponsive backend servers whose leases have expired."""
