--- a/tests/core/pools/test_vm_lender.py
+++ b/tests/core/pools/test_vm_lender.py
@@ -54,6 +54,16 @@
             self.fleet.run(5.0)
         send.assert_not_called()
 
+    # Guards against starts on a server that the move has ended, as the owner met it only while the
+    # order was under way.
+    def test_a_server_met_while_the_order_was_under_way_gets_no_tasks(self) -> None:
+        self.fleet.run(0.5)
+        worker = self.scheduler.workers[WorkerId("w0")]
+        self.assertTrue(worker.usable(self.fleet.clock.monotonic_s()))
+        with mock.patch.object(self.lender, "_in_flight", {VM: None}):
+            self.lender.on_move_begun(PoolMove(VM, OTHER))
+        self.assertFalse(worker.usable(self.fleet.clock.monotonic_s()))
+
     def test_a_boot_that_is_in_the_target_pool_already_goes_on(self) -> None:
         """The answer is the same if an earlier order, whose answer was lost, has made the move."""
         self.begin_move(PoolMove(VM, POOL))
--- a/toucandoor/core/pools/vm_lender.py
+++ b/toucandoor/core/pools/vm_lender.py
@@ -104,8 +104,11 @@
         worker = self._scheduler.workers.get(worker_id) if worker_id is not None else None
         if worker is not None:
             worker.cordons.discard(MOVE_CORDON)
-            # The backend server has ended, unless the move was not made.
-            self._scheduler.registry.require_heartbeat(worker)
+        registry = self._scheduler.registry
+        for boot in registry.boots_on((move.vm_id,)):
+            # It has ended, unless the move was not made. It may have become known only while the
+            # order was under way.
+            registry.require_heartbeat(boot)
         return worker
 
     def due_moves(self, busy: Collection[VmId]) -> list[PoolMove]:
