Send no first start to a server that must answer again

A run whose plan was being written when an order for the VM was answered, or another server was met on the VM, was sent to the server that had ended. No start is sent before the answer that require_heartbeat asks for.

--- a/tests/core/scheduling/test_unbegun_runs.py
+++ b/tests/core/scheduling/test_unbegun_runs.py
@@ -178,6 +178,33 @@
         self.fleet.run(4.0)
         self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
 
+    # Guards against a task that waits for a whole lease for a first start on a server that must
+    # answer again, as an order for its VM may have ended it while the plan was being written.
+    def test_a_server_that_must_answer_again_gets_no_planned_start_before(self) -> None:
+        self.boot(0, 1, 2)
+        self.submit(1)
+        place = self.place_of(0)
+        ended: list[WorkerId] = []
+
+        def choose_outcome(kind: str) -> CallOutcome:
+            workers = self.fleet.scheduler.workers.values()
+            runs = [run for worker in workers for run in worker.runs.values()]
+            moved = [run.worker for run in runs if run.key.attempt == 2]
+            if kind == "write" and moved and not ended:
+                ended.append(moved[0].entry.worker_id)
+                self.fleet.crash(ended[0])
+                self.fleet.scheduler.registry.require_heartbeat(moved[0])
+            return CallOutcome.ANSWERED
+
+        for worker in self.fleet.scheduler.workers.values():
+            self.fleet.scheduler.registry.require_heartbeat(worker)
+        self.fleet.run(0.1)
+        self.fleet.calls.choose_outcome = choose_outcome
+        entry = self.fleet.workers[place].entry
+        self.fleet.scheduler.worker_listed(replace(entry, draining=True, remaining_ms=20_000))
+        self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
+        self.assertEqual(len(ended), 1)
+
     # Guards against a run that is planned on a server that has ended with its VM's maintenance or
     # move, whose order nobody answered, while the platform's list still contains it.
     def test_a_server_whose_vm_has_another_one_gets_no_runs(self) -> None:
--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -156,6 +156,8 @@
         if run.worker.heartbeat_failures > 0:
             self._state.discard_run(run, DiscardReason.SERVER_SILENT)
             return False
+        if not run.worker.contacted:
+            return False
         # No answer since may also mean that this owner has not called it, as it was not allowed to.
         called_s = max(run.created_s, self._state.now_s - const.HEARTBEAT_WAIT_S)
         return not run.worker.quiet(called_s)
