Test the parts of the fix that no test would have missed

Undone one by one, these passed all tests of their modules: an answer to an earlier heartbeat returned a server to use, a start without a connection counted as unanswered in the orders of a term, starts that were not sent had no limit, a cancelled one waited for its stop, and a new owner did not await the orders of a former one. Each new test fails without its part.

--- a/tests/adapters/test_term_orders.py
+++ b/tests/adapters/test_term_orders.py
@@ -15,7 +15,7 @@
 from toucandoor.core.scheduling.orders import SendHeartbeat, StartRun
 from toucandoor.fakes.virtual_calls import OwnerTerm
 from toucandoor.fakes.virtual_fleet import VirtualFleet
-from toucandoor.platform.async_http import CallWithheldError
+from toucandoor.platform.async_http import CallNotSentError, CallWithheldError
 from toucandoor.platform.workers import PlatformWorkers
 
 
@@ -47,11 +47,28 @@
         self.assertEqual(virtual.observations.starts, 0)
         asked.assert_called()
 
+    # Guards against a run that holds its task for a whole lease though its start was not sent.
+    def test_a_start_without_a_connection_counts_as_not_sent(self) -> None:
+        virtual = fleet(workers=1)
+        owner = virtual.owner
+        assert owner is not None
+        self.invalidate_ownership(virtual, owner, valid=True, send=_async_refuse_connection)
+        virtual.submit(job(1, Step(1, NEEDS)))
+        virtual.run(0.05)
+        [run] = [run for worker in owner.scheduler.workers.values() for run in worker.runs.values()]
+        self.assertEqual(run.starts_undeliverable, 1)
+        self.assertTrue(run.never_sent)
+
     def invalidate_ownership(
-        self, virtual: VirtualFleet, owner: OwnerTerm, *, valid: bool = False
+        self,
+        virtual: VirtualFleet,
+        owner: OwnerTerm,
+        *,
+        valid: bool = False,
+        send: Callable[..., Awaitable[None]] | None = None,
     ) -> None:
         """Handle start orders as in a term with this validity; send all other orders."""
-        send = virtual.calls.send
+        send_order = virtual.calls.send
 
         def post(event: Callable[[], None]) -> None:
             virtual.schedule(0.0, event)
@@ -61,7 +78,7 @@
                 asyncio.run(_async_run(call))
 
         http = mock.Mock()
-        http.async_post.side_effect = _async_withhold
+        http.async_post.side_effect = send or _async_withhold
         dependencies = mock.Mock(clock=ManualClock())
         dependencies.workers = PlatformWorkers(http, dependencies.clock)
         term = TermContext(
@@ -79,7 +96,7 @@
             if isinstance(order, StartRun):
                 orders.carry_out([order])
             else:
-                send(sender, order)  # type: ignore[arg-type]
+                send_order(sender, order)  # type: ignore[arg-type]
 
         virtual.calls.send = carry_out  # type: ignore[method-assign]
 
@@ -141,5 +158,9 @@
     raise AssertionError("sent although the ownership is not valid")
 
 
+async def _async_refuse_connection(*_: object, **__: object) -> None:
+    raise CallNotSentError("connection refused", step="start")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/adapters/test_term_vms.py
+++ b/tests/adapters/test_term_vms.py
@@ -5,7 +5,7 @@
 import unittest
 from unittest import mock
 
-from tests.core.scheduling.common import configuration, job
+from tests.core.scheduling.common import CAPACITY, POOL, configuration, job
 from toucandoor.adapters.owner_records import OwnerRecords
 from toucandoor.adapters.term_context import TermContext
 from toucandoor.adapters.term_vms import OrderRecordWriter, TermVms
@@ -16,13 +16,15 @@
     VM_ORDERS_KEY,
     VmOrdersRecord,
     decode_vm_orders,
+    encode_vm_orders,
 )
 from toucandoor.core.ownership.lease import OWNER_KEY
-from toucandoor.core.records import Transaction, TransactionConflictError
+from toucandoor.core.records import Record, Snapshot, Transaction, TransactionConflictError
 from toucandoor.core.scheduling.scheduler import Scheduler, SchedulerSettings
+from toucandoor.core.scheduling.workers import WorkerEntry
 from toucandoor.exceptions import StoreAnswerLostError
 from toucandoor.fakes.virtual_platform import VirtualRecords
-from toucandoor.ids import FencingToken, VmId, WorkerId
+from toucandoor.ids import DataCentreId, FencingToken, VmId, WorkerId
 
 
 def record(*vms: str) -> VmOrdersRecord:
@@ -135,6 +137,32 @@
         self.scheduler.restore_job(spec, progress, 1)
         self.assertGreaterEqual(self.reads_in(5), 4)
 
+    # Guards against runs on a server that an order of the former owner is about to end.
+    def test_servers_on_vms_that_the_former_owner_has_ordered_get_no_runs_yet(self) -> None:
+        now_ms = int(self.scheduler.state.now_unix_ms)
+        orders = encode_vm_orders(VmOrdersRecord({VmId("m"): now_ms}))
+        nothing = Snapshot((), 1)
+        stored = Record(VM_ORDERS_KEY, orders, 1, 1)
+        self.vms.restore(nothing, nothing, Snapshot((stored,), 1))
+        for vm_id in ("m", "n"):
+            entry = WorkerEntry(
+                WorkerId(vm_id),
+                POOL,
+                "a:1",
+                DataCentreId("dc"),
+                CAPACITY,
+                (),
+                False,
+                1,
+                vm_id=VmId(vm_id),
+            )
+            self.scheduler.worker_listed(entry)
+        paused = {
+            worker_id: worker.paused_until_s > self.clock.monotonic_s()
+            for worker_id, worker in self.scheduler.workers.items()
+        }
+        self.assertEqual(paused, {WorkerId("m"): True, WorkerId("n"): False})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/core/maintenance/test_vm_orders.py
+++ b/tests/core/maintenance/test_vm_orders.py
@@ -90,6 +90,19 @@
                 self.assertEqual(places, ["w1"])
                 self.assertIn(VmId("m0"), self.waves.begun_s[1])
 
+    # Guards against the same on a server that the new owner meets after it has read the orders.
+    def test_a_server_that_is_met_after_the_orders_were_read_gets_no_run(self) -> None:
+        self.fleet.boot("w2", POOL, CAPACITY, vm_id="m2", listed_after_s=0.5)
+        registry, now_s = self.fleet.scheduler.registry, self.fleet.clock.monotonic_s()
+        ordered_unix_ms = int(self.fleet.scheduler.state.now_unix_ms)
+        registry.await_former_orders({VmId("m2"): ordered_unix_ms}, now_s + 2.0)
+        self.fleet.run(1.0)
+        worker = self.fleet.scheduler.workers[WorkerId("w2")]
+        self.assertTrue(worker.contacted)
+        self.assertFalse(worker.usable(self.fleet.clock.monotonic_s()))
+        self.fleet.run(1.1)
+        self.assertTrue(worker.usable(self.fleet.clock.monotonic_s()))
+
     # Guards against a new owner that leaves idle the server that has started because of the order.
     def test_the_server_that_has_started_after_the_order_gets_runs_at_once(self) -> None:
         self.order_and_take_over(carried_out_after_s=0.1, after_s=2.2)
--- a/tests/core/scheduling/test_late_starts.py
+++ b/tests/core/scheduling/test_late_starts.py
@@ -173,6 +173,22 @@
         self.assertEqual([run.worker.entry.worker_id for run in self.runs], [place])
         self.longest_gap_s(20.0)
 
+    # Guards against a task that stays without a run on a server that answers, but takes no starts.
+    def test_a_task_is_planned_again_after_starts_that_were_not_sent(self) -> None:
+        self.submit(*[CallOutcome.NOT_SENT] * 3)
+        self.assertLess(self.longest_gap_s(5.0), RUNS_AGAIN_WITHIN_S)
+        self.assertEqual([run.key.attempt for run in self.runs], [2])
+
+    # Guards against the run of a cancelled job that takes up capacity for a whole lease, though no
+    # start of it was sent.
+    def test_a_cancelled_run_without_a_sent_start_ends_on_a_silent_server(self) -> None:
+        self.submit(CallOutcome.NOT_SENT, for_s=0.05)
+        place, _ = self.first_place()
+        self.fleet.crash(place)
+        self.fleet.cancel(self.spec.job_id)
+        self.fleet.run(1.0)
+        self.assertEqual(len(self.fleet.scheduler.workers[place].runs), 0)
+
     # Guards against a second run of a task that moved to a later boot while a start was in flight.
     def test_a_start_that_was_not_sent_to_a_later_boot_leaves_one_run(self) -> None:
         for outcomes in (
--- a/tests/core/scheduling/test_unbegun_runs.py
+++ b/tests/core/scheduling/test_unbegun_runs.py
@@ -72,6 +72,24 @@
         waves.order(vms[1:], within_s=8.0, down_max=1)
         self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
 
+    # Guards against starts on a server that an order has ended, as it had answered a heartbeat from
+    # before the order: the answer came after it.
+    def test_a_server_is_usable_only_after_an_answer_to_a_later_heartbeat(self) -> None:
+        self.boot(0)
+        worker = self.fleet.scheduler.workers[WorkerId("w0")]
+        self.fleet.calls.choose_answer_delay_s = lambda: 0.3
+        self.fleet.scheduler.registry.require_heartbeat(worker)
+        while not worker.heartbeat_in_flight:
+            self.fleet.run(STEP_S)
+        self.fleet.run(0.1)
+        self.fleet.scheduler.registry.require_heartbeat(worker)
+        ordered_s = self.fleet.clock.monotonic_s()
+        while worker.answered_s < ordered_s:
+            self.fleet.run(STEP_S)
+        self.assertFalse(worker.usable(self.fleet.clock.monotonic_s()))
+        self.fleet.run(0.5)
+        self.assertTrue(worker.usable(self.fleet.clock.monotonic_s()))
+
     # Guards against a start on a server whose VM is under maintenance, as the owner met it only
     # while the order for the VM was under way.
     def test_a_server_met_while_its_maintenance_was_ordered_gets_no_start(self) -> None:
