--- a/toucandoor/core/scheduling/start_log.py
+++ b/toucandoor/core/scheduling/start_log.py
@@ -1,4 +1,4 @@
-"""What is known of the starts of a run, for its log lines."""
+"""When the start of a run was ordered, and what came back."""
 
 from __future__ import annotations
 
