--- a/toucandoor/core/scheduling/run_orders.py
+++ b/toucandoor/core/scheduling/run_orders.py
@@ -127,7 +127,7 @@
                 return None
             if run.worker.answered_s < run.order_sent_s:
                 return None
-        if run.never_sent and not self._has_answered_lately(run):
+        if run.never_sent and not self._may_send_first_start(run):
             return None
         until_ms = self._extend_lease(run.worker, now_s)
         if until_ms is None:
@@ -145,7 +145,7 @@
         payload = self._state.jobs[run.task.key.job_id].spec.payload
         return StartRun(run, StartOrder(run.key, payload, until_ms, token, run.checkpoint, ticket))
 
-    def _has_answered_lately(self, run: Run) -> bool:
+    def _may_send_first_start(self, run: Run) -> bool:
         """Return whether a first start may be sent; discard the run if its server is silent.
 
         A start without an answer would keep its task from running elsewhere for a whole lease.
--- a/toucandoor/core/scheduling/worker_registry.py
+++ b/toucandoor/core/scheduling/worker_registry.py
@@ -176,7 +176,10 @@
             return
         self.require_heartbeat(worker)
         ended = [run for run in worker.runs.values() if run.starts_unanswered == 0]
-        self._state.discard_runs(worker, "is on a VM that is down", ended)
+        reason = (
+            "is on a VM that an order has taken away" if by_order else "is on a VM that is down"
+        )
+        self._state.discard_runs(worker, reason, ended)
         self.crashes.on_lost(worker, ended, ended=not by_order)
 
     def discard_expired(self) -> None:
--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -393,10 +393,12 @@
         self.contact_required_s = self.next_heartbeat_s = now_s
 
     def quiet(self, at_s: float) -> bool:
-        """Return whether it had answered nothing for longer than a server with runs does.
+        """Return whether it had been silent for so long that it may have ended unnoticed.
+
+        A server without runs gets no heartbeats.
 
         Args:
-            at_s: A time on the monotonic clock; a later answer counts as well.
+            at_s: A time on the monotonic clock; an answer after it counts as well.
         """
         return at_s - self.answered_s > const.QUIET_AFTER_S
 
--- a/toucandoor/fakes/virtual_waves.py
+++ b/toucandoor/fakes/virtual_waves.py
@@ -48,7 +48,6 @@
         choose_list_delay_s: Returns the delay of an answer of the VM list, in seconds.
         choose_order_delay_s: Returns the time until an order on a VM is carried out, in seconds.
         handover_gap_s: Time for which a VM that a former owner has ordered gets no order.
-        choose_answered: Returns whether the platform answers an order on a VM.
         violations: Servers that could get tasks while a wave vacated their VMs.
         completed_s: When an owner reported a wave as completed, by wave.
     """
@@ -61,7 +60,6 @@
         self.completed_s: dict[int, float] = {}
         self.choose_list_delay_s: Callable[[], float] = lambda: CALL_S
         self.choose_order_delay_s: Callable[[], float] = lambda: CALL_S
-        self.choose_answered: Callable[[], bool] = lambda: True
         self.handover_gap_s = 0.0
         self.violations: list[str] = []
         self._records: dict[int, tuple[bytes, bool]] = {}
@@ -178,7 +176,7 @@
     def _send_order(self, coordinator: WaveCoordinator, order: MaintainVm) -> None:
         self._order_record = self._order_log.record_orders([order.vm_id])
         delay_s = self.choose_order_delay_s()
-        if self.choose_answered() and delay_s < TIMEOUT_S:
+        if delay_s < TIMEOUT_S:
             self._fleet.schedule(delay_s, partial(self._maintain, coordinator, order))
             return
         self._fleet.schedule(delay_s, partial(self._maintain_unanswered, order))
