Reproduce a start without an answer on a VM that stays down

The run holds its task for a whole lease though the VM list names its VM as down: 6.8 s in virtual time with a lease of 6 s. The VM's next boot may have the same id and may take the start late, which test_a_start_without_an_answer_is_waited_for_though_the_vm_was_down guards against, so that this is not mended here.

--- a/tests/core/scheduling/test_unbegun_runs.py
+++ b/tests/core/scheduling/test_unbegun_runs.py
@@ -150,6 +150,13 @@
         self.fleet.boot("other", POOL, CAPACITY, vm_id=vm_id)
         self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
 
+    # Guards against a task that waits for a whole lease for a start on a server that was lost for
+    # good at that moment, though its VM is listed as down.
+    def test_a_start_without_an_answer_ends_once_its_vm_is_listed_as_down(self) -> None:
+        VirtualWaves(self.fleet)
+        self.lose_before_start(CallOutcome.ANSWERED)
+        self.assertLess(self.longest_gap_s(12.0), RUNS_AGAIN_WITHIN_S)
+
     # Guards against a task that waits for a whole lease for a start that was never sent.
     def test_a_start_without_a_connection_is_given_up_at_once(self) -> None:
         self.lose_before_start(CallOutcome.NOT_SENT)
