--- a/toucandoor/core/scheduling/worker_view.py
+++ b/toucandoor/core/scheduling/worker_view.py
@@ -76,7 +76,7 @@
         checkpoint: Saved progress from which it starts.
         suspect: Whether its task may crash the server, by the runs before this one.
         isolated: Whether no other run is placed beside it.
-        start_log: When its start was ordered and what came back, for log lines.
+        start_log: When its start was ordered and what came back.
     """
 
     key: RunKey
