--- a/review/standins-3/standins3.py
+++ b/review/standins-3/standins3.py
@@ -80,6 +80,10 @@
     """The call gets no answer; its connection ends."""
 
 
+class Silence(Exception):
+    """The call gets no answer, and its connection stays open for as long as the server is silent."""
+
+
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
@@ -262,7 +266,7 @@
         self.store, self.record, self.name, self.service = store, record, name, service
         self.rack, self.cpu, self.duration_s = rack, cpu, duration_s
         self.ticket_for = ticket_for or (lambda _task: None)
-        self.lock = threading.Condition()
+        self.lock = threading.Condition(threading.RLock())
         self.born = int(time.time() * 1000)
         self.booted_s = time.monotonic() - 100.0
         self.token = 0
@@ -278,7 +282,8 @@
         self.starts: list[tuple[float, str, int]] = []
         self.refusals = 0
         self.sequence = 0
-        self.on_start = lambda worker, task, attempt, spec: None
+        self.kind = "a"
+        self.held_s = 0.0
         self.server = Server(self._answer)
         self.needs: dict[str, int] = {}
         self.write_entry()
@@ -300,7 +305,7 @@
             "cold_left_ms": 0,
             "sequence": self.sequence,
             "capacity": {"cpu": self.cpu, "mem_mb": 65536, "gpu": 0},
-            "labels": ["a", self.rack],
+            "labels": [self.kind, self.rack],
             "born": self.born,
             "machine": f"m-{self.name}",
         }
@@ -326,6 +331,11 @@
         self.server.server_close()
         self.store.delete(f"servers/{self.name}")
 
+    def fail(self, task: str, attempt: int) -> None:
+        """Let a work item end by its own fault."""
+        with self.lock:
+            self._end((task, attempt), "failed")
+
     def crash(self) -> None:
         """End without a word: channels are reset, and the store drops the entry after a while."""
         with self.lock:
@@ -334,9 +344,22 @@
             self.active.clear()
             self.lock.notify_all()
         self.record.add("server", self.name, "is down; lost with it:", *(lost or ["nothing"]))
+        threading.Thread(target=self._close, daemon=True).start()
+        threading.Timer(3 * HEARTBEAT_S, self.store.delete, (f"servers/{self.name}",)).start()
+
+    def go_dark(self) -> None:
+        """Be lost for good without a word: channels stay open, and nothing is answered or run."""
+        with self.lock:
+            self.hung = self.down = True
+            lost = [f"{task}#{attempt}" for task, attempt in self.active]
+            self.active.clear()
+            self.lock.notify_all()
+        self.record.add("server", self.name, "is lost for good, silently; with it:", *lost)
+        threading.Timer(3 * HEARTBEAT_S, self.store.delete, (f"servers/{self.name}",)).start()
+
+    def _close(self) -> None:
         self.server.shutdown()
         self.server.server_close()
-        threading.Timer(3 * HEARTBEAT_S, self.store.delete, (f"servers/{self.name}",)).start()
 
     def _beat(self) -> None:
         while not self.down:
@@ -371,10 +394,16 @@
         return sum(run["cpu"] for run in self.active.values())
 
     def _answer(self, method, path, query, body, headers):
-        if self.hung:
+        try:
+            return self._answer_unless_hung(path, body, headers)
+        except Silence:
             while self.hung:
                 time.sleep(0.02)
-            raise NoAnswer
+            raise NoAnswer from None
+
+    def _answer_unless_hung(self, path, body, headers):
+        if self.hung:
+            raise Silence
         if headers.get("X-Toucandoor-Expected-Instance") not in (None, self.name):
             return 421, {}
         with self.lock:
@@ -421,7 +450,6 @@
         self.active[task, attempt] = {"end_s": end_s, "stop_s": None, "cpu": cpu}
         self.starts.append((self.record.now_s(), task, attempt))
         self.record.add("server", self.name, "starts", f"{task}#{attempt}")
-        self.on_start(self, task, attempt, body["spec"])
         return 200, {"clock_ms": self.clock_ms()}
 
     def _refuse_start(self, task: str, attempt: int, reason: str):
@@ -444,13 +472,16 @@
         seen = body["last_seen"]
         self.ended = [row for row in self.ended if row[0] > seen]
         ends = self.ends
-        until_s = time.monotonic() + body.get("wait_ms", 0) / 1000
+        self.held_s = time.monotonic()
+        until_s = self.held_s + body.get("wait_ms", 0) / 1000
         while not self.ended and self.ends == ends and not self.down and not self.hung:
             left_s = until_s - time.monotonic()
             if left_s <= 0:
                 break
             self.lock.wait(min(left_s, 0.1))
-        if self.down or self.hung:
+        if self.hung:
+            raise Silence
+        if self.down:
             raise NoAnswer
         active = [
             [task, attempt, "", 100, run["cpu"]] for (task, attempt), run in self.active.items()
@@ -476,7 +507,7 @@
                 "pool": each.service,
                 "state": "down" if each.down else "up",
                 "zone": "z1",
-                "labels": ["a", each.rack],
+                "labels": [each.kind, each.rack],
                 "capacity": {"cpu": each.cpu, "mem_mb": 65536, "gpu": 0},
                 "id": each.name,
             }
