Review: choose ports that no other socket takes, and format the scripts

The stand-ins closed a free port before they bound it again. Change: servers bind to a port that the system chooses, nodes get ports below those; 30 s instead of 15 s until a node is ready.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -17,6 +17,7 @@
 
 
 def case(setting):
+    """Play the case; return how the rule was broken, empty if it held."""
     record = setting.record
     for number in range(2):
         setting.add_worker(f"w{number}", "s1", f"r{number}", 64000, lambda task: WORK_S)
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -18,11 +18,15 @@
 
 
 def case(setting):
+    """Play the case; return how the rule was broken, empty if it held."""
     record = setting.record
     # As on whistleline-sched, four servers a rack; the last two have a rack of their own.
     for number in range(SERVERS):
         setting.add_worker(
-            f"w{number:02}", "s1", f"r{number // 4}", 16000,
+            f"w{number:02}",
+            "s1",
+            f"r{number // 4}",
+            16000,
             lambda task: 60.0 if task.startswith(KEEPER) else 4.0,
         )
     rack = setting.workers[-2:]
--- a/review/standins-3/standins3.py
+++ b/review/standins-3/standins3.py
@@ -11,6 +11,7 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -32,18 +33,14 @@
 HOST = "127.0.0.1"
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
-
-
 def free_range(length: int) -> int:
-    """Return the first of some ports in a row that are free."""
+    """Return the first of some ports in a row that are free.
+
+    They lie below those that the system gives to other sockets, so that none of these takes one
+    before the node does.
+    """
     for _ in range(200):
-        first = free_port()
-        if first + length > 60000:
-            continue
+        first = random.randrange(12000, 30000)
         held = []
         try:
             for port in range(first, first + length):
@@ -68,9 +65,11 @@
         self.began_s = time.monotonic()
 
     def now_s(self) -> float:
+        """Return the time since the start."""
         return time.monotonic() - self.began_s
 
     def add(self, *words: object) -> None:
+        """Write a line."""
         with self._lock:
             self._file.write(f"{self.now_s():8.3f} " + " ".join(map(str, words)) + "\n")
             self._file.flush()
@@ -81,7 +80,7 @@
 
 
 class Silence(Exception):
-    """The call gets no answer, and its connection stays open for as long as the server is silent."""
+    """The call gets no answer, and its connection stays open while the server is silent."""
 
 
 class _Handler(BaseHTTPRequestHandler):
@@ -103,23 +102,26 @@
         head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
         self.wfile.write(f"{head}Content-Length: {len(data)}\r\n\r\n".encode() + data)
 
-    do_GET = do_POST = do_DELETE = _serve
+    do_GET = do_POST = do_DELETE = _serve  # noqa: N815  names that the base class calls
 
     def log_message(self, *_: object) -> None:
-        return
+        """Log nothing."""
 
 
 class Server(ThreadingHTTPServer):
+    """Serves calls from a thread for each connection."""
+
     daemon_threads = True
     request_queue_size = 256
 
-    def __init__(self, answer, port: int = 0) -> None:
-        super().__init__((HOST, port or free_port()), _Handler)
+    def __init__(self, answer) -> None:
+        super().__init__((HOST, 0), _Handler)
         self.answer = answer
         self.address = f"{HOST}:{self.server_address[1]}"
         threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
 
     def handle_error(self, *_: object) -> None:
+        """Report errors, but none of connections."""
         if not isinstance(sys.exception(), (ConnectionError, OSError)):
             super().handle_error(*_)
 
@@ -146,12 +148,14 @@
             self.lock.notify_all()
 
     def delete(self, key: str) -> None:
+        """Remove a record."""
         with self.lock:
             self.revision += 1
             self._remove(key)
             self.lock.notify_all()
 
     def read(self, key: str) -> object | None:
+        """Return a decoded value; None if there is none."""
         with self.lock:
             item = self.items.get(key)
         return None if item is None else json.loads(base64.b64decode(item["value"]))
@@ -291,9 +295,11 @@
         threading.Thread(target=self._tick, daemon=True).start()
 
     def clock_ms(self) -> int:
+        """Return the steady clock."""
         return int((time.monotonic() - self.booted_s) * 1000)
 
     def write_entry(self) -> None:
+        """Write the entry in the list of servers."""
         self.sequence += 1
         entry = {
             "service": self.service,
@@ -391,6 +397,7 @@
         self.lock.notify_all()
 
     def used(self) -> int:
+        """Return the processor that is in use."""
         return sum(run["cpu"] for run in self.active.values())
 
     def _answer(self, method, path, query, body, headers):
@@ -621,7 +628,8 @@
             command, cwd=ROOT, env=environment, stdout=self._log, stderr=self._log
         )
 
-    def wait_ready(self, limit_s: float = 15.0) -> None:
+    def wait_ready(self, limit_s: float = 30.0) -> None:
+        """Wait until the node is ready for callers."""
         until_s = time.monotonic() + limit_s
         while time.monotonic() < until_s:
             try:
@@ -635,6 +643,7 @@
         raise RuntimeError("the node did not get ready")
 
     def end(self) -> None:
+        """Kill the process."""
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
         self.process.wait(10)
@@ -667,7 +676,7 @@
 
 
 class Setting:
-    """Stand-ins and nodes of one case; ends all processes and servers at its end."""
+    """Stand-ins and nodes of one case; ends all processes at its end."""
 
     def __init__(self, folder: Path) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="toucandoor-review-"))
@@ -679,17 +688,20 @@
         self.nodes: list[Node] = []
 
     def add_worker(self, *args, **kwargs) -> Worker:
+        """Start a backend server."""
         worker = Worker(self.store, self.record, *args, **kwargs)
         self.workers.append(worker)
         return worker
 
     def add_node(self, adviser: str = "") -> Node:
+        """Start a node."""
         number = len(self.nodes) + 1
         node = Node(self.folder, self.store, self.cloud, number, adviser)
         self.nodes.append(node)
         return node
 
     def configure(self, version, routes, tenants, services=("s1",)) -> None:
+        """Write a version of the configuration."""
         self.store.put(
             "op/config",
             {
@@ -703,6 +715,7 @@
         self.record.add("operator: version", version, "is confirmed")
 
     def close(self) -> None:
+        """End all nodes and remove their files."""
         for node in self.nodes:
             node.end()
         keep = os.environ.get("KEEP_LOGS")
